--- /dev/null
+++ b/apps/daemon/node.cpp
@@ -0,0 +1,283 @@
+#include "node.hpp"
+
+#include <pollenstream/core/hash.hpp>
+#include <pollenstream/core/invariant.hpp>
+#include <pollenstream/routing/policy_registry.hpp>
+
+#include <glog/logging.h>
+
+#include <chrono>
+#include <future>
+#include <thread>
+#include <utility>
+
+namespace apps::daemon
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr auto beat_period = core::duration( 1s );
+constexpr auto list_period = core::duration( 1s );
+constexpr auto poll_period = core::duration( 250ms );
+constexpr auto tidy_period = core::duration( 10s );
+constexpr auto drain_check_period = 20ms;
+/// Longest wait for a forwarded call beyond its own time.
+constexpr auto forward_slack = core::duration( 1s );
+
+/// Rises from start to start, as long as the system's clock does not go back
+/// by more than the time that a restart takes.
+auto new_incarnation() -> core::incarnation
+{
+    auto const now = std::chrono::system_clock::now().time_since_epoch();
+    return core::incarnation(
+        std::chrono::duration_cast<std::chrono::microseconds>( now ).count() );
+}
+
+auto seed_of( core::instance_id const& id, core::incarnation incarnation )
+    -> std::uint64_t
+{
+    return core::stable_hash(
+        id.str(), static_cast<std::uint64_t>( incarnation.count() ) );
+}
+
+}
+
+node::node( pollenstream::settings::daemon_settings settings,
+            std::function<void()> on_drain )
+    : settings_( std::move( settings ) ), incarnation_( new_incarnation() ),
+      timer_( clock_ ), store_( settings_.store ), list_( settings_.list ),
+      policy_( routing::make_policy( "predicted",
+                                     seed_of( settings_.id, incarnation_ ) ) ),
+      shared_{ { settings_.id, incarnation_ },
+               clock_,
+               timer_,
+               engines_,
+               targets_,
+               *policy_,
+               retries_,
+               metrics_ },
+      holder_( codec_ ), publisher_( store_, codec_, holder_ ),
+      follower_(
+          store_, codec_, holder_, seed_of( settings_.id, incarnation_ ) ),
+      ledger_( settings_.id, incarnation_ ),
+      members_( self_member(), seed_of( settings_.id, incarnation_ ) ),
+      heartbeats_( members_, holder_, codec_, peers_, clock_ ),
+      watch_( std::make_shared<membership::target_watch>( settings_.id,
+                                                          settings_.place,
+                                                          holder_,
+                                                          targets_,
+                                                          *policy_,
+                                                          engines_,
+                                                          clock_ ) ),
+      gateway_( shared_,
+                holder_,
+                members_,
+                ledger_,
+                services_,
+                peers_,
+                settings_.entry_keep ),
+      callers_( settings_.callers, { settings_.largest_body }, gateway_ ),
+      operators_( settings_.operators,
+                  settings_.token,
+                  sources(),
+                  publisher_,
+                  codec_,
+                  { std::move( on_drain ), [this]( core::revision r )
+                    {
+                        return reach( r );
+                    } } )
+{
+}
+
+node::~node()
+{
+    tasks_.clear();
+}
+
+auto node::self_member() const -> membership::member
+{
+    auto self = membership::member{};
+    self.id = settings_.id;
+    self.place = settings_.place;
+    self.callers = settings_.callers;
+    self.peers = settings_.peers;
+    self.incarnation = incarnation_;
+    return self;
+}
+
+auto node::sources() -> adapters::http::dump_sources
+{
+    return { shared_,  gateway_,    holder_, ledger_,
+             members_, heartbeats_, *watch_ };
+}
+
+auto node::start() -> void
+{
+    peer_server_ = std::make_unique<adapters::thrift::peer_thrift_server>(
+        settings_.peers, *this );
+    read_list();
+    start_tasks();
+    operators_.open();
+    callers_.open();
+    LOG( INFO ) << "instance " << settings_.id.str() << " in "
+                << settings_.place.str() << " serves callers at "
+                << core::to_string( settings_.callers );
+}
+
+auto node::start_tasks() -> void
+{
+    auto const run = [this]( periodic_task::body body )
+    {
+        tasks_.push_back(
+            std::make_unique<periodic_task>( std::move( body ) ) );
+    };
+    run(
+        [this]
+        {
+            return beat();
+        } );
+    run(
+        [this]
+        {
+            return read_list();
+        } );
+    run(
+        [this]
+        {
+            return follow();
+        } );
+    run(
+        [this]
+        {
+            watch_->poll();
+            return poll_period;
+        } );
+    run(
+        [this]
+        {
+            gateway_.tidy();
+            return tidy_period;
+        } );
+}
+
+auto node::beat() -> core::duration
+{
+    members_.set_open_requests( shared_.open_sessions.load() );
+    heartbeats_.run_round();
+    return beat_period;
+}
+
+auto node::read_list() -> core::duration
+{
+    auto const listing = list_.fetch();
+    if ( listing )
+    {
+        members_.learn_listed( listing.value().instances, clock_.now() );
+        watch_->take_listing( listing.value() );
+    }
+    return list_period;
+}
+
+auto node::follow() -> core::duration
+{
+    auto const before = holder_.revision();
+    auto const pause = follower_.follow_once();
+    if ( holder_.revision() != before )
+        LOG( INFO ) << "configuration revision " << holder_.revision().count()
+                    << " is in force";
+    return pause;
+}
+
+auto node::reach( core::revision wanted ) -> adapters::http::revision_reach
+{
+    auto all = members_.all();
+    auto mine = ports::heartbeat{};
+    mine.sender = members_.self();
+    mine.revision = holder_.revision();
+    auto out = adapters::http::revision_reach{};
+    auto answers = std::vector<std::future<bool>>{};
+    for ( auto const& each : all )
+    {
+        if ( each.phase == membership::member_phase::gone )
+            continue;
+        ++out.asked;
+        answers.push_back(
+            std::async( std::launch::async,
+                        [this, mine, wanted, peers = each.peers]
+                        {
+                            auto const theirs = peers_.exchange( peers, mine );
+                            return theirs && theirs.value().revision >= wanted;
+                        } ) );
+    }
+    for ( auto& each : answers )
+        out.in_force += each.get() ? 1 : 0;
+    return out;
+}
+
+auto node::stop() -> std::int64_t
+{
+    LOG( INFO ) << "planned stop: leaving, " << shared_.open_sessions.load()
+                << " requests open";
+    members_.leave( clock_.now() );
+    heartbeats_.run_round();
+    std::this_thread::sleep_for( settings_.entry_keep );
+    gateway_.close();
+    auto const cut = wait_for_requests();
+    core::check_invariant( core::invariant::stop_cuts_nothing, cut == 0,
+                           std::to_string( cut ) + " requests were open" );
+    callers_.close();
+    operators_.close();
+    for ( auto const& each : tasks_ )
+        each->ask_to_stop();
+    peer_server_.reset();
+    LOG( INFO ) << "stopped, " << cut << " requests cut";
+    return cut;
+}
+
+auto node::wait_for_requests() -> std::int64_t
+{
+    auto const limit = clock_.now() + settings_.drain_limit;
+    while ( shared_.open_sessions.load() > 0 && clock_.now() < limit )
+        std::this_thread::sleep_for( drain_check_period );
+    return shared_.open_sessions.load();
+}
+
+auto node::on_exchange( ports::heartbeat const& theirs ) -> ports::heartbeat
+{
+    return heartbeats_.answer( theirs );
+}
+
+auto node::on_fetch_configuration( core::revision newer_than )
+    -> ports::peer_configuration
+{
+    return heartbeats_.answer_fetch( newer_than );
+}
+
+auto node::on_call( ports::forwarded_call const& what ) -> state::call_outcome
+{
+    auto wanted = sessions::plain_call{};
+    wanted.service = what.service;
+    wanted.profile = what.profile;
+    wanted.workspace = what.workspace;
+    wanted.ticket = what.ticket;
+    wanted.call = what.call;
+    auto answer = std::make_shared<std::promise<state::call_outcome>>();
+    auto outcome = answer->get_future();
+    gateway_.call_here( wanted,
+                        [answer]( state::call_outcome const& o )
+                        {
+                            answer->set_value( o );
+                        } );
+    auto const limit = what.call.time_left + forward_slack;
+    if ( outcome.wait_for( limit ) == std::future_status::ready )
+        return outcome.get();
+    auto late = state::call_outcome{};
+    late.reason = "deadline";
+    late.detail = "the call was still running at its deadline";
+    return late;
+}
+
+}
--- /dev/null
+++ b/apps/daemon/periodic_task.cpp
@@ -0,0 +1,48 @@
+#include "periodic_task.hpp"
+
+#include <utility>
+
+namespace apps::daemon
+{
+
+periodic_task::periodic_task( body run )
+    : run_( std::move( run ) ), thread_(
+                                    [this]
+                                    {
+                                        loop();
+                                    } )
+{
+}
+
+periodic_task::~periodic_task()
+{
+    ask_to_stop();
+    thread_.join();
+}
+
+auto periodic_task::ask_to_stop() -> void
+{
+    auto const lock = std::scoped_lock( mutex_ );
+    stopping_ = true;
+    wake_.notify_all();
+}
+
+auto periodic_task::loop() -> void
+{
+    while ( pause( run_() ) )
+    {
+    }
+}
+
+auto periodic_task::pause( pollenstream::core::duration how_long ) -> bool
+{
+    auto lock = std::unique_lock( mutex_ );
+    wake_.wait_for( lock, how_long,
+                    [this]
+                    {
+                        return stopping_;
+                    } );
+    return !stopping_;
+}
+
+}
--- /dev/null
+++ b/src/pollenstream/adapters/http/caller_listener.cpp
@@ -0,0 +1,235 @@
+#include <pollenstream/adapters/http/answer_sinks.hpp>
+#include <pollenstream/adapters/http/caller_listener.hpp>
+#include <pollenstream/adapters/http/chat_request.hpp>
+#include <pollenstream/adapters/http/problem.hpp>
+#include <pollenstream/adapters/http/send_reply.hpp>
+
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace pollenstream::adapters::http
+{
+
+namespace
+{
+
+using web::http::methods;
+using web::json::value;
+
+constexpr auto workspace_header = "Pollenstream-Workspace";
+constexpr auto profile_header = "Pollenstream-Profile";
+constexpr auto deadline_header = "Pollenstream-Deadline-Ms";
+constexpr auto ticket_header = "Pollenstream-Ticket";
+constexpr auto key_header = "Idempotency-Key";
+constexpr auto longest_name = std::size_t{ 200 };
+
+/// What the headers common to all calls say.
+struct call_headers
+{
+    core::workspace_id workspace;
+    core::profile_id profile;
+    std::optional<core::duration> time_limit;
+};
+
+auto read_deadline( std::string const& digits )
+    -> core::result<std::optional<core::duration>>
+{
+    if ( digits.empty() )
+        return std::optional<core::duration>{};
+    auto milliseconds = std::int64_t{ 0 };
+    auto const* const end = digits.data() + digits.size();
+    auto const [stopped, status] =
+        std::from_chars( digits.data(), end, milliseconds );
+    constexpr auto day = std::int64_t{ 24 } * 60 * 60 * 1000;
+    auto const is_good = status == std::errc{} && stopped == end &&
+                         milliseconds > 0 && milliseconds <= day;
+    if ( !is_good )
+        return core::error{ core::error_code::malformed,
+                            std::string( deadline_header ) +
+                                " is not a number of milliseconds" };
+    return std::optional<core::duration>(
+        std::chrono::milliseconds( milliseconds ) );
+}
+
+auto read_headers( received_request const& request )
+    -> core::result<call_headers>
+{
+    auto const workspace = request.header( workspace_header );
+    auto const profile = request.header( profile_header );
+    for ( auto const& [name, text] : { std::pair( workspace_header, workspace ),
+                                       std::pair( profile_header, profile ) } )
+    {
+        if ( text.empty() || text.size() > longest_name )
+            return core::error{ core::error_code::malformed,
+                                std::string( name ) +
+                                    " is missing or too long" };
+    }
+    auto const deadline = read_deadline( request.header( deadline_header ) );
+    if ( !deadline )
+        return deadline.error();
+    return call_headers{ core::workspace_id( workspace ),
+                         core::profile_id( profile ), deadline.value() };
+}
+
+auto refuse( received_request const& request, core::error const& why ) -> void
+{
+    send_reply( request.message,
+                problem_response( bad_request( "bad-request", why.detail ) ) );
+}
+
+auto reply_to_call( web::http::http_request const& message,
+                    state::call_outcome const& outcome ) -> void
+{
+    if ( outcome.status != ports::answer_status::complete )
+    {
+        auto end = bad_request( outcome.reason, outcome.detail );
+        end.status = outcome.status;
+        send_reply( message, problem_response( end ) );
+        return;
+    }
+    auto response = web::http::http_response(
+        static_cast<web::http::status_code>( outcome.reply.status ) );
+    response.set_body( outcome.reply.body, outcome.reply.content_type );
+    send_reply( message, response );
+}
+
+auto path_below( received_request const& request, std::size_t skipped )
+    -> std::string
+{
+    auto path = std::string{};
+    for ( auto i = skipped; i < request.path.size(); ++i )
+        path += "/" + web::uri::encode_data_string( request.path[i] );
+    auto const query = request.message.request_uri().query();
+    if ( !query.empty() )
+        path += "?" + query;
+    return path.empty() ? "/" : path;
+}
+
+}
+
+caller_listener::caller_listener( core::address const& at,
+                                  caller_limits const& limits,
+                                  sessions::gateway& gateway )
+    : gateway_( gateway ), listener_( at, limits.largest_body, routes() )
+{
+}
+
+auto caller_listener::open() -> void
+{
+    listener_.open();
+}
+
+auto caller_listener::close() -> void
+{
+    listener_.close();
+}
+
+auto caller_listener::routes() -> std::vector<route>
+{
+    return {
+        { methods::POST,
+          { "v1", "chat", "completions" },
+          false,
+          [this]( received_request r )
+          {
+              on_chat( std::move( r ) );
+          } },
+        { methods::GET,
+          { "v1", "entry" },
+          false,
+          [this]( received_request r )
+          {
+              on_entry( std::move( r ) );
+          } },
+        { web::http::method{},
+          { "v1", "services" },
+          true,
+          [this]( received_request r )
+          {
+              on_service( std::move( r ) );
+          } },
+    };
+}
+
+auto caller_listener::on_chat( received_request request ) -> void
+{
+    auto const headers = read_headers( request );
+    if ( !headers )
+    {
+        refuse( request, headers.error() );
+        return;
+    }
+    auto chat = read_chat_request( request.body );
+    if ( !chat )
+    {
+        refuse( request, chat.error() );
+        return;
+    }
+    auto& asked = chat.value();
+    auto wanted = sessions::request{};
+    wanted.workspace = headers.value().workspace;
+    wanted.prompt =
+        std::make_shared<std::string const>( std::move( asked.prompt ) );
+    wanted.max_output = asked.max_tokens;
+    wanted.time_limit = headers.value().time_limit;
+    auto sink = asked.stream
+                    ? make_streaming_sink( request.message, asked.model )
+                    : make_whole_sink( request.message, asked.model );
+    gateway_.answer( headers.value().profile, std::move( wanted ),
+                     std::move( sink ) );
+}
+
+auto caller_listener::on_entry( received_request request ) -> void
+{
+    auto const entry =
+        gateway_.entry( core::workspace_id( request.query( "workspace" ) ),
+                        core::place_id( request.query( "place" ) ) );
+    auto addresses = value::array( entry.addresses.size() );
+    for ( auto i = std::size_t{ 0 }; i < entry.addresses.size(); ++i )
+        addresses[i] = value::string( core::to_string( entry.addresses[i] ) );
+    auto json = value::object();
+    json["addresses"] = std::move( addresses );
+    json["keep_ms"] = value::number( core::milliseconds_of( entry.keep ) );
+    json["ticket_prefix"] = value::string( entry.ticket_prefix );
+    send_json( request.message, json );
+}
+
+auto caller_listener::on_service( received_request request ) -> void
+{
+    constexpr auto parts_before_service = std::size_t{ 2 };
+    if ( request.path.size() <= parts_before_service )
+    {
+        refuse( request,
+                { core::error_code::malformed, "the path names no service" } );
+        return;
+    }
+    auto const headers = read_headers( request );
+    if ( !headers )
+    {
+        refuse( request, headers.error() );
+        return;
+    }
+    auto wanted = sessions::plain_call{};
+    wanted.service = core::service_id( request.path[parts_before_service] );
+    wanted.profile = headers.value().profile;
+    wanted.workspace = headers.value().workspace;
+    auto const ticket = request.header( ticket_header );
+    if ( !ticket.empty() )
+        wanted.ticket = ticket;
+    wanted.call.method = request.message.method();
+    wanted.call.path = path_below( request, parts_before_service + 1 );
+    wanted.call.content_type = request.message.headers().content_type();
+    wanted.call.body = std::move( request.body );
+    wanted.call.key = core::idempotency_key( request.header( key_header ) );
+    wanted.call.time_left =
+        headers.value().time_limit.value_or( core::duration( 0 ) );
+    auto const message = request.message;
+    gateway_.call( wanted,
+                   [message]( state::call_outcome const& outcome )
+                   {
+                       reply_to_call( message, outcome );
+                   } );
+}
+
+}
--- /dev/null
+++ b/src/pollenstream/adapters/http/caller_listener.hpp
@@ -0,0 +1,39 @@
+#ifndef POLLENSTREAM_ADAPTERS_HTTP_CALLER_LISTENER_HPP
+#define POLLENSTREAM_ADAPTERS_HTTP_CALLER_LISTENER_HPP
+
+#include <pollenstream/adapters/http/listener.hpp>
+#include <pollenstream/sessions/gateway.hpp>
+
+namespace pollenstream::adapters::http
+{
+
+/// Bounds of what callers may send.
+struct caller_limits
+{
+    std::size_t largest_body{ 0 }; ///< bytes
+};
+
+/// The interface towards callers; see docs/CALLERS.md.
+class caller_listener
+{
+public:
+    caller_listener( core::address const& at,
+                     caller_limits const& limits,
+                     sessions::gateway& gateway );
+
+    auto open() -> void;
+    auto close() -> void;
+
+private:
+    auto routes() -> std::vector<route>;
+    auto on_chat( received_request request ) -> void;
+    auto on_entry( received_request request ) -> void;
+    auto on_service( received_request request ) -> void;
+
+    sessions::gateway& gateway_;
+    listener listener_;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/pollenstream/adapters/http/engine_http_client.cpp
@@ -0,0 +1,288 @@
+#include <pollenstream/adapters/http/data_line_splitter.hpp>
+#include <pollenstream/adapters/http/engine_codec.hpp>
+#include <pollenstream/adapters/http/engine_http_client.hpp>
+#include <pollenstream/adapters/http/json_call.hpp>
+#include <pollenstream/adapters/http/read_available.hpp>
+
+#include <array>
+#include <utility>
+
+namespace pollenstream::adapters::http
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using web::http::methods;
+
+constexpr auto longest_silence = core::duration( 1h );
+constexpr auto control_timeout = core::duration( 2s );
+/// Longest event that an engine may send, in bytes.
+constexpr auto longest_event = std::size_t{ 256 * 1024 };
+constexpr auto read_size = std::size_t{ 16 * 1024 };
+
+/// One open connection that an answer comes over. Keeps itself alive while a
+/// read is under way.
+class http_engine_stream
+    : public ports::engine_stream,
+      public std::enable_shared_from_this<http_engine_stream>
+{
+public:
+    http_engine_stream( client_pool& pool,
+                        client_pool& control,
+                        core::address to,
+                        core::request_id request,
+                        std::shared_ptr<ports::stream_listener> listener )
+        : pool_( pool ), control_( control ), to_( std::move( to ) ),
+          request_( std::move( request ) ), listener_( std::move( listener ) ),
+          lines_( longest_event )
+    {
+    }
+
+    auto start( web::http::http_request const& message ) -> void
+    {
+        auto const self = shared_from_this();
+        pool_.client_for( to_ )
+            ->request( message, source_.get_token() )
+            .then(
+                [self]( web::http::http_response const& response )
+                {
+                    return self->on_response( response );
+                } )
+            .then(
+                [self]( pplx::task<void> const& done )
+                {
+                    try
+                    {
+                        done.get();
+                    }
+                    catch ( ... )
+                    {
+                        self->pool_.drop( self->to_ );
+                        self->end( error_of( std::current_exception() ) );
+                    }
+                } );
+    }
+
+    auto cancel() -> void override
+    {
+        detach();
+        auto const path = "/v1/streams/" + encode_part( request_.str() );
+        call_json( control_, to_, { methods::DEL, path, std::nullopt },
+                   []( json_result const& ) {} );
+    }
+
+    auto detach() -> void override
+    {
+        listening_.store( false );
+        source_.cancel();
+    }
+
+private:
+    auto on_response( web::http::http_response const& response )
+        -> pplx::task<void>
+    {
+        auto const self = shared_from_this();
+        auto const status = response.status_code();
+        if ( status == web::http::status_codes::OK )
+        {
+            body_ = response.body().streambuf();
+            return read_on();
+        }
+        auto reply = response;
+        return reply.extract_utf8string( true ).then(
+            [self, status]( std::string const& text )
+            {
+                self->end( error_of_status( status, text ) );
+            } );
+    }
+
+    auto read_on() -> pplx::task<void>
+    {
+        auto const self = shared_from_this();
+        return read_available( body_, buffer_.data(), buffer_.size() )
+            .then(
+                [self]( std::size_t count ) -> pplx::task<void>
+                {
+                    if ( count == 0 )
+                    {
+                        self->end( core::success() );
+                        return pplx::task_from_result();
+                    }
+                    self->take_bytes( count );
+                    return self->read_on();
+                } );
+    }
+
+    auto take_bytes( std::size_t count ) -> void
+    {
+        auto const bytes = std::string_view(
+            reinterpret_cast<char const*>( buffer_.data() ), count );
+        auto events = std::vector<ports::engine_event>{};
+        for ( auto const& line : lines_.add( bytes ) )
+        {
+            auto event = read_engine_event( line );
+            if ( event )
+                events.push_back( std::move( event.value() ) );
+        }
+        if ( !events.empty() && listening_.load() )
+            listener_->on_events( events );
+        if ( lines_.has_failed() )
+            throw std::length_error( "an engine's event is too long" );
+    }
+
+    auto end( core::result<void> status ) -> void
+    {
+        auto const listener = std::exchange( listener_, nullptr );
+        if ( listener && listening_.exchange( false ) )
+            listener->on_end( std::move( status ) );
+    }
+
+    client_pool& pool_;
+    client_pool& control_;
+    core::address to_;
+    core::request_id request_;
+    std::shared_ptr<ports::stream_listener> listener_;
+    pplx::cancellation_token_source source_;
+    std::atomic<bool> listening_{ true };
+    concurrency::streams::streambuf<std::uint8_t> body_;
+    std::array<std::uint8_t, read_size> buffer_{};
+    data_line_splitter lines_;
+};
+
+auto without_value( json_result const& reply ) -> core::result<void>
+{
+    if ( reply )
+        return core::success();
+    return reply.error();
+}
+
+}
+
+engine_http_client::engine_http_client()
+    : streams_( longest_silence ), control_( control_timeout )
+{
+}
+
+auto engine_http_client::open(
+    ports::engine_endpoint const& engine,
+    ports::engine_request const& request,
+    std::shared_ptr<ports::stream_listener> listener )
+    -> std::shared_ptr<ports::engine_stream>
+{
+    auto stream = std::make_shared<http_engine_stream>(
+        streams_, control_, engine.address, request.request,
+        std::move( listener ) );
+    auto message = web::http::http_request( methods::POST );
+    message.set_request_uri( "/v1/streams" );
+    message.set_body( to_json( request ) );
+    stream->start( message );
+    return stream;
+}
+
+auto engine_http_client::resume(
+    ports::engine_endpoint const& engine,
+    ports::engine_request const& request,
+    std::shared_ptr<ports::stream_listener> listener )
+    -> std::shared_ptr<ports::engine_stream>
+{
+    // The kept connections share the fate of the one that was lost.
+    streams_.drop( engine.address );
+    auto stream = std::make_shared<http_engine_stream>(
+        streams_, control_, engine.address, request.request,
+        std::move( listener ) );
+    auto message = web::http::http_request( methods::GET );
+    message.set_request_uri(
+        "/v1/streams/" + encode_part( request.request.str() ) +
+        "?from=" + std::to_string( request.from_position ) +
+        "&attempt=" + std::to_string( request.attempt.count() ) );
+    stream->start( message );
+    return stream;
+}
+
+auto engine_http_client::reserve( ports::engine_endpoint const& engine,
+                                  ports::reservation_request const& reservation,
+                                  done callback ) -> void
+{
+    call_json( control_, engine.address,
+               { methods::POST, "/v1/reservations", to_json( reservation ) },
+               [callback]( json_result const& reply )
+               {
+                   callback( without_value( reply ) );
+               } );
+}
+
+auto engine_http_client::release( ports::engine_endpoint const& engine,
+                                  core::reservation_id const& reservation,
+                                  done callback ) -> void
+{
+    send_release( engine.address,
+                  "/v1/reservations/" + encode_part( reservation.str() ),
+                  std::move( callback ) );
+}
+
+auto engine_http_client::send_release( core::address const& to,
+                                       std::string const& path,
+                                       done callback ) -> void
+{
+    call_json( control_, to, { methods::DEL, path, std::nullopt },
+               [callback]( json_result const& reply )
+               {
+                   callback( without_value( reply ) );
+               } );
+}
+
+auto engine_http_client::fill_span( ports::engine_endpoint const& engine,
+                                    core::reservation_id const& reservation,
+                                    core::token_count tokens,
+                                    core::duration limit,
+                                    done callback ) -> void
+{
+    auto body = web::json::value::object();
+    body["tokens"] = web::json::value::number( tokens.count() );
+    body["time_left_us"] = web::json::value::number( limit.count() );
+    auto const path =
+        "/v1/reservations/" + encode_part( reservation.str() ) + "/fill";
+    call_json( streams_, engine.address, { methods::POST, path, body },
+               [callback]( json_result const& reply )
+               {
+                   callback( without_value( reply ) );
+               } );
+}
+
+auto engine_http_client::load( ports::engine_endpoint const& engine,
+                               load_done callback ) -> void
+{
+    call_json( control_, engine.address, { methods::GET, "/v1/load", {} },
+               [callback]( json_result const& reply )
+               {
+                   if ( reply )
+                       callback( read_load_report( reply.value() ) );
+                   else
+                       callback( reply.error() );
+               } );
+}
+
+auto engine_http_client::held( ports::engine_endpoint const& engine,
+                               held_done callback ) -> void
+{
+    call_json( control_, engine.address, { methods::GET, "/v1/held", {} },
+               [callback]( json_result const& reply )
+               {
+                   if ( reply )
+                       callback( read_held_memory( reply.value() ) );
+                   else
+                       callback( reply.error() );
+               } );
+}
+
+auto engine_http_client::drop( ports::engine_endpoint const& engine,
+                               core::request_id const& request,
+                               done callback ) -> void
+{
+    send_release( engine.address, "/v1/streams/" + encode_part( request.str() ),
+                  std::move( callback ) );
+}
+
+}
--- /dev/null
+++ b/src/pollenstream/adapters/http/engine_http_client.hpp
@@ -0,0 +1,54 @@
+#ifndef POLLENSTREAM_ADAPTERS_HTTP_ENGINE_HTTP_CLIENT_HPP
+#define POLLENSTREAM_ADAPTERS_HTTP_ENGINE_HTTP_CLIENT_HPP
+
+#include <pollenstream/adapters/http/client_pool.hpp>
+#include <pollenstream/ports/engine.hpp>
+
+namespace pollenstream::adapters::http
+{
+
+/// Calls to model engines over HTTP, with answers as server-sent events.
+class engine_http_client : public ports::engine_client
+{
+public:
+    engine_http_client();
+
+    auto open( ports::engine_endpoint const& engine,
+               ports::engine_request const& request,
+               std::shared_ptr<ports::stream_listener> listener )
+        -> std::shared_ptr<ports::engine_stream> override;
+    auto resume( ports::engine_endpoint const& engine,
+                 ports::engine_request const& request,
+                 std::shared_ptr<ports::stream_listener> listener )
+        -> std::shared_ptr<ports::engine_stream> override;
+    auto reserve( ports::engine_endpoint const& engine,
+                  ports::reservation_request const& reservation,
+                  done callback ) -> void override;
+    auto release( ports::engine_endpoint const& engine,
+                  core::reservation_id const& reservation,
+                  done callback ) -> void override;
+    auto fill_span( ports::engine_endpoint const& engine,
+                    core::reservation_id const& reservation,
+                    core::token_count tokens,
+                    core::duration limit,
+                    done callback ) -> void override;
+    auto load( ports::engine_endpoint const& engine, load_done callback )
+        -> void override;
+    auto held( ports::engine_endpoint const& engine, held_done callback )
+        -> void override;
+    auto drop( ports::engine_endpoint const& engine,
+               core::request_id const& request,
+               done callback ) -> void override;
+
+private:
+    auto send_release( core::address const& to,
+                       std::string const& path,
+                       done callback ) -> void;
+
+    client_pool streams_; ///< silence is judged by the session
+    client_pool control_; ///< short calls
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/pollenstream/adapters/http/json_fields.hpp
@@ -0,0 +1,54 @@
+#ifndef POLLENSTREAM_ADAPTERS_HTTP_JSON_FIELDS_HPP
+#define POLLENSTREAM_ADAPTERS_HTTP_JSON_FIELDS_HPP
+
+#include <pollenstream/core/error.hpp>
+
+#include <cpprest/json.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace pollenstream::adapters::http
+{
+
+/// Reads members of a JSON object. The first fault is kept with its place and
+/// defaults are returned after it, so that a reader tests once, at the end.
+class json_fields
+{
+public:
+    /// `path` names the object in faults, such as `$.messages[0]`.
+    json_fields( web::json::value const& object, std::string path );
+
+    auto text( std::string const& key, std::string fallback ) -> std::string;
+    auto required_text( std::string const& key ) -> std::string;
+    auto integer( std::string const& key, std::int64_t fallback )
+        -> std::int64_t;
+    auto real( std::string const& key, double fallback ) -> double;
+    auto flag( std::string const& key, bool fallback ) -> bool;
+    /// The array `key`, or an empty one.
+    auto array( std::string const& key ) -> web::json::array const&;
+
+    /// Notes a fault of `key`, if it is the first.
+    auto fault( std::string const& key, std::string_view message ) -> void;
+
+    [[nodiscard]] auto status() const -> core::result<void>;
+    [[nodiscard]] auto path() const -> std::string const&
+    {
+        return path_;
+    }
+
+private:
+    auto find( std::string const& key ) -> web::json::value const*;
+
+    web::json::value const& object_;
+    std::string path_;
+    std::string fault_;
+};
+
+/// Parses `text`; a fault tells the place that the parser gives.
+auto parse_json( std::string const& text ) -> core::result<web::json::value>;
+
+}
+
+#endif
--- /dev/null
+++ b/src/pollenstream/adapters/http/list_http_client.cpp
@@ -0,0 +1,90 @@
+#include <pollenstream/adapters/http/json_call.hpp>
+#include <pollenstream/adapters/http/json_fields.hpp>
+#include <pollenstream/adapters/http/list_http_client.hpp>
+
+#include <utility>
+
+namespace pollenstream::adapters::http
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr auto call_timeout = core::duration( 3s );
+
+auto read_state( json_fields& fields ) -> ports::listed_state
+{
+    auto const state = fields.text( "state", "live" );
+    if ( state == "leaving" )
+        return ports::listed_state::leaving;
+    if ( state != "live" )
+        fields.fault( "state", "is neither live nor leaving" );
+    return ports::listed_state::live;
+}
+
+auto read_address( json_fields& fields, std::string const& key )
+    -> core::address
+{
+    auto const parsed = core::parse_address( fields.required_text( key ) );
+    if ( parsed )
+        return parsed.value();
+    fields.fault( key, "is not IP:PORT" );
+    return {};
+}
+
+}
+
+list_http_client::list_http_client( core::address list )
+    : list_( std::move( list ) ), calls_( call_timeout )
+{
+}
+
+auto list_http_client::fetch() -> core::result<ports::instance_listing>
+{
+    auto const request =
+        json_request{ web::http::methods::GET, "/instances", std::nullopt };
+    auto const reply = call_json_and_wait( calls_, list_, request );
+    if ( !reply )
+        return reply.error();
+    return read_listing( reply.value() );
+}
+
+auto read_listing( web::json::value const& json )
+    -> core::result<ports::instance_listing>
+{
+    auto listing = ports::instance_listing{};
+    auto whole = json_fields( json, "$" );
+    for ( auto const& each : whole.array( "instances" ) )
+    {
+        auto fields = json_fields( each, "$.instances[]" );
+        auto one = ports::listed_instance{};
+        one.id = core::instance_id( fields.required_text( "id" ) );
+        one.place = core::place_id( fields.text( "place", {} ) );
+        one.callers = read_address( fields, "callers" );
+        one.peers = read_address( fields, "peers" );
+        one.state = read_state( fields );
+        if ( !fields.status() )
+            return fields.status().error();
+        listing.instances.push_back( std::move( one ) );
+    }
+    for ( auto const& each : whole.array( "targets" ) )
+    {
+        auto fields = json_fields( each, "$.targets[]" );
+        auto one = ports::listed_target{};
+        one.id = core::target_id( fields.required_text( "id" ) );
+        one.service = core::service_id( fields.required_text( "service" ) );
+        one.place = core::place_id( fields.text( "place", {} ) );
+        one.address = read_address( fields, "address" );
+        one.state = read_state( fields );
+        if ( !fields.status() )
+            return fields.status().error();
+        listing.targets.push_back( std::move( one ) );
+    }
+    if ( !whole.status() )
+        return whole.status().error();
+    return listing;
+}
+
+}
--- /dev/null
+++ b/src/pollenstream/adapters/http/listener.cpp
@@ -0,0 +1,144 @@
+#include <pollenstream/adapters/http/listener.hpp>
+#include <pollenstream/adapters/http/problem.hpp>
+#include <pollenstream/adapters/http/send_reply.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace pollenstream::adapters::http
+{
+
+namespace
+{
+
+auto uri_of( core::address const& at ) -> web::uri
+{
+    return web::uri( "http://" + core::to_string( at ) );
+}
+
+auto decoded_path( web::uri const& from ) -> std::vector<std::string>
+{
+    auto parts = web::uri::split_path( from.path() );
+    for ( auto& part : parts )
+        part = web::uri::decode( part );
+    return parts;
+}
+
+auto matches_path( route const& r, std::vector<std::string> const& path )
+    -> bool
+{
+    if ( path.size() < r.prefix.size() )
+        return false;
+    if ( path.size() > r.prefix.size() && !r.takes_more )
+        return false;
+    return std::equal( r.prefix.begin(), r.prefix.end(), path.begin() );
+}
+
+auto reply_with( web::http::http_request const& message,
+                 ports::answer_end const& end ) -> void
+{
+    send_reply( message, problem_response( end ) );
+}
+
+}
+
+auto received_request::header( std::string const& name ) const -> std::string
+{
+    auto const& headers = message.headers();
+    auto const at = headers.find( name );
+    return at == headers.end() ? std::string{} : at->second;
+}
+
+auto received_request::query( std::string const& name ) const -> std::string
+{
+    auto const values = web::uri::split_query( message.request_uri().query() );
+    auto const at = values.find( name );
+    return at == values.end() ? std::string{} : web::uri::decode( at->second );
+}
+
+listener::listener( core::address const& at,
+                    std::size_t largest_body,
+                    std::vector<route> routes )
+    : largest_body_( largest_body ), routes_( std::move( routes ) ),
+      listener_( uri_of( at ) )
+{
+    listener_.support(
+        [this]( web::http::http_request const& message )
+        {
+            receive( message );
+        } );
+}
+
+listener::~listener()
+{
+    close();
+}
+
+auto listener::open() -> void
+{
+    listener_.open().wait();
+    is_open_ = true;
+}
+
+auto listener::close() -> void
+{
+    if ( std::exchange( is_open_, false ) )
+        listener_.close().wait();
+}
+
+auto listener::receive( web::http::http_request message ) -> void
+{
+    auto const& headers = message.headers();
+    auto const is_chunked = headers.has( "Transfer-Encoding" );
+    if ( is_chunked )
+    {
+        reply_with( message,
+                    bad_request( "no-length", "send a Content-Length" ) );
+        return;
+    }
+    if ( headers.content_length() > largest_body_ )
+    {
+        reply_with( message, bad_request( "too-large",
+                                          "the body is larger than " +
+                                              std::to_string( largest_body_ ) +
+                                              " bytes" ) );
+        return;
+    }
+    message.extract_utf8string( true ).then(
+        [this, message]( pplx::task<std::string> const& read )
+        {
+            try
+            {
+                auto request = received_request{ message, {}, read.get() };
+                request.path = decoded_path( message.request_uri() );
+                dispatch( std::move( request ) );
+            }
+            catch ( std::exception const& failure )
+            {
+                reply_with( message,
+                            bad_request( "bad-request", failure.what() ) );
+            }
+        } );
+}
+
+auto listener::dispatch( received_request request ) -> void
+{
+    auto path_is_known = false;
+    for ( auto const& each : routes_ )
+    {
+        if ( !matches_path( each, request.path ) )
+            continue;
+        path_is_known = true;
+        if ( !each.method.empty() && each.method != request.message.method() )
+            continue;
+        each.handle( std::move( request ) );
+        return;
+    }
+    auto const end =
+        path_is_known
+            ? bad_request( "wrong-method", "the path has no such method" )
+            : bad_request( "unknown-path", "see docs/CALLERS.md for paths" );
+    reply_with( request.message, end );
+}
+
+}
--- /dev/null
+++ b/src/pollenstream/adapters/http/problem.hpp
@@ -0,0 +1,31 @@
+#ifndef POLLENSTREAM_ADAPTERS_HTTP_PROBLEM_HPP
+#define POLLENSTREAM_ADAPTERS_HTTP_PROBLEM_HPP
+
+#include <pollenstream/ports/answer_sink.hpp>
+
+#include <cpprest/http_msg.h>
+#include <cpprest/json.h>
+
+#include <string>
+
+namespace pollenstream::adapters::http
+{
+
+/// The HTTP status for an answer that is not complete.
+auto status_of( ports::answer_end const& end ) -> web::http::status_code;
+
+/// The problem document of an answer that is not complete. Its member
+/// `outcome` is `not-run`, `failed` or `unknown`.
+auto problem_json( ports::answer_end const& end ) -> web::json::value;
+
+/// A whole response with the problem document, and Retry-After where asking
+/// again has a chance.
+auto problem_response( ports::answer_end const& end )
+    -> web::http::http_response;
+
+/// A refusal of input that cannot be read: nothing was run.
+auto bad_request( std::string reason, std::string detail ) -> ports::answer_end;
+
+}
+
+#endif
--- /dev/null
+++ b/src/pollenstream/adapters/http/state_dump.cpp
@@ -0,0 +1,164 @@
+#include <pollenstream/adapters/http/state_dump.hpp>
+#include <pollenstream/core/invariant.hpp>
+
+#include <string>
+
+namespace pollenstream::adapters::http
+{
+
+namespace
+{
+
+using web::json::value;
+
+auto count( core::counter const& c ) -> value
+{
+    return value::number( c.value() );
+}
+
+auto summary_json( metrics::distribution const& d ) -> value
+{
+    auto const s = d.summary();
+    auto json = value::object();
+    json["count"] = value::number( s.count );
+    json["mean"] = value::number( s.mean );
+    json["p50"] = value::number( s.p50 );
+    json["p95"] = value::number( s.p95 );
+    json["p99"] = value::number( s.p99 );
+    json["max"] = value::number( s.most );
+    return json;
+}
+
+auto member_json( membership::member const& m ) -> value
+{
+    auto json = value::object();
+    json["id"] = value::string( m.id.str() );
+    json["place"] = value::string( m.place.str() );
+    json["callers"] = value::string( core::to_string( m.callers ) );
+    json["peers"] = value::string( core::to_string( m.peers ) );
+    json["incarnation"] = value::number( m.incarnation.count() );
+    json["version"] = value::number( m.version );
+    json["phase"] = value::string( std::string( name_of( m.phase ) ) );
+    json["open_requests"] = value::number( m.open_requests );
+    return json;
+}
+
+auto target_json( routing::target const& t, core::instant now ) -> value
+{
+    auto json = value::object();
+    auto const& identity = t.identity();
+    json["id"] = value::string( identity.id.str() );
+    json["service"] = value::string( identity.service.str() );
+    json["place"] = value::string( identity.place.str() );
+    json["address"] = value::string( core::to_string( identity.address ) );
+    json["phase"] = value::string( std::string( name_of( t.phase() ) ) );
+    json["open_requests"] = value::number( t.open_requests() );
+    json["backlog_tokens"] =
+        value::number( t.backlog_before( profiles::priority::bulk, now ) );
+    json["free_memory_tokens"] = value::number( t.free_memory() );
+    json["total_memory_tokens"] = value::number( t.total_memory() );
+    json["prefill_rate"] = value::number( t.prefill_rate() );
+    json["report_age_ms"] =
+        value::number( core::milliseconds_of( t.report_age( now ) ) );
+    return json;
+}
+
+}
+
+auto dump_members( dump_sources const& from ) -> value
+{
+    auto const all = from.members.all();
+    auto json = value::array( all.size() );
+    for ( auto i = std::size_t{ 0 }; i < all.size(); ++i )
+        json[i] = member_json( all[i] );
+    return json;
+}
+
+auto dump_targets( dump_sources const& from ) -> value
+{
+    auto const now = from.shared.clock.now();
+    auto const all = from.shared.targets.all();
+    auto json = value::array( all.size() );
+    for ( auto i = std::size_t{ 0 }; i < all.size(); ++i )
+        json[i] = target_json( *all[i], now );
+    return json;
+}
+
+auto dump_metrics( dump_sources const& from ) -> value
+{
+    auto const& m = from.shared.metrics;
+    auto json = value::object();
+    auto first_token = value::object();
+    for ( auto i = std::size_t{ 0 }; i < metrics::length_class_count; ++i )
+    {
+        auto const which = static_cast<metrics::length_class>( i );
+        first_token[std::string( metrics::name_of( which ) )] =
+            summary_json( m.first_token( which ) );
+    }
+    json["first_token_seconds"] = first_token;
+    json["token_gap_seconds"] = summary_json( m.token_gap );
+    json["measured_over_predicted"] = summary_json( m.prediction );
+    json["short_slowdown"] = summary_json( m.short_slowdown );
+    json["started"] = count( m.started );
+    json["completed"] = count( m.completed );
+    json["failed"] = count( m.failed );
+    json["retries"] = count( m.retries );
+    json["resumes"] = count( m.resumes );
+    json["cancels"] = count( m.cancels );
+    json["callers_gone"] = count( m.callers_gone );
+    json["stray_events"] = count( m.stray_events );
+    json["reservations_made"] = count( m.reservations_made );
+    json["reservations_released"] = count( m.reservations_released );
+    auto refusals = value::object();
+    for ( auto const& [reason, number] : m.refusals.values() )
+        refusals[reason] = value::number( number );
+    json["refusals"] = refusals;
+    return json;
+}
+
+auto dump_invariants() -> value
+{
+    auto const& monitor = core::invariant_monitor::instance();
+    auto const kinds =
+        static_cast<int>( core::invariant::number_of_invariants );
+    auto json = value::object();
+    for ( auto i = 0; i < kinds; ++i )
+    {
+        auto const which = static_cast<core::invariant>( i );
+        auto one = value::object();
+        one["checks"] = value::number( monitor.checks( which ) );
+        one["violations"] = value::number( monitor.violations( which ) );
+        json[std::string( core::name_of( which ) )] = one;
+    }
+    return json;
+}
+
+auto dump_all( dump_sources const& from ) -> value
+{
+    auto json = value::object();
+    json["instance"] = member_json( from.members.self() );
+    json["open_sessions"] = value::number( from.shared.open_sessions.load() );
+    json["tickets_held"] =
+        value::number( static_cast<std::uint64_t>( from.ledger.size() ) );
+    json["workspaces_held"] = value::number(
+        static_cast<std::uint64_t>( from.gateway.limits().size() ) );
+    json["configuration_revision"] =
+        value::number( from.holder.revision().count() );
+    json["configuration_fingerprint"] =
+        value::string( from.holder.fingerprint() );
+    json["instances"] = dump_members( from );
+    json["targets"] = dump_targets( from );
+    json["metrics"] = dump_metrics( from );
+    json["invariants"] = dump_invariants();
+    auto control = value::object();
+    control["exchanges"] = count( from.heartbeats.exchanges );
+    control["silences"] = count( from.heartbeats.silences );
+    control["configurations_from_peers"] =
+        count( from.heartbeats.configurations_from_peers );
+    control["target_polls"] = count( from.targets.polls );
+    control["target_phase_changes"] = count( from.targets.phase_changes );
+    json["control"] = control;
+    return json;
+}
+
+}
--- /dev/null
+++ b/src/pollenstream/adapters/thrift/peer_thrift_client.hpp
@@ -0,0 +1,29 @@
+#ifndef POLLENSTREAM_ADAPTERS_THRIFT_PEER_THRIFT_CLIENT_HPP
+#define POLLENSTREAM_ADAPTERS_THRIFT_PEER_THRIFT_CLIENT_HPP
+
+#include <pollenstream/core/units.hpp>
+#include <pollenstream/ports/peer.hpp>
+
+#include <memory>
+
+namespace pollenstream::adapters::thrift
+{
+
+/// Calls to other instances over Thrift, framed. Each call has a connection
+/// of its own, so that a connection that went silent cannot be met twice; with
+/// two exchanges a second this costs less than to watch kept ones.
+class peer_thrift_client : public ports::peer_client
+{
+public:
+    auto exchange( core::address const& peer, ports::heartbeat const& mine )
+        -> core::result<ports::heartbeat> override;
+    auto fetch_configuration( core::address const& peer,
+                              core::revision newer_than )
+        -> core::result<ports::peer_configuration> override;
+    auto call( core::address const& peer, ports::forwarded_call const& what )
+        -> core::result<state::call_outcome> override;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/pollenstream/core/address.hpp
@@ -0,0 +1,30 @@
+#ifndef POLLENSTREAM_CORE_ADDRESS_HPP
+#define POLLENSTREAM_CORE_ADDRESS_HPP
+
+#include <pollenstream/core/error.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace pollenstream::core
+{
+
+/// An IP number and port. Host names are refused: instances talk by IP number.
+struct address
+{
+    std::string ip;
+    std::uint16_t port{ 0 };
+
+    friend auto operator<=>( address const&, address const& ) = default;
+};
+
+/// Reads `1.2.3.4:80` or `[::1]:80`.
+auto parse_address( std::string_view text ) -> result<address>;
+
+/// Writes the form that `parse_address` reads.
+auto to_string( address const& a ) -> std::string;
+
+}
+
+#endif
--- /dev/null
+++ b/src/pollenstream/core/hash.hpp
@@ -0,0 +1,21 @@
+#ifndef POLLENSTREAM_CORE_HASH_HPP
+#define POLLENSTREAM_CORE_HASH_HPP
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace pollenstream::core
+{
+
+/// 64-bit hash that is the same in every process and on every run.
+auto stable_hash( std::string_view text, std::uint64_t seed = 0 )
+    -> std::uint64_t;
+
+/// 128-bit hash of `text` as 32 hexadecimal digits; names a document by its
+/// content.
+auto content_hash( std::string_view text ) -> std::string;
+
+}
+
+#endif
--- /dev/null
+++ b/src/pollenstream/core/invariant.hpp
@@ -0,0 +1,70 @@
+#ifndef POLLENSTREAM_CORE_INVARIANT_HPP
+#define POLLENSTREAM_CORE_INVARIANT_HPP
+
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+namespace pollenstream::core
+{
+
+/// The promises that the program checks while it runs.
+enum class invariant
+{
+    ends_in_time,         ///< an admitted request ends by its deadline
+    memory_is_returned,   ///< engine memory held has a living owner
+    answer_is_whole,      ///< a caller reads its own answer, in order, once
+    not_run_is_true,      ///< nothing was sent before a "not run" refusal
+    at_most_once,         ///< a non-idempotent call is sent once
+    leaving_gets_no_work, ///< a leaving target is not chosen
+    stop_cuts_nothing,    ///< a planned stop ends with no open request
+    revision_only_rises,  ///< an adopted configuration is never older
+    number_of_invariants,
+};
+
+/// Stable name of `which`, as it stands in the state dump.
+auto name_of( invariant which ) -> std::string_view;
+
+/// Counts checks and violations of each invariant.
+class invariant_monitor
+{
+public:
+    using handler = std::function<void( invariant, std::string const& )>;
+
+    /// The monitor of this process.
+    static auto instance() -> invariant_monitor&;
+
+    /// Counts one check; on a violation calls the handler with `detail`.
+    auto check( invariant which, bool holds, std::string_view detail ) -> void;
+
+    [[nodiscard]] auto checks( invariant which ) const -> std::uint64_t;
+    [[nodiscard]] auto violations( invariant which ) const -> std::uint64_t;
+
+    /// Replaces what a violation does, and gives the former handler back.
+    /// The default logs the first violation of each kind and, in test builds,
+    /// aborts.
+    auto set_handler( handler on_violation ) -> handler;
+
+private:
+    invariant_monitor();
+
+    static constexpr auto kinds =
+        static_cast<std::size_t>( invariant::number_of_invariants );
+    std::array<std::atomic<std::uint64_t>, kinds> checks_{};
+    std::array<std::atomic<std::uint64_t>, kinds> violations_{};
+    std::mutex mutex_;
+    handler on_violation_;
+};
+
+/// Shorthand for `invariant_monitor::instance().check(...)`.
+auto check_invariant( invariant which, bool holds, std::string_view detail )
+    -> void;
+
+}
+
+#endif
--- /dev/null
+++ b/src/pollenstream/core/snapshot.hpp
@@ -0,0 +1,69 @@
+#ifndef POLLENSTREAM_CORE_SNAPSHOT_HPP
+#define POLLENSTREAM_CORE_SNAPSHOT_HPP
+
+#include <urcu/urcu-bp.h>
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <utility>
+
+namespace pollenstream::core
+{
+
+/// A value that many threads read without a lock and few replace as a whole
+/// (read-copy-update). A reader sees one version from start to end of its call.
+template <class T>
+class snapshot
+{
+public:
+    explicit snapshot( std::unique_ptr<T const> first )
+        : current_( first.release() )
+    {
+    }
+    snapshot( snapshot const& ) = delete;
+    auto operator=( snapshot const& ) -> snapshot& = delete;
+    ~snapshot()
+    {
+        delete current_.load();
+    }
+
+    /// Calls `f` with the present version. `f` must not block, and must not
+    /// keep a reference after it returns.
+    template <class F>
+    auto read( F&& f ) const -> decltype( auto )
+    {
+        auto const section = read_section{};
+        T const* const seen = current_.load( std::memory_order_acquire );
+        return std::forward<F>( f )( *seen );
+    }
+
+    /// Replaces the value, and waits until no reader sees the former one.
+    auto publish( std::unique_ptr<T const> next ) -> void
+    {
+        auto const lock = std::scoped_lock( writers_ );
+        T const* const former = current_.exchange( next.release() );
+        urcu_bp_synchronize_rcu();
+        delete former;
+    }
+
+private:
+    struct read_section
+    {
+        read_section()
+        {
+            urcu_bp_read_lock();
+        }
+        ~read_section()
+        {
+            urcu_bp_read_unlock();
+        }
+    };
+
+    std::mutex writers_;
+    std::atomic<T const*> current_;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/pollenstream/membership/heartbeater.cpp
@@ -0,0 +1,113 @@
+#include <pollenstream/membership/heartbeater.hpp>
+
+#include <utility>
+
+namespace pollenstream::membership
+{
+
+namespace
+{
+
+/// Peers in one round. Two of them let news reach a fleet of 410 within ten
+/// rounds; see docs/MEMBERSHIP.md.
+constexpr auto peers_per_round = std::size_t{ 2 };
+/// Members in one heartbeat, which bounds its size.
+constexpr auto most_changes = std::size_t{ 12 };
+
+}
+
+heartbeater::heartbeater( member_table& members,
+                          state::configuration_holder& holder,
+                          ports::configuration_codec const& codec,
+                          ports::peer_client& peers,
+                          ports::clock const& clock )
+    : members_( members ), holder_( holder ), codec_( codec ), peers_( peers ),
+      clock_( clock )
+{
+}
+
+auto heartbeater::run_round() -> void
+{
+    auto const asks_all = is_new_.load();
+    for ( auto const& peer : members_.pick_peers( peers_per_round ) )
+        exchange_with( peer, asks_all );
+    members_.expire( clock_.now() );
+}
+
+auto heartbeater::exchange_with( member const& peer, bool everything ) -> void
+{
+    auto mine = compose( false );
+    mine.wants_all = everything;
+    auto theirs = peers_.exchange( peer.peers, mine );
+    // One lost connection is not a dead peer: a second one decides.
+    if ( !theirs )
+        theirs = peers_.exchange( peer.peers, mine );
+    if ( !theirs )
+    {
+        silences.add();
+        members_.note_silence( peer.id, clock_.now() );
+        return;
+    }
+    exchanges.add();
+    is_new_.store( false );
+    take_in( theirs.value() );
+    if ( theirs.value().revision > holder_.revision() )
+        catch_up( peer );
+}
+
+auto heartbeater::compose( bool everything ) -> ports::heartbeat
+{
+    auto mine = ports::heartbeat{};
+    mine.sender = members_.self();
+    mine.changes =
+        everything ? members_.all() : members_.take_changes( most_changes );
+    mine.revision = holder_.revision();
+    mine.fingerprint = holder_.fingerprint();
+    return mine;
+}
+
+auto heartbeater::take_in( ports::heartbeat const& theirs ) -> void
+{
+    auto const now = clock_.now();
+    members_.merge( theirs.sender, now );
+    for ( auto const& each : theirs.changes )
+        members_.merge( each, now );
+}
+
+auto heartbeater::catch_up( member const& peer ) -> void
+{
+    auto fetched = peers_.fetch_configuration( peer.peers, holder_.revision() );
+    if ( !fetched || fetched.value().revision <= holder_.revision() )
+        return;
+    auto head = codec_.read_head( fetched.value().head );
+    if ( !head )
+        return;
+    auto bundle = state::configuration_bundle{ std::move( head.value() ), {} };
+    for ( auto const& each : fetched.value().documents )
+        bundle.texts[each.name] = each.text;
+    auto const adopted = holder_.adopt( std::move( bundle ) );
+    if ( adopted && adopted.value() )
+        configurations_from_peers.add();
+}
+
+auto heartbeater::answer( ports::heartbeat const& theirs ) -> ports::heartbeat
+{
+    take_in( theirs );
+    return compose( theirs.wants_all );
+}
+
+auto heartbeater::answer_fetch( core::revision newer_than )
+    -> ports::peer_configuration
+{
+    auto const bundle = holder_.bundle();
+    auto reply = ports::peer_configuration{};
+    if ( bundle.head.revision <= newer_than )
+        return reply;
+    reply.revision = bundle.head.revision;
+    reply.head = codec_.write_head( bundle.head );
+    for ( auto const& [name, text] : bundle.texts )
+        reply.documents.push_back( { name, text } );
+    return reply;
+}
+
+}
--- /dev/null
+++ b/src/pollenstream/membership/member.cpp
@@ -0,0 +1,33 @@
+#include <pollenstream/membership/member.hpp>
+
+#include <tuple>
+
+namespace pollenstream::membership
+{
+
+auto name_of( member_phase phase ) -> std::string_view
+{
+    switch ( phase )
+    {
+    case member_phase::alive:
+        return "alive";
+    case member_phase::suspect:
+        return "suspect";
+    case member_phase::leaving:
+        return "leaving";
+    case member_phase::gone:
+        return "gone";
+    }
+    return "unnamed";
+}
+
+auto is_newer( member const& news, member const& known ) -> bool
+{
+    auto const order = []( member const& m )
+    {
+        return std::tuple( m.incarnation, m.version, m.phase );
+    };
+    return order( news ) > order( known );
+}
+
+}
--- /dev/null
+++ b/src/pollenstream/ports/instance_list.hpp
@@ -0,0 +1,57 @@
+#ifndef POLLENSTREAM_PORTS_INSTANCE_LIST_HPP
+#define POLLENSTREAM_PORTS_INSTANCE_LIST_HPP
+
+#include <pollenstream/core/address.hpp>
+#include <pollenstream/core/error.hpp>
+#include <pollenstream/core/ids.hpp>
+
+#include <vector>
+
+namespace pollenstream::ports
+{
+
+/// State of an entry in the platform's list, which lags.
+enum class listed_state
+{
+    live,
+    leaving,
+};
+
+/// One pollenstream daemon in the platform's list.
+struct listed_instance
+{
+    core::instance_id id;
+    core::place_id place;
+    core::address callers; ///< where callers connect
+    core::address peers;   ///< where other instances connect
+    listed_state state{ listed_state::live };
+};
+
+/// One target in the platform's list.
+struct listed_target
+{
+    core::target_id id;
+    core::service_id service;
+    core::place_id place;
+    core::address address;
+    listed_state state{ listed_state::live };
+};
+
+/// What the platform's list said at one time.
+struct instance_listing
+{
+    std::vector<listed_instance> instances;
+    std::vector<listed_target> targets;
+};
+
+/// The platform's lagging list of live and leaving instances and targets.
+class instance_list
+{
+public:
+    virtual ~instance_list() = default;
+    virtual auto fetch() -> core::result<instance_listing> = 0;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/pollenstream/profiles/configuration.cpp
@@ -0,0 +1,197 @@
+#include <pollenstream/profiles/configuration.hpp>
+#include <pollenstream/profiles/section_reader.hpp>
+
+#include <array>
+
+namespace pollenstream::profiles
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr auto default_time_base = core::duration( 30s );
+constexpr auto default_time_per_1k = core::duration( 200ms );
+constexpr auto most_retries = 10;
+constexpr auto default_output = 256;
+constexpr auto most_output = 1'000'000;
+constexpr auto most_share = 10'000;
+constexpr auto most_rate = 1'000'000'000;
+constexpr auto most_targets_per_instance = 10'000;
+constexpr auto default_targets_per_instance = 24;
+
+auto read_service( section_reader& reader, std::string const& name ) -> service
+{
+    auto s = service{};
+    s.id = core::service_id( name );
+    auto const kind = reader.text( "kind", "model" );
+    if ( kind == "plain" )
+        s.kind = service_kind::plain;
+    else if ( kind != "model" )
+        reader.fault( "kind", "'" + kind + "' is neither model nor plain" );
+    s.model = core::model_id( reader.text( "model", name ) );
+    s.checks_fencing = reader.flag( "checks_fencing", false );
+    s.targets_per_instance =
+        reader.number( "targets_per_instance", default_targets_per_instance, 1,
+                       most_targets_per_instance );
+    return s;
+}
+
+auto read_profile( section_reader& reader, std::string const& name ) -> profile
+{
+    auto p = profile{};
+    p.id = core::profile_id( name );
+    p.service = core::service_id( reader.required_text( "service" ) );
+    auto const order = reader.text( "priority", "normal" );
+    auto const parsed = parse_priority( order );
+    if ( !parsed )
+        reader.fault( "priority",
+                      "'" + order + "' is not urgent, normal or bulk" );
+    p.order = parsed.value_or( priority::normal );
+    p.first_token_goal = reader.milliseconds( "first_token_ms", 0ms );
+    p.time_base = reader.milliseconds( "time_base_ms", default_time_base );
+    p.time_per_1k_tokens =
+        reader.milliseconds( "time_per_1k_tokens_ms", default_time_per_1k );
+    if ( p.time_base <= 0ms )
+        reader.fault( "time_base_ms", "must be above 0" );
+    p.retries = reader.number( "retries", 1, 0, most_retries );
+    p.idempotent = reader.flag( "idempotent", true );
+    p.max_output = core::token_count(
+        reader.number( "max_output_tokens", default_output, 1, most_output ) );
+    p.workspace_requests_per_second =
+        reader.number( "workspace_requests_per_second", 0, 0, most_rate );
+    for ( auto const& place : reader.words( "places" ) )
+        p.places.emplace_back( place );
+    return p;
+}
+
+auto read_workspace( section_reader& reader, std::string const& name )
+    -> workspace
+{
+    auto w = workspace{};
+    w.id = core::workspace_id( name );
+    w.share = reader.number( "share", 1, 1, most_share );
+    w.requests_per_second =
+        reader.number( "requests_per_second", 0, 0, most_rate );
+    w.tokens_per_second = reader.number( "tokens_per_second", 0, 0, most_rate );
+    return w;
+}
+
+/// Reads one section into one of the configuration's maps; false where the
+/// name stood there before.
+using section_handler = auto( * )( section_reader&,
+                                   std::string const& name,
+                                   configuration& into ) -> bool;
+
+struct section_kind
+{
+    std::string_view kind;
+    section_handler read;
+};
+
+/// Registry of the section kinds of a configuration.
+constexpr auto section_kinds = std::array{
+    section_kind{ "service",
+                  []( section_reader& r,
+                      std::string const& name,
+                      configuration& into ) -> bool
+                  {
+                      auto s = read_service( r, name );
+                      return into.services.emplace( s.id, s ).second;
+                  } },
+    section_kind{ "profile",
+                  []( section_reader& r,
+                      std::string const& name,
+                      configuration& into ) -> bool
+                  {
+                      auto p = read_profile( r, name );
+                      return into.profiles.emplace( p.id, p ).second;
+                  } },
+    section_kind{ "workspace",
+                  []( section_reader& r,
+                      std::string const& name,
+                      configuration& into ) -> bool
+                  {
+                      auto w = read_workspace( r, name );
+                      return into.workspaces.emplace( w.id, w ).second;
+                  } },
+};
+
+auto find_kind( std::string_view kind ) -> section_kind const*
+{
+    for ( auto const& each : section_kinds )
+    {
+        if ( each.kind == kind )
+            return &each;
+    }
+    return nullptr;
+}
+
+}
+
+auto configuration::find_profile( core::profile_id const& id ) const
+    -> profile const*
+{
+    auto const at = profiles.find( id );
+    return at == profiles.end() ? nullptr : &at->second;
+}
+
+auto configuration::find_service( core::service_id const& id ) const
+    -> service const*
+{
+    auto const at = services.find( id );
+    return at == services.end() ? nullptr : &at->second;
+}
+
+auto configuration::workspace_or_default( core::workspace_id const& id ) const
+    -> workspace
+{
+    auto const at = workspaces.find( id );
+    if ( at != workspaces.end() )
+        return at->second;
+    auto w = workspace{};
+    w.id = id;
+    return w;
+}
+
+auto read_configuration( document const& text,
+                         configuration& into,
+                         core::findings& found ) -> void
+{
+    for ( auto const& section : text.sections )
+    {
+        auto const place =
+            core::text_place{ text.file, section.line, section.kind };
+        auto const* const kind = find_kind( section.kind );
+        if ( !kind )
+        {
+            found.add( place, "is not service, profile or workspace" );
+            continue;
+        }
+        if ( section.name.empty() )
+            found.add( place, "needs a name: [" + section.kind + " NAME]" );
+        auto reader = section_reader( text.file, section, found );
+        if ( !kind->read( reader, section.name, into ) )
+            found.add( place, "'" + section.name + "' stands twice" );
+        reader.finish();
+    }
+}
+
+auto check_references( configuration const& whole,
+                       std::string const& file,
+                       core::findings& found ) -> void
+{
+    for ( auto const& [id, p] : whole.profiles )
+    {
+        auto const place = core::text_place{ file, 0, "profile." + id.str() };
+        auto const* const target = whole.find_service( p.service );
+        if ( !target )
+            found.add( place,
+                       "its service '" + p.service.str() + "' has no section" );
+        if ( target && target->kind == service_kind::model && !p.idempotent )
+            found.add( place, "a model's answers are idempotent" );
+    }
+}
+
+}
--- /dev/null
+++ b/src/pollenstream/routing/policy_registry.hpp
@@ -0,0 +1,24 @@
+#ifndef POLLENSTREAM_ROUTING_POLICY_REGISTRY_HPP
+#define POLLENSTREAM_ROUTING_POLICY_REGISTRY_HPP
+
+#include <pollenstream/routing/target_policy.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace pollenstream::routing
+{
+
+/// Names of all policies: the baselines, `predicted`, and `predicted` with
+/// one of its parts switched off each.
+auto policy_names() -> std::vector<std::string_view>;
+
+/// The policy of that name, or null. Equal seeds make equal choices.
+auto make_policy( std::string_view name, std::uint64_t seed )
+    -> std::unique_ptr<target_policy>;
+
+}
+
+#endif
--- /dev/null
+++ b/src/pollenstream/sessions/request.hpp
@@ -0,0 +1,27 @@
+#ifndef POLLENSTREAM_SESSIONS_REQUEST_HPP
+#define POLLENSTREAM_SESSIONS_REQUEST_HPP
+
+#include <pollenstream/core/ids.hpp>
+#include <pollenstream/core/prefix_chain.hpp>
+#include <pollenstream/core/units.hpp>
+#include <pollenstream/profiles/profile.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace pollenstream::sessions
+{
+
+/// A caller's request for an answer by a model, read and checked.
+struct request
+{
+    core::workspace_id workspace;
+    std::shared_ptr<std::string const> prompt;
+    std::optional<core::token_count> max_output; ///< absent: the profile's
+    std::optional<core::duration> time_limit;    ///< shortens the profile's
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/pollenstream/sessions/service_session.hpp
@@ -0,0 +1,71 @@
+#ifndef POLLENSTREAM_SESSIONS_SERVICE_SESSION_HPP
+#define POLLENSTREAM_SESSIONS_SERVICE_SESSION_HPP
+
+#include <pollenstream/core/error.hpp>
+#include <pollenstream/core/ids.hpp>
+#include <pollenstream/core/units.hpp>
+#include <pollenstream/ports/service_client.hpp>
+#include <pollenstream/profiles/profile.hpp>
+#include <pollenstream/sessions/context.hpp>
+#include <pollenstream/state/call_ledger.hpp>
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pollenstream::sessions
+{
+
+/// One call to a plain service. An idempotent one may be tried again at other
+/// targets within its time; any other is sent once, and what became of it is
+/// told as far as it can be known.
+class service_session : public std::enable_shared_from_this<service_session>
+{
+public:
+    using done = std::function<void( state::call_outcome const& )>;
+
+    service_session( context& shared,
+                     ports::service_client& services,
+                     profiles::profile profile,
+                     ports::service_call call,
+                     done callback );
+    ~service_session();
+    service_session( service_session const& ) = delete;
+    auto operator=( service_session const& ) -> service_session& = delete;
+
+    auto start() -> void;
+
+private:
+    auto pick() -> std::shared_ptr<routing::target>;
+    auto send() -> void;
+    auto on_reply( std::shared_ptr<routing::target> const& at,
+                   core::result<ports::service_reply> const& reply ) -> void;
+    auto on_deadline() -> void;
+    auto status_without_reply() const -> ports::answer_status;
+    auto may_try_again( core::error_code why ) -> bool;
+    auto finish( state::call_outcome const& outcome ) -> void;
+    auto finish_with( ports::answer_status status,
+                      std::string reason,
+                      std::string detail ) -> void;
+
+    context& shared_;
+    ports::service_client& services_;
+    profiles::profile profile_;
+    ports::service_call call_;
+    done callback_;
+
+    std::recursive_mutex mutex_;
+    core::instant deadline_;
+    std::vector<core::target_id> tried_;
+    std::int64_t attempts_{ 0 };
+    bool is_out_{ false }; ///< sent, and not answered yet
+    bool may_have_run_{ false };
+    bool finished_{ false };
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/pollenstream/sessions/session.cpp
@@ -0,0 +1,611 @@
+#include <pollenstream/core/invariant.hpp>
+#include <pollenstream/routing/first_token_model.hpp>
+#include <pollenstream/sessions/session.hpp>
+#include <pollenstream/sessions/span_group.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace pollenstream::sessions
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// How often a waiting caller is shown that its request lives; also the time
+/// within which a caller that has gone is noticed.
+constexpr auto keep_alive_period = core::duration( 1s );
+/// A stream without any event for this long after its first token is taken
+/// for a connection that went silent.
+constexpr auto silence_limit = core::duration( 5s );
+/// Before the first token silence is allowed for this many times longer than
+/// predicted.
+constexpr auto silence_per_predicted = 3;
+/// How far an answer may end behind its deadline: the timer's and the
+/// threads' own delay.
+constexpr auto deadline_slack = core::duration( 2s );
+/// Answers shorter than this in prompt tokens count as short.
+constexpr auto short_prompt = std::int64_t{ 2'000 };
+/// Share of the time that is left which a prediction may fill.
+constexpr auto most_of_time = 0.95;
+
+auto endpoint_of( routing::target const& t ) -> ports::engine_endpoint
+{
+    return { t.identity().id, t.identity().address };
+}
+
+/// Takes a target that could not be reached, or did not answer, out of choice
+/// until a probe of it succeeds.
+auto suspect( routing::target& t, core::error_code why, core::instant now )
+    -> void
+{
+    auto const is_dead = why == core::error_code::unreachable ||
+                         why == core::error_code::timed_out ||
+                         why == core::error_code::connection_lost;
+    if ( is_dead && t.phase() == routing::target_phase::alive )
+        t.set_phase( routing::target_phase::suspect, now );
+}
+
+}
+
+/// Passes an engine's events on under the number of the attempt that it was
+/// made for, and keeps the session alive meanwhile.
+class session::attempt_listener : public ports::stream_listener
+{
+public:
+    attempt_listener( std::shared_ptr<session> owner,
+                      core::attempt_number number )
+        : owner_( std::move( owner ) ), number_( number )
+    {
+    }
+
+    auto on_events( std::vector<ports::engine_event> const& events )
+        -> void override
+    {
+        owner_->on_events( number_, events );
+    }
+
+    auto on_end( core::result<void> status ) -> void override
+    {
+        owner_->on_stream_end( number_, std::move( status ) );
+    }
+
+private:
+    std::shared_ptr<session> owner_;
+    core::attempt_number number_;
+};
+
+session::session( context& shared,
+                  request wanted,
+                  profiles::profile profile,
+                  std::shared_ptr<ports::answer_sink> sink )
+    : shared_( shared ), id_( shared.new_request_id() ),
+      wanted_( std::move( wanted ) ), profile_( std::move( profile ) ),
+      sink_( std::move( sink ) ),
+      prompt_tokens_( core::estimate_tokens( *wanted_.prompt ) ),
+      max_output_( std::min( wanted_.max_output.value_or( profile_.max_output ),
+                             profile_.max_output ) ),
+      prefixes_( core::mark_prefixes( *wanted_.prompt ) )
+{
+    shared_.open_sessions.fetch_add( 1 );
+}
+
+session::~session()
+{
+    core::check_invariant( core::invariant::ends_in_time, finished_,
+                           "session of " + id_.str() + " dropped open" );
+    shared_.open_sessions.fetch_sub( 1 );
+}
+
+auto session::start() -> void
+{
+    auto const lock = std::scoped_lock( mutex_ );
+    shared_.metrics.started.add();
+    admitted_ = shared_.clock.now();
+    auto limit = profiles::time_limit( profile_, prompt_tokens_ );
+    if ( wanted_.time_limit )
+        limit = std::min( limit, *wanted_.time_limit );
+    deadline_ = admitted_ + limit;
+    if ( auto const refused = admit() )
+    {
+        finish( *refused );
+        return;
+    }
+    shared_.retries.note_request();
+    arm_deadline();
+    arm_keep_alive();
+    open_next();
+}
+
+auto session::shape() const -> routing::work_shape
+{
+    auto s = routing::work_shape{};
+    s.order = profile_.order;
+    s.prompt_tokens = prompt_tokens_.count() + position_;
+    s.output_tokens = max_output_.count() - position_;
+    s.prefixes = prefixes_;
+    s.places = profile_.places;
+    s.tried = tried_;
+    return s;
+}
+
+auto session::needs_span_group() const -> bool
+{
+    auto const needed = prompt_tokens_.count() + max_output_.count();
+    return shared_.targets.read(
+        profile_.service,
+        [needed]( routing::target_list const& all )
+        {
+            return std::none_of( all.begin(), all.end(),
+                                 [needed]( auto const& each )
+                                 {
+                                     return each->total_memory() >= needed;
+                                 } );
+        } );
+}
+
+auto session::admit() -> std::optional<ports::answer_end>
+{
+    auto const now = shared_.clock.now();
+    auto const needed = prompt_tokens_.count() + max_output_.count();
+    auto alive = std::int64_t{ 0 };
+    auto memory = std::int64_t{ 0 };
+    shared_.targets.read( profile_.service,
+                          [&]( routing::target_list const& all )
+                          {
+                              for ( auto const& each : all )
+                              {
+                                  if ( each->phase() !=
+                                       routing::target_phase::alive )
+                                      continue;
+                                  ++alive;
+                                  memory += each->total_memory();
+                              }
+                          } );
+    if ( alive == 0 )
+        return refusal( "no-target", "no target of the service is alive",
+                        core::duration( 2s ) );
+    if ( needed > memory )
+        return refusal( "too-long",
+                        "the prompt does not fit into all targets together",
+                        std::nullopt );
+    if ( needs_span_group() )
+        return std::nullopt;
+    auto const choice = shared_.targets.read(
+        profile_.service,
+        [&]( routing::target_list const& all )
+        {
+            return shared_.policy.choose( all, shape(), now );
+        } );
+    if ( !choice )
+        return refusal( "no-target", "no target can take the request",
+                        core::duration( 2s ) );
+    auto const left = core::seconds_of( deadline_ - now ) * most_of_time;
+    auto const over = core::seconds_of( choice->finish ) - left;
+    if ( over > 0 )
+        return refusal( "too-late", "the answer would come after the deadline",
+                        core::duration_of( over ) + core::duration( 1s ) );
+    return std::nullopt;
+}
+
+auto session::open_next() -> void
+{
+    if ( finished_ )
+        return;
+    if ( needs_span_group() )
+        open_group();
+    else
+        open_single();
+}
+
+auto session::open_single() -> void
+{
+    auto const now = shared_.clock.now();
+    auto choice = shared_.targets.read( profile_.service,
+                                        [&]( routing::target_list const& all )
+                                        {
+                                            return shared_.policy.choose(
+                                                all, shape(), now );
+                                        } );
+    if ( !choice && !tried_.empty() )
+    {
+        // Every target has been tried: one that failed may work again.
+        tried_.clear();
+        choice = shared_.targets.read( profile_.service,
+                                       [&]( routing::target_list const& all )
+                                       {
+                                           return shared_.policy.choose(
+                                               all, shape(), now );
+                                       } );
+    }
+    if ( !choice )
+    {
+        finish( ran_ ? failure( "no-target", "no target is left to go on" )
+                     : refusal( "no-target", "no target can take the request",
+                                core::duration( 2s ) ) );
+        return;
+    }
+    send_attempt( std::move( *choice ) );
+}
+
+auto session::open_group() -> void
+{
+    group_ = std::make_shared<span_group>(
+        shared_, id_, prompt_tokens_ + core::token_count( position_ ),
+        max_output_ - core::token_count( position_ ), deadline_ );
+    auto const self = shared_from_this();
+    auto const group = group_;
+    group_->prepare( profile_.service,
+                     [self, group]( core::result<void> status )
+                     {
+                         self->on_group_ready( group, std::move( status ) );
+                     } );
+}
+
+auto session::on_group_ready( std::shared_ptr<span_group> const& group,
+                              core::result<void> status ) -> void
+{
+    auto const lock = std::scoped_lock( mutex_ );
+    ran_ = ran_ || group->started();
+    if ( finished_ || group != group_ )
+    {
+        group->release();
+        return;
+    }
+    if ( !status )
+    {
+        group_.reset();
+        if ( group->started() )
+            retry_elsewhere( status.error() );
+        else
+            finish( ran_ ? failure( "no-memory", status.error().detail )
+                         : refusal( "no-memory", status.error().detail,
+                                    core::duration( 10s ) ) );
+        return;
+    }
+    auto choice = routing::target_choice{};
+    choice.chosen = group->lead();
+    choice.cached_tokens = prompt_tokens_.count() + position_;
+    send_attempt( std::move( choice ) );
+}
+
+auto session::make_engine_request( core::attempt_number number ) const
+    -> ports::engine_request
+{
+    auto r = ports::engine_request{};
+    r.request = id_;
+    r.attempt = number;
+    r.owner = shared_.self;
+    r.priority = profile_.order;
+    r.prompt = wanted_.prompt;
+    r.prompt_tokens = prompt_tokens_;
+    r.prefixes = prefixes_;
+    r.delivered = delivered_;
+    r.from_position = position_;
+    r.max_tokens = max_output_;
+    r.time_left = deadline_ - shared_.clock.now();
+    if ( group_ )
+        r.spans = group_->reservations();
+    return r;
+}
+
+auto session::send_attempt( routing::target_choice choice ) -> void
+{
+    auto const now = shared_.clock.now();
+    auto const number = core::attempt_number( ++attempts_ );
+    auto const in_group = group_ != nullptr;
+    auto work = routing::dispatched_work{};
+    work.order = profile_.order;
+    work.prompt_tokens =
+        std::max( std::int64_t{ 0 },
+                  prompt_tokens_.count() + position_ - choice.cached_tokens );
+    work.memory_tokens =
+        in_group ? 0 : prompt_tokens_.count() + max_output_.count();
+    core::check_invariant( core::invariant::leaving_gets_no_work,
+                           choice.chosen->may_get_work( now ),
+                           choice.chosen->identity().id.str() );
+    choice.chosen->add_dispatch( work );
+    if ( !in_group )
+        shared_.policy.note_dispatch( choice, shape(), now );
+    tried_.push_back( choice.chosen->identity().id );
+    auto const endpoint = endpoint_of( *choice.chosen );
+    current_ = attempt{ number, std::move( choice ), work, now, ran_ };
+    ran_ = true;
+    auto listener =
+        std::make_shared<attempt_listener>( shared_from_this(), number );
+    auto stream = shared_.engines.open( endpoint, make_engine_request( number ),
+                                        std::move( listener ) );
+    if ( current_ && current_->number == number )
+        current_->stream = std::move( stream );
+    else
+        stream->cancel();
+}
+
+auto session::on_events( core::attempt_number from,
+                         std::vector<ports::engine_event> const& events )
+    -> void
+{
+    auto const lock = std::scoped_lock( mutex_ );
+    if ( finished_ || !current_ || current_->number != from )
+    {
+        shared_.metrics.stray_events.add( events.size() );
+        return;
+    }
+    current_->heard = shared_.clock.now();
+    for ( auto const& event : events )
+    {
+        if ( event.load )
+        {
+            auto const& at = current_->choice.chosen;
+            at->take_report( *event.load, shared_.clock.now() );
+            shared_.policy.note_cached( at->identity().id, event.load->cached );
+        }
+        if ( !take_event( event ) )
+            shared_.metrics.stray_events.add();
+    }
+    flush();
+}
+
+auto session::take_event( ports::engine_event const& event ) -> bool
+{
+    auto const expected = event.request == id_ &&
+                          event.attempt == current_->number &&
+                          event.position == position_ && !saw_last_;
+    if ( !expected )
+        return false;
+    if ( event.last )
+    {
+        saw_last_ = true;
+        return true;
+    }
+    ++position_;
+    ++unwritten_tokens_;
+    unwritten_ += event.text;
+    delivered_ += event.text;
+    return true;
+}
+
+auto session::flush() -> void
+{
+    if ( unwritten_tokens_ == 0 )
+        return;
+    auto const now = shared_.clock.now();
+    if ( !last_token_ )
+        note_first_token();
+    else
+        shared_.metrics.token_gap.add(
+            core::seconds_of( now - *last_token_ ) /
+            static_cast<double>( unwritten_tokens_ ) );
+    last_token_ = now;
+    auto const text = std::exchange( unwritten_, {} );
+    auto const tokens = std::exchange( unwritten_tokens_, 0 );
+    if ( sink_->write( text, tokens ) )
+        return;
+    shared_.metrics.callers_gone.add();
+    finish( failure( "caller-gone", "the caller closed its connection" ) );
+}
+
+auto session::note_first_token() -> void
+{
+    auto const took = shared_.clock.now() - admitted_;
+    shared_.metrics.add_first_token( prompt_tokens_, took );
+    auto& chosen = *current_->choice.chosen;
+    if ( std::exchange( current_->prefill_counted, false ) )
+        chosen.end_prefill( current_->work );
+    shared_.policy.note_first_token( current_->choice, shape(), took );
+    auto const predicted = core::seconds_of( current_->choice.first_token );
+    if ( predicted > 0 )
+        shared_.metrics.prediction.add( core::seconds_of( took ) / predicted );
+    if ( prompt_tokens_.count() > short_prompt )
+        return;
+    auto const alone = static_cast<double>( prompt_tokens_.count() ) /
+                           std::max( 1.0, chosen.prefill_rate() ) +
+                       chosen.step_seconds();
+    if ( alone > 0 )
+        shared_.metrics.short_slowdown.add( core::seconds_of( took ) / alone );
+}
+
+auto session::on_stream_end( core::attempt_number from,
+                             core::result<void> status ) -> void
+{
+    auto const lock = std::scoped_lock( mutex_ );
+    if ( finished_ || !current_ || current_->number != from )
+        return;
+    if ( saw_last_ )
+    {
+        auto end = ports::answer_end{};
+        end.prompt_tokens = prompt_tokens_;
+        end.output_tokens = core::token_count( position_ );
+        finish( std::move( end ) );
+        return;
+    }
+    auto why = core::error{ core::error_code::connection_lost,
+                            "the stream ended before its last event" };
+    if ( !status )
+        why = status.error();
+    auto const may_still_run = !core::proves_not_run( why.code ) &&
+                               why.code != core::error_code::failed;
+    if ( may_still_run && resume_same_engine() )
+        return;
+    retry_elsewhere( why );
+}
+
+auto session::resume_same_engine() -> bool
+{
+    if ( current_->resumed )
+        return false;
+    current_->resumed = true;
+    current_->heard = shared_.clock.now();
+    shared_.metrics.resumes.add();
+    auto const number = current_->number;
+    auto const endpoint = endpoint_of( *current_->choice.chosen );
+    auto listener =
+        std::make_shared<attempt_listener>( shared_from_this(), number );
+    auto stream = shared_.engines.resume(
+        endpoint, make_engine_request( number ), std::move( listener ) );
+    if ( current_ && current_->number == number )
+        current_->stream = std::move( stream );
+    return true;
+}
+
+auto session::retry_elsewhere( core::error const& why ) -> void
+{
+    auto const not_run = core::proves_not_run( why.code );
+    if ( current_ )
+    {
+        suspect( *current_->choice.chosen, why.code, shared_.clock.now() );
+        ran_ = current_->ran_before || !not_run;
+    }
+    end_attempt( !not_run );
+    if ( group_ )
+        group_->release();
+    group_.reset();
+    auto const may_retry = attempts_ <= profile_.retries;
+    if ( !may_retry || !shared_.retries.take() )
+    {
+        finish(
+            ran_ ? failure( "target-failed", why.detail )
+                 : refusal( "no-target", why.detail, core::duration( 2s ) ) );
+        return;
+    }
+    shared_.metrics.retries.add();
+    open_next();
+}
+
+auto session::arm_deadline() -> void
+{
+    auto const weak = weak_from_this();
+    shared_.timer.at( deadline_,
+                      [weak]
+                      {
+                          if ( auto const self = weak.lock() )
+                              self->abandon( "deadline" );
+                      } );
+}
+
+auto session::arm_keep_alive() -> void
+{
+    auto const weak = weak_from_this();
+    shared_.timer.at( shared_.clock.now() + keep_alive_period,
+                      [weak]
+                      {
+                          if ( auto const self = weak.lock() )
+                              self->on_keep_alive();
+                      } );
+}
+
+auto session::on_keep_alive() -> void
+{
+    auto const lock = std::scoped_lock( mutex_ );
+    if ( finished_ )
+        return;
+    if ( !sink_->keep_alive() )
+    {
+        shared_.metrics.callers_gone.add();
+        finish( failure( "caller-gone", "the caller closed its connection" ) );
+        return;
+    }
+    if ( is_silent( shared_.clock.now() ) )
+        recover_silent_stream();
+    if ( !finished_ )
+        arm_keep_alive();
+}
+
+auto session::is_silent( core::instant now ) const -> bool
+{
+    if ( !current_ )
+        return false;
+    auto limit = silence_limit;
+    if ( current_->prefill_counted )
+        limit += silence_per_predicted * current_->choice.first_token;
+    return now - current_->heard > limit;
+}
+
+auto session::recover_silent_stream() -> void
+{
+    // The connection may have been forgotten by something between the two
+    // ends while the engine is well: a new one shows which.
+    if ( current_->stream )
+        current_->stream->detach();
+    if ( resume_same_engine() )
+        return;
+    retry_elsewhere( core::error{ core::error_code::timed_out,
+                                  "the stream went silent twice" } );
+}
+
+auto session::abandon( std::string const& reason ) -> void
+{
+    auto const lock = std::scoped_lock( mutex_ );
+    if ( !finished_ )
+        finish( failure( reason, "the request was ended: " + reason ) );
+}
+
+auto session::end_attempt( bool cancel ) -> void
+{
+    if ( !current_ )
+        return;
+    auto ended = std::move( *current_ );
+    current_.reset();
+    auto& chosen = *ended.choice.chosen;
+    if ( ended.prefill_counted )
+        chosen.end_prefill( ended.work );
+    chosen.end_dispatch( ended.work );
+    if ( !cancel || !ended.stream )
+        return;
+    shared_.metrics.cancels.add();
+    ended.stream->cancel();
+}
+
+auto session::failure( std::string reason, std::string detail ) const
+    -> ports::answer_end
+{
+    auto end = ports::answer_end{};
+    end.status = ports::answer_status::failed;
+    end.reason = std::move( reason );
+    end.detail = std::move( detail );
+    end.prompt_tokens = prompt_tokens_;
+    end.output_tokens = core::token_count( position_ );
+    return end;
+}
+
+auto session::refusal( std::string reason,
+                       std::string detail,
+                       std::optional<core::duration> retry_after ) const
+    -> ports::answer_end
+{
+    auto end = failure( std::move( reason ), std::move( detail ) );
+    end.status = ports::answer_status::not_run;
+    end.retry_after = retry_after;
+    return end;
+}
+
+auto session::finish( ports::answer_end end ) -> void
+{
+    if ( std::exchange( finished_, true ) )
+        return;
+    auto const complete = end.status == ports::answer_status::complete;
+    auto const not_run = end.status == ports::answer_status::not_run;
+    core::check_invariant( core::invariant::not_run_is_true, !not_run || !ran_,
+                           id_.str() );
+    core::check_invariant( core::invariant::ends_in_time,
+                           shared_.clock.now() <= deadline_ + deadline_slack,
+                           id_.str() );
+    core::check_invariant( core::invariant::answer_is_whole,
+                           !complete || ( saw_last_ && unwritten_.empty() ),
+                           id_.str() );
+    end_attempt( !complete );
+    if ( group_ )
+        group_->release();
+    group_.reset();
+    if ( complete )
+        shared_.metrics.completed.add();
+    else if ( not_run )
+        shared_.metrics.refusals.add( end.reason );
+    else
+        shared_.metrics.failed.add();
+    sink_->finish( end );
+}
+
+}
--- /dev/null
+++ b/src/pollenstream/sessions/session.hpp
@@ -0,0 +1,132 @@
+#ifndef POLLENSTREAM_SESSIONS_SESSION_HPP
+#define POLLENSTREAM_SESSIONS_SESSION_HPP
+
+#include <pollenstream/core/error.hpp>
+#include <pollenstream/core/ids.hpp>
+#include <pollenstream/core/units.hpp>
+#include <pollenstream/ports/answer_sink.hpp>
+#include <pollenstream/ports/engine.hpp>
+#include <pollenstream/profiles/profile.hpp>
+#include <pollenstream/routing/target_policy.hpp>
+#include <pollenstream/sessions/context.hpp>
+#include <pollenstream/sessions/request.hpp>
+
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pollenstream::sessions
+{
+
+class span_group;
+
+/// One request from admission to its last word. It keeps itself alive through
+/// the callbacks that it waits for, and ends exactly once: complete, failed at
+/// its deadline or after its retries, or because the caller has gone.
+class session : public std::enable_shared_from_this<session>
+{
+public:
+    session( context& shared,
+             request wanted,
+             profiles::profile profile,
+             std::shared_ptr<ports::answer_sink> sink );
+    ~session();
+    session( session const& ) = delete;
+    auto operator=( session const& ) -> session& = delete;
+
+    /// Admits the request and opens the first attempt, or refuses it.
+    auto start() -> void;
+
+    /// Ends the request as failed because of `reason`.
+    auto abandon( std::string const& reason ) -> void;
+
+    [[nodiscard]] auto id() const -> core::request_id const&
+    {
+        return id_;
+    }
+
+private:
+    class attempt_listener;
+    friend class attempt_listener;
+
+    struct attempt
+    {
+        core::attempt_number number;
+        routing::target_choice choice;
+        routing::dispatched_work work;
+        core::instant heard;      ///< opened, resumed, or last event
+        bool ran_before{ false }; ///< the request may have run before it
+        bool prefill_counted{ true };
+        bool resumed{ false };
+        std::shared_ptr<ports::engine_stream> stream;
+    };
+
+    auto admit() -> std::optional<ports::answer_end>;
+    auto shape() const -> routing::work_shape;
+    auto needs_span_group() const -> bool;
+    auto open_next() -> void;
+    auto open_single() -> void;
+    auto open_group() -> void;
+    auto on_group_ready( std::shared_ptr<span_group> const& group,
+                         core::result<void> status ) -> void;
+    auto send_attempt( routing::target_choice choice ) -> void;
+    auto make_engine_request( core::attempt_number number ) const
+        -> ports::engine_request;
+
+    auto on_events( core::attempt_number from,
+                    std::vector<ports::engine_event> const& events ) -> void;
+    auto take_event( ports::engine_event const& event ) -> bool;
+    auto flush() -> void;
+    auto note_first_token() -> void;
+    auto on_stream_end( core::attempt_number from, core::result<void> status )
+        -> void;
+    auto resume_same_engine() -> bool;
+    auto retry_elsewhere( core::error const& why ) -> void;
+
+    auto arm_deadline() -> void;
+    auto arm_keep_alive() -> void;
+    auto on_keep_alive() -> void;
+    auto is_silent( core::instant now ) const -> bool;
+    auto recover_silent_stream() -> void;
+
+    auto end_attempt( bool cancel ) -> void;
+    auto finish( ports::answer_end end ) -> void;
+    auto failure( std::string reason, std::string detail ) const
+        -> ports::answer_end;
+    auto refusal( std::string reason,
+                  std::string detail,
+                  std::optional<core::duration> retry_after ) const
+        -> ports::answer_end;
+
+    context& shared_;
+    core::request_id id_;
+    request wanted_;
+    profiles::profile profile_;
+    std::shared_ptr<ports::answer_sink> sink_;
+
+    // A stream may call back from inside `open`, on the same thread.
+    std::recursive_mutex mutex_;
+    core::token_count prompt_tokens_;
+    core::token_count max_output_;
+    core::prefix_chain prefixes_;
+    core::instant admitted_;
+    core::instant deadline_;
+    std::optional<attempt> current_;
+    std::shared_ptr<span_group> group_;
+    std::vector<core::target_id> tried_;
+    std::int64_t attempts_{ 0 };
+    std::string delivered_; ///< kept for a continuation on another engine
+    std::int64_t position_{ 0 };
+    std::string unwritten_;
+    std::int64_t unwritten_tokens_{ 0 };
+    std::optional<core::instant> last_token_;
+    bool saw_last_{ false };
+    bool ran_{ false }; ///< an engine may have started on it
+    bool finished_{ false };
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/pollenstream/settings/daemon_settings.cpp
@@ -0,0 +1,126 @@
+#include <pollenstream/profiles/section_reader.hpp>
+#include <pollenstream/settings/daemon_settings.hpp>
+
+#include <array>
+#include <set>
+#include <string_view>
+
+namespace pollenstream::settings
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using profiles::section_reader;
+
+constexpr auto default_body = std::int64_t{ 16 } * 1024 * 1024;
+constexpr auto most_body = std::int64_t{ 256 } * 1024 * 1024;
+constexpr auto default_threads = 24;
+constexpr auto most_threads = 256;
+constexpr auto least_threads = 4;
+constexpr auto shortest_token = std::size_t{ 16 };
+
+auto read_instance( section_reader& reader, daemon_settings& into ) -> void
+{
+    into.id = core::instance_id( reader.required_text( "id" ) );
+    if ( into.id.str().find_first_of( ":/ " ) != std::string::npos )
+        reader.fault( "id", "must not contain ':', '/' or blanks" );
+    into.place = core::place_id( reader.required_text( "place" ) );
+    into.callers = reader.required_address( "callers" );
+    into.peers = reader.required_address( "peers" );
+    into.operators = reader.required_address( "operators" );
+}
+
+auto read_platform( section_reader& reader, daemon_settings& into ) -> void
+{
+    into.store = reader.required_address( "store" );
+    into.list = reader.required_address( "list" );
+}
+
+auto read_operators( section_reader& reader, daemon_settings& into ) -> void
+{
+    into.token = reader.required_text( "token" );
+    if ( !into.token.empty() && into.token.size() < shortest_token )
+        reader.fault( "token", "needs at least 16 characters" );
+}
+
+auto read_limits( section_reader& reader, daemon_settings& into ) -> void
+{
+    into.largest_body = static_cast<std::size_t>(
+        reader.number( "largest_body_bytes", default_body, 1024, most_body ) );
+    into.threads = static_cast<int>( reader.number(
+        "threads", default_threads, least_threads, most_threads ) );
+    into.entry_keep = reader.milliseconds( "entry_keep_ms", 10s );
+    into.drain_limit = reader.milliseconds( "drain_limit_ms", 10min );
+}
+
+struct section_kind
+{
+    std::string_view kind;
+    auto( *read )( section_reader&, daemon_settings& ) -> void;
+    bool is_required;
+};
+
+/// Registry of the sections of the daemon's settings.
+constexpr auto section_kinds = std::array{
+    section_kind{ "instance", read_instance, true },
+    section_kind{ "platform", read_platform, true },
+    section_kind{ "operators", read_operators, true },
+    section_kind{ "limits", read_limits, false },
+};
+
+auto find_section( profiles::document const& text, std::string_view kind )
+    -> profiles::document_section const*
+{
+    for ( auto const& section : text.sections )
+    {
+        if ( section.kind == kind )
+            return &section;
+    }
+    return nullptr;
+}
+
+auto check_names( profiles::document const& text, core::findings& found )
+    -> void
+{
+    auto seen = std::set<std::string>{};
+    for ( auto const& section : text.sections )
+    {
+        auto is_known = false;
+        for ( auto const& each : section_kinds )
+            is_known = is_known || each.kind == section.kind;
+        auto const place =
+            core::text_place{ text.file, section.line, section.kind };
+        if ( !is_known )
+            found.add( place, "is not a section of these settings" );
+        else if ( !seen.insert( section.kind ).second )
+            found.add( place, "stands twice" );
+    }
+}
+
+}
+
+auto read_daemon_settings( profiles::document const& text,
+                           core::findings& found ) -> daemon_settings
+{
+    auto read = daemon_settings{};
+    check_names( text, found );
+    for ( auto const& each : section_kinds )
+    {
+        auto const kind = std::string( each.kind );
+        auto const* section = find_section( text, kind );
+        auto const absent = profiles::document_section{ kind, {}, 0, {} };
+        if ( !section && each.is_required )
+            found.add( { text.file, 0, kind }, "the section is required" );
+        if ( !section && each.is_required )
+            continue;
+        auto reader =
+            section_reader( text.file, section ? *section : absent, found );
+        each.read( reader, read );
+        reader.finish();
+    }
+    return read;
+}
+
+}
