--- a/src/pollenstream/metrics/distribution.cpp
+++ b/src/pollenstream/metrics/distribution.cpp
@@ -1,6 +1,7 @@
 #include <pollenstream/metrics/distribution.hpp>
 
-// The quantile header below uses string streams without including them.
+// clang-format off: the quantile header uses string streams without
+// including them.
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
@@ -11,6 +12,7 @@
 #include <array>
 #include <mutex>
 #include <sstream>
+// clang-format on
 
 namespace pollenstream::metrics
 {
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
