--- a/apps/tool/caller.cpp
+++ b/apps/tool/caller.cpp
@@ -24,8 +24,8 @@
 
 constexpr auto entry_timeout = std::chrono::seconds( 5 );
 constexpr auto answer_timeout = std::chrono::hours( 1 );
-constexpr auto longest_line = std::size_t{ 1024 * 1024 };
-constexpr auto read_size = std::size_t{ 16 * 1024 };
+constexpr auto longest_line = std::size_t{ 1024 } * 1024;
+constexpr auto read_size = std::size_t{ 16 } * 1024;
 
 auto client_for( core::address const& at, std::chrono::seconds timeout )
     -> web::http::client::http_client
--- a/apps/tool/commands.cpp
+++ b/apps/tool/commands.cpp
@@ -27,10 +27,10 @@
 
 auto text_or( arguments const& given,
               std::string const& name,
-              std::string fallback ) -> std::string
+              std::string const& fallback ) -> std::string
 {
     auto const& value = given.at( name );
-    return value ? value.asString() : std::move( fallback );
+    return value ? value.asString() : fallback;
 }
 
 /// A prompt of about `tokens` tokens, for trials.
--- a/src/pollenstream/adapters/http/answer_sinks.cpp
+++ b/src/pollenstream/adapters/http/answer_sinks.cpp
@@ -52,8 +52,8 @@
 class streaming_sink : public ports::answer_sink
 {
 public:
-    streaming_sink( web::http::http_request request, std::string model )
-        : request_( std::move( request ) ), model_( std::move( model ) )
+    streaming_sink( web::http::http_request const& request, std::string model )
+        : request_( request ), model_( std::move( model ) )
     {
     }
 
@@ -140,8 +140,8 @@
 class whole_sink : public ports::answer_sink
 {
 public:
-    whole_sink( web::http::http_request request, std::string model )
-        : request_( std::move( request ) ), model_( std::move( model ) )
+    whole_sink( web::http::http_request const& request, std::string model )
+        : request_( request ), model_( std::move( model ) )
     {
     }
 
@@ -189,18 +189,17 @@
 
 }
 
-auto make_streaming_sink( web::http::http_request request, std::string model )
+auto make_streaming_sink( web::http::http_request const& request,
+                          std::string model )
     -> std::shared_ptr<ports::answer_sink>
 {
-    return std::make_shared<streaming_sink>( std::move( request ),
-                                             std::move( model ) );
+    return std::make_shared<streaming_sink>( request, std::move( model ) );
 }
 
-auto make_whole_sink( web::http::http_request request, std::string model )
-    -> std::shared_ptr<ports::answer_sink>
+auto make_whole_sink( web::http::http_request const& request,
+                      std::string model ) -> std::shared_ptr<ports::answer_sink>
 {
-    return std::make_shared<whole_sink>( std::move( request ),
-                                         std::move( model ) );
+    return std::make_shared<whole_sink>( request, std::move( model ) );
 }
 
 }
--- a/src/pollenstream/adapters/http/engine_http_client.cpp
+++ b/src/pollenstream/adapters/http/engine_http_client.cpp
@@ -19,8 +19,8 @@
 constexpr auto longest_silence = core::duration( 1h );
 constexpr auto control_timeout = core::duration( 2s );
 /// Longest event that an engine may send, in bytes.
-constexpr auto longest_event = std::size_t{ 256 * 1024 };
-constexpr auto read_size = std::size_t{ 16 * 1024 };
+constexpr auto longest_event = std::size_t{ 256 } * 1024;
+constexpr auto read_size = std::size_t{ 16 } * 1024;
 
 /// One open connection that an answer comes over. Keeps itself alive while a
 /// read is under way.
--- a/src/pollenstream/adapters/http/operator_listener.cpp
+++ b/src/pollenstream/adapters/http/operator_listener.cpp
@@ -18,7 +18,7 @@
 using web::json::value;
 
 /// Largest body from an operator: documents of one change, in bytes.
-constexpr auto largest_body = std::size_t{ 32 * 1024 * 1024 };
+constexpr auto largest_body = std::size_t{ 32 } * 1024 * 1024;
 constexpr auto bearer = std::string_view( "Bearer " );
 
 auto unix_seconds() -> std::int64_t
--- a/src/pollenstream/core/address.hpp
+++ b/src/pollenstream/core/address.hpp
@@ -3,6 +3,7 @@
 
 #include <pollenstream/core/error.hpp>
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -16,7 +17,8 @@
     std::string ip;
     std::uint16_t port{ 0 };
 
-    friend auto operator<=>( address const&, address const& ) = default;
+    friend auto operator<=>( address const&, address const& )
+        -> std::strong_ordering = default;
 };
 
 /// Reads `1.2.3.4:80` or `[::1]:80`.
--- a/src/pollenstream/metrics/distribution.cpp
+++ b/src/pollenstream/metrics/distribution.cpp
@@ -1,7 +1,9 @@
 #include <pollenstream/metrics/distribution.hpp>
 
-// clang-format off: the quantile header uses string streams without
-// including them.
+// The quantile header uses string streams without including them.
+// clang-format off
+#include <sstream>
+
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
@@ -11,7 +13,6 @@
 
 #include <array>
 #include <mutex>
-#include <sstream>
 // clang-format on
 
 namespace pollenstream::metrics
--- a/src/pollenstream/profiles/section_reader.cpp
+++ b/src/pollenstream/profiles/section_reader.cpp
@@ -32,11 +32,11 @@
 {
 }
 
-auto section_reader::text( std::string_view key, std::string fallback )
+auto section_reader::text( std::string_view key, std::string const& fallback )
     -> std::string
 {
     auto const* const entry = find( key );
-    return entry ? entry->value : std::move( fallback );
+    return entry ? entry->value : fallback;
 }
 
 auto section_reader::required_text( std::string_view key ) -> std::string
--- a/src/pollenstream/profiles/section_reader.hpp
+++ b/src/pollenstream/profiles/section_reader.hpp
@@ -27,7 +27,8 @@
                     core::findings& found );
 
     /// Text of `key`, or `fallback` where it is absent.
-    auto text( std::string_view key, std::string fallback ) -> std::string;
+    auto text( std::string_view key, std::string const& fallback )
+        -> std::string;
     /// Text of `key`; its absence is a finding.
     auto required_text( std::string_view key ) -> std::string;
     /// Words of `key`, separated by blanks or commas.
--- a/src/pollenstream/sessions/session.cpp
+++ b/src/pollenstream/sessions/session.cpp
@@ -418,7 +418,7 @@
         auto end = ports::answer_end{};
         end.prompt_tokens = prompt_tokens_;
         end.output_tokens = core::token_count( position_ );
-        finish( std::move( end ) );
+        finish( end );
         return;
     }
     auto why = core::error{ core::error_code::connection_lost,
@@ -581,7 +581,7 @@
     return end;
 }
 
-auto session::finish( ports::answer_end end ) -> void
+auto session::finish( ports::answer_end const& end ) -> void
 {
     if ( std::exchange( finished_, true ) )
         return;
--- a/src/pollenstream/sessions/session.hpp
+++ b/src/pollenstream/sessions/session.hpp
@@ -92,7 +92,7 @@
     auto recover_silent_stream() -> void;
 
     auto end_attempt( bool cancel ) -> void;
-    auto finish( ports::answer_end end ) -> void;
+    auto finish( ports::answer_end const& end ) -> void;
     auto failure( std::string reason, std::string detail ) const
         -> ports::answer_end;
     auto refusal( std::string reason,
--- a/src/pollenstream/state/configuration_holder.cpp
+++ b/src/pollenstream/state/configuration_holder.cpp
@@ -91,7 +91,7 @@
     auto const lock = std::scoped_lock( mutex_ );
     auto names = std::string{};
     for ( auto const& [name, hash] : bundle_.head.documents )
-        names += name + "=" + hash + "\n";
+        names.append( name ).append( "=" ).append( hash ).append( "\n" );
     return core::content_hash( names );
 }
 
--- a/standins/engine_model.cpp
+++ b/standins/engine_model.cpp
@@ -139,6 +139,21 @@
     return step_->ends;
 }
 
+auto engine_model::expires_by( core::instant now ) const -> bool
+{
+    auto const stream_is_over = std::any_of( streams_.begin(), streams_.end(),
+                                             [now]( stream const& each )
+                                             {
+                                                 return each.expires <= now;
+                                             } );
+    return stream_is_over ||
+           std::any_of( reservations_.begin(), reservations_.end(),
+                        [now]( auto const& each )
+                        {
+                            return each.second.expires <= now;
+                        } );
+}
+
 auto engine_model::advance( core::instant now ) -> std::vector<engine_output>
 {
     auto out = std::vector<engine_output>{};
--- a/standins/engine_model.hpp
+++ b/standins/engine_model.hpp
@@ -77,6 +77,8 @@
 
     /// When the step under way ends; nothing where the engine is idle.
     [[nodiscard]] auto next_event() const -> std::optional<core::instant>;
+    /// True where a stream or reservation has reached its time limit.
+    [[nodiscard]] auto expires_by( core::instant now ) const -> bool;
     /// Runs all steps that end by `now`.
     auto advance( core::instant now ) -> std::vector<engine_output>;
 
--- a/standins/engine_server.cpp
+++ b/standins/engine_server.cpp
@@ -19,7 +19,7 @@
 using web::http::status_codes;
 using web::json::value;
 
-constexpr auto largest_body = std::size_t{ 64 * 1024 * 1024 };
+constexpr auto largest_body = std::size_t{ 64 } * 1024 * 1024;
 /// How long an ended stream can still be resumed.
 constexpr auto keep_ended = core::duration( 30s );
 constexpr auto idle_wait = 50ms;
--- a/tests/support/fake_engines.cpp
+++ b/standins/fake_engines.cpp
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-namespace tests
+namespace standins
 {
 
 namespace
@@ -82,15 +82,15 @@
 
 fake_engines::~fake_engines() = default;
 
-auto fake_engines::add( std::string const& id,
-                        standins::engine_settings settings ) -> void
+auto fake_engines::add( std::string const& id, engine_settings settings )
+    -> void
 {
     auto& engine = engines_[id];
     engine.settings = settings;
-    engine.model = std::make_unique<standins::engine_model>( settings );
+    engine.model = std::make_unique<engine_model>( settings );
 }
 
-auto fake_engines::model( std::string const& id ) -> standins::engine_model&
+auto fake_engines::model( std::string const& id ) -> engine_model&
 {
     return *engines_.at( id ).model;
 }
@@ -109,7 +109,7 @@
 {
     auto& engine = engines_.at( id );
     engine.dead = true;
-    engine.model = std::make_unique<standins::engine_model>( engine.settings );
+    engine.model = std::make_unique<engine_model>( engine.settings );
     engine.records.clear();
     auto const filling = std::exchange( engine.filling, {} );
     for ( auto const& [reservation, callback] : filling )
@@ -188,6 +188,17 @@
         step( engine );
 }
 
+auto fake_engines::step_due() -> void
+{
+    for ( auto& [id, engine] : engines_ )
+    {
+        auto const next = engine.model->next_event();
+        auto const is_due = next && *next <= time_.now();
+        if ( is_due || engine.model->expires_by( time_.now() ) )
+            step( engine );
+    }
+}
+
 auto fake_engines::step( one_engine& engine ) -> void
 {
     if ( engine.dead )
@@ -196,10 +207,10 @@
         deliver( engine, out );
 }
 
-auto fake_engines::deliver( one_engine& engine,
-                            standins::engine_output const& out ) -> void
+auto fake_engines::deliver( one_engine& engine, engine_output const& out )
+    -> void
 {
-    using kind = standins::engine_output::kind;
+    using kind = engine_output::kind;
     if ( out.what == kind::filled )
     {
         auto const at = engine.filling.find( out.reservation );
@@ -217,8 +228,9 @@
     if ( out.what == kind::token )
     {
         ++record->second.count;
-        event.text = standins::token_text( record->second.hash, out.position );
-        event.load = engine.model->load( time_.now() );
+        event.text = token_text( record->second.hash, out.position );
+        if ( out.position == record->second.first )
+            event.load = engine.model->load( time_.now() );
     }
     else
     {
@@ -279,9 +291,9 @@
                 stream->end( status.error() );
                 return;
             }
-            engine.records[request.request] = {
-                standins::prompt_hash( *request.prompt ), request.attempt,
-                request.from_position };
+            engine.records[request.request] = { prompt_hash( *request.prompt ),
+                                                request.attempt,
+                                                request.from_position };
             engine.streams[request.request] = stream;
         } );
     return stream;
@@ -315,7 +327,7 @@
             auto const end = record.first + record.count;
             for ( auto p = request.from_position; p < end; ++p )
                 events.push_back( { request.request, record.attempt, p,
-                                    standins::token_text( record.hash, p ) } );
+                                    token_text( record.hash, p ) } );
             if ( record.ended && !record.expired )
                 events.push_back(
                     { request.request, record.attempt, end, {}, true } );
--- a/tests/support/fake_engines.hpp
+++ b/standins/fake_engines.hpp
@@ -1,16 +1,16 @@
-#ifndef TESTS_SUPPORT_FAKE_ENGINES_HPP
-#define TESTS_SUPPORT_FAKE_ENGINES_HPP
+#ifndef STANDINS_FAKE_ENGINES_HPP
+#define STANDINS_FAKE_ENGINES_HPP
 
+#include "engine_model.hpp"
 #include "held_time.hpp"
 #include <pollenstream/ports/engine.hpp>
 
-#include <engine_model.hpp>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
 
-namespace tests
+namespace standins
 {
 
 /// Engines in process, driven by held time. Each can be told to fail.
@@ -20,9 +20,8 @@
     explicit fake_engines( held_time& time );
     ~fake_engines() override;
 
-    auto add( std::string const& id, standins::engine_settings settings )
-        -> void;
-    auto model( std::string const& id ) -> standins::engine_model&;
+    auto add( std::string const& id, engine_settings settings ) -> void;
+    auto model( std::string const& id ) -> engine_model&;
 
     /// The process ends: its streams break, its memory is gone.
     auto kill( std::string const& id ) -> void;
@@ -81,8 +80,8 @@
     };
     struct one_engine
     {
-        standins::engine_settings settings;
-        std::unique_ptr<standins::engine_model> model;
+        engine_settings settings;
+        std::unique_ptr<engine_model> model;
         std::map<core::request_id, written> records;
         std::map<core::request_id, std::weak_ptr<fake_stream>> streams;
         std::map<core::reservation_id, done> filling;
@@ -90,9 +89,9 @@
     };
 
     auto later( std::function<void()> callback ) -> void;
+    auto step_due() -> void;
     auto step( one_engine& engine ) -> void;
-    auto deliver( one_engine& engine, standins::engine_output const& out )
-        -> void;
+    auto deliver( one_engine& engine, engine_output const& out ) -> void;
     auto next_step() const -> std::optional<core::instant>;
     auto endpoint( ports::engine_endpoint const& at ) -> one_engine&;
     auto attach( one_engine& engine,
--- a/tests/support/held_time.cpp
+++ b/standins/held_time.cpp
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-namespace tests
+namespace standins
 {
 
 auto held_time::now() const -> core::instant
--- a/tests/support/held_time.hpp
+++ b/standins/held_time.hpp
@@ -1,5 +1,5 @@
-#ifndef TESTS_SUPPORT_HELD_TIME_HPP
-#define TESTS_SUPPORT_HELD_TIME_HPP
+#ifndef STANDINS_HELD_TIME_HPP
+#define STANDINS_HELD_TIME_HPP
 
 #include <pollenstream/ports/clock.hpp>
 
@@ -7,7 +7,7 @@
 #include <map>
 #include <optional>
 
-namespace tests
+namespace standins
 {
 
 namespace core = pollenstream::core;
--- a/standins/platform_server.cpp
+++ b/standins/platform_server.cpp
@@ -18,7 +18,7 @@
 using web::http::status_codes;
 using web::json::value;
 
-constexpr auto largest_body = std::size_t{ 64 * 1024 * 1024 };
+constexpr auto largest_body = std::size_t{ 64 } * 1024 * 1024;
 /// How long a caller waits for an answer that is lost.
 constexpr auto lost_answer_delay = 4s;
 
--- a/standins/store_model.cpp
+++ b/standins/store_model.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr auto largest_value = std::size_t{ 1024 * 1024 };
+constexpr auto largest_value = std::size_t{ 1024 } * 1024;
 
 auto outage_error() -> core::error
 {
--- a/tests/support/test_fleet.hpp
+++ b/tests/support/test_fleet.hpp
@@ -1,14 +1,14 @@
 #ifndef TESTS_SUPPORT_TEST_FLEET_HPP
 #define TESTS_SUPPORT_TEST_FLEET_HPP
 
-#include "fake_engines.hpp"
-#include "held_time.hpp"
 #include "recorded_answer.hpp"
 #include <pollenstream/profiles/profile.hpp>
 #include <pollenstream/routing/policy_registry.hpp>
 #include <pollenstream/sessions/context.hpp>
 #include <pollenstream/sessions/session.hpp>
 
+#include <fake_engines.hpp>
+#include <held_time.hpp>
 #include <memory>
 #include <string>
 #include <vector>
@@ -16,6 +16,8 @@
 namespace tests
 {
 
+namespace core = pollenstream::core;
+namespace ports = pollenstream::ports;
 namespace routing = pollenstream::routing;
 namespace sessions = pollenstream::sessions;
 namespace profiles = pollenstream::profiles;
@@ -46,8 +48,8 @@
     /// Engine that the only open request runs at.
     auto busy_engine() -> std::string;
 
-    held_time time;
-    fake_engines engines{ time };
+    standins::held_time time;
+    standins::fake_engines engines{ time };
 
     struct instance
     {
