Choice of targets: share steps with long prompts in mind, wait for memory here

Found: a prompt of 400,000 tokens filled an engine, and shorts waited there for all of its answer; a short shares its batch steps with a long one's chunks, which the prediction did not count; large prompts queued inside one engine for that engine's memory; and the stand-in read 4,096 tokens a step, 0.2 s, with which no engine could keep the users' own 66 ms between tokens.

Change: large prompts take at most half of a target's memory and leave 15% free, larger ones are spread over several targets that read at once; requests wait for memory in the instance; predictions count full steps; the choice is drawn among the nearly best; small prompts move away from a stalled target; the stand-in reads 1,024 tokens a step, 4,096 by option. Admission moved out of the session.

--- a/bench/routing_bench.cpp
+++ b/bench/routing_bench.cpp
@@ -15,13 +15,16 @@
     R"(Measures policies for the choice of targets; one row a run.
 
 Usage:
-  bench-routing [--mix=M] [--instances=N] [--policy=P] [--seed=S] [--threads=N]
+  bench-routing [--mix=M] [--instances=N] [--policy=P] [--seed=S]
+                [--chunk=N] [--threads=N]
 
 Options:
   --mix=M        Only this mix.
   --instances=N  Only this number of instances; else 1, 8 and 64.
   --policy=P     Only this policy.
   --seed=S       Seed of the loads [default: 1].
+  --chunk=N      Prompt tokens that an engine reads in one step
+                 [default: 1024].
   --threads=N    Runs at once [default: 6].
 )";
 
@@ -83,7 +86,8 @@
                 if ( is_wanted )
                     plans.push_back( { mix, instances, std::string( policy ),
                                        static_cast<std::uint64_t>(
-                                           given.at( "--seed" ).asLong() ) } );
+                                           given.at( "--seed" ).asLong() ),
+                                       given.at( "--chunk" ).asLong() } );
             }
         }
     }
--- a/bench/routing_run.cpp
+++ b/bench/routing_run.cpp
@@ -139,6 +139,7 @@
     auto add_engines() -> void
     {
         auto settings = standins::engine_settings{};
+        settings.chunk_tokens = plan_.chunk_tokens;
         settings.report_period = core::duration( 200ms );
         for ( auto i = 0; i < plan_.mix.engines; ++i )
         {
@@ -200,6 +201,14 @@
                   } );
     }
 
+    [[nodiscard]] auto open_sessions() const -> std::int64_t
+    {
+        auto open = std::int64_t{ 0 };
+        for ( auto const& each : instances_ )
+            open += each->shared->open_sessions.load();
+        return open;
+    }
+
     auto take_report( instance& one,
                       std::shared_ptr<routing::target> const& which,
                       core::result<ports::load_report> const& report ) -> void
--- a/bench/routing_run.hpp
+++ b/bench/routing_run.hpp
@@ -18,6 +18,7 @@
     int instances{ 1 };
     std::string policy;
     std::uint64_t seed{ 1 };
+    std::int64_t chunk_tokens{ 1'024 }; ///< read by an engine in one step
 };
 
 /// Classes of prompt length in the rows.
--- a/src/pollenstream/adapters/http/state_dump.cpp
+++ b/src/pollenstream/adapters/http/state_dump.cpp
@@ -103,6 +103,8 @@
     json["completed"] = count( m.completed );
     json["failed"] = count( m.failed );
     json["retries"] = count( m.retries );
+    json["moves"] = count( m.moves );
+    json["parks"] = count( m.parks );
     json["resumes"] = count( m.resumes );
     json["cancels"] = count( m.cancels );
     json["callers_gone"] = count( m.callers_gone );
--- a/src/pollenstream/routing/baseline_policies.cpp
+++ b/src/pollenstream/routing/baseline_policies.cpp
@@ -37,8 +37,8 @@
                         shape.prompt_tokens + shape.output_tokens };
     auto const first_token =
         core::duration_of( predict_first_token( *chosen, demand, now ) );
-    auto const output =
-        core::duration_of( predict_output( *chosen, shape.output_tokens ) );
+    auto const output = core::duration_of(
+        predict_output( *chosen, shape.output_tokens, now ) );
     return target_choice{ chosen, first_token, first_token + output, 0 };
 }
 
--- a/src/pollenstream/routing/clear_share.cpp
+++ b/src/pollenstream/routing/clear_share.cpp
@@ -13,13 +13,15 @@
 
 /// How long the mix is remembered.
 constexpr auto memory_span = core::duration( 60s );
-/// Long prompts keep at least half of the targets.
-constexpr auto most_share = 0.5;
-/// Shorts come in bursts: they get this many times their part of the tokens.
-constexpr auto burst_room = 3.0;
-/// Least part that is kept clear while shorts come at all.
+/// Larger prompts keep at least this part of the targets.
+constexpr auto least_for_larger = 0.5;
+/// Small prompts come in bursts and are to meet no queue: they get this many
+/// times their part of the tokens. Medium ones may queue a little.
+constexpr auto small_room = 1.5;
+constexpr auto medium_room = 0.8;
+/// Least share that is kept for small prompts while they come at all.
 constexpr auto least_share = 0.15;
-/// Fewer short tokens than this in the span count as none.
+/// Fewer tokens than this in the span count as none.
 constexpr auto few_tokens = 1'000.0;
 
 constexpr auto relaxed = std::memory_order_relaxed;
@@ -45,18 +47,25 @@
 
 auto clear_share::note( std::int64_t prompt_tokens, core::instant now ) -> void
 {
-    auto& sum = is_long( prompt_tokens ) ? long_tokens_ : short_tokens_;
+    auto& sum = tokens_[index_of( size_of( prompt_tokens ) )];
     sum.add( static_cast<double>( prompt_tokens ), now );
 }
 
-auto clear_share::share( core::instant now ) const -> double
+auto clear_share::kept_from( size_class c, core::instant now ) const -> double
 {
-    auto const shorts = short_tokens_.value( now );
-    auto const longs = long_tokens_.value( now );
-    if ( shorts < few_tokens || longs <= 0 )
+    if ( c == size_class::small )
         return 0;
-    auto const part = shorts / ( shorts + longs );
-    return std::clamp( burst_room * part, least_share, most_share );
+    auto const small = tokens_[0].value( now );
+    auto const medium = tokens_[1].value( now );
+    auto const all = small + medium + tokens_[2].value( now );
+    if ( all <= 0 )
+        return 0;
+    auto kept = 0.0;
+    if ( small > few_tokens )
+        kept = std::max( least_share, small_room * small / all );
+    if ( c == size_class::large && medium > few_tokens )
+        kept += medium_room * medium / all;
+    return std::min( kept, 1.0 - least_for_larger );
 }
 
 }
--- a/src/pollenstream/routing/clear_share.hpp
+++ b/src/pollenstream/routing/clear_share.hpp
@@ -2,32 +2,29 @@
 #define POLLENSTREAM_ROUTING_CLEAR_SHARE_HPP
 
 #include <pollenstream/core/units.hpp>
+#include <pollenstream/routing/size_class.hpp>
 
+#include <array>
 #include <atomic>
 #include <cstdint>
 
 namespace pollenstream::routing
 {
 
-/// The share of targets that long prompts leave alone. It follows the part of
-/// recent prompt tokens that came in short prompts, and goes to nothing when
-/// no short prompts come. Each instance follows the mix that it sees itself.
+/// Shares of the targets that longer prompts leave alone. They follow the
+/// tokens of each class in the recent mix, and go to nothing when no shorter
+/// prompts come. Each instance follows the mix that it sees itself; targets
+/// stand in the same order on every instance, so that the shares agree.
 class clear_share
 {
 public:
-    /// Prompts of more tokens than this are long.
-    static constexpr auto long_prompt = std::int64_t{ 32'768 };
-
-    static constexpr auto is_long( std::int64_t prompt_tokens ) -> bool
-    {
-        return prompt_tokens > long_prompt;
-    }
-
     /// Counts one dispatched prompt.
     auto note( std::int64_t prompt_tokens, core::instant now ) -> void;
 
-    /// Share of targets to keep clear, from 0 to `most`.
-    [[nodiscard]] auto share( core::instant now ) const -> double;
+    /// Share of the targets, from the first on, that prompts of class `c`
+    /// leave alone; 0 for small prompts.
+    [[nodiscard]] auto kept_from( size_class c, core::instant now ) const
+        -> double;
 
 private:
     struct decaying_sum
@@ -39,8 +36,7 @@
         [[nodiscard]] auto value( core::instant now ) const -> double;
     };
 
-    decaying_sum short_tokens_;
-    decaying_sum long_tokens_;
+    std::array<decaying_sum, size_class_count> tokens_;
 };
 
 }
--- a/src/pollenstream/routing/first_token_model.cpp
+++ b/src/pollenstream/routing/first_token_model.cpp
@@ -8,9 +8,20 @@
 namespace
 {
 
-/// Steps that a new request waits for: half of the one under way on average,
-/// and its own.
-constexpr auto steps_before_first_token = 1.5;
+/// A new request waits for half of the step under way on average.
+constexpr auto part_of_step_under_way = 0.5;
+/// Waiting for memory costs more than its tokens: it comes free when a stream
+/// ends, and nobody knows when.
+constexpr auto seconds_without_memory = 2.0;
+
+/// Length of the steps that a request meets. Prompt of lower priority fills up
+/// each step, so that a short prompt pays for a long one beside it.
+auto met_step_seconds( target const& candidate, core::instant now ) -> double
+{
+    auto const reading = candidate.backlog( now ) > 0;
+    auto const step = candidate.step_seconds();
+    return reading ? std::max( step, candidate.full_step_seconds() ) : step;
+}
 
 }
 
@@ -22,19 +33,24 @@
     auto const before = candidate.backlog_before( demand.order, now );
     auto const reading =
         static_cast<double>( before + demand.uncached_tokens ) / rate;
-    auto const stepping = steps_before_first_token * candidate.step_seconds();
+    auto const step = met_step_seconds( candidate, now );
+    auto const stepping =
+        part_of_step_under_way * step + std::max( step, reading );
     auto const lacking = demand.memory_tokens - candidate.free_memory();
-    // Memory comes free as streams end; they give it back about as fast as
-    // prompts are read, which is when it was taken.
-    auto const waiting =
-        static_cast<double>( std::max( std::int64_t{ 0 }, lacking ) ) / rate;
-    return reading + stepping + waiting;
+    if ( lacking <= 0 )
+        return stepping;
+    return stepping + seconds_without_memory +
+           static_cast<double>( lacking ) / rate;
 }
 
-auto predict_output( target const& candidate, std::int64_t tokens ) -> double
+auto predict_output( target const& candidate,
+                     std::int64_t tokens,
+                     core::instant now ) -> double
 {
-    return static_cast<double>( tokens ) /
-           std::max( 0.1, candidate.decode_rate() );
+    auto const step =
+        std::max( met_step_seconds( candidate, now ),
+                  1.0 / std::max( 1.0, candidate.decode_rate() ) );
+    return static_cast<double>( tokens ) * step;
 }
 
 }
--- a/src/pollenstream/routing/first_token_model.hpp
+++ b/src/pollenstream/routing/first_token_model.hpp
@@ -25,7 +25,9 @@
                           core::instant now ) -> double;
 
 /// Seconds for `tokens` of output after the first token.
-auto predict_output( target const& candidate, std::int64_t tokens ) -> double;
+auto predict_output( target const& candidate,
+                     std::int64_t tokens,
+                     core::instant now ) -> double;
 
 }
 
--- a/src/pollenstream/routing/policy_registry.cpp
+++ b/src/pollenstream/routing/policy_registry.cpp
@@ -47,8 +47,8 @@
                  make_predicted<&predicted_options::use_clear_share> },
     named_maker{ "predicted-no_affinity",
                  make_predicted<&predicted_options::use_affinity> },
-    named_maker{ "predicted-no_sampling",
-                 make_predicted<&predicted_options::use_sampling> },
+    named_maker{ "predicted-no_spread",
+                 make_predicted<&predicted_options::use_spread> },
 };
 
 }
--- a/src/pollenstream/routing/predicted_policy.cpp
+++ b/src/pollenstream/routing/predicted_policy.cpp
@@ -1,9 +1,8 @@
-#include <pollenstream/core/hash.hpp>
-#include <pollenstream/core/invariant.hpp>
 #include <pollenstream/routing/first_token_model.hpp>
 #include <pollenstream/routing/predicted_policy.hpp>
 
 #include <algorithm>
+#include <array>
 #include <limits>
 
 namespace pollenstream::routing
@@ -12,13 +11,21 @@
 namespace
 {
 
-/// Targets looked at for one choice.
-constexpr auto sample_size = std::size_t{ 8 };
+/// Targets looked at for one choice; out of more, so many are drawn.
+constexpr auto most_scored = std::size_t{ 48 };
+/// A target counts as nearly best up to this much above the best, as a part
+/// of it and in seconds.
+constexpr auto near_part = 0.10;
+constexpr auto near_seconds = 0.02;
 /// Prefixes remembered by one instance.
 constexpr auto prefix_capacity = std::size_t{ 20'000 };
 /// Added for a target outside of the preferred places, in seconds: a few
 /// round trips between data centres.
 constexpr auto far_place_seconds = 0.005;
+/// Steps of this length, in seconds, do a short prompt beside a long one no
+/// harm to speak of, and full harm.
+constexpr auto harmless_step = 0.10;
+constexpr auto harmful_step = 0.20;
 /// Seconds that an open request stands for where tokens are not counted.
 constexpr auto seconds_per_open_request = 0.1;
 
@@ -30,6 +37,16 @@
                       candidate.identity().place ) != places.end();
 }
 
+/// How much a long prompt harms a short one at the same target, from 0 to 1. A
+/// target that reads in short steps lets the short one in at the next; keeping
+/// it clear would only cost the long ones.
+auto harm_beside_long( target const& candidate ) -> double
+{
+    auto const step = candidate.full_step_seconds();
+    return std::clamp(
+        ( step - harmless_step ) / ( harmful_step - harmless_step ), 0.0, 1.0 );
+}
+
 auto mix_bits( std::uint64_t x ) -> std::uint64_t
 {
     x ^= x >> 30U;
@@ -41,17 +58,25 @@
 
 }
 
+struct predicted_policy::scored_target
+{
+    target const* which{ nullptr };
+    std::shared_ptr<target> const* owner{ nullptr };
+    double score{ 0 };
+    double first_token{ 0 };
+    std::int64_t cached{ 0 };
+    bool has_memory{ true };
+};
+
 struct predicted_policy::search
 {
     work_shape const& shape;
     core::instant now;
     std::optional<prefix_home> home;
-    double share_kept_clear{ 0 };
-    bool is_long{ false };
-    double best_score{ std::numeric_limits<double>::infinity() };
-    double best_first_token{ 0 };
-    std::shared_ptr<target> best;
-    std::int64_t best_cached{ 0 };
+    double kept_clear{ 0 };
+    std::array<scored_target, most_scored + 1> scored{};
+    std::size_t count{ 0 };
+    double best{ std::numeric_limits<double>::infinity() };
 };
 
 predicted_policy::predicted_policy( predicted_options options )
@@ -66,43 +91,99 @@
     return mix_bits( random_.fetch_add( golden, std::memory_order_relaxed ) );
 }
 
-auto predicted_policy::is_kept_clear( target const& candidate,
-                                      double share ) const -> bool
+auto predicted_policy::may_place( target const& candidate,
+                                  std::int64_t prompt_tokens,
+                                  core::instant now ) -> bool
 {
-    if ( share <= 0 )
-        return false;
-    // The same targets on every instance: the hash of the id decides.
-    return candidate.rank() < share;
+    if ( !options_.use_clear_share )
+        return true;
+    auto const kept = clear_share_.kept_from( size_of( prompt_tokens ), now );
+    return candidate.rank() >= kept * harm_beside_long( candidate );
 }
 
-auto predicted_policy::consider(
-    search& state, std::shared_ptr<target> const& candidate ) const -> void
+auto predicted_policy::score( search const& state,
+                              std::shared_ptr<target> const& candidate ) const
+    -> std::optional<scored_target>
 {
-    if ( !can_take( *candidate, state.shape ) )
-        return;
-    if ( state.is_long && is_kept_clear( *candidate, state.share_kept_clear ) )
-        return;
+    auto const& shape = state.shape;
+    if ( !can_take( *candidate, shape ) )
+        return std::nullopt;
+    auto const kept = state.kept_clear * harm_beside_long( *candidate );
+    if ( candidate->rank() < kept )
+        return std::nullopt;
+    auto found = scored_target{ candidate.get(), &candidate };
     auto const is_home =
         state.home && state.home->target == candidate->identity().id;
-    auto const cached =
-        is_home ? std::min( state.home->tokens, state.shape.prompt_tokens ) : 0;
-    auto const demand =
-        prefill_demand{ state.shape.order, state.shape.prompt_tokens - cached,
-                        state.shape.prompt_tokens + state.shape.output_tokens };
-    auto const first_token =
-        predict_first_token( *candidate, demand, state.now );
-    auto score = first_token;
+    if ( is_home )
+        found.cached = std::min( state.home->tokens, shape.prompt_tokens );
+    auto const memory = shape.prompt_tokens + shape.output_tokens +
+                        memory_margin_for( *candidate, shape.prompt_tokens );
+    found.has_memory = memory <= candidate->free_memory();
+    found.first_token = predict_first_token(
+        *candidate, { shape.order, shape.prompt_tokens - found.cached, memory },
+        state.now );
+    found.score = found.first_token;
     if ( !options_.use_backlog )
-        score = seconds_per_open_request *
-                static_cast<double>( candidate->open_requests() );
-    if ( !is_preferred( *candidate, state.shape.places ) )
-        score += far_place_seconds;
-    if ( score >= state.best_score )
+        found.score = seconds_per_open_request *
+                      static_cast<double>( candidate->open_requests() );
+    if ( !is_preferred( *candidate, shape.places ) )
+        found.score += far_place_seconds;
+    return found;
+}
+
+auto predicted_policy::collect( search& state, target_list const& targets )
+    -> void
+{
+    auto const add = [&]( std::shared_ptr<target> const& candidate )
+    {
+        auto const found = score( state, candidate );
+        if ( !found || state.count == state.scored.size() )
+            return;
+        state.scored[state.count++] = *found;
+        state.best = std::min( state.best, found->score );
+    };
+    if ( targets.size() <= most_scored )
+    {
+        for ( auto const& each : targets )
+            add( each );
         return;
-    state.best_score = score;
-    state.best_first_token = first_token;
-    state.best = candidate;
-    state.best_cached = cached;
+    }
+    for ( auto i = std::size_t{ 0 }; i < most_scored; ++i )
+        add( targets[next_random() % targets.size()] );
+    if ( state.home )
+    {
+        auto const home =
+            std::find_if( targets.begin(), targets.end(),
+                          [&]( auto const& each )
+                          {
+                              return each->identity().id == state.home->target;
+                          } );
+        if ( home != targets.end() )
+            add( *home );
+    }
+    // The draw may have met none that can take the work.
+    for ( auto at = targets.begin(); at != targets.end() && state.count == 0;
+          ++at )
+        add( *at );
+}
+
+auto predicted_policy::draw_among_best( search const& state ) -> scored_target
+{
+    auto const limit =
+        options_.use_spread
+            ? state.best + std::max( near_seconds, near_part * state.best )
+            : state.best;
+    auto chosen = scored_target{};
+    auto seen = std::uint64_t{ 0 };
+    for ( auto i = std::size_t{ 0 }; i < state.count; ++i )
+    {
+        if ( state.scored[i].score > limit )
+            continue;
+        ++seen;
+        if ( next_random() % seen == 0 )
+            chosen = state.scored[i];
+    }
+    return chosen;
 }
 
 auto predicted_policy::choose( target_list const& targets,
@@ -111,43 +192,26 @@
     -> std::optional<target_choice>
 {
     auto state = search{ shape, now, std::nullopt };
-    state.is_long = clear_share::is_long( shape.prompt_tokens );
-    if ( options_.use_clear_share && state.is_long )
-        state.share_kept_clear = clear_share_.share( now );
+    if ( options_.use_clear_share )
+        state.kept_clear =
+            clear_share_.kept_from( size_of( shape.prompt_tokens ), now );
     if ( options_.use_affinity )
         state.home = prefixes_.find( shape.prefixes );
-    auto const looks_at_all =
-        !options_.use_sampling || targets.size() <= sample_size;
-    if ( !looks_at_all )
-    {
-        for ( auto i = std::size_t{ 0 }; i < sample_size; ++i )
-            consider( state, targets[next_random() % targets.size()] );
-    }
-    if ( state.home && !looks_at_all )
+    collect( state, targets );
+    if ( state.count == 0 && state.kept_clear > 0 )
     {
-        for ( auto const& each : targets )
-        {
-            if ( each->identity().id == state.home->target )
-                consider( state, each );
-        }
-    }
-    // A long prompt, or one drawn among unusable targets, may not have met a
-    // target that can take it.
-    if ( !state.best )
-    {
-        for ( auto const& each : targets )
-            consider( state, each );
+        // Better beside short work than not at all.
+        state.kept_clear = 0;
+        collect( state, targets );
     }
-    if ( !state.best )
+    if ( state.count == 0 )
         return std::nullopt;
-    core::check_invariant( core::invariant::leaving_gets_no_work,
-                           state.best->phase() != target_phase::gone,
-                           state.best->identity().id.str() );
-    auto const first_token = core::duration_of( state.best_first_token );
-    auto const output =
-        core::duration_of( predict_output( *state.best, shape.output_tokens ) );
-    return target_choice{ state.best, first_token, first_token + output,
-                          state.best_cached };
+    auto const best = draw_among_best( state );
+    auto const first_token = core::duration_of( best.first_token );
+    auto const output = core::duration_of(
+        predict_output( *best.which, shape.output_tokens, now ) );
+    return target_choice{ *best.owner, first_token, first_token + output,
+                          best.cached, best.has_memory };
 }
 
 auto predicted_policy::note_dispatch( target_choice const& choice,
--- a/src/pollenstream/routing/predicted_policy.hpp
+++ b/src/pollenstream/routing/predicted_policy.hpp
@@ -18,14 +18,13 @@
     bool use_backlog{ true };     ///< predict from tokens, else open requests
     bool use_clear_share{ true }; ///< keep targets clear of long prompts
     bool use_affinity{ true };    ///< prefer where the prefix is cached
-    bool use_sampling{ true };    ///< look at few targets, else at all
+    bool use_spread{ true }; ///< draw among the nearly best, else take the best
     std::uint64_t seed{ 1 };
 };
 
-/// Chooses the target whose first token is predicted to come first, among a
-/// few drawn at random and the one that has the prompt's prefix cached. The
-/// draw keeps instances with the same late reports from all choosing the same
-/// idle target.
+/// Chooses a target whose first token is predicted to come first. It draws
+/// among the nearly best, which keeps instances that have the same late
+/// reports from all choosing the same idle target.
 class predicted_policy : public target_policy
 {
 public:
@@ -40,14 +39,20 @@
     auto note_cached( core::target_id const& at,
                       core::prefix_chain const& prefixes ) -> void override;
 
+    auto may_place( target const& candidate,
+                    std::int64_t prompt_tokens,
+                    core::instant now ) -> bool override;
+
 private:
     struct search;
+    struct scored_target;
 
-    auto consider( search& state,
-                   std::shared_ptr<target> const& candidate ) const -> void;
+    auto score( search const& state,
+                std::shared_ptr<target> const& candidate ) const
+        -> std::optional<scored_target>;
+    auto collect( search& state, target_list const& targets ) -> void;
+    auto draw_among_best( search const& state ) -> scored_target;
     auto next_random() -> std::uint64_t;
-    [[nodiscard]] auto is_kept_clear( target const& candidate,
-                                      double share ) const -> bool;
 
     predicted_options options_;
     clear_share clear_share_;
--- a/src/pollenstream/routing/target.cpp
+++ b/src/pollenstream/routing/target.cpp
@@ -20,6 +20,9 @@
 /// Time from a choice to its send, at most.
 constexpr auto leaving_grace = core::duration( std::chrono::seconds( 3 ) );
 
+/// How much of the longest step is remembered from report to report.
+constexpr auto full_step_fading = 0.98;
+
 constexpr auto relaxed = std::memory_order_relaxed;
 
 auto rank_of( core::target_id const& id ) -> double
@@ -107,6 +110,8 @@
     if ( report.decode_rate > 0 )
         decode_rate_.store( report.decode_rate, relaxed );
     step_seconds_.store( report.step_seconds, relaxed );
+    auto const faded = full_step_fading * full_step_seconds_.load( relaxed );
+    full_step_seconds_.store( std::max( faded, report.step_seconds ), relaxed );
 }
 
 auto target::add_dispatch( dispatched_work const& work ) -> void
@@ -180,6 +185,16 @@
     return step_seconds_.load( relaxed );
 }
 
+auto target::full_step_seconds() const -> double
+{
+    return full_step_seconds_.load( relaxed );
+}
+
+auto target::backlog( core::instant now ) const -> std::int64_t
+{
+    return backlog_before( profiles::priority::bulk, now );
+}
+
 auto target::open_requests() const -> std::int64_t
 {
     return open_requests_.load( relaxed );
--- a/src/pollenstream/routing/target.hpp
+++ b/src/pollenstream/routing/target.hpp
@@ -94,6 +94,10 @@
     [[nodiscard]] auto prefill_rate() const -> double;
     [[nodiscard]] auto decode_rate() const -> double;
     [[nodiscard]] auto step_seconds() const -> double;
+    /// Length of a batch step that is full of prompt, as seen lately.
+    [[nodiscard]] auto full_step_seconds() const -> double;
+    /// Prompt tokens to be read there, of all priorities.
+    [[nodiscard]] auto backlog( core::instant now ) const -> std::int64_t;
     /// Requests of this instance that are open there.
     [[nodiscard]] auto open_requests() const -> std::int64_t;
     [[nodiscard]] auto reported_requests() const -> std::int64_t;
@@ -122,6 +126,7 @@
     std::atomic<double> prefill_rate_;
     std::atomic<double> decode_rate_;
     std::atomic<double> step_seconds_{ 0 };
+    std::atomic<double> full_step_seconds_{ 0 };
 };
 
 }
--- a/src/pollenstream/routing/target_policy.cpp
+++ b/src/pollenstream/routing/target_policy.cpp
@@ -1,3 +1,4 @@
+#include <pollenstream/routing/size_class.hpp>
 #include <pollenstream/routing/target_policy.hpp>
 
 #include <algorithm>
@@ -5,6 +6,24 @@
 namespace pollenstream::routing
 {
 
+namespace
+{
+
+/// Part of a target's memory that one large prompt may hold. A larger one is
+/// spread over several targets, which read it at the same time.
+constexpr auto most_for_large = 0.5;
+/// Part of a target's memory that large prompts leave free for short ones,
+/// which would wait for the whole of a long answer otherwise.
+constexpr auto margin_beside_large = 0.15;
+
+}
+
+auto target_policy::may_place( target const&, std::int64_t, core::instant )
+    -> bool
+{
+    return true;
+}
+
 auto target_policy::note_dispatch( target_choice const&,
                                    work_shape const&,
                                    core::instant ) -> void
@@ -22,11 +41,31 @@
 {
 }
 
+auto most_memory_for( target const& candidate, std::int64_t prompt_tokens )
+    -> std::int64_t
+{
+    auto const total = candidate.total_memory();
+    if ( size_of( prompt_tokens ) != size_class::large )
+        return total;
+    return static_cast<std::int64_t>( most_for_large *
+                                      static_cast<double>( total ) );
+}
+
+auto memory_margin_for( target const& candidate, std::int64_t prompt_tokens )
+    -> std::int64_t
+{
+    if ( size_of( prompt_tokens ) != size_class::large )
+        return 0;
+    return static_cast<std::int64_t>(
+        margin_beside_large * static_cast<double>( candidate.total_memory() ) );
+}
+
 auto can_take( target const& candidate, work_shape const& shape ) -> bool
 {
     if ( candidate.phase() != target_phase::alive )
         return false;
-    if ( shape.prompt_tokens + shape.output_tokens > candidate.total_memory() )
+    auto const needed = shape.prompt_tokens + shape.output_tokens;
+    if ( needed > most_memory_for( candidate, shape.prompt_tokens ) )
         return false;
     if ( shape.tried.empty() )
         return true;
--- a/src/pollenstream/routing/target_policy.hpp
+++ b/src/pollenstream/routing/target_policy.hpp
@@ -35,6 +35,7 @@
     core::duration first_token{ 0 }; ///< predicted, from now
     core::duration finish{ 0 };      ///< predicted, from now
     std::int64_t cached_tokens{ 0 }; ///< of the prompt, probably
+    bool has_memory{ true };         ///< free there now, as far as known
 };
 
 /// A way to choose among targets. Implementations are called from many
@@ -50,6 +51,11 @@
                          core::instant now )
         -> std::optional<target_choice> = 0;
 
+    /// True where a part of a prompt of `prompt_tokens` may be placed.
+    virtual auto may_place( target const& candidate,
+                            std::int64_t prompt_tokens,
+                            core::instant now ) -> bool;
+
     /// Tells the policy what it chose for, and when the first token came.
     virtual auto note_dispatch( target_choice const& choice,
                                 work_shape const& shape,
@@ -62,6 +68,13 @@
                               core::prefix_chain const& prefixes ) -> void;
 };
 
+/// Tokens of a target's memory that a prompt of that length may take up.
+auto most_memory_for( target const& candidate, std::int64_t prompt_tokens )
+    -> std::int64_t;
+/// Tokens of memory that such a prompt has to leave free.
+auto memory_margin_for( target const& candidate, std::int64_t prompt_tokens )
+    -> std::int64_t;
+
 /// True where `candidate` may get this work: alive, not tried, and with
 /// memory in all for prompt and output.
 auto can_take( target const& candidate, work_shape const& shape ) -> bool;
--- a/src/pollenstream/sessions/session.cpp
+++ b/src/pollenstream/sessions/session.cpp
@@ -1,5 +1,6 @@
+#include <pollenstream/admission/admission_check.hpp>
 #include <pollenstream/core/invariant.hpp>
-#include <pollenstream/routing/first_token_model.hpp>
+#include <pollenstream/routing/size_class.hpp>
 #include <pollenstream/sessions/session.hpp>
 #include <pollenstream/sessions/span_group.hpp>
 
@@ -25,11 +26,16 @@
 constexpr auto silence_per_predicted = 3;
 /// How far an answer may end behind its deadline: the timer's and the
 /// threads' own delay.
-constexpr auto deadline_slack = core::duration( 2s );
+constexpr auto deadline_slack = admission::retry_without_target;
 /// Answers shorter than this in prompt tokens count as short.
 constexpr auto short_prompt = std::int64_t{ 2'000 };
-/// Share of the time that is left which a prediction may fill.
-constexpr auto most_of_time = 0.95;
+/// A small prompt without a first token after this long and this many times
+/// the prediction is moved to another target, so often at most.
+constexpr auto shortest_stall = core::duration( 400ms );
+constexpr auto stall_per_predicted = 4;
+constexpr auto most_moves = 3;
+/// How often a request that waits for memory looks for it.
+constexpr auto park_period = core::duration( 25ms );
 
 auto endpoint_of( routing::target const& t ) -> ports::engine_endpoint
 {
@@ -133,60 +139,52 @@
 
 auto session::needs_span_group() const -> bool
 {
-    auto const needed = prompt_tokens_.count() + max_output_.count();
+    auto const tokens = prompt_tokens_.count();
+    auto const needed = tokens + max_output_.count();
     return shared_.targets.read(
         profile_.service,
-        [needed]( routing::target_list const& all )
+        [&]( routing::target_list const& all )
         {
             return std::none_of( all.begin(), all.end(),
-                                 [needed]( auto const& each )
+                                 [&]( auto const& each )
                                  {
-                                     return each->total_memory() >= needed;
+                                     return routing::most_memory_for(
+                                                *each, tokens ) >= needed;
                                  } );
         } );
 }
 
-auto session::admit() -> std::optional<ports::answer_end>
+auto session::choose_target() -> std::optional<routing::target_choice>
 {
+    auto const wanted = shape();
     auto const now = shared_.clock.now();
-    auto const needed = prompt_tokens_.count() + max_output_.count();
-    auto alive = std::int64_t{ 0 };
-    auto memory = std::int64_t{ 0 };
-    shared_.targets.read( profile_.service,
-                          [&]( routing::target_list const& all )
-                          {
-                              for ( auto const& each : all )
-                              {
-                                  if ( each->phase() !=
-                                       routing::target_phase::alive )
-                                      continue;
-                                  ++alive;
-                                  memory += each->total_memory();
-                              }
-                          } );
-    if ( alive == 0 )
-        return refusal( "no-target", "no target of the service is alive",
-                        core::duration( 2s ) );
-    if ( needed > memory )
-        return refusal( "too-long",
-                        "the prompt does not fit into all targets together",
-                        std::nullopt );
+    return shared_.targets.read( profile_.service,
+                                 [&]( routing::target_list const& all )
+                                 {
+                                     return shared_.policy.choose( all, wanted,
+                                                                   now );
+                                 } );
+}
+
+auto session::admit() -> std::optional<ports::answer_end>
+{
+    auto const time_left = deadline_ - shared_.clock.now();
+    auto const capacity =
+        shared_.targets.read( profile_.service, admission::capacity_of );
+    auto const refused = admission::check_capacity(
+        capacity, { prompt_tokens_, max_output_, time_left } );
+    if ( refused )
+        return refusal( refused->reason, refused->detail,
+                        refused->retry_after );
     if ( needs_span_group() )
         return std::nullopt;
-    auto const choice = shared_.targets.read(
-        profile_.service,
-        [&]( routing::target_list const& all )
-        {
-            return shared_.policy.choose( all, shape(), now );
-        } );
+    auto const choice = choose_target();
     if ( !choice )
         return refusal( "no-target", "no target can take the request",
-                        core::duration( 2s ) );
-    auto const left = core::seconds_of( deadline_ - now ) * most_of_time;
-    auto const over = core::seconds_of( choice->finish ) - left;
-    if ( over > 0 )
-        return refusal( "too-late", "the answer would come after the deadline",
-                        core::duration_of( over ) + core::duration( 1s ) );
+                        admission::retry_without_target );
+    auto const late = admission::check_time( choice->finish, time_left );
+    if ( late )
+        return refusal( late->reason, late->detail, late->retry_after );
     return std::nullopt;
 }
 
@@ -202,34 +200,57 @@
 
 auto session::open_single() -> void
 {
-    auto const now = shared_.clock.now();
-    auto choice = shared_.targets.read( profile_.service,
-                                        [&]( routing::target_list const& all )
-                                        {
-                                            return shared_.policy.choose(
-                                                all, shape(), now );
-                                        } );
+    auto choice = choose_target();
     if ( !choice && !tried_.empty() )
     {
         // Every target has been tried: one that failed may work again.
         tried_.clear();
-        choice = shared_.targets.read( profile_.service,
-                                       [&]( routing::target_list const& all )
-                                       {
-                                           return shared_.policy.choose(
-                                               all, shape(), now );
-                                       } );
+        choice = choose_target();
     }
     if ( !choice )
     {
         finish( ran_ ? failure( "no-target", "no target is left to go on" )
                      : refusal( "no-target", "no target can take the request",
-                                core::duration( 2s ) ) );
+                                admission::retry_without_target ) );
+        return;
+    }
+    if ( !choice->has_memory )
+    {
+        park( *choice );
         return;
     }
     send_attempt( std::move( *choice ) );
 }
 
+auto session::park( routing::target_choice const& best ) -> void
+{
+    // In an engine's queue it would wait for one engine's memory; here it
+    // waits for the first that comes free at any of them.
+    auto const now = shared_.clock.now();
+    auto const latest = deadline_ - best.finish;
+    auto const when = now + park_period;
+    if ( when > latest )
+    {
+        finish( ran_ ? failure( "no-memory", "no target has the memory free" )
+                     : refusal( "no-memory", "no target has the memory free",
+                                core::duration( 5s ) ) );
+        return;
+    }
+    shared_.metrics.parks.add();
+    shared_.timer.at( when,
+                      [self = shared_from_this()]
+                      {
+                          self->open_again();
+                      } );
+}
+
+auto session::open_again() -> void
+{
+    auto const lock = std::scoped_lock( mutex_ );
+    if ( !finished_ && !current_ )
+        open_next();
+}
+
 auto session::open_group() -> void
 {
     group_ = std::make_shared<span_group>(
@@ -321,6 +342,40 @@
         current_->stream = std::move( stream );
     else
         stream->cancel();
+    if ( current_ && !in_group )
+        arm_stall_check();
+}
+
+auto session::arm_stall_check() -> void
+{
+    auto const is_small = routing::size_of( prompt_tokens_.count() ) ==
+                          routing::size_class::small;
+    if ( !is_small || moves_ == most_moves )
+        return;
+    auto const limit =
+        shortest_stall + stall_per_predicted * current_->choice.first_token;
+    shared_.timer.at( shared_.clock.now() + limit,
+                      [weak = weak_from_this(), number = current_->number]
+                      {
+                          if ( auto const self = weak.lock() )
+                              self->on_stall_check( number );
+                      } );
+}
+
+auto session::on_stall_check( core::attempt_number number ) -> void
+{
+    auto const lock = std::scoped_lock( mutex_ );
+    auto const is_waiting = !finished_ && current_ &&
+                            current_->number == number &&
+                            current_->prefill_counted;
+    if ( !is_waiting )
+        return;
+    // What it was sent by was wrong: the engine has no room, or is slower than
+    // it said. The little that it has read there is worth less than the wait.
+    ++moves_;
+    shared_.metrics.moves.add();
+    end_attempt( true );
+    open_next();
 }
 
 auto session::on_events( core::attempt_number from,
@@ -462,12 +517,12 @@
     if ( group_ )
         group_->release();
     group_.reset();
-    auto const may_retry = attempts_ <= profile_.retries;
+    auto const may_retry = attempts_ - moves_ <= profile_.retries;
     if ( !may_retry || !shared_.retries.take() )
     {
-        finish(
-            ran_ ? failure( "target-failed", why.detail )
-                 : refusal( "no-target", why.detail, core::duration( 2s ) ) );
+        finish( ran_ ? failure( "target-failed", why.detail )
+                     : refusal( "no-target", why.detail,
+                                admission::retry_without_target ) );
         return;
     }
     shared_.metrics.retries.add();
@@ -607,5 +662,4 @@
         shared_.metrics.failed.add();
     sink_->finish( end );
 }
-
 }
--- a/src/pollenstream/sessions/session.hpp
+++ b/src/pollenstream/sessions/session.hpp
@@ -64,14 +64,19 @@
     };
 
     auto admit() -> std::optional<ports::answer_end>;
+    auto choose_target() -> std::optional<routing::target_choice>;
     auto shape() const -> routing::work_shape;
     auto needs_span_group() const -> bool;
     auto open_next() -> void;
     auto open_single() -> void;
+    auto park( routing::target_choice const& best ) -> void;
+    auto open_again() -> void;
     auto open_group() -> void;
     auto on_group_ready( std::shared_ptr<span_group> const& group,
                          core::result<void> status ) -> void;
     auto send_attempt( routing::target_choice choice ) -> void;
+    auto arm_stall_check() -> void;
+    auto on_stall_check( core::attempt_number number ) -> void;
     auto make_engine_request( core::attempt_number number ) const
         -> ports::engine_request;
 
@@ -117,6 +122,7 @@
     std::shared_ptr<span_group> group_;
     std::vector<core::target_id> tried_;
     std::int64_t attempts_{ 0 };
+    std::int64_t moves_{ 0 };
     std::string delivered_; ///< kept for a continuation on another engine
     std::int64_t position_{ 0 };
     std::string unwritten_;
--- a/src/pollenstream/sessions/span_group.cpp
+++ b/src/pollenstream/sessions/span_group.cpp
@@ -3,6 +3,8 @@
 #include <pollenstream/sessions/span_group.hpp>
 
 #include <algorithm>
+#include <array>
+#include <tuple>
 #include <utility>
 
 namespace pollenstream::sessions
@@ -18,9 +20,10 @@
 /// Engines keep a reservation this much longer than the request lives, to
 /// cover the time that a release takes.
 constexpr auto reservation_slack = core::duration( 2s );
-/// Part of an engine's memory that one span may fill: the rest stays for
-/// short prompts.
-constexpr auto most_of_memory = 0.8;
+/// Parts of a target's memory that one span may take, tried in this order.
+constexpr auto span_parts = std::array{ 0.25, 0.5, 0.85, 1.0 };
+/// Part of a target's memory that spans leave free for short prompts.
+constexpr auto least_free = 0.15;
 
 auto endpoint_of( routing::target const& t ) -> ports::engine_endpoint
 {
@@ -72,42 +75,78 @@
     try_reserve();
 }
 
+auto span_group::alive_targets( core::service_id const& service ) const
+    -> routing::target_list
+{
+    return shared_.targets.read( service,
+                                 []( routing::target_list const& all )
+                                 {
+                                     auto alive = routing::target_list{};
+                                     for ( auto const& each : all )
+                                     {
+                                         if ( each->phase() ==
+                                              routing::target_phase::alive )
+                                             alive.push_back( each );
+                                     }
+                                     return alive;
+                                 } );
+}
+
 auto span_group::plan( core::service_id const& service ) -> bool
 {
-    auto candidates = shared_.targets.read(
-        service,
-        []( routing::target_list const& all )
-        {
-            auto alive = routing::target_list{};
-            for ( auto const& each : all )
-            {
-                if ( each->phase() == routing::target_phase::alive )
-                    alive.push_back( each );
-            }
-            return alive;
-        } );
-    // The emptiest first: fewest spans, and shorts are pushed aside least.
+    auto const now = shared_.clock.now();
+    auto candidates = alive_targets( service );
+    // Away from the targets that are kept clear, as far as the others reach;
+    // then the least busy first, and the emptiest of these.
+    auto const order = [&]( std::shared_ptr<routing::target> const& t )
+    {
+        auto const is_kept =
+            !shared_.policy.may_place( *t, prompt_tokens_, now );
+        return std::tuple( is_kept, t->backlog( now ), -t->free_memory() );
+    };
     std::stable_sort( candidates.begin(), candidates.end(),
-                      []( auto const& a, auto const& b )
+                      [&]( auto const& a, auto const& b )
                       {
-                          return a->free_memory() > b->free_memory();
+                          return order( a ) < order( b );
                       } );
+    // Small spans are read sooner and leave room for others; larger ones are
+    // taken where there are too few targets.
+    for ( auto const part : span_parts )
+    {
+        if ( place_spans( candidates, part ) )
+        {
+            split_output();
+            return true;
+        }
+    }
+    return false;
+}
+
+auto span_group::place_spans( routing::target_list const& candidates,
+                              double part ) -> bool
+{
     spans_.clear();
     auto left = prompt_tokens_ + output_tokens_;
     for ( auto const& each : candidates )
     {
         if ( left <= 0 )
             break;
-        auto const most = static_cast<std::int64_t>(
-            most_of_memory * static_cast<double>( each->total_memory() ) );
-        auto const room = std::min( { left, most, each->free_memory() } );
+        auto const total = static_cast<double>( each->total_memory() );
+        auto const most = static_cast<std::int64_t>( part * total );
+        auto const kept_free = static_cast<std::int64_t>(
+            std::min( least_free, 1.0 - part ) * total );
+        auto const room =
+            std::min( { left, most, each->free_memory() - kept_free } );
         if ( room <= 0 )
             continue;
         left -= room;
         spans_.push_back( { each, {}, room, room } );
     }
-    if ( left > 0 || spans_.empty() )
-        return false;
+    return left <= 0 && !spans_.empty();
+}
+
+auto span_group::split_output() -> void
+{
     // The span with the output in it goes to the end: its engine decodes.
     auto output = output_tokens_;
     for ( auto at = spans_.rbegin(); at != spans_.rend() && output > 0; ++at )
@@ -116,7 +155,6 @@
         at->tokens -= taken;
         output -= taken;
     }
-    return true;
 }
 
 auto span_group::try_reserve() -> void
--- a/src/pollenstream/sessions/span_group.hpp
+++ b/src/pollenstream/sessions/span_group.hpp
@@ -63,7 +63,12 @@
     };
     using span_list = std::vector<span>;
 
+    auto alive_targets( core::service_id const& service ) const
+        -> routing::target_list;
     auto plan( core::service_id const& service ) -> bool;
+    auto place_spans( routing::target_list const& candidates, double part )
+        -> bool;
+    auto split_output() -> void;
     auto try_reserve() -> void;
     auto on_reserved( std::int64_t round, core::result<void> status ) -> void;
     auto fill() -> void;
--- a/standins/engine_model.cpp
+++ b/standins/engine_model.cpp
@@ -82,12 +82,13 @@
     return core::success();
 }
 
-auto engine_model::cancel( core::request_id const& request ) -> void
+auto engine_model::cancel( core::request_id const& request, core::instant now )
+    -> void
 {
     if ( by_id_.contains( request ) )
         remove( request );
     if ( !step_ )
-        start_step( time_ );
+        start_step( now );
 }
 
 auto engine_model::holds( core::request_id const& request ) const -> bool
@@ -108,7 +109,8 @@
     return core::success();
 }
 
-auto engine_model::release( core::reservation_id const& id ) -> void
+auto engine_model::release( core::reservation_id const& id, core::instant now )
+    -> void
 {
     auto const at = reservations_.find( id );
     if ( at == reservations_.end() )
@@ -116,11 +118,12 @@
     memory_used_ -= at->second.wanted.tokens.count();
     reservations_.erase( at );
     if ( !step_ )
-        start_step( time_ );
+        start_step( now );
 }
 
-auto engine_model::fill( core::reservation_id const& id, std::int64_t tokens )
-    -> core::result<void>
+auto engine_model::fill( core::reservation_id const& id,
+                         std::int64_t tokens,
+                         core::instant now ) -> core::result<void>
 {
     auto const at = reservations_.find( id );
     if ( at == reservations_.end() )
@@ -128,7 +131,7 @@
     at->second.to_fill = tokens;
     at->second.filled = 0;
     if ( !step_ )
-        start_step( time_ );
+        start_step( now );
     return core::success();
 }
 
@@ -168,7 +171,7 @@
     time_ = std::max( time_, now );
     expire( now, out );
     if ( !step_ )
-        start_step( time_ );
+        start_step( now );
     return out;
 }
 
@@ -356,7 +359,7 @@
             stale.push_back( id );
     }
     for ( auto const& id : stale )
-        release( id );
+        release( id, now );
 }
 
 auto engine_model::remove( core::request_id const& request ) -> void
--- a/standins/engine_model.hpp
+++ b/standins/engine_model.hpp
@@ -25,7 +25,7 @@
 {
     std::int64_t memory_tokens{ 400'000 }; ///< KV memory
     std::int64_t cache_tokens{ 400'000 };  ///< memory for cached prefixes
-    std::int64_t chunk_tokens{ 4'096 };    ///< prompt tokens read in one step
+    std::int64_t chunk_tokens{ 1'024 };    ///< prompt tokens read in one step
     double prefill_rate{ 20'000 };         ///< prompt tokens a second
     double base_step_seconds{ 0.008 };     ///< of a step with nothing in it
     double decode_seconds{ 0.0002 };       ///< of each writing stream in a step
@@ -65,15 +65,16 @@
     auto submit( ports::engine_request const& request, core::instant now )
         -> core::result<void>;
     /// Frees all that is held for the request.
-    auto cancel( core::request_id const& request ) -> void;
+    auto cancel( core::request_id const& request, core::instant now ) -> void;
     [[nodiscard]] auto holds( core::request_id const& request ) const -> bool;
 
     auto reserve( ports::reservation_request const& wanted, core::instant now )
         -> core::result<void>;
-    auto release( core::reservation_id const& id ) -> void;
+    auto release( core::reservation_id const& id, core::instant now ) -> void;
     /// Queues reading `tokens` into a reservation.
-    auto fill( core::reservation_id const& id, std::int64_t tokens )
-        -> core::result<void>;
+    auto fill( core::reservation_id const& id,
+               std::int64_t tokens,
+               core::instant now ) -> core::result<void>;
 
     /// When the step under way ends; nothing where the engine is idle.
     [[nodiscard]] auto next_event() const -> std::optional<core::instant>;
--- a/standins/engine_server.cpp
+++ b/standins/engine_server.cpp
@@ -330,7 +330,7 @@
 {
     auto const id = core::request_id( request.path.back() );
     auto const lock = std::scoped_lock( mutex_ );
-    model_.cancel( id );
+    model_.cancel( id, real_now() );
     auto const at = records_.find( id );
     if ( at != records_.end() )
     {
@@ -362,7 +362,7 @@
 {
     auto const id = core::reservation_id( request.path.back() );
     auto const lock = std::scoped_lock( mutex_ );
-    model_.release( id );
+    model_.release( id, real_now() );
     auto const waiting = filling_.find( id );
     if ( waiting != filling_.end() )
     {
@@ -388,7 +388,7 @@
     auto const tokens = fields.integer( "tokens", 0 );
     auto const id = core::reservation_id( request.path[reservation_part] );
     auto const lock = std::scoped_lock( mutex_ );
-    auto const status = model_.fill( id, tokens );
+    auto const status = model_.fill( id, tokens, real_now() );
     if ( !status )
     {
         reply_error( request.message, status.error() );
--- a/standins/fake_engines.cpp
+++ b/standins/fake_engines.cpp
@@ -40,7 +40,7 @@
         auto& engine = owner_.engines_.at( engine_ );
         if ( engine.dead )
             return;
-        engine.model->cancel( request_ );
+        engine.model->cancel( request_, owner_.time_.now() );
         engine.records.erase( request_ );
     }
 
@@ -117,6 +117,11 @@
     cut_connections( id );
 }
 
+auto fake_engines::hang( std::string const& id ) -> void
+{
+    engines_.at( id ).hung = true;
+}
+
 auto fake_engines::revive( std::string const& id ) -> void
 {
     engines_.at( id ).dead = false;
@@ -165,7 +170,7 @@
     for ( auto const& [id, engine] : engines_ )
     {
         auto const step = engine.model->next_event();
-        if ( step && ( !next || *step < *next ) )
+        if ( step && !engine.hung && ( !next || *step < *next ) )
             next = step;
     }
     return next;
@@ -180,12 +185,10 @@
         if ( !next || *next > end )
             break;
         time_.advance_to( *next );
-        for ( auto& [id, engine] : engines_ )
-            step( engine );
+        step_due();
     }
     time_.advance_to( end );
-    for ( auto& [id, engine] : engines_ )
-        step( engine );
+    step_due();
 }
 
 auto fake_engines::step_due() -> void
@@ -193,6 +196,8 @@
     for ( auto& [id, engine] : engines_ )
     {
         auto const next = engine.model->next_event();
+        if ( engine.hung )
+            continue;
         auto const is_due = next && *next <= time_.now();
         if ( is_due || engine.model->expires_by( time_.now() ) )
             step( engine );
@@ -309,6 +314,8 @@
     later(
         [&engine, stream, request]
         {
+            if ( engine.hung )
+                return;
             if ( engine.dead )
             {
                 stream->end( unreachable() );
@@ -361,10 +368,10 @@
 {
     auto& engine = endpoint( at );
     later(
-        [&engine, reservation, callback]
+        [this, &engine, reservation, callback]
         {
             if ( !engine.dead )
-                engine.model->release( reservation );
+                engine.model->release( reservation, time_.now() );
             callback( core::success() );
         } );
 }
@@ -377,7 +384,7 @@
 {
     auto& engine = endpoint( at );
     later(
-        [&engine, reservation, tokens, callback]
+        [this, &engine, reservation, tokens, callback]
         {
             if ( engine.dead )
             {
@@ -385,7 +392,7 @@
                 return;
             }
             auto const status =
-                engine.model->fill( reservation, tokens.count() );
+                engine.model->fill( reservation, tokens.count(), time_.now() );
             if ( !status )
                 callback( status.error() );
             else
@@ -424,9 +431,9 @@
 {
     auto& engine = endpoint( at );
     later(
-        [&engine, request, callback]
+        [this, &engine, request, callback]
         {
-            engine.model->cancel( request );
+            engine.model->cancel( request, time_.now() );
             callback( core::success() );
         } );
 }
--- a/standins/fake_engines.hpp
+++ b/standins/fake_engines.hpp
@@ -31,6 +31,8 @@
     auto silence_connections( std::string const& id ) -> void;
     /// Open connections break; the streams behind them run on.
     auto cut_connections( std::string const& id ) -> void;
+    /// The process hangs: connections are made and nothing is answered.
+    auto hang( std::string const& id ) -> void;
     /// Every event is handed over twice, and once for another request.
     auto set_crossed( bool on ) -> void;
     /// Runs everything up to the end of `span`.
@@ -86,6 +88,7 @@
         std::map<core::request_id, std::weak_ptr<fake_stream>> streams;
         std::map<core::reservation_id, done> filling;
         bool dead{ false };
+        bool hung{ false };
     };
 
     auto later( std::function<void()> callback ) -> void;
--- a/standins/main.cpp
+++ b/standins/main.cpp
@@ -28,7 +28,7 @@
   --control=A         IP:PORT to be told faults at.
   --memory=N          KV memory of an engine in tokens [default: 400000].
   --prefill-rate=N    Prompt tokens an engine reads a second [default: 20000].
-  --chunk=N           Prompt tokens read in one step [default: 4096].
+  --chunk=N           Prompt tokens read in one step [default: 1024].
   --step-ms=N         Length of an empty step [default: 8].
   --report-ms=N       Age of load reports at most [default: 200].
   --work-ms=N         Time that a plain call takes [default: 5].
--- a/tests/sessions/session_test.cpp
+++ b/tests/sessions/session_test.cpp
@@ -108,8 +108,7 @@
     profile.time_per_1k_tokens = 0ms;
     auto const answer = fleet.send( 1'000, profile );
     fleet.engines.run_for( 50ms );
-    // The engine answers nobody any more, and its new connections neither.
-    fleet.engines.silence_connections( "engine-0" );
+    fleet.engines.hang( "engine-0" );
     fleet.engines.run_for( 3s );
     REQUIRE( answer->end() );
     CHECK( answer->end()->status == answer_status::failed );
@@ -125,7 +124,8 @@
         auto profile = patient_profile();
         profile.time_base = 100ms;
         profile.time_per_1k_tokens = 0ms;
-        auto const answer = fleet.send( 300'000, profile );
+        auto const tokens = GENERATE( 100'000, 300'000 );
+        auto const answer = fleet.send( tokens, profile );
         REQUIRE( answer->end() );
         CHECK( answer->end()->reason == "too-late" );
         CHECK( answer->end()->retry_after );
