--- a/src/pollenstream/membership/heartbeater.cpp
+++ b/src/pollenstream/membership/heartbeater.cpp
@@ -11,6 +11,8 @@
 /// Peers in one round. Two of them let news reach a fleet of 410 within ten
 /// rounds; see docs/MEMBERSHIP.md.
 constexpr auto peers_per_round = std::size_t{ 2 };
+/// News can miss an instance by chance; a full table now and then repairs it.
+constexpr auto rounds_between_full_exchanges = 60;
 /// Members in one heartbeat, which bounds its size.
 constexpr auto most_changes = std::size_t{ 12 };
 
@@ -28,9 +30,15 @@
 
 auto heartbeater::run_round() -> void
 {
-    auto const asks_all = is_new_.load();
+    ++rounds_;
+    auto const asks_all =
+        is_new_.load() || rounds_ % rounds_between_full_exchanges == 0;
+    auto asks_this_one = asks_all;
     for ( auto const& peer : members_.pick_peers( peers_per_round ) )
-        exchange_with( peer, asks_all );
+    {
+        exchange_with( peer, asks_this_one );
+        asks_this_one = is_new_.load();
+    }
     members_.expire( clock_.now() );
 }
 
--- a/src/pollenstream/membership/heartbeater.hpp
+++ b/src/pollenstream/membership/heartbeater.hpp
@@ -50,6 +50,7 @@
     ports::peer_client& peers_;
     ports::clock const& clock_;
     std::atomic<bool> is_new_{ true };
+    std::int64_t rounds_{ 0 };
 };
 
 }
--- a/src/pollenstream/sessions/session.cpp
+++ b/src/pollenstream/sessions/session.cpp
@@ -324,8 +324,9 @@
                   prompt_tokens_.count() + position_ - choice.cached_tokens );
     work.memory_tokens =
         in_group ? 0 : prompt_tokens_.count() + max_output_.count();
+    // The spans of a group were placed, and checked, when they were reserved.
     core::check_invariant( core::invariant::leaving_gets_no_work,
-                           choice.chosen->may_get_work( now ),
+                           in_group || choice.chosen->may_get_work( now ),
                            choice.chosen->identity().id.str() );
     choice.chosen->add_dispatch( work );
     if ( !in_group )
--- a/src/pollenstream/sessions/span_group.cpp
+++ b/src/pollenstream/sessions/span_group.cpp
@@ -1,4 +1,5 @@
 #include <pollenstream/core/hash.hpp>
+#include <pollenstream/core/invariant.hpp>
 #include <pollenstream/routing/first_token_model.hpp>
 #include <pollenstream/sessions/span_group.hpp>
 
@@ -194,6 +195,9 @@
     auto const self = shared_from_this();
     for ( auto const& each : to_ask )
     {
+        core::check_invariant( core::invariant::leaving_gets_no_work,
+                               each.at->may_get_work( shared_.clock.now() ),
+                               each.at->identity().id.str() );
         shared_.metrics.reservations_made.add();
         auto const wanted = ports::reservation_request{
             each.id, shared_.self, core::token_count( each.memory_tokens ),
--- a/tests/sessions/span_group_test.cpp
+++ b/tests/sessions/span_group_test.cpp
@@ -105,3 +105,18 @@
     CHECK( answer->end()->reason == "no-memory" );
     CHECK( fleet.engines.memory_held() == 270'000 );
 }
+
+TEST_CASE( "a target that leaves after a span was placed there finishes it",
+           "[spans][routing]" )
+{
+    auto fleet = test_fleet( 4, small_engine() );
+    auto const prompt = make_prompt( 250'000 );
+    auto const answer = fleet.send_text( prompt, patient_profile() );
+    fleet.engines.run_for( 300ms );
+    REQUIRE( fleet.engines.memory_held() > 200'000 );
+    for ( auto const& each : fleet.instances.front()->targets.all() )
+        each->set_phase( routing::target_phase::leaving, fleet.time.now() );
+    fleet.engines.run_for( 5min );
+    CHECK( answer->is_complete() );
+    CHECK( answer->text() == expected_answer( prompt, 32 ) );
+}
--- /dev/null
+++ b/tests/support/test_configuration.cpp
@@ -0,0 +1,83 @@
+#include "test_configuration.hpp"
+
+namespace tests
+{
+
+namespace
+{
+
+auto no_answer() -> core::error
+{
+    return { core::error_code::timed_out, "no answer" };
+}
+
+}
+
+auto sample_document( int number ) -> std::string
+{
+    return "[service model]\nkind = model\n\n[service plain]\nkind = plain\n\n"
+           "[profile quick-" +
+           std::to_string( number ) +
+           "]\nservice = model\npriority = urgent\n\n"
+           "[profile once]\nservice = plain\nidempotent = no\nretries = 0\n\n"
+           "[profile often]\nservice = plain\nretries = 2\n";
+}
+
+auto change_of( std::string const& id, std::string const& text )
+    -> state::wanted_change
+{
+    auto wanted = state::wanted_change{};
+    wanted.id = state::change_id( id );
+    wanted.author = "test";
+    wanted.put["sample.ini"] = text;
+    return wanted;
+}
+
+auto has_profile( state::configuration_holder const& holder,
+                  std::string const& name ) -> bool
+{
+    return holder.read(
+        [&]( pollenstream::profiles::configuration const& c )
+        {
+            return c.find_profile( core::profile_id( name ) ) != nullptr;
+        } );
+}
+
+cut_after_head::cut_after_head( ports::key_value_store& behind )
+    : behind_( behind )
+{
+}
+
+auto cut_after_head::get( std::string const& key )
+    -> core::result<ports::key_value>
+{
+    if ( is_cut_ )
+        return no_answer();
+    return behind_.get( key );
+}
+
+auto cut_after_head::compare_and_swap( std::string const& key,
+                                       ports::key_version expected,
+                                       std::string const& value )
+    -> core::result<ports::key_version>
+{
+    if ( is_cut_ )
+        return no_answer();
+    auto const written = behind_.compare_and_swap( key, expected, value );
+    if ( key != state::head_key )
+        return written;
+    is_cut_ = true;
+    return no_answer();
+}
+
+auto cut_after_head::watch( std::string const& key,
+                            ports::key_version known,
+                            core::duration limit )
+    -> core::result<ports::key_value>
+{
+    if ( is_cut_ )
+        return no_answer();
+    return behind_.watch( key, known, limit );
+}
+
+}
