--- a/apps/daemon/node.cpp
+++ b/apps/daemon/node.cpp
@@ -20,8 +20,7 @@
 using namespace std::chrono_literals;
 
 constexpr auto beat_period = core::duration( 1s );
-constexpr auto list_period = core::duration( 1s );
-constexpr auto poll_period = core::duration( 250ms );
+constexpr auto list_period = core::duration( 2s );
 constexpr auto tidy_period = core::duration( 10s );
 constexpr auto drain_check_period = 20ms;
 /// Longest wait for a forwarded call beyond its own time.
@@ -153,7 +152,7 @@
         [this]
         {
             watch_->poll();
-            return poll_period;
+            return core::duration( 1s ) / settings_.load_polls_per_second;
         } );
     run(
         [this]
@@ -250,10 +249,11 @@
     return heartbeats_.answer( theirs );
 }
 
-auto node::on_fetch_configuration( core::revision newer_than )
+auto node::on_fetch_configuration(
+    core::revision newer_than, std::vector<std::string> const& known_hashes )
     -> ports::peer_configuration
 {
-    return heartbeats_.answer_fetch( newer_than );
+    return heartbeats_.answer_fetch( newer_than, known_hashes );
 }
 
 auto node::on_call( ports::forwarded_call const& what ) -> state::call_outcome
--- a/apps/daemon/node.hpp
+++ b/apps/daemon/node.hpp
@@ -54,7 +54,8 @@
 
     auto on_exchange( ports::heartbeat const& theirs )
         -> ports::heartbeat override;
-    auto on_fetch_configuration( core::revision newer_than )
+    auto on_fetch_configuration( core::revision newer_than,
+                                 std::vector<std::string> const& known_hashes )
         -> ports::peer_configuration override;
     auto on_call( ports::forwarded_call const& what )
         -> state::call_outcome override;
--- a/bench/routing_run.cpp
+++ b/bench/routing_run.cpp
@@ -23,7 +23,8 @@
 namespace routing = pollenstream::routing;
 namespace sessions = pollenstream::sessions;
 
-constexpr auto poll_period = core::duration( 500ms );
+/// One target is asked for its load each time, as by the daemon.
+constexpr auto poll_period = core::duration( 1s ) / 16;
 constexpr auto bytes_per_token = std::int64_t{ 4 };
 /// After the last arrival, time for the longest work to end.
 constexpr auto drain_time = core::duration( 1500s );
@@ -183,17 +184,20 @@
     {
         if ( !polling_ )
             return;
-        for ( auto const& each : one.targets.all() )
-        {
-            auto const endpoint = ports::engine_endpoint{
-                each->identity().id, each->identity().address };
-            engines_.load( endpoint,
-                           [this, &one, each](
-                               core::result<ports::load_report> const& report )
-                           {
-                               take_report( one, each, report );
-                           } );
-        }
+        auto const all = one.targets.all();
+        auto const oldest = *std::max_element(
+            all.begin(), all.end(),
+            [now = time_.now()]( auto const& a, auto const& b )
+            {
+                return a->probe_age( now ) < b->probe_age( now );
+            } );
+        oldest->note_probe( time_.now() );
+        engines_.load( { oldest->identity().id, oldest->identity().address },
+                       [this, &one, oldest](
+                           core::result<ports::load_report> const& report )
+                       {
+                           take_report( one, oldest, report );
+                       } );
         time_.at( time_.now() + poll_period,
                   [this, &one]
                   {
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -29,7 +29,7 @@
 struct configuration {
   1: i64 revision,       // 0: nothing newer than was asked for
   2: string head,        // as it stands in the key-value service
-  3: list<document> documents,
+  3: list<document> documents,  // those that the asker lacks
 }
 
 // A call that only the instance named in its ticket may run.
@@ -56,6 +56,6 @@
 
 service peer {
   heartbeat exchange(1: heartbeat mine),
-  configuration fetch_configuration(1: i64 newer_than),
+  configuration fetch_configuration(1: i64 newer_than, 2: list<string> known_hashes),
   forwarded_reply call(1: forwarded_call what),
 }
--- a/src/pollenstream/adapters/thrift/peer_thrift_client.cpp
+++ b/src/pollenstream/adapters/thrift/peer_thrift_client.cpp
@@ -89,8 +89,10 @@
         } );
 }
 
-auto peer_thrift_client::fetch_configuration( core::address const& peer,
-                                              core::revision newer_than )
+auto peer_thrift_client::fetch_configuration(
+    core::address const& peer,
+    core::revision newer_than,
+    std::vector<std::string> const& known_hashes )
     -> core::result<ports::peer_configuration>
 {
     return with_connection<ports::peer_configuration>(
@@ -98,7 +100,8 @@
         [&]( wire::peerClient& client )
         {
             auto theirs = wire::configuration{};
-            client.fetch_configuration( theirs, newer_than.count() );
+            client.fetch_configuration( theirs, newer_than.count(),
+                                        known_hashes );
             return from_wire( theirs );
         } );
 }
--- a/src/pollenstream/adapters/thrift/peer_thrift_client.hpp
+++ b/src/pollenstream/adapters/thrift/peer_thrift_client.hpp
@@ -18,7 +18,8 @@
     auto exchange( core::address const& peer, ports::heartbeat const& mine )
         -> core::result<ports::heartbeat> override;
     auto fetch_configuration( core::address const& peer,
-                              core::revision newer_than )
+                              core::revision newer_than,
+                              std::vector<std::string> const& known_hashes )
         -> core::result<ports::peer_configuration> override;
     auto call( core::address const& peer, ports::forwarded_call const& what )
         -> core::result<state::call_outcome> override;
--- a/src/pollenstream/adapters/thrift/peer_thrift_server.cpp
+++ b/src/pollenstream/adapters/thrift/peer_thrift_server.cpp
@@ -78,10 +78,12 @@
     }
 
     auto fetch_configuration( wire::configuration& reply,
-                              std::int64_t const newer_than ) -> void override
+                              std::int64_t const newer_than,
+                              std::vector<std::string> const& known_hashes )
+        -> void override
     {
-        reply = to_wire(
-            handler_.on_fetch_configuration( core::revision( newer_than ) ) );
+        reply = to_wire( handler_.on_fetch_configuration(
+            core::revision( newer_than ), known_hashes ) );
     }
 
     auto call( wire::forwarded_reply& reply, wire::forwarded_call const& what )
--- a/src/pollenstream/membership/heartbeater.cpp
+++ b/src/pollenstream/membership/heartbeater.cpp
@@ -1,5 +1,6 @@
 #include <pollenstream/membership/heartbeater.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace pollenstream::membership
@@ -84,13 +85,28 @@
 
 auto heartbeater::catch_up( member const& peer ) -> void
 {
-    auto fetched = peers_.fetch_configuration( peer.peers, holder_.revision() );
-    if ( !fetched || fetched.value().revision <= holder_.revision() )
+    auto const mine = holder_.bundle();
+    auto known = state::document_texts{}; // by hash
+    auto hashes = std::vector<std::string>{};
+    for ( auto const& [name, hash] : mine.head.documents )
+    {
+        known[hash] = mine.texts.at( name );
+        hashes.push_back( hash );
+    }
+    auto const fetched =
+        peers_.fetch_configuration( peer.peers, mine.head.revision, hashes );
+    if ( !fetched || fetched.value().revision <= mine.head.revision )
         return;
     auto head = codec_.read_head( fetched.value().head );
     if ( !head )
         return;
     auto bundle = state::configuration_bundle{ std::move( head.value() ), {} };
+    for ( auto const& [name, hash] : bundle.head.documents )
+    {
+        auto const at = known.find( hash );
+        if ( at != known.end() )
+            bundle.texts[name] = at->second;
+    }
     for ( auto const& each : fetched.value().documents )
         bundle.texts[each.name] = each.text;
     auto const adopted = holder_.adopt( std::move( bundle ) );
@@ -104,7 +120,8 @@
     return compose( theirs.wants_all );
 }
 
-auto heartbeater::answer_fetch( core::revision newer_than )
+auto heartbeater::answer_fetch( core::revision newer_than,
+                                std::vector<std::string> const& known_hashes )
     -> ports::peer_configuration
 {
     auto const bundle = holder_.bundle();
@@ -113,8 +130,14 @@
         return reply;
     reply.revision = bundle.head.revision;
     reply.head = codec_.write_head( bundle.head );
-    for ( auto const& [name, text] : bundle.texts )
-        reply.documents.push_back( { name, text } );
+    for ( auto const& [name, hash] : bundle.head.documents )
+    {
+        auto const is_known =
+            std::find( known_hashes.begin(), known_hashes.end(), hash ) !=
+            known_hashes.end();
+        if ( !is_known )
+            reply.documents.push_back( { name, bundle.texts.at( name ) } );
+    }
     return reply;
 }
 
--- a/src/pollenstream/membership/heartbeater.hpp
+++ b/src/pollenstream/membership/heartbeater.hpp
@@ -32,7 +32,9 @@
     /// Answers a peer's heartbeat.
     auto answer( ports::heartbeat const& theirs ) -> ports::heartbeat;
     /// Answers a peer that asks for a newer configuration.
-    auto answer_fetch( core::revision newer_than ) -> ports::peer_configuration;
+    auto answer_fetch( core::revision newer_than,
+                       std::vector<std::string> const& known_hashes )
+        -> ports::peer_configuration;
 
     core::counter exchanges;
     core::counter silences;
--- a/src/pollenstream/membership/target_watch.cpp
+++ b/src/pollenstream/membership/target_watch.cpp
@@ -2,6 +2,7 @@
 #include <pollenstream/membership/target_watch.hpp>
 
 #include <map>
+#include <tuple>
 #include <utility>
 
 namespace pollenstream::membership
@@ -81,21 +82,31 @@
 auto target_watch::poll() -> void
 {
     auto const now = clock_.now();
+    auto chosen = std::shared_ptr<routing::target>{};
+    auto const order = [now]( routing::target const& t )
+    {
+        auto const is_suspect = t.phase() == target_phase::suspect;
+        return std::tuple( is_suspect, t.probe_age( now ) );
+    };
     for ( auto const& each : table_.all() )
     {
-        auto const phase = each->phase();
-        if ( phase == target_phase::gone )
-            continue;
         if ( !is_model_target( *each ) )
-        {
             forgive_later( *each, now );
-            continue;
-        }
-        auto const is_due = phase == target_phase::suspect ||
-                            each->report_age( now ) > old_report;
-        if ( is_due )
-            poll_one( each );
+        else if ( is_due( *each, now ) &&
+                  ( !chosen || order( *each ) > order( *chosen ) ) )
+            chosen = each;
     }
+    if ( chosen )
+        poll_one( chosen );
+}
+
+auto target_watch::is_due( routing::target const& t, core::instant now ) const
+    -> bool
+{
+    auto const phase = t.phase();
+    if ( phase == target_phase::suspect )
+        return true;
+    return phase != target_phase::gone && t.report_age( now ) > old_report;
 }
 
 auto target_watch::is_model_target( routing::target const& t ) const -> bool
@@ -123,6 +134,7 @@
     -> void
 {
     polls.add();
+    which->note_probe( clock_.now() );
     auto const self = shared_from_this();
     auto const endpoint = ports::engine_endpoint{ which->identity().id,
                                                   which->identity().address };
--- a/src/pollenstream/membership/target_watch.hpp
+++ b/src/pollenstream/membership/target_watch.hpp
@@ -33,7 +33,9 @@
     /// one that it calls leaving gets no new work from here on.
     auto take_listing( ports::instance_listing const& listing ) -> void;
 
-    /// Asks for the load of suspects, and of targets whose report is old.
+    /// Asks one target for its load: a suspect before others, then the one
+    /// with the oldest report. How often this is called bounds what polls
+    /// cost, however many targets there are; most reports ride on answers.
     auto poll() -> void;
 
     core::counter polls;
@@ -41,6 +43,7 @@
 
 private:
     auto forgive_later( routing::target& t, core::instant now ) -> void;
+    auto is_due( routing::target const& t, core::instant now ) const -> bool;
     auto poll_one( std::shared_ptr<routing::target> const& which ) -> void;
     auto on_load( std::shared_ptr<routing::target> const& which,
                   core::result<ports::load_report> const& report ) -> void;
--- a/src/pollenstream/ports/peer.hpp
+++ b/src/pollenstream/ports/peer.hpp
@@ -51,8 +51,12 @@
 
     virtual auto exchange( core::address const& peer, heartbeat const& mine )
         -> core::result<heartbeat> = 0;
-    virtual auto fetch_configuration( core::address const& peer,
-                                      core::revision newer_than )
+    /// The peer's configuration if it is newer, without the documents whose
+    /// hashes are known here.
+    virtual auto
+    fetch_configuration( core::address const& peer,
+                         core::revision newer_than,
+                         std::vector<std::string> const& known_hashes )
         -> core::result<peer_configuration> = 0;
     /// Has the peer run `what` within its time.
     virtual auto call( core::address const& peer, forwarded_call const& what )
@@ -66,7 +70,9 @@
     virtual ~peer_handler() = default;
 
     virtual auto on_exchange( heartbeat const& theirs ) -> heartbeat = 0;
-    virtual auto on_fetch_configuration( core::revision newer_than )
+    virtual auto
+    on_fetch_configuration( core::revision newer_than,
+                            std::vector<std::string> const& known_hashes )
         -> peer_configuration = 0;
     /// May block until the call's time is over.
     virtual auto on_call( forwarded_call const& what )
--- a/src/pollenstream/routing/target.cpp
+++ b/src/pollenstream/routing/target.cpp
@@ -211,4 +211,17 @@
     return core::duration( std::max( std::int64_t{ 0 }, age ) );
 }
 
+auto target::note_probe( core::instant now ) -> void
+{
+    probed_at_us_.store( count_of( now ), relaxed );
+}
+
+auto target::probe_age( core::instant now ) const -> core::duration
+{
+    auto const last =
+        std::max( probed_at_us_.load( relaxed ), taken_at_us_.load( relaxed ) );
+    return core::duration(
+        std::max( std::int64_t{ 0 }, count_of( now ) - last ) );
+}
+
 }
--- a/src/pollenstream/routing/target.hpp
+++ b/src/pollenstream/routing/target.hpp
@@ -102,6 +102,10 @@
     [[nodiscard]] auto open_requests() const -> std::int64_t;
     [[nodiscard]] auto reported_requests() const -> std::int64_t;
     [[nodiscard]] auto report_age( core::instant now ) const -> core::duration;
+    /// Notes that the target was asked for a report.
+    auto note_probe( core::instant now ) -> void;
+    /// Time since the last report, or since it was asked for one.
+    [[nodiscard]] auto probe_age( core::instant now ) const -> core::duration;
 
 private:
     struct class_load
@@ -117,6 +121,7 @@
     std::atomic<std::int64_t> phase_since_us_{ 0 };
     std::array<class_load, profiles::priority_count> load_;
     std::atomic<std::int64_t> taken_at_us_{ 0 };
+    std::atomic<std::int64_t> probed_at_us_{ 0 };
     std::atomic<std::int64_t> memory_used_{ 0 };
     std::atomic<std::int64_t> memory_total_{ 0 };
     std::atomic<std::int64_t> own_memory_{ 0 };
--- a/src/pollenstream/settings/daemon_settings.cpp
+++ b/src/pollenstream/settings/daemon_settings.cpp
@@ -19,6 +19,8 @@
 constexpr auto default_threads = 24;
 constexpr auto most_threads = 256;
 constexpr auto least_threads = 4;
+constexpr auto default_polls = 16;
+constexpr auto most_polls = 1'000;
 constexpr auto shortest_token = std::size_t{ 16 };
 
 auto read_instance( section_reader& reader, daemon_settings& into ) -> void
@@ -51,6 +53,8 @@
         reader.number( "largest_body_bytes", default_body, 1024, most_body ) );
     into.threads = static_cast<int>( reader.number(
         "threads", default_threads, least_threads, most_threads ) );
+    into.load_polls_per_second =
+        reader.number( "load_polls_per_second", default_polls, 1, most_polls );
     into.entry_keep = reader.milliseconds( "entry_keep_ms", 10s );
     into.drain_limit = reader.milliseconds( "drain_limit_ms", 10min );
 }
--- a/src/pollenstream/settings/daemon_settings.hpp
+++ b/src/pollenstream/settings/daemon_settings.hpp
@@ -26,6 +26,8 @@
     std::string token;
     std::size_t largest_body{ 0 }; ///< bytes
     int threads{ 0 };
+    /// Targets that are asked for their load in a second, over all.
+    std::int64_t load_polls_per_second{ 0 };
     /// How long callers may keep an entry answer, and a leaving instance goes
     /// on accepting.
     core::duration entry_keep{ 0 };
--- a/tests/support/gossip_fleet.cpp
+++ b/standins/gossip_fleet.cpp
@@ -1,11 +1,10 @@
 #include "gossip_fleet.hpp"
 
-#include "test_configuration.hpp"
 #include <pollenstream/core/hash.hpp>
 
 #include <algorithm>
 
-namespace tests
+namespace standins
 {
 
 using namespace std::chrono_literals;
@@ -143,7 +142,7 @@
 
 auto gossip_fleet::adopt_at( int number, std::int64_t revision ) -> void
 {
-    auto const text = sample_document( static_cast<int>( revision ) );
+    auto const text = "[service s" + std::to_string( revision ) + "]\n";
     auto bundle = state::configuration_bundle{};
     bundle.head.revision = core::revision( revision );
     bundle.head.documents["sample.ini"] = core::content_hash( text );
@@ -177,14 +176,16 @@
     return theirs;
 }
 
-auto gossip_fleet::fetch_configuration( core::address const& peer,
-                                        core::revision newer_than )
+auto gossip_fleet::fetch_configuration(
+    core::address const& peer,
+    core::revision newer_than,
+    std::vector<std::string> const& known_hashes )
     -> core::result<ports::peer_configuration>
 {
     auto* const other = behind( peer );
     if ( !other )
         return lost();
-    return other->beats.answer_fetch( newer_than );
+    return other->beats.answer_fetch( newer_than, known_hashes );
 }
 
 auto gossip_fleet::call( core::address const&, ports::forwarded_call const& )
--- a/tests/support/gossip_fleet.hpp
+++ b/standins/gossip_fleet.hpp
@@ -1,6 +1,7 @@
-#ifndef TESTS_SUPPORT_GOSSIP_FLEET_HPP
-#define TESTS_SUPPORT_GOSSIP_FLEET_HPP
+#ifndef STANDINS_GOSSIP_FLEET_HPP
+#define STANDINS_GOSSIP_FLEET_HPP
 
+#include "held_time.hpp"
 #include <pollenstream/adapters/http/configuration_text_codec.hpp>
 #include <pollenstream/membership/heartbeater.hpp>
 #include <pollenstream/membership/member_table.hpp>
@@ -8,12 +9,11 @@
 #include <pollenstream/state/configuration_holder.hpp>
 
 #include <functional>
-#include <held_time.hpp>
 #include <memory>
 #include <random>
 #include <vector>
 
-namespace tests
+namespace standins
 {
 
 namespace core = pollenstream::core;
@@ -55,12 +55,13 @@
     auto exchange( core::address const& peer, ports::heartbeat const& mine )
         -> core::result<ports::heartbeat> override;
     auto fetch_configuration( core::address const& peer,
-                              core::revision newer_than )
+                              core::revision newer_than,
+                              std::vector<std::string> const& known_hashes )
         -> core::result<ports::peer_configuration> override;
     auto call( core::address const& peer, ports::forwarded_call const& what )
         -> core::result<state::call_outcome> override;
 
-    standins::held_time time;
+    held_time time;
     std::int64_t exchanges{ 0 };
     std::int64_t members_sent{ 0 };
 
--- a/tests/membership/member_table_test.cpp
+++ b/tests/membership/member_table_test.cpp
@@ -1,14 +1,17 @@
-#include "support/gossip_fleet.hpp"
 #include <pollenstream/membership/member_table.hpp>
 #include <pollenstream/membership/rendezvous.hpp>
 #include <pollenstream/membership/target_selection.hpp>
 
 #include <catch2/catch.hpp>
 
+#include <gossip_fleet.hpp>
 #include <set>
 
 using namespace std::chrono_literals;
-using namespace tests;
+using standins::gossip_fleet;
+namespace core = pollenstream::core;
+namespace membership = pollenstream::membership;
+namespace ports = pollenstream::ports;
 using membership::member_phase;
 
 namespace
