--- a/apps/daemon/node.cpp
+++ b/apps/daemon/node.cpp
@@ -22,6 +22,8 @@
 constexpr auto beat_period = core::duration( 1s );
 constexpr auto list_period = core::duration( 2s );
 constexpr auto tidy_period = core::duration( 10s );
+/// Forwarded calls and changes of configuration that may wait at once.
+constexpr auto blocking_threads = std::size_t{ 4 };
 constexpr auto drain_check_period = 20ms;
 /// Longest wait for a forwarded call beyond its own time.
 constexpr auto forward_slack = core::duration( 1s );
@@ -47,7 +49,8 @@
 node::node( pollenstream::settings::daemon_settings settings,
             std::function<void()> on_drain )
     : settings_( std::move( settings ) ), incarnation_( new_incarnation() ),
-      timer_( clock_ ), store_( settings_.store ), list_( settings_.list ),
+      timer_( clock_ ), blocking_( blocking_threads ),
+      store_( settings_.store ), list_( settings_.list ),
       policy_( routing::make_policy( "predicted",
                                      seed_of( settings_.id, incarnation_ ) ) ),
       shared_{ { settings_.id, incarnation_ },
@@ -78,15 +81,21 @@
                 services_,
                 peers_,
                 settings_.entry_keep ),
-      callers_( settings_.callers, { settings_.largest_body }, gateway_ ),
+      callers_(
+          settings_.callers, { settings_.largest_body }, gateway_, blocking_ ),
       operators_( settings_.operators,
                   settings_.token,
                   sources(),
                   publisher_,
                   codec_,
-                  { std::move( on_drain ), [this]( core::revision r )
+                  { std::move( on_drain ),
+                    [this]( core::revision r )
                     {
                         return reach( r );
+                    },
+                    [this]( std::function<void()> work )
+                    {
+                        blocking_.post( std::move( work ) );
                     } } )
 {
 }
@@ -171,12 +180,13 @@
 
 auto node::read_list() -> core::duration
 {
-    auto const listing = list_.fetch();
-    if ( listing )
-    {
-        members_.learn_listed( listing.value().instances, clock_.now() );
-        watch_->take_listing( listing.value() );
-    }
+    auto fetched = list_.fetch();
+    if ( fetched && fetched.value() )
+        listing_ = std::move( *fetched.value() );
+    // Taken over each time: what this instance watches follows the
+    // configuration too.
+    members_.learn_listed( listing_.instances, clock_.now() );
+    watch_->take_listing( listing_ );
     return list_period;
 }
 
--- a/apps/daemon/node.hpp
+++ b/apps/daemon/node.hpp
@@ -10,6 +10,7 @@
 #include <pollenstream/adapters/http/service_http_client.hpp>
 #include <pollenstream/adapters/http/store_http_client.hpp>
 #include <pollenstream/adapters/system/asio_timer.hpp>
+#include <pollenstream/adapters/system/blocking_pool.hpp>
 #include <pollenstream/adapters/system/steady_clock.hpp>
 #include <pollenstream/adapters/thrift/peer_thrift_client.hpp>
 #include <pollenstream/adapters/thrift/peer_thrift_server.hpp>
@@ -74,11 +75,13 @@
     core::incarnation incarnation_;
     adapters::system::steady_clock clock_;
     adapters::system::asio_timer timer_;
+    adapters::system::blocking_pool blocking_;
     adapters::http::configuration_text_codec codec_;
     adapters::http::engine_http_client engines_;
     adapters::http::service_http_client services_;
     adapters::http::store_http_client store_;
     adapters::http::list_http_client list_;
+    ports::instance_listing listing_; ///< as it was read last
     adapters::thrift::peer_thrift_client peers_;
     routing::target_table targets_;
     std::unique_ptr<routing::target_policy> policy_;
--- a/src/pollenstream/adapters/http/caller_listener.cpp
+++ b/src/pollenstream/adapters/http/caller_listener.cpp
@@ -110,8 +110,10 @@
 
 caller_listener::caller_listener( core::address const& at,
                                   caller_limits const& limits,
-                                  sessions::gateway& gateway )
-    : gateway_( gateway ), listener_( at, limits.largest_body, routes() )
+                                  sessions::gateway& gateway,
+                                  system::blocking_pool& blocking )
+    : gateway_( gateway ), blocking_( blocking ),
+      listener_( at, limits.largest_body, routes() )
 {
 }
 
@@ -225,11 +227,19 @@
     wanted.call.time_left =
         headers.value().time_limit.value_or( core::duration( 0 ) );
     auto const message = request.message;
-    gateway_.call( wanted,
-                   [message]( state::call_outcome const& outcome )
-                   {
-                       reply_to_call( message, outcome );
-                   } );
+    auto const run = [this, wanted, message]
+    {
+        gateway_.call( wanted,
+                       [message]( state::call_outcome const& outcome )
+                       {
+                           reply_to_call( message, outcome );
+                       } );
+    };
+    // A ticket may name another instance, and its answer is waited for.
+    if ( wanted.ticket )
+        blocking_.post( run );
+    else
+        run();
 }
 
 }
--- a/src/pollenstream/adapters/http/caller_listener.hpp
+++ b/src/pollenstream/adapters/http/caller_listener.hpp
@@ -2,6 +2,7 @@
 #define POLLENSTREAM_ADAPTERS_HTTP_CALLER_LISTENER_HPP
 
 #include <pollenstream/adapters/http/listener.hpp>
+#include <pollenstream/adapters/system/blocking_pool.hpp>
 #include <pollenstream/sessions/gateway.hpp>
 
 namespace pollenstream::adapters::http
@@ -19,7 +20,8 @@
 public:
     caller_listener( core::address const& at,
                      caller_limits const& limits,
-                     sessions::gateway& gateway );
+                     sessions::gateway& gateway,
+                     system::blocking_pool& blocking );
 
     auto open() -> void;
     auto close() -> void;
@@ -31,6 +33,7 @@
     auto on_service( received_request request ) -> void;
 
     sessions::gateway& gateway_;
+    system::blocking_pool& blocking_;
     listener listener_;
 };
 
--- a/src/pollenstream/adapters/http/engine_http_client.cpp
+++ b/src/pollenstream/adapters/http/engine_http_client.cpp
@@ -2,9 +2,8 @@
 #include <pollenstream/adapters/http/engine_codec.hpp>
 #include <pollenstream/adapters/http/engine_http_client.hpp>
 #include <pollenstream/adapters/http/json_call.hpp>
-#include <pollenstream/adapters/http/read_available.hpp>
+#include <pollenstream/adapters/http/push_buffer.hpp>
 
-#include <array>
 #include <utility>
 
 namespace pollenstream::adapters::http
@@ -20,7 +19,8 @@
 constexpr auto control_timeout = core::duration( 2s );
 /// Longest event that an engine may send, in bytes.
 constexpr auto longest_event = std::size_t{ 256 } * 1024;
-constexpr auto read_size = std::size_t{ 16 } * 1024;
+/// Bytes of a refusal that are kept for its detail.
+constexpr auto longest_detail = std::size_t{ 512 };
 
 /// One open connection that an answer comes over. Keeps itself alive while a
 /// read is under way.
@@ -40,22 +40,27 @@
     {
     }
 
-    auto start( web::http::http_request const& message ) -> void
+    auto start( web::http::http_request message ) -> void
     {
         auto const self = shared_from_this();
+        message.set_response_stream( make_push_stream(
+            [self]( std::string_view bytes )
+            {
+                self->take_bytes( bytes );
+            } ) );
         pool_.client_for( to_ )
             ->request( message, source_.get_token() )
             .then(
-                [self]( web::http::http_response const& response )
+                []( web::http::http_response const& response )
                 {
-                    return self->on_response( response );
+                    return response.content_ready();
                 } )
             .then(
-                [self]( pplx::task<void> const& done )
+                [self]( pplx::task<web::http::http_response> const& done )
                 {
                     try
                     {
-                        done.get();
+                        self->on_ended( done.get().status_code() );
                     }
                     catch ( ... )
                     {
@@ -80,45 +85,19 @@
     }
 
 private:
-    auto on_response( web::http::http_response const& response )
-        -> pplx::task<void>
+    auto on_ended( web::http::status_code status ) -> void
     {
-        auto const self = shared_from_this();
-        auto const status = response.status_code();
         if ( status == web::http::status_codes::OK )
-        {
-            body_ = response.body().streambuf();
-            return read_on();
-        }
-        auto reply = response;
-        return reply.extract_utf8string( true ).then(
-            [self, status]( std::string const& text )
-            {
-                self->end( error_of_status( status, text ) );
-            } );
-    }
-
-    auto read_on() -> pplx::task<void>
-    {
-        auto const self = shared_from_this();
-        return read_available( body_, buffer_.data(), buffer_.size() )
-            .then(
-                [self]( std::size_t count ) -> pplx::task<void>
-                {
-                    if ( count == 0 )
-                    {
-                        self->end( core::success() );
-                        return pplx::task_from_result();
-                    }
-                    self->take_bytes( count );
-                    return self->read_on();
-                } );
+            end( core::success() );
+        else
+            end( error_of_status( status, first_bytes_ ) );
     }
 
-    auto take_bytes( std::size_t count ) -> void
+    /// Called by the client for each piece of the body, one at a time.
+    auto take_bytes( std::string_view bytes ) -> void
     {
-        auto const bytes = std::string_view(
-            reinterpret_cast<char const*>( buffer_.data() ), count );
+        if ( !has_events_ && first_bytes_.size() < longest_detail )
+            first_bytes_.append( bytes.substr( 0, longest_detail ) );
         auto events = std::vector<ports::engine_event>{};
         for ( auto const& line : lines_.add( bytes ) )
         {
@@ -126,6 +105,7 @@
             if ( event )
                 events.push_back( std::move( event.value() ) );
         }
+        has_events_ = has_events_ || !events.empty();
         if ( !events.empty() && listening_.load() )
             listener_->on_events( events );
         if ( lines_.has_failed() )
@@ -134,9 +114,9 @@
 
     auto end( core::result<void> status ) -> void
     {
-        auto const listener = std::exchange( listener_, nullptr );
-        if ( listener && listening_.exchange( false ) )
-            listener->on_end( std::move( status ) );
+        if ( listening_.exchange( false ) )
+            listener_->on_end( std::move( status ) );
+        listener_.reset();
     }
 
     client_pool& pool_;
@@ -146,8 +126,8 @@
     std::shared_ptr<ports::stream_listener> listener_;
     pplx::cancellation_token_source source_;
     std::atomic<bool> listening_{ true };
-    concurrency::streams::streambuf<std::uint8_t> body_;
-    std::array<std::uint8_t, read_size> buffer_{};
+    std::string first_bytes_; ///< of a body that is no stream of events
+    bool has_events_{ false };
     data_line_splitter lines_;
 };
 
--- a/src/pollenstream/adapters/http/list_http_client.cpp
+++ b/src/pollenstream/adapters/http/list_http_client.cpp
@@ -41,14 +41,37 @@
 {
 }
 
-auto list_http_client::fetch() -> core::result<ports::instance_listing>
+auto list_http_client::fetch()
+    -> core::result<std::optional<ports::instance_listing>>
 {
-    auto const request =
-        json_request{ web::http::methods::GET, "/instances", std::nullopt };
-    auto const reply = call_json_and_wait( calls_, list_, request );
-    if ( !reply )
-        return reply.error();
-    return read_listing( reply.value() );
+    using web::http::status_codes;
+    auto message = web::http::http_request( web::http::methods::GET );
+    message.set_request_uri( "/instances" );
+    if ( !entity_tag_.empty() )
+        message.headers().add( "If-None-Match", entity_tag_ );
+    try
+    {
+        auto reply = calls_.client_for( list_ )->request( message ).get();
+        auto const text = reply.extract_utf8string( true ).get();
+        if ( reply.status_code() == status_codes::NotModified )
+            return std::optional<ports::instance_listing>{};
+        if ( reply.status_code() != status_codes::OK )
+            return error_of_status( reply.status_code(), text );
+        auto const json = parse_json( text );
+        if ( !json )
+            return json.error();
+        auto listing = read_listing( json.value() );
+        if ( !listing )
+            return listing.error();
+        auto const tag = reply.headers().find( "ETag" );
+        entity_tag_ = tag == reply.headers().end() ? "" : tag->second;
+        return std::optional( std::move( listing.value() ) );
+    }
+    catch ( std::exception const& )
+    {
+        calls_.drop( list_ );
+        return error_of( std::current_exception() );
+    }
 }
 
 auto read_listing( web::json::value const& json )
--- a/src/pollenstream/adapters/http/operator_listener.cpp
+++ b/src/pollenstream/adapters/http/operator_listener.cpp
@@ -136,6 +136,19 @@
     };
 }
 
+auto operator_listener::guarded_blocking( handler handle )
+    -> std::function<void( received_request )>
+{
+    return [this, inner = guarded( handle )]( received_request const& request )
+    {
+        actions_.run_blocking(
+            [inner, request]
+            {
+                inner( request );
+            } );
+    };
+}
+
 auto operator_listener::routes() -> std::vector<route>
 {
     using self = operator_listener;
@@ -161,11 +174,11 @@
         { methods::POST,
           { "v1", configuration, "apply" },
           false,
-          guarded( &self::on_apply ) },
+          guarded_blocking( &self::on_apply ) },
         { methods::GET,
           { "v1", configuration, "reach" },
           false,
-          guarded( &self::on_reach ) },
+          guarded_blocking( &self::on_reach ) },
         { methods::POST, { "v1", "drain" }, false, guarded( &self::on_drain ) },
     };
 }
--- a/src/pollenstream/adapters/http/operator_listener.hpp
+++ b/src/pollenstream/adapters/http/operator_listener.hpp
@@ -24,6 +24,8 @@
 {
     std::function<void()> drain;
     std::function<revision_reach( core::revision )> reach;
+    /// Runs work that waits for other processes.
+    std::function<void( std::function<void()> )> run_blocking;
 };
 
 /// The interface towards operators. Every request carries the token of the
@@ -46,6 +48,9 @@
                         -> void;
 
     auto routes() -> std::vector<route>;
+    /// As `guarded`, for handlers that wait for other processes.
+    auto guarded_blocking( handler handle )
+        -> std::function<void( received_request )>;
     auto guarded( handler handle ) -> std::function<void( received_request )>;
     auto on_dump( received_request const& request ) -> void;
     auto on_instances( received_request const& request ) -> void;
--- /dev/null
+++ b/src/pollenstream/adapters/system/blocking_pool.cpp
@@ -0,0 +1,22 @@
+#include <pollenstream/adapters/system/blocking_pool.hpp>
+
+#include <boost/asio/post.hpp>
+
+#include <utility>
+
+namespace pollenstream::adapters::system
+{
+
+blocking_pool::blocking_pool( std::size_t threads ) : threads_( threads ) {}
+
+blocking_pool::~blocking_pool()
+{
+    threads_.join();
+}
+
+auto blocking_pool::post( std::function<void()> work ) -> void
+{
+    boost::asio::post( threads_, std::move( work ) );
+}
+
+}
--- a/src/pollenstream/ports/instance_list.hpp
+++ b/src/pollenstream/ports/instance_list.hpp
@@ -5,6 +5,7 @@
 #include <pollenstream/core/error.hpp>
 #include <pollenstream/core/ids.hpp>
 
+#include <optional>
 #include <vector>
 
 namespace pollenstream::ports
@@ -49,7 +50,8 @@
 {
 public:
     virtual ~instance_list() = default;
-    virtual auto fetch() -> core::result<instance_listing> = 0;
+    /// The list, or nothing where it is as it was at the last fetch.
+    virtual auto fetch() -> core::result<std::optional<instance_listing>> = 0;
 };
 
 }
--- a/src/pollenstream/settings/daemon_settings.cpp
+++ b/src/pollenstream/settings/daemon_settings.cpp
@@ -16,9 +16,9 @@
 
 constexpr auto default_body = std::int64_t{ 16 } * 1024 * 1024;
 constexpr auto most_body = std::int64_t{ 256 } * 1024 * 1024;
-constexpr auto default_threads = 24;
+constexpr auto default_threads = 6;
 constexpr auto most_threads = 256;
-constexpr auto least_threads = 4;
+constexpr auto least_threads = 2;
 constexpr auto default_polls = 16;
 constexpr auto most_polls = 1'000;
 constexpr auto shortest_token = std::size_t{ 16 };
--- a/standins/platform_server.cpp
+++ b/standins/platform_server.cpp
@@ -3,6 +3,7 @@
 #include "real_time.hpp"
 #include <pollenstream/adapters/http/json_fields.hpp>
 #include <pollenstream/adapters/http/send_reply.hpp>
+#include <pollenstream/core/hash.hpp>
 
 #include <thread>
 #include <utility>
@@ -249,8 +250,15 @@
     while ( versions_.size() > 1 && versions_[1].at <= seen_at )
         versions_.pop_front();
     auto const is_known = !versions_.empty() && versions_.front().at <= seen_at;
-    http::send_json( request.message,
-                     is_known ? versions_.front().content : value::object() );
+    auto const& content = is_known ? versions_.front().content : nothing_;
+    auto const tag = '"' + core::content_hash( content.serialize() ) + '"';
+    auto response = web::http::http_response( status_codes::OK );
+    response.headers().add( "ETag", tag );
+    if ( request.header( "If-None-Match" ) == tag )
+        response.set_status_code( status_codes::NotModified );
+    else
+        response.set_body( content );
+    http::send_reply( request.message, response );
 }
 
 auto list_server::on_put( http::received_request const& request ) -> void
--- a/standins/platform_server.hpp
+++ b/standins/platform_server.hpp
@@ -60,6 +60,7 @@
     core::duration lag_;
     std::mutex mutex_;
     std::deque<version> versions_;
+    web::json::value nothing_ = web::json::value::object();
     http::listener listener_;
 };
 
