Process tests, tests of bad input, limits and policies; leaves are announced

Cause: what runs as processes was proved by the demo alone; the rolling restart of 9 daemons under load refused 6 requests as not-run, since callers were sent to a leaving instance while the news got around.

Found by hand: a body far above the limit was read into memory whole.

--- a/apps/daemon/node.cpp
+++ b/apps/daemon/node.cpp
@@ -53,14 +53,14 @@
       store_( settings_.store ), list_( settings_.list ),
       policy_( routing::make_policy( "predicted",
                                      seed_of( settings_.id, incarnation_ ) ) ),
-      shared_{ { settings_.id, incarnation_ },
+      shared_( { settings_.id, incarnation_ },
                clock_,
                timer_,
                engines_,
                targets_,
                *policy_,
                retries_,
-               metrics_ },
+               metrics_ ),
       holder_( codec_ ), publisher_( store_, codec_, holder_ ),
       follower_(
           store_, codec_, holder_, seed_of( settings_.id, incarnation_ ) ),
@@ -231,7 +231,7 @@
     LOG( INFO ) << "planned stop: leaving, " << shared_.open_sessions.load()
                 << " requests open";
     members_.leave( clock_.now() );
-    heartbeats_.run_round();
+    heartbeats_.announce();
     std::this_thread::sleep_for( settings_.entry_keep );
     gateway_.close();
     auto const cut = wait_for_requests();
--- a/bench/routing_run.cpp
+++ b/bench/routing_run.cpp
@@ -160,16 +160,12 @@
             plan_.policy,
             plan_.seed * 100 + static_cast<std::uint64_t>( number ) );
         one->targets.replace( identities_, time_.now() );
-        one->shared = std::unique_ptr<sessions::context>( new sessions::context{
-            { core::instance_id( "i" + std::to_string( number ) ),
-              core::incarnation( 1 ) },
-            time_,
-            time_,
-            engines_,
-            one->targets,
-            *one->policy,
-            one->retries,
-            one->metrics } );
+        one->shared = std::make_unique<sessions::context>(
+            ports::memory_owner{
+                core::instance_id( "i" + std::to_string( number ) ),
+                core::incarnation( 1 ) },
+            time_, time_, engines_, one->targets, *one->policy, one->retries,
+            one->metrics );
         // Instances poll at different times.
         auto const first = poll_period * ( number + 1 ) / plan_.instances;
         time_.at( time_.now() + first,
--- /dev/null
+++ b/scripts/process_test.py
@@ -0,0 +1,415 @@
+"""Runs real daemons and stand-ins on loopback, kills, pauses and stops them
+under load, and checks what callers saw against what engines and services
+counted. Each scenario prints a line; the last line counts them."""
+
+import argparse
+import http.client
+import json
+import pathlib
+import signal
+import sys
+import threading
+import time
+
+from fleet import TOKEN, Fleet, chat, http_json, wait_until
+
+EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / "examples/pilbara"
+FILES = [EXAMPLES / name for name in
+         ("services.ini", "profiles.ini", "workspaces.ini")]
+SHORT = "what is this vehicle worth? " * 20
+
+
+def expect(holds, message):
+    if not holds:
+        raise AssertionError(message)
+
+
+class Caller(threading.Thread):
+    """Sends requests one after another, as docs/CALLERS.md asks for: keeps an
+    entry answer for its time and goes on to the next address only where a
+    connection was refused."""
+
+    def __init__(self, fleet, number, stop):
+        super().__init__()
+        self.fleet = fleet
+        self.number = number
+        self.stop = stop
+        self.addresses = []
+        self.keep_until = 0.0
+        self.complete = 0
+        self.refused = []
+        self.cut = []
+
+    def run(self):
+        while not self.stop.is_set():
+            self.send_one()
+
+    def entry(self):
+        if time.monotonic() < self.keep_until and self.addresses:
+            return self.addresses
+        for one in self.fleet.instances:
+            try:
+                status, answer = http_json(
+                    "GET", one["callers"],
+                    f"/v1/entry?workspace=w{self.number}")
+            except OSError:
+                continue
+            if status == 200 and answer["addresses"]:
+                self.addresses = answer["addresses"]
+                self.keep_until = time.monotonic() + answer["keep_ms"] / 1000
+                return self.addresses
+        raise AssertionError("no daemon gives an entry answer")
+
+    def send_one(self):
+        for address in self.entry():
+            try:
+                seen = chat(address, f"w{self.number}", "quick-appraisal",
+                            SHORT)
+            except ConnectionRefusedError:
+                continue
+            except (OSError, http.client.HTTPException) as failure:
+                self.cut.append(repr(failure))
+                return
+            if seen["complete"] and len(seen["text"].split()) == 64:
+                self.complete += 1
+            elif seen["status"] == 503 and '"not-run"' in seen["problem"]:
+                self.refused.append(seen["problem"])
+            else:
+                self.cut.append(str(seen))
+            return
+        self.keep_until = 0.0
+
+
+def start(fleet, daemons, engines=4, keep_ms=1000):
+    for number in range(engines):
+        fleet.add_engine(f"valuer-{number}", "valuer-llm", memory=100_000,
+                         prefill_rate=100_000, step_ms=4)
+    fleet.add_plain("desk-0", "dealer-desk", work_ms=20)
+    fleet.add_plain("desk-1", "dealer-desk", work_ms=20)
+    names = [f"entry-{number}" for number in range(daemons)]
+    for name in names:
+        fleet.add_daemon(name, entry_keep_ms=keep_ms)
+    fleet.publish()
+    for name in names:
+        fleet.start_daemon(name)
+    wait_until(lambda: all(alive(fleet, name) == daemons for name in names),
+               what="daemons know each other")
+    return names
+
+
+def alive(fleet, name):
+    return sum(i["phase"] == "alive" for i in fleet.dump(name)["instances"])
+
+
+def configure(fleet, name):
+    done = fleet.tool("config", "apply", "--wait",
+                      f"--operators={fleet.operators(name)}", *FILES)
+    expect("accepted" in done.stdout, done.stdout)
+
+
+def wait_for_engines(fleet, names):
+    wait_until(lambda: all(
+        sum(t["total_memory_tokens"] == 100_000 and t["phase"] == "alive"
+            for t in fleet.dump(name)["targets"]) >= 4 for name in names),
+        what="daemons have heard of all engines")
+
+
+def nothing_is_held(fleet, engines=4, limit=30):
+    wait_until(lambda: all(
+        fleet.control(f"valuer-{n}", "GET", "/counts")["memory_used"] == 0
+        for n in range(engines)), limit=limit, what="engines hold no memory")
+
+
+def no_violations(fleet, names):
+    for name in names:
+        for which, tally in fleet.dump(name)["invariants"].items():
+            expect(tally["violations"] == 0, f"{name}: {which} {tally}")
+
+
+def configuration_everywhere(build, daemons):
+    """An accepted change is in force on all daemons, and operators who race
+    are told of each other."""
+    with Fleet(build) as fleet:
+        names = start(fleet, daemons)
+        configure(fleet, names[0])
+        begin = time.monotonic()
+        done = fleet.tool("profile", "put", "--wait",
+                          f"--operators={fleet.operators(names[1])}",
+                          EXAMPLES / "profiles.ini")
+        took = time.monotonic() - begin
+        expect(f"in force on {daemons} of {daemons}" in done.stdout,
+               done.stdout)
+        raced = [fleet.tool("config", "apply", "--based-on=2",
+                            f"--operators={fleet.operators(name)}",
+                            EXAMPLES / "workspaces.ini", check=False)
+                 for name in names[:2]]
+        expect([r.returncode for r in raced] == [0, 3],
+               str([(r.returncode, r.stderr) for r in raced]))
+        expect("changed meanwhile" in raced[1].stderr, raced[1].stderr)
+        return f"{daemons} daemons, in force and told within {took:.2f} s"
+
+
+def rolling_restart(build, daemons):
+    """Every daemon is stopped as planned and started again under load."""
+    with Fleet(build) as fleet:
+        names = start(fleet, daemons)
+        configure(fleet, names[0])
+        wait_for_engines(fleet, names)
+        stop = threading.Event()
+        callers = [Caller(fleet, number, stop) for number in range(8)]
+        for caller in callers:
+            caller.start()
+        try:
+            for name in names:
+                fleet.processes[name].signal(signal.SIGTERM)
+                status = fleet.processes[name].wait(60)
+                expect(status == 0, f"{name} ended with {status}")
+                fleet.start_daemon(name)
+                wait_until(lambda: alive(fleet, names[0]) == daemons,
+                           what=f"{name} is back")
+        finally:
+            stop.set()
+            for caller in callers:
+                caller.join()
+        cut = [each for caller in callers for each in caller.cut]
+        refused = [each for caller in callers for each in caller.refused]
+        complete = sum(caller.complete for caller in callers)
+        expect(not cut, f"{len(cut)} requests cut: {cut[:2]}")
+        expect(complete > 100, f"only {complete} answers")
+        nothing_is_held(fleet)
+        no_violations(fleet, names)
+        return (f"{daemons} daemons restarted, {complete} answers whole, "
+                f"{len(refused)} refused as not-run, 0 cut")
+
+
+def engine_dies(build, _):
+    """Engines are killed while they answer; answers go on elsewhere."""
+    with Fleet(build) as fleet:
+        names = start(fleet, 2)
+        configure(fleet, names[0])
+        wait_for_engines(fleet, names)
+        whole = 0
+        for victim in ("valuer-0", "valuer-1"):
+            began = threading.Event()
+            answers = [{} for _ in range(8)]
+
+            def read(into):
+                into.update(chat(fleet.callers(names[0]), "w", "fleet-audit",
+                                 SHORT, on_chunk=began.set))
+
+            readers = [threading.Thread(target=read, args=(into,))
+                       for into in answers]
+            for reader in readers:
+                reader.start()
+            expect(began.wait(30), "no answer began")
+            fleet.processes[victim].signal(signal.SIGKILL)
+            for reader in readers:
+                reader.join()
+            for answer in answers:
+                words = len(answer["text"].split())
+                expect(answer["complete"] and words == 256, str(answer)[:500])
+                whole += 1
+        expect(len({answer["text"] for answer in answers}) == 1,
+               "equal prompts have different answers")
+        no_violations(fleet, names)
+        return f"2 engines killed, {whole} answers whole and right"
+
+
+def instance_paused(build, _):
+    """A daemon is frozen and wakes again; its callers get their answers."""
+    with Fleet(build) as fleet:
+        names = start(fleet, 3)
+        configure(fleet, names[0])
+        wait_for_engines(fleet, names)
+        began = threading.Event()
+        answer = {}
+        reader = threading.Thread(target=lambda: answer.update(
+            chat(fleet.callers(names[2]), "w", "fleet-audit", SHORT,
+                 on_chunk=began.set)))
+        reader.start()
+        expect(began.wait(30), "no answer began")
+        fleet.processes[names[2]].signal(signal.SIGSTOP)
+        wait_until(lambda: alive(fleet, names[0]) == 2,
+                   what="the frozen daemon is not named")
+        fleet.processes[names[2]].signal(signal.SIGCONT)
+        reader.join()
+        expect(answer["complete"], str(answer)[:500])
+        wait_until(lambda: alive(fleet, names[0]) == 3,
+                   what="the daemon is named again")
+        nothing_is_held(fleet)
+        no_violations(fleet, names)
+        return "1 daemon frozen until forgotten, its answer whole"
+
+
+def once(fleet, address, ticket, key):
+    """One certificate call; returns the outcome."""
+    connection = http.client.HTTPConnection(address, timeout=30)
+    try:
+        connection.request(
+            "POST", "/v1/services/dealer-desk/certificates", "{}",
+            {"Content-Type": "application/json",
+             "Pollenstream-Workspace": "perth-dealers",
+             "Pollenstream-Profile": "certificate",
+             "Pollenstream-Ticket": ticket + key})
+        reply = connection.getresponse()
+        body = json.loads(reply.read())
+        return "complete" if reply.status == 200 else body["outcome"]
+    except (OSError, http.client.HTTPException):
+        return "lost"
+    finally:
+        connection.close()
+
+
+def at_most_once(build, _):
+    """Certificates are sent again at other daemons, at the same time, in an
+    outage of the store, and after their instance has died."""
+    with Fleet(build) as fleet:
+        names = start(fleet, 3)
+        configure(fleet, names[0])
+        wait_for_engines(fleet, names)
+        http_json("POST", fleet.controls["store"], "/fault?outage=yes", {})
+        outcomes = {}
+        told = threading.Lock()
+
+        def certificate(number):
+            key = f"certificate-{number}"
+            owner = fleet.callers(names[number % 3])
+            ticket = http_json("GET", owner, "/v1/entry")[1]["ticket_prefix"]
+            tries = [threading.Thread(target=note, args=(
+                key, fleet.callers(name), ticket)) for name in names]
+            for one in tries:
+                one.start()
+            for one in tries:
+                one.join()
+
+        def note(key, address, ticket):
+            outcome = once(fleet, address, ticket, key)
+            with told:
+                outcomes.setdefault(key, []).append(outcome)
+
+        for number in range(60):
+            if number == 45:
+                fleet.processes[names[2]].signal(signal.SIGKILL)
+                fleet.processes[names[2]].wait(10)
+            if number >= 45 and number % 3 == 2:
+                continue
+            certificate(number)
+        runs = {}
+        for desk in ("desk-0", "desk-1"):
+            for key, count in fleet.control(desk, "GET", "/runs").items():
+                runs[key] = runs.get(key, 0) + count
+        doubled = {key: count for key, count in runs.items() if count > 1}
+        expect(not doubled, f"run more than once: {doubled}")
+        for key, seen in outcomes.items():
+            ran = runs.get(key, 0)
+            expect("complete" not in seen or ran == 1, f"{key}: {seen}, {ran}")
+            expect("not-run" not in seen or ran == 0, f"{key}: {seen}, {ran}")
+        no_violations(fleet, names[:2])
+        return (f"{len(outcomes)} certificates sent 3 times each in a store "
+                f"outage, {len(runs)} run once, 0 doubled")
+
+
+def bad_input(build, _):
+    """Malformed, oversized and foreign requests are refused with their fault,
+    and the daemon lives on."""
+    with Fleet(build) as fleet:
+        names = start(fleet, 1)
+        configure(fleet, names[0])
+        wait_for_engines(fleet, names)
+        address = fleet.callers(names[0])
+        headers = {"Pollenstream-Workspace": "w",
+                   "Pollenstream-Profile": "quick-appraisal"}
+
+        def post(body, extra=None, path="/v1/chat/completions"):
+            connection = http.client.HTTPConnection(address, timeout=30)
+            connection.request("POST", path, body, {**headers, **(extra or {})})
+            reply = connection.getresponse()
+            text = reply.read()
+            connection.close()
+            return reply.status, text.decode()
+
+        cases = [
+            (post("{"), 400, "Line 1"),
+            (post("[" * 100_000), 400, "nested too deep"),
+            (post("{}"), 400, "$.messages"),
+            (post('{"messages":[{"role":"user"}]}'), 400, "$.messages[0].content"),
+            (post('{"messages":[{"role":"user","content":1}]}'), 400, "string"),
+            (post("{}", {"Pollenstream-Workspace": ""}), 400, "Workspace"),
+            (post("{}", {"Pollenstream-Deadline-Ms": "soon"}), 400, "Deadline"),
+            (post("{}", path="/nowhere"), 404, "unknown-path"),
+            (post('{"messages":[{"role":"u","content":"x"}]}',
+                  {"Pollenstream-Profile": "none"}), 404, "unknown-profile"),
+            (post("{}", path="/v1/services/dealer-desk/x"), 503, "unknown"),
+        ]
+        cases[-1] = (post("{}", {"Pollenstream-Profile": "certificate",
+                                 "Idempotency-Key": "k"},
+                          "/v1/services/dealer-desk/x"), 428, "ticket-required")
+        for (status, text), wanted, part in cases:
+            expect(status == wanted and part in text,
+                   f"wanted {wanted} {part}: {status} {text}")
+            expect('"not-run"' in text, text)
+        connection = http.client.HTTPConnection(address, timeout=30)
+        connection.putrequest("POST", "/v1/chat/completions")
+        connection.putheader("Content-Length", str(1 << 40))
+        connection.endheaders()
+        connection.send(b"x" * (1 << 20))
+        status, text = post("x" * (20 << 20))
+        expect(status == 413 and "too-large" in text, f"{status} {text}")
+        connection.close()
+        status, _ = http_json("GET", fleet.operators(names[0]), "/v1/dump",
+                              headers={"Authorization": "Bearer wrong"})
+        expect(status == 401, f"a wrong token gives {status}")
+        seen = chat(address, "w", "quick-appraisal", SHORT)
+        expect(seen["complete"], str(seen))
+        return f"{len(cases) + 2} bad requests refused, the next one served"
+
+
+def caller_goes(build, _):
+    """A caller that closes its connection frees the engine's memory."""
+    with Fleet(build) as fleet:
+        names = start(fleet, 1)
+        configure(fleet, names[0])
+        wait_for_engines(fleet, names)
+        connection = http.client.HTTPConnection(fleet.callers(names[0]))
+        connection.request("POST", "/v1/chat/completions", json.dumps(
+            {"stream": True, "messages": [
+                {"role": "user", "content": SHORT}]}), {
+                    "Pollenstream-Workspace": "w",
+                    "Pollenstream-Profile": "fleet-audit"})
+        connection.getresponse().read(1)
+        expect(any(fleet.control(f"valuer-{n}", "GET", "/counts")["memory_used"]
+                   for n in range(4)), "no engine works for the caller")
+        connection.close()
+        nothing_is_held(fleet)
+        wait_until(lambda: fleet.dump(names[0])["metrics"]["callers_gone"] == 1,
+                   what="the daemon has seen the caller go")
+        return "1 caller gone, 0 tokens of memory held"
+
+
+SCENARIOS = (configuration_everywhere, engine_dies, instance_paused,
+             at_most_once, bad_input, caller_goes, rolling_restart)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("build")
+    parser.add_argument("--daemons", type=int, default=9)
+    parser.add_argument("--only", help="the name of one scenario")
+    given = parser.parse_args()
+    passed, failed = 0, 0
+    for scenario in SCENARIOS:
+        if given.only and given.only != scenario.__name__:
+            continue
+        try:
+            said = scenario(given.build, given.daemons)
+            print(f"{scenario.__name__}: {said}", flush=True)
+            passed += 1
+        except (AssertionError, TimeoutError, OSError, RuntimeError) as failure:
+            print(f"{scenario.__name__}: FAILED: {failure}", flush=True)
+            failed += 1
+    print(f"{passed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/pollenstream/adapters/http/listener.cpp
+++ b/src/pollenstream/adapters/http/listener.cpp
@@ -11,6 +11,10 @@
 namespace
 {
 
+/// Bodies up to this many times the limit are read to tell their callers why
+/// they are refused.
+constexpr auto most_excess = std::size_t{ 4 };
+
 auto uri_of( core::address const& at ) -> web::uri
 {
     return web::uri( "http://" + core::to_string( at ) );
@@ -102,6 +106,11 @@
                                           "the body is larger than " +
                                               std::to_string( largest_body_ ) +
                                               " bytes" ) );
+        // The library reads all of a body into memory before it replies. What
+        // is far too large has no place to go, so that it stops reading; that
+        // caller gets no reply.
+        if ( headers.content_length() / most_excess > largest_body_ )
+            message.body().streambuf().close( std::ios_base::out );
         return;
     }
     message.extract_utf8string( true ).then(
--- a/src/pollenstream/adapters/ini/ini_reader.cpp
+++ b/src/pollenstream/adapters/ini/ini_reader.cpp
@@ -31,8 +31,9 @@
     auto section = profiles::document_section{};
     auto const blank = header.find( ' ' );
     section.kind = header.substr( 0, blank );
-    if ( blank != std::string::npos )
-        section.name = header.substr( header.find_first_not_of( ' ', blank ) );
+    auto const name = header.find_first_not_of( ' ', blank );
+    if ( blank != std::string::npos && name != std::string::npos )
+        section.name = header.substr( name );
     section.line = line;
     return section;
 }
--- a/src/pollenstream/membership/heartbeater.cpp
+++ b/src/pollenstream/membership/heartbeater.cpp
@@ -64,6 +64,16 @@
         catch_up( peer );
 }
 
+auto heartbeater::announce() -> void
+{
+    for ( auto const& peer : members_.alive() )
+    {
+        auto const told = peers_.exchange( peer.peers, compose( false ) );
+        if ( told )
+            take_in( told.value() );
+    }
+}
+
 auto heartbeater::compose( bool everything ) -> ports::heartbeat
 {
     auto mine = ports::heartbeat{};
--- a/src/pollenstream/membership/heartbeater.hpp
+++ b/src/pollenstream/membership/heartbeater.hpp
@@ -29,6 +29,10 @@
     /// One round; blocks for as long as the calls take.
     auto run_round() -> void;
 
+    /// Tells every peer at once what this instance is now: a planned stop must
+    /// not wait for news to get around.
+    auto announce() -> void;
+
     /// Answers a peer's heartbeat.
     auto answer( ports::heartbeat const& theirs ) -> ports::heartbeat;
     /// Answers a peer that asks for a newer configuration.
--- a/src/pollenstream/sessions/context.hpp
+++ b/src/pollenstream/sessions/context.hpp
@@ -18,6 +18,15 @@
 /// What all sessions of a process share. Outlives every session.
 struct context
 {
+    context( ports::memory_owner owner,
+             ports::clock& time,
+             ports::timer& alarms,
+             ports::engine_client& engine_calls,
+             routing::target_table& target_list,
+             routing::target_policy& target_choice,
+             admission::retry_budget& retry_credit,
+             metrics::request_metrics& measures );
+
     ports::memory_owner self;
     ports::clock& clock;
     ports::timer& timer;
--- /dev/null
+++ b/tests/admission/limits_test.cpp
@@ -0,0 +1,110 @@
+#include <pollenstream/admission/admission_check.hpp>
+#include <pollenstream/admission/retry_budget.hpp>
+#include <pollenstream/admission/token_bucket.hpp>
+#include <pollenstream/admission/workspace_limits.hpp>
+
+#include <catch2/catch.hpp>
+
+using namespace std::chrono_literals;
+namespace admission = pollenstream::admission;
+namespace core = pollenstream::core;
+namespace profiles = pollenstream::profiles;
+
+namespace
+{
+
+auto const start = core::instant( 100s );
+
+/// Requests let through in `seconds`, with one try each 5 ms.
+auto passed( admission::workspace_limits& limits,
+             profiles::workspace const& workspace,
+             double part,
+             int seconds ) -> int
+{
+    auto count = 0;
+    for ( auto now = start; now < start + std::chrono::seconds( seconds );
+          now += 5ms )
+    {
+        auto const wait =
+            limits.take( workspace, part, core::token_count( 1 ), now );
+        count += wait == core::duration( 0 ) ? 1 : 0;
+    }
+    return count;
+}
+
+}
+
+TEST_CASE( "a workspace gets its rate and a short burst", "[limits]" )
+{
+    auto limits = admission::workspace_limits();
+    auto const workspace =
+        profiles::workspace{ core::workspace_id( "w" ), 1, 30, 0 };
+    // Two seconds of burst beside ten seconds of the rate.
+    CHECK( passed( limits, workspace, 1.0, 10 ) == Approx( 360 ).margin( 5 ) );
+    auto thirds = admission::workspace_limits();
+    CHECK( passed( thirds, workspace, 1.0 / 3, 10 ) ==
+           Approx( 120 ).margin( 5 ) );
+}
+
+TEST_CASE( "a refused request is told when to come back, honestly", "[limits]" )
+{
+    auto bucket = admission::token_bucket();
+    REQUIRE( bucket.take( 20, 10, 2, start ) == core::duration( 0 ) );
+    auto const wait = bucket.take( 5, 10, 2, start );
+    CHECK( wait > 400ms );
+    CHECK( bucket.take( 5, 10, 2, start + wait ) == core::duration( 0 ) );
+}
+
+TEST_CASE( "one prompt larger than the burst passes and is paid back",
+           "[limits]" )
+{
+    auto bucket = admission::token_bucket();
+    REQUIRE( bucket.take( 1'000, 10, 2, start ) == core::duration( 0 ) );
+    CHECK( bucket.take( 1, 10, 2, start + 90s ) > core::duration( 0 ) );
+    CHECK( bucket.take( 1, 10, 2, start + 100s ) == core::duration( 0 ) );
+}
+
+TEST_CASE( "idle workspaces are forgotten", "[limits]" )
+{
+    auto limits = admission::workspace_limits();
+    auto const workspace =
+        profiles::workspace{ core::workspace_id( "w" ), 1, 30, 0 };
+    limits.take( workspace, 1, core::token_count( 1 ), start );
+    limits.forget_idle( start );
+    CHECK( limits.size() == 1 );
+    limits.forget_idle( start + 1s );
+    CHECK( limits.size() == 0 );
+}
+
+TEST_CASE( "an outage is not multiplied by retries", "[retries]" )
+{
+    auto budget = admission::retry_budget();
+    auto retries = 0;
+    for ( auto i = 0; i < 10'000; ++i )
+    {
+        budget.note_request();
+        retries += budget.take() ? 1 : 0;
+    }
+    CHECK( retries <= 1'100 );
+    CHECK( retries >= 1'000 );
+}
+
+TEST_CASE( "what would end too late is refused with the time to wait",
+           "[admission]" )
+{
+    CHECK_FALSE( admission::check_time( 9s, 10s ) );
+    auto const late = admission::check_time( 20s, 10s );
+    REQUIRE( late );
+    CHECK( late->retry_after > 10s );
+    auto const capacity = admission::service_capacity{ 2, 1'000, 100 };
+    auto const check = [&]( std::int64_t prompt )
+    {
+        return admission::check_capacity(
+            capacity,
+            { core::token_count( prompt ), core::token_count( 1 ), 5s } );
+    };
+    CHECK_FALSE( check( 400 ) );
+    CHECK( check( 600 )->reason == "too-late" );
+    CHECK( check( 1'000 )->reason == "too-long" );
+    CHECK( admission::check_capacity( {}, {} )->reason == "no-target" );
+}
--- a/tests/support/test_fleet.cpp
+++ b/tests/support/test_fleet.cpp
@@ -37,16 +37,12 @@
     auto one = std::make_unique<instance>();
     one->policy = routing::make_policy( policy_, number + 1 );
     one->targets.replace( identities_, time.now() );
-    one->shared = std::unique_ptr<sessions::context>( new sessions::context{
-        { core::instance_id( "instance-" + std::to_string( number ) ),
-          core::incarnation( 1 ) },
-        time,
-        time,
-        engines,
-        one->targets,
-        *one->policy,
-        one->retries,
-        one->metrics } );
+    one->shared = std::make_unique<sessions::context>(
+        ports::memory_owner{
+            core::instance_id( "instance-" + std::to_string( number ) ),
+            core::incarnation( 1 ) },
+        time, time, engines, one->targets, *one->policy, one->retries,
+        one->metrics );
     for ( auto const& each : one->targets.all() )
         each->take_report(
             engines.model( each->identity().id.str() ).load( time.now() ),
