--- a/standins/fake_engines.cpp
+++ b/standins/fake_engines.cpp
@@ -117,9 +117,9 @@
     cut_connections( id );
 }
 
-auto fake_engines::hang( std::string const& id ) -> void
+auto fake_engines::set_hung( std::string const& id, bool on ) -> void
 {
-    engines_.at( id ).hung = true;
+    engines_.at( id ).hung = on;
 }
 
 auto fake_engines::revive( std::string const& id ) -> void
--- a/standins/fake_engines.hpp
+++ b/standins/fake_engines.hpp
@@ -32,7 +32,7 @@
     /// Open connections break; the streams behind them run on.
     auto cut_connections( std::string const& id ) -> void;
     /// The process hangs: connections are made and nothing is answered.
-    auto hang( std::string const& id ) -> void;
+    auto set_hung( std::string const& id, bool on ) -> void;
     /// Every event is handed over twice, and once for another request.
     auto set_crossed( bool on ) -> void;
     /// Runs everything up to the end of `span`.
--- a/tests/sessions/session_test.cpp
+++ b/tests/sessions/session_test.cpp
@@ -108,7 +108,7 @@
     profile.time_per_1k_tokens = 0ms;
     auto const answer = fleet.send( 1'000, profile );
     fleet.engines.run_for( 50ms );
-    fleet.engines.hang( "engine-0" );
+    fleet.engines.set_hung( "engine-0", true );
     fleet.engines.run_for( 3s );
     REQUIRE( answer->end() );
     CHECK( answer->end()->status == answer_status::failed );
