Soak checks crossed events and prompt release

Change: a third of the schedules have crossed and repeated events, and all memory is free 5 s after the last answer.

--- a/soak/schedule_run.cpp
+++ b/soak/schedule_run.cpp
@@ -30,6 +30,9 @@
 constexpr auto fault_time = core::duration( 3s );
 /// Longer than any request and any reservation lives.
 constexpr auto settle_time = core::duration( 10min );
+/// Within this after the last answer all memory is free. A hung engine takes
+/// its cancels when it wakes.
+constexpr auto prompt_release = core::duration( 5s );
 constexpr auto bytes_per_token = std::int64_t{ 4 };
 
 /// A caller that checks what it is sent.
@@ -176,6 +179,7 @@
     explicit schedule_run( fault_schedule const& schedule )
         : schedule_( schedule )
     {
+        engines_.set_crossed( schedule_.seed % 3 == 0 );
         for ( auto i = 0; i < schedule_.engines; ++i )
             add_engine( "engine-" + std::to_string( i ) );
         for ( auto i = 0; i < schedule_.instances; ++i )
@@ -197,6 +201,8 @@
             ++report_.steps[static_cast<std::size_t>( step.kind )];
             take( step );
         }
+        wait_for_callers();
+        check_memory();
         engines_.run_for( settle_time );
         is_over_ = true;
         check_callers();
@@ -208,6 +214,34 @@
     }
 
 private:
+    /// Runs on until every caller has its last word.
+    auto wait_for_callers() -> void
+    {
+        auto const is_open = []( auto const& each )
+        {
+            return each->finishes == 0 && !each->orphaned;
+        };
+        auto const limit = time_.now() + settle_time;
+        while ( time_.now() < limit &&
+                std::any_of( callers_.begin(), callers_.end(), is_open ) )
+            engines_.run_for( core::duration( 100ms ) );
+    }
+
+    /// What ended requests held is given back at once, not at a time limit.
+    auto check_memory() -> void
+    {
+        engines_.run_for( prompt_release );
+        auto const has_lost_one =
+            std::any_of( instances_.begin(), instances_.end(),
+                         []( auto const& each )
+                         {
+                             return each->calls.lost;
+                         } );
+        if ( engines_.memory_held() != 0 && !has_lost_one )
+            note( "memory is held after the last request has ended: " +
+                  std::to_string( engines_.memory_held() ) );
+    }
+
     auto note( std::string what ) -> void
     {
         report_.violations.push_back( std::move( what ) );
