--- a/soak/schedule_run.cpp
+++ b/soak/schedule_run.cpp
@@ -191,7 +191,7 @@
         auto const former = core::invariant_monitor::instance().set_handler(
             [this]( core::invariant which, std::string const& detail )
             {
-                note( std::string( core::name_of( which ) ) + ": " + detail );
+                on_violation( which, detail );
             } );
         auto const begin = time_.now();
         for ( auto const& step : schedule_.steps )
@@ -231,17 +231,31 @@
     auto check_memory() -> void
     {
         engines_.run_for( prompt_release );
-        auto const has_lost_one =
-            std::any_of( instances_.begin(), instances_.end(),
-                         []( auto const& each )
-                         {
-                             return each->calls.lost;
-                         } );
-        if ( engines_.memory_held() != 0 && !has_lost_one )
+        if ( engines_.memory_held() != 0 && !has_lost_one() )
             note( "memory is held after the last request has ended: " +
                   std::to_string( engines_.memory_held() ) );
     }
 
+    auto on_violation( core::invariant which, std::string const& detail )
+        -> void
+    {
+        // The objects of an instance that ended are still there and cannot
+        // give back what a dead process cannot either.
+        auto const is_of_the_lost =
+            which == core::invariant::memory_is_returned && has_lost_one();
+        if ( !is_of_the_lost )
+            note( std::string( core::name_of( which ) ) + ": " + detail );
+    }
+
+    [[nodiscard]] auto has_lost_one() const -> bool
+    {
+        return std::any_of( instances_.begin(), instances_.end(),
+                            []( auto const& each )
+                            {
+                                return each->calls.lost;
+                            } );
+    }
+
     auto note( std::string what ) -> void
     {
         report_.violations.push_back( std::move( what ) );
--- a/src/pollenstream/sessions/session.cpp
+++ b/src/pollenstream/sessions/session.cpp
@@ -102,6 +102,9 @@
 {
     core::check_invariant( core::invariant::ends_in_time, finished_,
                            "session of " + id_.str() + " dropped open" );
+    core::check_invariant( core::invariant::memory_is_returned,
+                           !current_ && !group_,
+                           "session of " + id_.str() + " holds an attempt" );
     shared_.open_sessions.fetch_sub( 1 );
 }
 
--- a/src/pollenstream/sessions/span_group.cpp
+++ b/src/pollenstream/sessions/span_group.cpp
@@ -62,6 +62,8 @@
 
 span_group::~span_group()
 {
+    core::check_invariant( core::invariant::memory_is_returned, spans_.empty(),
+                           "a group of " + request_.str() + " was dropped" );
     release();
 }
 
