The session's answer is put together in a class of its own

Change: answer_assembly checks events against request, attempt and position and says whether an answer is whole; the session asks it.

--- a/src/pollenstream/sessions/session.cpp
+++ b/src/pollenstream/sessions/session.cpp
@@ -93,7 +93,7 @@
       prompt_tokens_( core::estimate_tokens( *wanted_.prompt ) ),
       max_output_( std::min( wanted_.max_output.value_or( profile_.max_output ),
                              profile_.max_output ) ),
-      prefixes_( core::mark_prefixes( *wanted_.prompt ) )
+      prefixes_( core::mark_prefixes( *wanted_.prompt ) ), answer_( id_ )
 {
     shared_.open_sessions.fetch_add( 1 );
 }
@@ -132,8 +132,8 @@
 {
     auto s = routing::work_shape{};
     s.order = profile_.order;
-    s.prompt_tokens = prompt_tokens_.count() + position_;
-    s.output_tokens = max_output_.count() - position_;
+    s.prompt_tokens = prompt_tokens_.count() + answer_.position();
+    s.output_tokens = max_output_.count() - answer_.position();
     s.prefixes = prefixes_;
     s.places = profile_.places;
     s.tried = tried_;
@@ -257,8 +257,8 @@
 auto session::open_group() -> void
 {
     group_ = std::make_shared<span_group>(
-        shared_, id_, prompt_tokens_ + core::token_count( position_ ),
-        max_output_ - core::token_count( position_ ), deadline_ );
+        shared_, id_, prompt_tokens_ + core::token_count( answer_.position() ),
+        max_output_ - core::token_count( answer_.position() ), deadline_ );
     auto const self = shared_from_this();
     auto const group = group_;
     group_->prepare( profile_.service,
@@ -291,7 +291,7 @@
     }
     auto choice = routing::target_choice{};
     choice.chosen = group->lead();
-    choice.cached_tokens = prompt_tokens_.count() + position_;
+    choice.cached_tokens = prompt_tokens_.count() + answer_.position();
     send_attempt( std::move( choice ) );
 }
 
@@ -306,8 +306,8 @@
     r.prompt = wanted_.prompt;
     r.prompt_tokens = prompt_tokens_;
     r.prefixes = prefixes_;
-    r.delivered = delivered_;
-    r.from_position = position_;
+    r.delivered = answer_.text();
+    r.from_position = answer_.position();
     r.max_tokens = max_output_;
     r.time_left = deadline_ - shared_.clock.now();
     if ( group_ )
@@ -322,9 +322,9 @@
     auto const in_group = group_ != nullptr;
     auto work = routing::dispatched_work{};
     work.order = profile_.order;
-    work.prompt_tokens =
-        std::max( std::int64_t{ 0 },
-                  prompt_tokens_.count() + position_ - choice.cached_tokens );
+    work.prompt_tokens = std::max( std::int64_t{ 0 },
+                                   prompt_tokens_.count() + answer_.position() -
+                                       choice.cached_tokens );
     work.memory_tokens =
         in_group ? 0 : prompt_tokens_.count() + max_output_.count();
     // The spans of a group were placed, and checked, when they were reserved.
@@ -401,46 +401,25 @@
             at->take_report( *event.load, shared_.clock.now() );
             shared_.policy.note_cached( at->identity().id, event.load->cached );
         }
-        if ( !take_event( event ) )
+        if ( !answer_.take( event, current_->number ) )
             shared_.metrics.stray_events.add();
     }
     flush();
 }
 
-auto session::take_event( ports::engine_event const& event ) -> bool
-{
-    auto const expected = event.request == id_ &&
-                          event.attempt == current_->number &&
-                          event.position == position_ && !saw_last_;
-    if ( !expected )
-        return false;
-    if ( event.last )
-    {
-        saw_last_ = true;
-        return true;
-    }
-    ++position_;
-    ++unwritten_tokens_;
-    unwritten_ += event.text;
-    delivered_ += event.text;
-    return true;
-}
-
 auto session::flush() -> void
 {
-    if ( unwritten_tokens_ == 0 )
+    if ( !answer_.has_ready() )
         return;
+    auto const ready = answer_.take_ready();
     auto const now = shared_.clock.now();
     if ( !last_token_ )
         note_first_token();
     else
-        shared_.metrics.token_gap.add(
-            core::seconds_of( now - *last_token_ ) /
-            static_cast<double>( unwritten_tokens_ ) );
+        shared_.metrics.token_gap.add( core::seconds_of( now - *last_token_ ) /
+                                       static_cast<double>( ready.tokens ) );
     last_token_ = now;
-    auto const text = std::exchange( unwritten_, {} );
-    auto const tokens = std::exchange( unwritten_tokens_, 0 );
-    if ( sink_->write( text, tokens ) )
+    if ( sink_->write( ready.text, ready.tokens ) )
         return;
     shared_.metrics.callers_gone.add();
     finish( failure( "caller-gone", "the caller closed its connection" ) );
@@ -472,11 +451,11 @@
     auto const lock = std::scoped_lock( mutex_ );
     if ( finished_ || !current_ || current_->number != from )
         return;
-    if ( saw_last_ )
+    if ( answer_.has_ended() )
     {
         auto end = ports::answer_end{};
         end.prompt_tokens = prompt_tokens_;
-        end.output_tokens = core::token_count( position_ );
+        end.output_tokens = core::token_count( answer_.position() );
         finish( end );
         return;
     }
@@ -625,7 +604,7 @@
     end.reason = std::move( reason );
     end.detail = std::move( detail );
     end.prompt_tokens = prompt_tokens_;
-    end.output_tokens = core::token_count( position_ );
+    end.output_tokens = core::token_count( answer_.position() );
     return end;
 }
 
@@ -652,8 +631,7 @@
                            shared_.clock.now() <= deadline_ + deadline_slack,
                            id_.str() );
     core::check_invariant( core::invariant::answer_is_whole,
-                           !complete || ( saw_last_ && unwritten_.empty() ),
-                           id_.str() );
+                           !complete || answer_.is_whole(), id_.str() );
     end_attempt( !complete );
     if ( group_ )
         group_->release();
--- a/src/pollenstream/sessions/session.hpp
+++ b/src/pollenstream/sessions/session.hpp
@@ -8,6 +8,7 @@
 #include <pollenstream/ports/engine.hpp>
 #include <pollenstream/profiles/profile.hpp>
 #include <pollenstream/routing/target_policy.hpp>
+#include <pollenstream/sessions/answer_assembly.hpp>
 #include <pollenstream/sessions/context.hpp>
 #include <pollenstream/sessions/request.hpp>
 
@@ -82,7 +83,6 @@
 
     auto on_events( core::attempt_number from,
                     std::vector<ports::engine_event> const& events ) -> void;
-    auto take_event( ports::engine_event const& event ) -> bool;
     auto flush() -> void;
     auto note_first_token() -> void;
     auto on_stream_end( core::attempt_number from, core::result<void> status )
@@ -116,6 +116,7 @@
     core::token_count prompt_tokens_;
     core::token_count max_output_;
     core::prefix_chain prefixes_;
+    answer_assembly answer_;
     core::instant admitted_;
     core::instant deadline_;
     std::optional<attempt> current_;
@@ -123,12 +124,7 @@
     std::vector<core::target_id> tried_;
     std::int64_t attempts_{ 0 };
     std::int64_t moves_{ 0 };
-    std::string delivered_; ///< kept for a continuation on another engine
-    std::int64_t position_{ 0 };
-    std::string unwritten_;
-    std::int64_t unwritten_tokens_{ 0 };
     std::optional<core::instant> last_token_;
-    bool saw_last_{ false };
     bool ran_{ false }; ///< an engine may have started on it
     bool finished_{ false };
 };
