Later retries pause, spread by a hash

Cause: retries had no jitter; the requests of a target that died all went on to the next at once, three times over. Change: the first retry at once, later ones after 20 ms and more, doubling.

--- a/src/pollenstream/sessions/session.cpp
+++ b/src/pollenstream/sessions/session.cpp
@@ -1,4 +1,5 @@
 #include <pollenstream/admission/admission_check.hpp>
+#include <pollenstream/core/hash.hpp>
 #include <pollenstream/core/invariant.hpp>
 #include <pollenstream/routing/size_class.hpp>
 #include <pollenstream/sessions/session.hpp>
@@ -34,6 +35,7 @@
 constexpr auto shortest_stall = core::duration( 400ms );
 constexpr auto stall_per_predicted = 4;
 constexpr auto most_moves = 3;
+constexpr auto shortest_retry_pause = core::duration( 20ms );
 /// How often a request that waits for memory looks for it.
 constexpr auto park_period = core::duration( 25ms );
 
@@ -42,6 +44,24 @@
     return { t.identity().id, t.identity().address };
 }
 
+/// The first retry goes out at once, to another target. Later ones pause, for
+/// a time that doubles and is spread by a hash, so that the requests of a
+/// target that died do not fall upon the next one together.
+auto pause_before_retry( core::request_id const& request,
+                         std::int64_t attempts ) -> core::duration
+{
+    if ( attempts <= 1 )
+        return core::duration( 0 );
+    constexpr auto most_doublings = std::int64_t{ 5 };
+    auto const doublings = std::min( attempts - 2, most_doublings );
+    auto const width = shortest_retry_pause * ( 1 << doublings );
+    auto const spread =
+        core::stable_hash( request.str(),
+                           static_cast<std::uint64_t>( attempts ) ) %
+        static_cast<std::uint64_t>( width.count() );
+    return width + core::duration( static_cast<std::int64_t>( spread ) );
+}
+
 /// Takes a target that could not be reached, or did not answer, out of choice
 /// until a probe of it succeeds.
 auto suspect( routing::target& t, core::error_code why, core::instant now )
@@ -509,7 +529,17 @@
         return;
     }
     shared_.metrics.retries.add();
-    open_next();
+    auto const pause = pause_before_retry( id_, attempts_ - moves_ );
+    if ( pause == core::duration( 0 ) )
+    {
+        open_next();
+        return;
+    }
+    shared_.timer.at( shared_.clock.now() + pause,
+                      [self = shared_from_this()]
+                      {
+                          self->open_again();
+                      } );
 }
 
 auto session::arm_deadline() -> void
--- a/tests/sessions/session_test.cpp
+++ b/tests/sessions/session_test.cpp
@@ -160,6 +160,19 @@
     CHECK( answer->end()->status == answer_status::not_run );
 }
 
+TEST_CASE( "later retries pause, the first does not", "[sessions][retries]" )
+{
+    auto fleet = test_fleet( 3 );
+    for ( auto const* const id : { "engine-0", "engine-1", "engine-2" } )
+        fleet.engines.kill( id );
+    auto const answer = fleet.send( 1'000, patient_profile() );
+    // Half a millisecond to each refusal.
+    fleet.engines.run_for( 10ms );
+    CHECK( fleet.engines.opens() == 2 );
+    fleet.engines.run_for( 1s );
+    CHECK( fleet.engines.opens() > 2 );
+}
+
 TEST_CASE( "retries come from a budget", "[sessions]" )
 {
     auto fleet = test_fleet( 1 );
