A profile's own limit of a workspace is applied; queue time is measured

Cause: workspace_requests_per_second of a profile was read and not used; the dump had no time from admission to the first send. Change: the gateway counts the profile's limit in a bucket of its own for each workspace; queue_seconds in the dump. One case more.

--- a/src/pollenstream/adapters/http/state_dump.cpp
+++ b/src/pollenstream/adapters/http/state_dump.cpp
@@ -96,6 +96,7 @@
             summary_json( m.first_token( which ) );
     }
     json["first_token_seconds"] = first_token;
+    json["queue_seconds"] = summary_json( m.queue_time );
     json["token_gap_seconds"] = summary_json( m.token_gap );
     json["measured_over_predicted"] = summary_json( m.prediction );
     json["short_slowdown"] = summary_json( m.short_slowdown );
--- a/src/pollenstream/metrics/request_metrics.hpp
+++ b/src/pollenstream/metrics/request_metrics.hpp
@@ -54,6 +54,7 @@
     [[nodiscard]] auto first_token( length_class which ) const
         -> distribution const&;
 
+    distribution queue_time; ///< seconds from admission to the first send
     distribution token_gap;  ///< seconds between tokens of one answer
     distribution prediction; ///< measured over predicted first token time
     /// First token time of a short prompt over the time that reading it takes
--- a/src/pollenstream/sessions/gateway.cpp
+++ b/src/pollenstream/sessions/gateway.cpp
@@ -87,6 +87,7 @@
 }
 
 auto gateway::check_limits( core::workspace_id const& workspace,
+                            profiles::profile const& profile,
                             core::token_count prompt ) -> core::duration
 {
     auto const limits = holder_.read(
@@ -94,14 +95,24 @@
         {
             return c.workspace_or_default( workspace );
         } );
-    auto const is_unlimited =
-        limits.requests_per_second == 0 && limits.tokens_per_second == 0;
+    // The profile's own limit is counted apart, under a name of its own.
+    auto of_profile = profiles::workspace{};
+    of_profile.id =
+        core::workspace_id( workspace.str() + '\n' + profile.id.str() );
+    of_profile.requests_per_second = profile.workspace_requests_per_second;
+    auto const is_unlimited = limits.requests_per_second == 0 &&
+                              limits.tokens_per_second == 0 &&
+                              of_profile.requests_per_second == 0;
     if ( is_unlimited )
         return core::duration( 0 );
     auto const part =
         membership::part_of_limits( workspace, shared_.self.instance,
                                     members_.alive(), homes_per_workspace );
-    return limits_.take( limits, part, prompt, shared_.clock.now() );
+    auto const now = shared_.clock.now();
+    auto const wait = limits_.take( of_profile, part, prompt, now );
+    if ( wait > core::duration( 0 ) )
+        return wait;
+    return limits_.take( limits, part, prompt, now );
 }
 
 auto gateway::answer( core::profile_id const& profile,
@@ -127,7 +138,7 @@
             refuse( "unknown-profile", "no profile '" + profile.str() + "'" ) );
         return;
     }
-    auto const wait = check_limits( wanted.workspace,
+    auto const wait = check_limits( wanted.workspace, *known,
                                     core::estimate_tokens( *wanted.prompt ) );
     if ( wait > core::duration( 0 ) )
     {
--- a/src/pollenstream/sessions/gateway.hpp
+++ b/src/pollenstream/sessions/gateway.hpp
@@ -85,6 +85,7 @@
     auto find_profile( core::profile_id const& id ) const
         -> std::optional<profiles::profile>;
     auto check_limits( core::workspace_id const& workspace,
+                       profiles::profile const& profile,
                        core::token_count prompt ) -> core::duration;
     auto run_once( plain_call const& wanted,
                    profiles::profile const& profile,
--- a/src/pollenstream/sessions/session.cpp
+++ b/src/pollenstream/sessions/session.cpp
@@ -340,6 +340,8 @@
     auto const now = shared_.clock.now();
     auto const number = core::attempt_number( ++attempts_ );
     auto const in_group = group_ != nullptr;
+    if ( attempts_ == 1 )
+        shared_.metrics.queue_time.add( core::seconds_of( now - admitted_ ) );
     auto work = routing::dispatched_work{};
     work.order = profile_.order;
     work.prompt_tokens = std::max( std::int64_t{ 0 },
--- a/tests/sessions/service_session_test.cpp
+++ b/tests/sessions/service_session_test.cpp
@@ -1,4 +1,5 @@
 #include "support/plain_instance.hpp"
+#include "support/recorded_answer.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -155,3 +156,24 @@
     CHECK( one.outcomes.front().status == answer_status::not_run );
     CHECK( one.services.keys.empty() );
 }
+
+TEST_CASE( "a profile's limit holds for each workspace apart", "[limits]" )
+{
+    auto one = plain_instance();
+    auto const reason = [&]( std::string const& workspace )
+    {
+        auto answer = std::make_shared<recorded_answer>();
+        auto wanted = sessions::request{};
+        wanted.workspace = core::workspace_id( workspace );
+        wanted.prompt = std::make_shared<std::string const>( "prompt" );
+        one.gateway.answer( core::profile_id( "limited" ), wanted, answer );
+        return answer->end()->reason;
+    };
+    // No engine is there, so that what passes the limit meets no target.
+    CHECK( reason( "a" ) == "no-target" );
+    CHECK( reason( "a" ) == "no-target" );
+    CHECK( reason( "a" ) == "workspace-limit" );
+    CHECK( reason( "b" ) == "no-target" );
+    one.time.advance( 2s );
+    CHECK( reason( "a" ) == "no-target" );
+}
--- a/tests/support/test_configuration.cpp
+++ b/tests/support/test_configuration.cpp
@@ -19,6 +19,8 @@
            "[profile quick-" +
            std::to_string( number ) +
            "]\nservice = model\npriority = urgent\n\n"
+           "[profile limited]\nservice = model\n"
+           "workspace_requests_per_second = 1\n\n"
            "[profile once]\nservice = plain\nidempotent = no\nretries = 0\n\n"
            "[profile often]\nservice = plain\nretries = 2\n";
 }
