--- a/scripts/process_test.py
+++ b/scripts/process_test.py
@@ -7,6 +7,7 @@
 import json
 import pathlib
 import signal
+import subprocess
 import sys
 import threading
 import time
@@ -386,7 +387,64 @@
         return "1 caller gone, 0 tokens of memory held"
 
 
-SCENARIOS = (configuration_everywhere, engine_dies, instance_paused,
+def tool_commands(build, _):
+    """Each command of the operators' tool, with its exit status."""
+    with Fleet(build) as fleet:
+        names = start(fleet, 2)
+        configure(fleet, names[0])
+        wait_for_engines(fleet, names)
+        at = f"--operators={fleet.operators(names[0])}"
+        tried = 0
+
+        def run(wanted, part, *arguments):
+            nonlocal tried
+            tried += 1
+            done = fleet.tool(*arguments, check=False)
+            text = done.stdout + done.stderr
+            expect(done.returncode == wanted and part in text,
+                   f"{arguments}: {done.returncode} {text[:300]}")
+            return done.stdout
+
+        directory = pathlib.Path(fleet.directory.name)
+        changed = directory / "changed.ini"
+        changed.write_text("[profile quick-appraisal]\nservice = valuer-llm\n"
+                           "priority = urgent\nretries = 1\n")
+        faulty = directory / "faulty.ini"
+        faulty.write_text("[profile p]\nservice = none\nretries = x\n")
+        run(0, "quick-appraisal", "profile", "list", at)
+        run(0, "first_token_ms = 400", "profile", "show", "quick-appraisal", at)
+        run(1, "no [profile none]", "profile", "show", "none", at)
+        run(1, "+++", "profile", "diff", at, changed)
+        run(0, "accepted revision 2", "profile", "put", at, changed)
+        run(0, "", "profile", "diff", at, changed)
+        run(0, "retries = 1", "profile", "show", "quick-appraisal", at)
+        run(0, "accepted revision 3", "profile", "remove", "fleet-audit", at)
+        run(1, "no [profile fleet-audit]", "profile", "show", "fleet-audit", at)
+        run(2, "faulty.ini:3: profile.retries", "config", "check", at, faulty)
+        run(2, "faulty", "config", "apply", at, faulty)
+        run(0, "no findings", "config", "check", at, *FILES)
+        run(0, "# document profiles.ini", "config", "show", at)
+        run(0, "unix_seconds", "config", "history", at)
+        run(0, names[1], "instances", at)
+        run(0, "free_memory_tokens", "targets", at)
+        json.loads(run(0, "invariants", "dump", at))
+        json.loads(run(0, "phase", "instances", "--json", at))
+        run(6, "401", "dump", "--token=wrong", at)
+        run(6, "", "dump", f"--operators={fleet.address()}")
+        run(0, "draining", "drain", at)
+        expect(fleet.processes[names[0]].wait(60) == 0, "drain did not end")
+        settings = fleet.settings[names[1]][0]
+        for file, wanted, part in ((settings, 0, ""),
+                                   (faulty, 2, "faulty.ini:1: profile")):
+            done = subprocess.run(
+                [f"{build}/pollenstreamd", f"--settings={file}", "--check"],
+                capture_output=True, text=True, timeout=30)
+            expect(done.returncode == wanted and part in done.stderr,
+                   f"--check: {done.returncode} {done.stderr}")
+        return f"{tried} commands, settings checked"
+
+
+SCENARIOS = (tool_commands, configuration_everywhere, engine_dies, instance_paused,
              at_most_once, bad_input, caller_goes, rolling_restart)
 
 
