Who is held for gone by one other hears it and comes back

Found by reading: an instance that one other holds for suspect and then gone, at its present incarnation and version, cannot be seen as alive there again by its own heartbeats, which say nothing newer; the other's news of it may no longer be passed on, so that it never hears of it and does not refute. Only a full exchange, up to a minute later, repaired it. Ruled out: late starts (their incarnation is higher than the list's) and ports (all daemons listened).

Change: the answer to a heartbeat says what is known of its sender where that differs. A test has one instance held for gone by the other after the news has run out: it fails without the change and passes with it.

--- a/src/pollenstream/membership/heartbeater.cpp
+++ b/src/pollenstream/membership/heartbeater.cpp
@@ -127,7 +127,13 @@
 auto heartbeater::answer( ports::heartbeat const& theirs ) -> ports::heartbeat
 {
     take_in( theirs );
-    return compose( theirs.wants_all );
+    auto mine = compose( theirs.wants_all );
+    // Who is held for suspect or gone here has to hear it, or it cannot refute
+    // once the news of it is no longer passed on.
+    auto const sender = members_.find( theirs.sender.id );
+    if ( sender && sender->phase != theirs.sender.phase )
+        mine.changes.push_back( *sender );
+    return mine;
 }
 
 auto heartbeater::answer_fetch( core::revision newer_than,
--- a/tests/membership/member_table_test.cpp
+++ b/tests/membership/member_table_test.cpp
@@ -122,6 +122,26 @@
     }
 }
 
+TEST_CASE( "an instance held for gone by one other comes back by its own word",
+           "[membership]" )
+{
+    auto fleet = gossip_fleet( 2 );
+    fleet.run_rounds( 3 );
+    auto wrong = fleet.at( 1 ).members.self();
+    wrong.phase = member_phase::gone;
+    fleet.at( 0 ).members.merge( wrong, fleet.time.now() );
+    // The news is no longer passed on.
+    while ( !fleet.at( 0 ).members.take_changes( 100 ).empty() )
+    {
+    }
+    REQUIRE( fleet.all_see( 1, member_phase::gone ) == false );
+    REQUIRE( fleet.at( 0 ).members.find( wrong.id )->phase ==
+             member_phase::gone );
+    fleet.run_rounds( 3 );
+    CHECK( fleet.at( 0 ).members.find( wrong.id )->phase ==
+           member_phase::alive );
+}
+
 TEST_CASE( "an accepted configuration is in force everywhere within seconds",
            "[membership][configuration]" )
 {
