Two instances that hold each other for gone meet again

Change: each fifth round tries one that is held for gone. The test has two that hold each other for gone: they meet within 10 rounds.

--- a/src/pollenstream/membership/heartbeater.cpp
+++ b/src/pollenstream/membership/heartbeater.cpp
@@ -1,6 +1,7 @@
 #include <pollenstream/membership/heartbeater.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace pollenstream::membership
@@ -14,6 +15,8 @@
 constexpr auto peers_per_round = std::size_t{ 2 };
 /// News can miss an instance by chance; a full table now and then repairs it.
 constexpr auto rounds_between_full_exchanges = 60;
+/// One that is held for gone is tried this often.
+constexpr auto rounds_between_probes = 5;
 /// Members in one heartbeat, which bounds its size.
 constexpr auto most_changes = std::size_t{ 12 };
 
@@ -40,6 +43,12 @@
         exchange_with( peer, asks_this_one );
         asks_this_one = is_new_.load();
     }
+    // Two that hold each other for gone would never meet again.
+    auto const gone = rounds_ % rounds_between_probes == 0
+                          ? members_.pick_gone()
+                          : std::nullopt;
+    if ( gone )
+        exchange_with( *gone, false );
     members_.expire( clock_.now() );
 }
 
--- a/src/pollenstream/membership/member_table.cpp
+++ b/src/pollenstream/membership/member_table.cpp
@@ -173,6 +173,20 @@
     return picked;
 }
 
+auto member_table::pick_gone() -> std::optional<member>
+{
+    auto const lock = std::scoped_lock( mutex_ );
+    auto gone = std::vector<member>{};
+    for ( auto const& [id, known] : records_ )
+    {
+        if ( id != self_ && known.what.phase == member_phase::gone )
+            gone.push_back( known.what );
+    }
+    if ( gone.empty() )
+        return std::nullopt;
+    return gone[random_() % gone.size()];
+}
+
 auto member_table::take_changes( std::size_t most ) -> std::vector<member>
 {
     auto const lock = std::scoped_lock( mutex_ );
--- a/src/pollenstream/membership/member_table.hpp
+++ b/src/pollenstream/membership/member_table.hpp
@@ -50,6 +50,8 @@
 
     /// Up to `count` others to exchange heartbeats with.
     auto pick_peers( std::size_t count ) -> std::vector<member>;
+    /// One instance that is held for gone, drawn at random, or nothing.
+    auto pick_gone() -> std::optional<member>;
     /// News that has not been passed on often enough yet.
     auto take_changes( std::size_t most ) -> std::vector<member>;
 
--- a/tests/membership/member_table_test.cpp
+++ b/tests/membership/member_table_test.cpp
@@ -142,6 +142,23 @@
            member_phase::alive );
 }
 
+TEST_CASE( "two that hold each other for gone meet again", "[membership]" )
+{
+    auto fleet = gossip_fleet( 2 );
+    fleet.run_rounds( 3 );
+    for ( auto const i : { 0, 1 } )
+    {
+        auto wrong = fleet.at( 1 - i ).members.self();
+        wrong.phase = member_phase::gone;
+        fleet.at( i ).members.merge( wrong, fleet.time.now() );
+        while ( !fleet.at( i ).members.take_changes( 100 ).empty() )
+        {
+        }
+    }
+    fleet.run_rounds( 10 );
+    CHECK( fleet.least_known() == 2 );
+}
+
 TEST_CASE( "an accepted configuration is in force everywhere within seconds",
            "[membership][configuration]" )
 {
