One place for a target's endpoint and for loading documents

Cause: reading the whole change again: session, span_group and target_watch each made an engine's endpoint of a target, and the publisher and load_bundle each had the loop that takes known documents from memory and others from the store. Change: target::endpoint and one load_texts; 17 lines fewer.

--- a/src/pollenstream/membership/target_watch.cpp
+++ b/src/pollenstream/membership/target_watch.cpp
@@ -136,8 +136,7 @@
     polls.add();
     which->note_probe( clock_.now() );
     auto const self = shared_from_this();
-    auto const endpoint = ports::engine_endpoint{ which->identity().id,
-                                                  which->identity().address };
+    auto const endpoint = which->endpoint();
     engines_.load( endpoint,
                    [self, which]( core::result<ports::load_report> const& r )
                    {
--- a/src/pollenstream/routing/target.hpp
+++ b/src/pollenstream/routing/target.hpp
@@ -56,6 +56,12 @@
         return identity_;
     }
 
+    /// Where calls to it go.
+    [[nodiscard]] auto endpoint() const -> ports::engine_endpoint
+    {
+        return { identity_.id, identity_.address };
+    }
+
     /// Place of this target in a fixed random order of all targets, from 0 to
     /// 1; the same on every instance.
     [[nodiscard]] auto rank() const noexcept -> double
--- a/src/pollenstream/sessions/session.cpp
+++ b/src/pollenstream/sessions/session.cpp
@@ -39,11 +39,6 @@
 /// How often a request that waits for memory looks for it.
 constexpr auto park_period = core::duration( 25ms );
 
-auto endpoint_of( routing::target const& t ) -> ports::engine_endpoint
-{
-    return { t.identity().id, t.identity().address };
-}
-
 /// The first retry goes out at once, to another target. Later ones pause, for
 /// a time that doubles and is spread by a hash, so that the requests of a
 /// target that died do not fall upon the next one together.
@@ -357,7 +352,7 @@
     if ( !in_group )
         shared_.policy.note_dispatch( choice, shape(), now );
     tried_.push_back( choice.chosen->identity().id );
-    auto const endpoint = endpoint_of( *choice.chosen );
+    auto const endpoint = choice.chosen->endpoint();
     current_ = attempt{ number, std::move( choice ), work, now, ran_ };
     ran_ = true;
     auto listener =
@@ -500,7 +495,7 @@
     current_->heard = shared_.clock.now();
     shared_.metrics.resumes.add();
     auto const number = current_->number;
-    auto const endpoint = endpoint_of( *current_->choice.chosen );
+    auto const endpoint = current_->choice.chosen->endpoint();
     auto listener =
         std::make_shared<attempt_listener>( shared_from_this(), number );
     auto stream = shared_.engines.resume(
--- a/src/pollenstream/sessions/span_group.cpp
+++ b/src/pollenstream/sessions/span_group.cpp
@@ -26,11 +26,6 @@
 /// Part of a target's memory that spans leave free for short prompts.
 constexpr auto least_free = 0.15;
 
-auto endpoint_of( routing::target const& t ) -> ports::engine_endpoint
-{
-    return { t.identity().id, t.identity().address };
-}
-
 /// A pause before round `round`, which doubles and is spread by a hash of the
 /// request, so that two instances do not meet again and again.
 auto pause_before( core::request_id const& request, std::int64_t round )
@@ -204,7 +199,7 @@
         auto const wanted = ports::reservation_request{
             each.id, shared_.self, core::token_count( each.memory_tokens ),
             time_to_live };
-        shared_.engines.reserve( endpoint_of( *each.at ), wanted,
+        shared_.engines.reserve( each.at->endpoint(), wanted,
                                  [self, round]( core::result<void> status )
                                  {
                                      self->on_reserved( round, status );
@@ -275,7 +270,7 @@
     auto const self = shared_from_this();
     for ( auto const& each : spans )
     {
-        shared_.engines.fill_span( endpoint_of( *each.at ), each.id,
+        shared_.engines.fill_span( each.at->endpoint(), each.id,
                                    core::token_count( each.tokens ), limit,
                                    [self]( core::result<void> status )
                                    {
@@ -341,7 +336,7 @@
     for ( auto const& each : spans )
     {
         shared_.metrics.reservations_released.add();
-        shared_.engines.release( endpoint_of( *each.at ), each.id,
+        shared_.engines.release( each.at->endpoint(), each.id,
                                  []( core::result<void> ) {} );
     }
 }
--- a/src/pollenstream/state/configuration_publisher.cpp
+++ b/src/pollenstream/state/configuration_publisher.cpp
@@ -45,6 +45,30 @@
     return report;
 }
 
+/// The documents that `head` names: those that `known` has from there, others
+/// from the store.
+auto load_texts( ports::key_value_store& store,
+                 configuration_head const& head,
+                 configuration_bundle const& known )
+    -> core::result<document_texts>
+{
+    auto texts = document_texts{};
+    for ( auto const& [name, hash] : head.documents )
+    {
+        auto const held = known.head.documents.find( name );
+        if ( held != known.head.documents.end() && held->second == hash )
+        {
+            texts[name] = known.texts.at( name );
+            continue;
+        }
+        auto const text = store.get( document_key( hash ) );
+        if ( !text )
+            return text.error();
+        texts[name] = text.value().value;
+    }
+    return texts;
+}
+
 /// The bundle that `wanted` makes of `base`.
 auto apply_to( configuration_bundle const& base, wanted_change const& wanted )
     -> configuration_bundle
@@ -159,35 +183,12 @@
     // configuration in force here is the base then.
     if ( holder_.revision() > stored.head.revision )
         return holder_.bundle();
-    auto texts = load_texts( stored.head );
+    auto texts = load_texts( store_, stored.head, holder_.bundle() );
     if ( !texts )
         return texts.error();
     return configuration_bundle{ stored.head, std::move( texts.value() ) };
 }
 
-auto configuration_publisher::load_texts( configuration_head const& head )
-    -> core::result<document_texts>
-{
-    auto const held = holder_.bundle();
-    auto texts = document_texts{};
-    for ( auto const& [name, hash] : head.documents )
-    {
-        auto const known = held.head.documents.find( name );
-        auto const has_it =
-            known != held.head.documents.end() && known->second == hash;
-        if ( has_it )
-        {
-            texts[name] = held.texts.at( name );
-            continue;
-        }
-        auto const stored = store_.get( document_key( hash ) );
-        if ( !stored )
-            return stored.error();
-        texts[name] = stored.value().value;
-    }
-    return texts;
-}
-
 auto configuration_publisher::write_documents(
     configuration_head const& stored, configuration_bundle const& next )
     -> core::result<void>
@@ -260,21 +261,10 @@
     auto const head = codec.read_head( stored.value().value );
     if ( !head )
         return head.error();
-    auto bundle = configuration_bundle{ head.value(), {} };
-    for ( auto const& [name, hash] : bundle.head.documents )
-    {
-        auto const held = known.head.documents.find( name );
-        if ( held != known.head.documents.end() && held->second == hash )
-        {
-            bundle.texts[name] = known.texts.at( name );
-            continue;
-        }
-        auto const text = store.get( document_key( hash ) );
-        if ( !text )
-            return text.error();
-        bundle.texts[name] = text.value().value;
-    }
-    return bundle;
+    auto texts = load_texts( store, head.value(), known );
+    if ( !texts )
+        return texts.error();
+    return configuration_bundle{ head.value(), std::move( texts.value() ) };
 }
 
 }
--- a/src/pollenstream/state/configuration_publisher.hpp
+++ b/src/pollenstream/state/configuration_publisher.hpp
@@ -71,8 +71,6 @@
     };
 
     auto read_head() -> core::result<stored_head>;
-    auto load_texts( configuration_head const& head )
-        -> core::result<document_texts>;
     auto base_of( stored_head const& stored )
         -> core::result<configuration_bundle>;
     auto write_documents( configuration_head const& stored,
