Prompts that spoil short pauses count as long, whatever their route

Ruled out: reads of audits (few). Change: the shortest pause goal of the service's routes decides; reserved prompts harm nobody once they are late.

--- a/src/pollenstream/adapters/spdlog/structured_log.cpp
+++ b/src/pollenstream/adapters/spdlog/structured_log.cpp
@@ -76,13 +76,24 @@
     return line;
 }
 
+/// The targets that read parts beside the first, joined by commas.
+auto helpers_of( std::vector<exchange::work_part> const& parts ) -> std::string
+{
+    auto names = std::string{};
+    for ( auto i = std::size_t{ 1 }; i < parts.size(); ++i )
+        names += ( i > 1 ? "," : "" ) + parts[i].target.str();
+    return names;
+}
+
 auto line_of( exchange::request_placed const& e ) -> line_builder
 {
     auto line = line_builder( "placed" );
     line.text( "id", e.id.str() )
         .text( "route", e.route )
         .text( "target", e.target.str() )
-        .number( "parts", static_cast<std::int64_t>( e.parts ) )
+        .number( "parts", static_cast<std::int64_t>( e.parts.size() ) )
+        .milliseconds( "part_ms",
+                       e.parts.empty() ? 0.0 : e.parts.front().read_ms )
         .number( "number", e.number )
         .milliseconds( "waited_ms", e.waited )
         .milliseconds( "left_ms", e.time_left )
@@ -91,6 +102,8 @@
         .number( "requests_there", e.requests_there )
         .milliseconds( "backlog_ms", e.backlog_ms )
         .number( "configuration", e.configuration.count() );
+    if ( e.parts.size() > 1 )
+        line.text( "helpers", helpers_of( e.parts ) );
     return line;
 }
 
--- a/src/pollenstream/exchange/event_log.hpp
+++ b/src/pollenstream/exchange/event_log.hpp
@@ -4,6 +4,7 @@
 #include <pollenstream/core/ids.hpp>
 #include <pollenstream/core/units.hpp>
 #include <pollenstream/exchange/message.hpp>
+#include <pollenstream/exchange/target_board.hpp>
 
 #include <cstdint>
 #include <string>
@@ -30,7 +31,7 @@
     attempt_id id;
     std::string route;
     core::target_id target;
-    std::size_t parts{ 1 };
+    std::vector<work_part> parts; ///< the target's own part is the first
     std::int64_t number{ 1 }; ///< targets reached so far, this one included
     core::duration waited{ 0 };
     core::duration time_left{ 0 };
--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -198,6 +198,7 @@
     set_times();
     demand_.latency_objective = route_->latency_objective;
     demand_.gap_objective = route_->gap_objective;
+    demand_.tightest_gap = configuration_->tightest_gap( demand_.service );
     if ( request_.prompt )
     {
         demand_.prompt_tokens = request_.prompt->prompt_tokens;
@@ -321,7 +322,7 @@
     work.tolerated_gap_ms = core::milliseconds_of( demand_.gap_objective );
     work.reading = route_->kind == request_kind::stream;
     shared_.log.record( request_placed{
-        request_.id, route_->id.str(), first.facts.id, choice.targets.size(),
+        request_.id, route_->id.str(), first.facts.id, choice.parts,
         targets_reached_, now - request_.received, deadline_ - now,
         choice.first_event_ms, demand_.prompt_tokens, first.load.requests,
         first.backlog_ms( now ), configuration_->version } );
--- a/src/pollenstream/exchange/placement.cpp
+++ b/src/pollenstream/exchange/placement.cpp
@@ -11,13 +11,17 @@
 namespace
 {
 
-/// A prompt is long where reading it takes more than this part of the pause
-/// that its own route tolerates: beside writers of the same route it would
-/// then spoil every one of their answers.
+/// A prompt is long where reading it takes more than this part of the
+/// shortest pause that a route of the service tolerates: beside writers of
+/// that route it would spoil their answers.
 constexpr auto long_part_of_gap = 0.6;
 /// Part of the tolerated pause that the reading on one engine may fill, its
 /// own writing pass and the spread of arrivals taken into account.
 constexpr auto reading_part_of_gap = 0.55;
+/// Part of the tolerated pause up to which short prompts join the reading and
+/// writing of an engine. More would leave nothing for those that arrive within
+/// the same pass; less spreads a clump of arrivals over many engines.
+constexpr auto short_pass_of_gap = 0.8;
 /// Share of an engine's slots up to which short prompts are packed before the
 /// next engine is opened; packing leaves whole engines for long prompts.
 constexpr auto packed_share = 0.8;
@@ -140,6 +144,17 @@
     return best;
 }
 
+/// Weight of others that may be made late to have this request in time:
+/// nothing while it can wait, and nothing once it is late itself.
+auto harm_allowed( placement_demand const& demand ) -> double
+{
+    auto const slack = ms_of( demand.latency_objective - demand.waited );
+    auto const is_impatient =
+        slack > 0 &&
+        slack < ms_of( demand.latency_objective ) * impatient_share;
+    return is_impatient ? weight_of( demand.prompt_tokens ) * late_loss : 0.0;
+}
+
 auto nothing( no_choice reason ) -> placement_result
 {
     return { std::nullopt, reason };
@@ -151,7 +166,7 @@
     -> bool
 {
     return read_ms( speed, demand.prompt_tokens ) >
-           ms_of( demand.gap_objective ) * long_part_of_gap;
+           ms_of( demand.tightest_gap ) * long_part_of_gap;
 }
 
 placement::placement( target_board const& board, core::place_id own_place )
@@ -243,7 +258,7 @@
             continue;
         auto const reading = t->backlog_ms( now ) + own_read;
         auto const first = reading + pass_ms( speed, *t );
-        if ( t->load.requests < packed && first < gap * reading_part_of_gap )
+        if ( t->load.requests < packed && first < gap * short_pass_of_gap )
         {
             best = t;
             best_ms = first;
@@ -274,13 +289,7 @@
         memory_need( demand.prompt_tokens, demand.output_tokens );
     auto const gap = ms_of( demand.gap_objective );
     auto const most_part = gap * reading_part_of_gap;
-    auto const slack = ms_of( demand.latency_objective - demand.waited );
-    // A late answer is worth a quarter; so much weight may be made late to
-    // have this one in time.
-    auto const most_harm =
-        slack > 0 && slack < ms_of( demand.latency_objective ) * impatient_share
-            ? weight_of( demand.prompt_tokens ) * late_loss
-            : 0.0;
+    auto const most_harm = harm_allowed( demand );
     auto best = placement_result{ std::nullopt, no_choice::full };
     auto const writer =
         choose_writer( speed, targets, memory, most_part, most_harm, now );
@@ -342,7 +351,7 @@
         auto const candidate = long_reader{ t, backlog, harm };
         if ( !best || harm < best->harm ||
              ( harm == best->harm &&
-               t->load.requests > best->target->load.requests ) )
+               t->load.requests >= best->target->load.requests ) )
             best = candidate;
     }
     return best;
@@ -383,7 +392,7 @@
     auto harm = 0.0;
     for ( auto const& r : readers )
         harm += r.harm;
-    if ( harm > weight_of( demand.prompt_tokens ) * late_loss )
+    if ( harm > harm_allowed( demand ) )
         return nothing( no_choice::full );
     auto choice = placement_choice{};
     choice.needs_reservation = true;
--- a/src/pollenstream/exchange/placement.hpp
+++ b/src/pollenstream/exchange/placement.hpp
@@ -22,6 +22,7 @@
     std::int64_t output_tokens{ 0 };
     core::duration latency_objective{ 0 };
     core::duration gap_objective{ 0 };
+    core::duration tightest_gap{ 0 }; ///< of all routes of the service
     core::duration waited{ 0 };     ///< since the request came
     core::duration time_left{ 0 };
     std::vector<core::target_id> tried; ///< not to be chosen again
@@ -107,8 +108,8 @@
     core::place_id own_place_;
 };
 
-/// True where reading the prompt beside writers would make their pauses, and
-/// its own, too long, so that it belongs on engines kept for long prompts.
+/// True where reading the prompt beside the writers with the shortest pauses
+/// would make their answers late, so that it belongs on other engines.
 auto is_long_prompt( engine_speed const& speed, placement_demand const& demand )
     -> bool;
 
--- a/src/pollenstream/exchange/routes.cpp
+++ b/src/pollenstream/exchange/routes.cpp
@@ -17,6 +17,7 @@
 auto route_configuration::index_routes() -> void
 {
     by_host_.clear();
+    index_gaps();
     for ( auto i = std::size_t{ 0 }; i < routes.size(); ++i )
         by_host_[routes[i].host].push_back( i );
     for ( auto& [host, indexes] : by_host_ )
@@ -27,6 +28,22 @@
                    } );
 }
 
+auto route_configuration::index_gaps() -> void
+{
+    tightest_gap_.clear();
+    for ( auto const& r : routes )
+    {
+        if ( r.kind != request_kind::stream )
+            continue;
+        for ( auto const& s : r.services )
+        {
+            auto const entry =
+                tightest_gap_.try_emplace( s.service, r.gap_objective ).first;
+            entry->second = std::min( entry->second, r.gap_objective );
+        }
+    }
+}
+
 auto route_configuration::find_route( std::string_view host,
                                       std::string_view path ) const
     -> route const*
@@ -47,6 +64,13 @@
     return found == by_key_.end() ? nullptr : &workspaces_[found->second];
 }
 
+auto route_configuration::tightest_gap( core::service_id const& id ) const
+    -> core::duration
+{
+    auto const found = tightest_gap_.find( id );
+    return found == tightest_gap_.end() ? core::duration( 0 ) : found->second;
+}
+
 auto route_configuration::find_service( core::service_id const& id ) const
     -> service_settings const*
 {
--- a/src/pollenstream/exchange/routes.hpp
+++ b/src/pollenstream/exchange/routes.hpp
@@ -123,11 +123,18 @@
         -> route const*;
     [[nodiscard]] auto find_workspace( std::string const& key ) const
         -> workspace_settings const*;
+    /// The shortest pause objective of the streams that `id` serves; zero
+    /// where it serves none.
+    [[nodiscard]] auto tightest_gap( core::service_id const& id ) const
+        -> core::duration;
     [[nodiscard]] auto find_service( core::service_id const& id ) const
         -> service_settings const*;
 
 private:
+    auto index_gaps() -> void;
+
     std::unordered_map<std::string, std::vector<std::size_t>> by_host_;
+    std::unordered_map<core::service_id, core::duration> tightest_gap_;
     std::vector<workspace_settings> workspaces_;
     std::unordered_map<std::string, std::size_t> by_key_;
 };
