Divisions of a long prompt judged with their own parts; holds renewed at their pace

Change: each number of parts is judged for harm with its own length, margins for reading that joins unseen, holds of 3.5 s renewed every 1.5 s, a pause after a failed reservation.

--- a/apps/gateway/caller_handler.cpp
+++ b/apps/gateway/caller_handler.cpp
@@ -50,7 +50,7 @@
     if ( decoded.has_error() )
     {
         shared_.log.record( exchange::request_refused{
-            {}, status_bad_request, "", decoded.error().detail, {}, {}, {} } );
+            {}, status_bad_request, "", decoded.error().detail, {}, {}, {}, 0, 0 } );
         answer->send_whole( { status_bad_request,
                               { { "Content-Type", "text/plain" } },
                               decoded.error().detail + "\n" } );
--- a/src/pollenstream/adapters/spdlog/structured_log.cpp
+++ b/src/pollenstream/adapters/spdlog/structured_log.cpp
@@ -72,6 +72,8 @@
         .number( "status", e.status )
         .milliseconds( "waited_ms", e.waited )
         .milliseconds( "retry_after_ms", e.retry_after )
+        .number( "prompt", e.prompt_tokens )
+        .number( "waiting", static_cast<std::int64_t>( e.waiting ) )
         .number( "configuration", e.configuration.count() );
     return line;
 }
--- a/src/pollenstream/exchange/event_log.hpp
+++ b/src/pollenstream/exchange/event_log.hpp
@@ -23,6 +23,8 @@
     core::duration waited{ 0 };
     core::duration retry_after{ 0 };
     core::revision configuration;
+    std::int64_t prompt_tokens{ 0 };
+    std::size_t waiting{ 0 }; ///< requests of this instance that wait
 };
 
 /// A request was sent to a target.
--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -44,6 +44,8 @@
 constexpr auto retry_after_stop = core::duration( 0ms );
 /// Time that has to be left for another try to be worth it.
 constexpr auto least_time_for_try = core::duration( 40ms );
+/// Shortest pause after memory could not be reserved.
+constexpr auto reservation_pause = core::duration( 150ms );
 /// What a call and a stream take as a rule; a process that is about to end
 /// admits only what fits in.
 constexpr auto usual_call_time = core::duration( 400ms );
@@ -225,6 +227,8 @@
     if ( finished_ )
         return true;
     auto const now = shared_.scheduler.now();
+    if ( now < not_before_ )
+        return false;
     demand_.waited = now - request_.received;
     demand_.time_left = deadline_ - now;
     auto result = shared_.chooser.choose( demand_, *service_, now );
@@ -280,10 +284,25 @@
             return memory->release();
         if ( !status.has_error() )
             return self->send( choice, memory );
-        self->wait_for_room();
+        self->on_no_memory( choice, status.error() );
     } );
 }
 
+/// The targets hold less than the board says; others may have reserved at the
+/// same time. A pause that is spread keeps them from meeting again.
+auto exchange::on_no_memory( placement_choice const& choice,
+                             core::error const& why ) -> void
+{
+    shared_.log.record( attempt_failed{
+        request_.id, choice.targets.front()->facts.id,
+        "reservation: " + why.detail, false, "wait" } );
+    auto const spread = std::uniform_int_distribution<std::int64_t>(
+        0, reservation_pause.count() )( shared_.random );
+    not_before_ =
+        shared_.scheduler.now() + reservation_pause + core::duration( spread );
+    wait_for_room();
+}
+
 auto exchange::directions(
     placement_choice const& choice,
     std::shared_ptr<reservation_group> const& memory ) const
@@ -721,7 +740,8 @@
     shared_.log.record( request_refused{
         request_.id, status, route_ != nullptr ? route_->id.str() : "", reason,
         now - request_.received, retry_after.value_or( core::duration( 0 ) ),
-        configuration_ ? configuration_->version : core::revision{} } );
+        configuration_ ? configuration_->version : core::revision{},
+        demand_.prompt_tokens, shared_.room.size() } );
     close_try( true );
     answer_->send_whole( std::move( answer ) );
     shared_.counters.refused.add();
--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -75,6 +75,8 @@
                      std::shared_ptr<reservation_group> const& memory ) const
         -> target_directions;
     auto wait_for_room() -> void;
+    auto on_no_memory( placement_choice const& choice, core::error const& why )
+        -> void;
 
     auto on_head( std::uint64_t serial, answer_head head ) -> void;
     auto on_body( std::uint64_t serial, std::string bytes ) -> void;
@@ -116,6 +118,7 @@
     bool is_long_{ false };
 
     core::instant deadline_;
+    core::instant not_before_; ///< no choice of targets earlier
     core::instant patience_until_; ///< the caller leaves without a first event
     std::unique_ptr<ports::scheduled_call> deadline_call_;
     std::unique_ptr<ports::scheduled_call> patience_call_;
--- a/src/pollenstream/exchange/placement.cpp
+++ b/src/pollenstream/exchange/placement.cpp
@@ -15,9 +15,6 @@
 /// shortest pause that a route of the service tolerates: beside writers of
 /// that route it would spoil their answers.
 constexpr auto long_part_of_gap = 0.6;
-/// Part of the tolerated pause that the reading on one engine may fill, its
-/// own writing pass and the spread of arrivals taken into account.
-constexpr auto reading_part_of_gap = 0.55;
 /// Part of the tolerated pause up to which short prompts join the reading and
 /// writing of an engine. More would leave nothing for those that arrive within
 /// the same pass; less spreads a clump of arrivals over many engines.
@@ -33,12 +30,19 @@
 /// Part of the latency objective that has to be left when a long prompt stops
 /// waiting for engines without short writers and takes what there is.
 constexpr auto impatient_share = 0.45;
+/// Longest part of a long prompt, in parts of its own pause objective: who
+/// joins the engine meanwhile as a rule comes from such a route.
+constexpr auto part_of_own_gap = 0.55;
+/// Longest part of a prompt that is larger than one engine, in parts of its
+/// latency objective.
+constexpr auto part_of_objective = 0.8;
+/// Reading of short prompts that joins a pass unseen: two of the usual ones.
+constexpr auto unseen_reading_ms = 40.0;
+/// Pauses below this belong to answers that a person watches being written.
+constexpr auto tight_gap_ms = 300.0;
 /// Longest reading that may wait at an engine that writes nothing. Long
 /// prompts' objectives are seconds; nobody else is held up there.
 constexpr auto deepest_backlog_ms = 1'500.0;
-/// A writer of long answers takes another reading while this many tolerated
-/// parts wait there.
-constexpr auto writer_backlog_share = 1.6;
 /// A division into more parts has to end this much sooner: each part costs
 /// its engine a pass.
 constexpr auto least_gain_ms = 15.0;
@@ -79,6 +83,12 @@
     return harmed;
 }
 
+/// Weight of the requests at `t` that tolerate pauses below `tight_gap_ms`.
+auto tightest_weight( board_target const& t ) -> double
+{
+    return harmed_by( t, tight_gap_ms );
+}
+
 auto was_tried( placement_demand const& demand, core::target_id const& id )
     -> bool
 {
@@ -91,14 +101,17 @@
     return core::seconds_of( d ) * 1'000;
 }
 
-/// Least harm first, then engines that write nothing, then least reading,
-/// then the end of the order that short prompts fill last.
+/// Least harm first, then engines away from those who tolerate least, then
+/// engines that write nothing, then least reading, then the end of the order
+/// that short prompts fill last.
 auto goes_before( long_reader const& a, long_reader const& b ) -> bool
 {
     auto const a_writes = a.target->load.requests > 0;
     auto const b_writes = b.target->load.requests > 0;
     if ( a.harm != b.harm )
         return a.harm < b.harm;
+    if ( a.tight != b.tight )
+        return a.tight < b.tight;
     if ( a_writes != b_writes )
         return b_writes;
     if ( a.backlog_ms != b.backlog_ms )
@@ -106,42 +119,89 @@
     return a.target->rank > b.target->rank;
 }
 
-/// A way to divide a long prompt: how many readers, and when all are done.
+/// `t` with what a part of `part_ms` would do to the requests there.
+auto reader_of( engine_speed const& speed,
+                std::shared_ptr<board_target> const& t,
+                double part_ms,
+                core::instant now ) -> long_reader
+{
+    auto const backlog = t->backlog_ms( now );
+    auto const pause =
+        backlog + part_ms + pass_ms( speed, *t ) + unseen_reading_ms;
+    return { t, backlog, harmed_by( *t, pause ), tightest_weight( *t ) };
+}
+
+/// The engines that may read a part, best first; each has `memory` free.
+auto readers_of( engine_speed const& speed,
+                 std::vector<std::shared_ptr<board_target>> const& targets,
+                 double part_ms,
+                 std::int64_t memory,
+                 core::instant now ) -> std::vector<long_reader>
+{
+    auto readers = std::vector<long_reader>{};
+    for ( auto const& t : targets )
+        if ( t->backlog_ms( now ) <= deepest_backlog_ms &&
+             free_memory( speed, *t ) >= memory )
+            readers.push_back( reader_of( speed, t, part_ms, now ) );
+    std::sort( readers.begin(), readers.end(), goes_before );
+    return readers;
+}
+
+/// Least harm, then away from those who tolerate least, then where most is
+/// written already, so that other engines stay free to read.
+auto writes_better( long_reader const& a, long_reader const& b ) -> bool
+{
+    if ( a.harm != b.harm )
+        return a.harm < b.harm;
+    if ( a.tight != b.tight )
+        return a.tight < b.tight;
+    return a.target->load.requests >= b.target->load.requests;
+}
+
+/// A way to divide a long prompt among engines; the first writes.
 struct division
 {
-    std::size_t parts{ 1 };
-    double finish_ms{ 0 };
-    double harm{ 0 };
+    std::vector<long_reader> readers;
+    double part_ms{ 0 };
+    double finish_ms{ 0 }; ///< when the last part is read
 };
 
-/// The number of parts with which the prompt is read first; `readers` are in
-/// the order in which they are taken, the writer is counted beside them.
-auto best_division( std::vector<long_reader> const& readers,
-                    long_reader const& writer,
-                    double total_ms,
-                    double most_part_ms ) -> std::optional<division>
+/// Puts the division of a prompt among `readers` into `best` if it harms no
+/// more than `most_harm` and ends sooner by more than its parts cost.
+auto take_better( std::optional<division>& best,
+                  std::vector<long_reader> readers,
+                  double part_ms,
+                  double most_harm ) -> void
 {
-    auto best = std::optional<division>{};
-    auto worst = writer.backlog_ms;
-    auto harm = writer.harm;
-    for ( auto helpers = std::size_t{ 0 };
-          helpers <= std::min( readers.size(), most_helpers ); ++helpers )
+    auto harm = 0.0;
+    auto backlog = 0.0;
+    for ( auto const& r : readers )
     {
-        if ( helpers > 0 )
-        {
-            worst = std::max( worst, readers[helpers - 1].backlog_ms );
-            harm += readers[helpers - 1].harm;
-        }
-        auto const part = total_ms / static_cast<double>( helpers + 1 );
-        if ( part > most_part_ms )
-            continue;
-        auto const finish = worst + part;
-        if ( !best || finish + least_gain_ms < best->finish_ms )
-            best = division{ helpers + 1, finish, harm };
-        if ( part < part_goal_ms )
-            break;
+        harm += r.harm;
+        backlog = std::max( backlog, r.backlog_ms );
     }
-    return best;
+    if ( harm > most_harm )
+        return;
+    auto const finish = backlog + part_ms;
+    auto const more_parts =
+        best ? static_cast<double>( readers.size() - best->readers.size() )
+             : 0.0;
+    if ( !best || finish + least_gain_ms * more_parts < best->finish_ms )
+        best = division{ std::move( readers ), part_ms, finish };
+}
+
+auto make_choice( engine_speed const& speed, division const& divided )
+    -> placement_choice
+{
+    auto choice = placement_choice{};
+    for ( auto const& r : divided.readers )
+    {
+        choice.targets.push_back( r.target );
+        choice.parts.push_back( { r.target->facts.id, divided.part_ms, 0 } );
+    }
+    choice.first_event_ms =
+        divided.finish_ms + pass_ms( speed, *choice.targets.front() );
+    return choice;
 }
 
 /// Weight of others that may be made late to have this request in time:
@@ -287,42 +347,36 @@
     auto const total = read_ms( speed, demand.prompt_tokens );
     auto const memory =
         memory_need( demand.prompt_tokens, demand.output_tokens );
-    auto const gap = ms_of( demand.gap_objective );
-    auto const most_part = gap * reading_part_of_gap;
     auto const most_harm = harm_allowed( demand );
-    auto best = placement_result{ std::nullopt, no_choice::full };
-    auto const writer =
-        choose_writer( speed, targets, memory, most_part, most_harm, now );
-    if ( !writer )
-        return best;
-    auto readers = std::vector<long_reader>{};
-    for ( auto const& t : targets )
+    auto const most_parts = std::min( targets.size(), most_helpers + 1 );
+    auto const most_part = ms_of( demand.gap_objective ) * part_of_own_gap;
+    auto best = std::optional<division>{};
+    for ( auto parts = std::size_t{ 1 }; parts <= most_parts; ++parts )
     {
-        if ( t == writer->target )
+        auto const part_ms = total / static_cast<double>( parts );
+        if ( part_ms > most_part )
             continue;
-        auto const backlog = t->backlog_ms( now );
-        auto const pause = backlog + part_goal_ms + pass_ms( speed, *t );
-        auto const harm = harmed_by( *t, pause );
-        if ( backlog <= deepest_backlog_ms && harm <= most_harm )
-            readers.push_back( { t, backlog, harm } );
-    }
-    std::sort( readers.begin(), readers.end(), goes_before );
-    auto const divided = best_division( readers, *writer, total, most_part );
-    if ( !divided || divided->harm > most_harm )
-        return best;
-    auto choice = placement_choice{};
-    auto const part = total / static_cast<double>( divided->parts );
-    choice.targets.push_back( writer->target );
-    choice.parts.push_back( { writer->target->facts.id, part, memory } );
-    for ( auto i = std::size_t{ 0 }; i + 1 < divided->parts; ++i )
-    {
-        choice.targets.push_back( readers[i].target );
-        choice.parts.push_back( { readers[i].target->facts.id, part, 0 } );
+        auto const writer =
+            choose_writer( speed, targets, memory, part_ms, now );
+        if ( !writer || writer->harm > most_harm )
+            continue;
+        auto readers = readers_of( speed, targets, part_ms, 0, now );
+        std::erase_if( readers, [&]( auto const& r ) {
+            return r.target == writer->target;
+        } );
+        if ( readers.size() + 1 < parts )
+            break;
+        readers.resize( parts - 1 );
+        readers.insert( readers.begin(), *writer );
+        take_better( best, std::move( readers ), part_ms, most_harm );
+        if ( part_ms < part_goal_ms )
+            break;
     }
-    choice.first_event_ms =
-        divided->finish_ms + pass_ms( speed, *writer->target );
-    best.choice = std::move( choice );
-    return best;
+    if ( !best )
+        return nothing( no_choice::full );
+    auto choice = make_choice( speed, *best );
+    choice.parts.front().memory_tokens = memory;
+    return { std::move( choice ), no_choice::full };
 }
 
 /// The engine that holds a long prompt's memory and writes its answer: one
@@ -330,28 +384,19 @@
 auto placement::choose_writer( engine_speed const& speed,
                                candidates const& targets,
                                std::int64_t memory,
-                               double most_part_ms,
-                               double most_harm,
+                               double part_ms,
                                core::instant now ) const
     -> std::optional<long_reader>
 {
     auto best = std::optional<long_reader>{};
     for ( auto const& t : targets )
     {
-        if ( !has_slot( speed, *t ) || free_memory( speed, *t ) < memory )
-            continue;
         auto const backlog = t->backlog_ms( now );
-        if ( backlog + part_goal_ms > most_part_ms * writer_backlog_share &&
-             backlog > 0 )
-            continue;
-        auto const pause = backlog + part_goal_ms + pass_ms( speed, *t );
-        auto const harm = harmed_by( *t, pause );
-        if ( harm > most_harm )
+        if ( !has_slot( speed, *t ) || free_memory( speed, *t ) < memory ||
+             backlog > deepest_backlog_ms )
             continue;
-        auto const candidate = long_reader{ t, backlog, harm };
-        if ( !best || harm < best->harm ||
-             ( harm == best->harm &&
-               t->load.requests >= best->target->load.requests ) )
+        auto const candidate = reader_of( speed, t, part_ms, now );
+        if ( !best || writes_better( candidate, *best ) )
             best = candidate;
     }
     return best;
@@ -371,40 +416,35 @@
     if ( memory > most * static_cast<std::int64_t>(
                              std::min( service_targets, most_helpers ) ) )
         return nothing( no_choice::too_large );
-    auto const parts = std::clamp<std::size_t>(
-        static_cast<std::size_t>( std::ceil( total / part_goal_ms ) ), 2,
-        most_helpers );
-    auto readers = std::vector<long_reader>{};
-    for ( auto const& t : targets )
+    auto const most_harm = harm_allowed( demand );
+    auto const most_parts = std::min( targets.size(), most_helpers );
+    auto const most_part =
+        std::max( ms_of( demand.latency_objective ) * part_of_objective,
+                  total / static_cast<double>( most_parts ) );
+    auto best = std::optional<division>{};
+    for ( auto parts = std::size_t{ 2 }; parts <= most_parts; ++parts )
     {
-        auto const backlog = t->backlog_ms( now );
+        auto const part_ms = total / static_cast<double>( parts );
+        if ( part_ms > most_part )
+            continue;
         auto const each = memory / static_cast<std::int64_t>( parts ) + 1;
-        auto const harm = harmed_by(
-            *t, total / static_cast<double>( parts ) + pass_ms( speed, *t ) );
-        if ( has_slot( speed, *t ) && free_memory( speed, *t ) >= each &&
-             backlog <= deepest_backlog_ms )
-            readers.push_back( { t, backlog, harm } );
+        auto readers = readers_of( speed, targets, part_ms, each, now );
+        if ( readers.size() < parts )
+            continue;
+        readers.resize( parts );
+        if ( !has_slot( speed, *readers.front().target ) )
+            continue;
+        take_better( best, std::move( readers ), part_ms, most_harm );
+        if ( part_ms < part_goal_ms )
+            break;
     }
-    std::sort( readers.begin(), readers.end(), goes_before );
-    if ( readers.size() < parts )
-        return nothing( no_choice::full );
-    readers.resize( parts );
-    auto harm = 0.0;
-    for ( auto const& r : readers )
-        harm += r.harm;
-    if ( harm > harm_allowed( demand ) )
+    if ( !best )
         return nothing( no_choice::full );
-    auto choice = placement_choice{};
+    auto choice = make_choice( speed, *best );
     choice.needs_reservation = true;
-    auto const part = total / static_cast<double>( parts );
-    auto const each = memory / static_cast<std::int64_t>( parts ) + 1;
-    for ( auto const& r : readers )
-    {
-        choice.targets.push_back( r.target );
-        choice.parts.push_back( { r.target->facts.id, part, each } );
-        choice.first_event_ms =
-            std::max( choice.first_event_ms, r.backlog_ms + part );
-    }
+    for ( auto& part : choice.parts )
+        part.memory_tokens =
+            memory / static_cast<std::int64_t>( choice.parts.size() ) + 1;
     return { std::move( choice ), no_choice::full };
 }
 
--- a/src/pollenstream/exchange/placement.hpp
+++ b/src/pollenstream/exchange/placement.hpp
@@ -59,7 +59,8 @@
 {
     std::shared_ptr<board_target> target;
     double backlog_ms{ 0 };
-    double harm{ 0 }; ///< weight of the requests whose pauses would be late
+    double harm{ 0 };  ///< weight of the requests whose pauses would be late
+    double tight{ 0 }; ///< weight of the requests that tolerate least
 };
 
 /// Chooses targets on the board; decides nothing about refusing.
@@ -94,8 +95,7 @@
     [[nodiscard]] auto choose_writer( engine_speed const& speed,
                                       candidates const& targets,
                                       std::int64_t memory,
-                                      double most_part_ms,
-                                      double most_harm,
+                                      double part_ms,
                                       core::instant now ) const
         -> std::optional<long_reader>;
     [[nodiscard]] auto choose_reserved( placement_demand const& demand,
--- a/src/pollenstream/exchange/reservation.cpp
+++ b/src/pollenstream/exchange/reservation.cpp
@@ -11,12 +11,12 @@
 
 using namespace std::chrono_literals;
 
-/// One hold. Shorter than the time after which operators count idle memory as
-/// stuck (9 s on the first deployments): an order that a target carries out
-/// late, after the request has ended, then frees itself in time.
-constexpr auto hold_time = core::duration( 6s );
-/// A hold in use is renewed with this much left.
-constexpr auto renewal_margin = core::duration( 2500ms );
+/// One hold. Shorter than the time after which operators count memory without
+/// a request as lost (4 s on the first deployments): what a process that was
+/// killed held, or an order that a target carries out late, frees itself.
+constexpr auto hold_time = core::duration( 3500ms );
+/// A hold in use is renewed after this, so that one renewal may be lost.
+constexpr auto renewal_period = core::duration( 1500ms );
 /// Tries to give memory back before its hold has to do it.
 constexpr auto release_tries = 3;
 constexpr auto release_pause = core::duration( 300ms );
@@ -59,8 +59,7 @@
     }
     if ( pending_ > 0 )
         return;
-    renewal_ = scheduler_.call_after( hold_ - renewal_margin,
-                                      [this] { renew(); } );
+    renewal_ = scheduler_.call_after( renewal_period, [this] { renew(); } );
     auto const callback = std::exchange( callback_, nullptr );
     callback( core::success() );
 }
@@ -70,8 +69,7 @@
     // A renewal that fails shows as a stream that is cut when the hold ends.
     for ( auto const& place : places_ )
         caller_.reserve( place, id_, hold_, []( auto ) {} );
-    renewal_ = scheduler_.call_after( hold_ - renewal_margin,
-                                      [this] { renew(); } );
+    renewal_ = scheduler_.call_after( renewal_period, [this] { renew(); } );
 }
 
 auto reservation_group::release() -> void
