Large prompts held by several engines where none has room; harm only for what ends in time

Cause: prompts of 335 to 422 thousand tokens waited 12 s for one engine with that much memory free and were refused; prompts that could not be in time any more spoiled short answers.

--- a/src/pollenstream/exchange/placement.cpp
+++ b/src/pollenstream/exchange/placement.cpp
@@ -166,12 +166,31 @@
     double finish_ms{ 0 }; ///< when the last part is read
 };
 
+/// Weight of others that may be made late to have a request in time, and
+/// until when it has to be read for that.
+struct harm_limit
+{
+    double weight{ 0 };
+    double until_ms{ 0 };
+};
+
+/// Nothing while the request can wait, and nothing once it is late itself.
+auto harm_allowed( placement_demand const& demand ) -> harm_limit
+{
+    auto const slack = ms_of( demand.latency_objective - demand.waited );
+    auto const is_impatient =
+        slack < ms_of( demand.latency_objective ) * impatient_share;
+    auto const weight =
+        is_impatient ? weight_of( demand.prompt_tokens ) * late_loss : 0.0;
+    return { weight, slack };
+}
+
 /// Puts the division of a prompt among `readers` into `best` if it harms no
-/// more than `most_harm` and ends sooner by more than its parts cost.
+/// more than `limit` and ends sooner by more than its parts cost.
 auto take_better( std::optional<division>& best,
                   std::vector<long_reader> readers,
                   double part_ms,
-                  double most_harm ) -> void
+                  harm_limit limit ) -> void
 {
     auto harm = 0.0;
     auto backlog = 0.0;
@@ -180,9 +199,9 @@
         harm += r.harm;
         backlog = std::max( backlog, r.backlog_ms );
     }
-    if ( harm > most_harm )
-        return;
     auto const finish = backlog + part_ms;
+    if ( harm > ( finish <= limit.until_ms ? limit.weight : 0 ) )
+        return;
     auto const more_parts =
         best ? static_cast<double>( readers.size() - best->readers.size() )
              : 0.0;
@@ -204,16 +223,6 @@
     return choice;
 }
 
-/// Weight of others that may be made late to have this request in time:
-/// nothing while it can wait, and nothing once it is late itself.
-auto harm_allowed( placement_demand const& demand ) -> double
-{
-    auto const slack = ms_of( demand.latency_objective - demand.waited );
-    auto const is_impatient =
-        slack > 0 &&
-        slack < ms_of( demand.latency_objective ) * impatient_share;
-    return is_impatient ? weight_of( demand.prompt_tokens ) * late_loss : 0.0;
-}
 
 auto nothing( no_choice reason ) -> placement_result
 {
@@ -266,7 +275,14 @@
     if ( memory > most )
         return choose_reserved( demand, speed, targets, now );
     if ( is_long_prompt( speed, demand ) )
-        return choose_long( demand, speed, targets, now );
+    {
+        auto const has_room =
+            std::any_of( targets.begin(), targets.end(), [&]( auto const& t ) {
+                return free_memory( speed, *t ) >= memory;
+            } );
+        return has_room ? choose_long( demand, speed, targets, now )
+                        : choose_reserved( demand, speed, targets, now );
+    }
     return choose_short( demand, speed, targets, now );
 }
 
@@ -347,9 +363,11 @@
     auto const total = read_ms( speed, demand.prompt_tokens );
     auto const memory =
         memory_need( demand.prompt_tokens, demand.output_tokens );
-    auto const most_harm = harm_allowed( demand );
+    auto const limit = harm_allowed( demand );
     auto const most_parts = std::min( targets.size(), most_helpers + 1 );
-    auto const most_part = ms_of( demand.gap_objective ) * part_of_own_gap;
+    // The longer a request waits, the fewer engines it makes do with.
+    auto const most_part = ms_of( demand.gap_objective ) * part_of_own_gap *
+                           ( 1 + core::seconds_of( demand.waited ) );
     auto best = std::optional<division>{};
     for ( auto parts = std::size_t{ 1 }; parts <= most_parts; ++parts )
     {
@@ -358,8 +376,8 @@
             continue;
         auto const writer =
             choose_writer( speed, targets, memory, part_ms, now );
-        if ( !writer || writer->harm > most_harm )
-            continue;
+        if ( !writer )
+            break;
         auto readers = readers_of( speed, targets, part_ms, 0, now );
         std::erase_if( readers, [&]( auto const& r ) {
             return r.target == writer->target;
@@ -368,7 +386,7 @@
             break;
         readers.resize( parts - 1 );
         readers.insert( readers.begin(), *writer );
-        take_better( best, std::move( readers ), part_ms, most_harm );
+        take_better( best, std::move( readers ), part_ms, limit );
         if ( part_ms < part_goal_ms )
             break;
     }
@@ -416,7 +434,7 @@
     if ( memory > most * static_cast<std::int64_t>(
                              std::min( service_targets, most_helpers ) ) )
         return nothing( no_choice::too_large );
-    auto const most_harm = harm_allowed( demand );
+    auto const limit = harm_allowed( demand );
     auto const most_parts = std::min( targets.size(), most_helpers );
     auto const most_part =
         std::max( ms_of( demand.latency_objective ) * part_of_objective,
@@ -434,7 +452,7 @@
         readers.resize( parts );
         if ( !has_slot( speed, *readers.front().target ) )
             continue;
-        take_better( best, std::move( readers ), part_ms, most_harm );
+        take_better( best, std::move( readers ), part_ms, limit );
         if ( part_ms < part_goal_ms )
             break;
     }
