A long prompt is placed where it is read within a second

Cause: a prompt of 400 thousand tokens and more, placed as soon as no writer minded, put a second or two of reading on every engine, and twenty audits behind it came late.

--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -231,6 +231,7 @@
         return false;
     demand_.waited = now - request_.received;
     demand_.time_left = deadline_ - now;
+    demand_.patience_left = patience_until_ - now;
     auto result = shared_.chooser.choose( demand_, *service_, now );
     if ( result.choice )
     {
--- a/src/pollenstream/exchange/placement.cpp
+++ b/src/pollenstream/exchange/placement.cpp
@@ -40,6 +40,16 @@
 constexpr auto unseen_reading_ms = 40.0;
 /// Pauses below this belong to answers that a person watches being written.
 constexpr auto tight_gap_ms = 300.0;
+/// When a long prompt placed now has to be read, its engines' backlog
+/// included. The shortest objective of a long route of the first deployments
+/// is 1.5 s: with a backlog of a second these are still in time, so that one
+/// prompt of a million tokens does not make all others late.
+constexpr auto latest_finish_ms = 1'000.0;
+/// The same for a prompt that is late itself, and for one whose caller is
+/// about to leave: it is now or never.
+constexpr auto latest_finish_when_late_ms = 600.0;
+constexpr auto latest_finish_at_last_ms = 2'500.0;
+constexpr auto last_chance = core::duration( 3'000'000 );
 /// Longest reading that may wait at an engine that writes nothing. Long
 /// prompts' objectives are seconds; nobody else is held up there.
 constexpr auto deepest_backlog_ms = 1'500.0;
@@ -131,7 +141,9 @@
     return { t, backlog, harmed_by( *t, pause ), tightest_weight( *t ) };
 }
 
-/// The engines that may read a part, best first; each has `memory` free.
+/// The engines that may read a part for another, best first; each has
+/// `memory` free. An engine reads for others before it reads for itself: one
+/// that has prompts of its own to read is left alone, or these would starve.
 auto readers_of( engine_speed const& speed,
                  std::vector<std::shared_ptr<board_target>> const& targets,
                  double part_ms,
@@ -140,7 +152,8 @@
 {
     auto readers = std::vector<long_reader>{};
     for ( auto const& t : targets )
-        if ( t->backlog_ms( now ) <= deepest_backlog_ms &&
+        if ( t->load.own_parts_reading == 0 &&
+             t->backlog_ms( now ) <= deepest_backlog_ms &&
              free_memory( speed, *t ) >= memory )
             readers.push_back( reader_of( speed, t, part_ms, now ) );
     std::sort( readers.begin(), readers.end(), goes_before );
@@ -166,14 +179,23 @@
     double finish_ms{ 0 }; ///< when the last part is read
 };
 
-/// Weight of others that may be made late to have a request in time, and
-/// until when it has to be read for that.
+/// What a placement may cost others.
 struct harm_limit
 {
-    double weight{ 0 };
-    double until_ms{ 0 };
+    double weight{ 0 };    ///< that may be made late to have this one in time
+    double until_ms{ 0 };  ///< when it has to be read to be in time
+    double latest_ms{ 0 }; ///< when it has to be read in any case
 };
 
+auto latest_finish( placement_demand const& demand ) -> double
+{
+    if ( demand.patience_left < last_chance )
+        return latest_finish_at_last_ms;
+    if ( demand.waited > demand.latency_objective )
+        return latest_finish_when_late_ms;
+    return latest_finish_ms;
+}
+
 /// Nothing while the request can wait, and nothing once it is late itself.
 auto harm_allowed( placement_demand const& demand ) -> harm_limit
 {
@@ -182,7 +204,7 @@
         slack < ms_of( demand.latency_objective ) * impatient_share;
     auto const weight =
         is_impatient ? weight_of( demand.prompt_tokens ) * late_loss : 0.0;
-    return { weight, slack };
+    return { weight, slack, latest_finish( demand ) };
 }
 
 /// Puts the division of a prompt among `readers` into `best` if it harms no
@@ -200,7 +222,8 @@
         backlog = std::max( backlog, r.backlog_ms );
     }
     auto const finish = backlog + part_ms;
-    if ( harm > ( finish <= limit.until_ms ? limit.weight : 0 ) )
+    if ( finish > limit.latest_ms ||
+         harm > ( finish <= limit.until_ms ? limit.weight : 0 ) )
         return;
     auto const more_parts =
         best ? static_cast<double>( readers.size() - best->readers.size() )
--- a/src/pollenstream/exchange/placement.hpp
+++ b/src/pollenstream/exchange/placement.hpp
@@ -25,6 +25,7 @@
     core::duration tightest_gap{ 0 }; ///< of all routes of the service
     core::duration waited{ 0 };     ///< since the request came
     core::duration time_left{ 0 };
+    core::duration patience_left{ 0 }; ///< until the caller leaves
     std::vector<core::target_id> tried; ///< not to be chosen again
 };
 
--- a/src/pollenstream/exchange/target_board.cpp
+++ b/src/pollenstream/exchange/target_board.cpp
@@ -123,6 +123,7 @@
             continue;
         auto& load = known.at[i]->load;
         ++load.parts_reading;
+        load.own_parts_reading += i == 0 ? 1 : 0;
         load.read_until = std::max( load.read_until, now ) +
                           ms_of( known.work.parts[i].read_ms );
     }
@@ -133,13 +134,15 @@
 {
     if ( !std::exchange( known.reading_counted, false ) )
         return;
-    for ( auto const& at : known.at )
+    for ( auto i = std::size_t{ 0 }; i < known.at.size(); ++i )
     {
-        if ( !at )
+        if ( !known.at[i] )
             continue;
-        --at->load.parts_reading;
-        if ( at->load.parts_reading <= 0 )
-            at->load.read_until = std::min( at->load.read_until, now );
+        auto& load = known.at[i]->load;
+        --load.parts_reading;
+        load.own_parts_reading -= i == 0 ? 1 : 0;
+        if ( load.parts_reading <= 0 )
+            load.read_until = std::min( load.read_until, now );
     }
 }
 
--- a/src/pollenstream/exchange/target_board.hpp
+++ b/src/pollenstream/exchange/target_board.hpp
@@ -73,6 +73,9 @@
     std::int64_t context_tokens{ 0 }; ///< of the writers
     std::int64_t memory_tokens{ 0 };
     std::int64_t parts_reading{ 0 };
+    /// Of which parts of requests that are answered here. An engine reads
+    /// these after all parts that it reads for others.
+    std::int64_t own_parts_reading{ 0 };
     /// Requests answered here by the pause that they tolerate, in ms.
     std::map<std::int64_t, tolerant_group> by_gap;
     core::instant read_until; ///< when all reading is expected to be done
