--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -27,8 +27,11 @@
 constexpr auto stop_margin = core::duration( 500ms );
 constexpr auto tick_period = core::duration( 100ms );
 /// How long this instance may know less of the store than another one before
-/// it asks that one: a change reaches all watches within some ms.
-constexpr auto behind_time = core::duration( 300ms );
+/// it asks that one: most changes come in datagrams within some ms.
+constexpr auto behind_time = core::duration( 80ms );
+/// Changes larger than this go over a connection when others ask for them; a
+/// datagram in many pieces is lost more easily.
+constexpr auto largest_told_update = std::size_t{ 8'000 };
 constexpr auto fetch_time = core::duration( 700ms );
 
 auto own_state_of( platform::gateway_settings const& s ) -> peers::own_state
@@ -96,7 +99,14 @@
         update_ready();
         room_.poke();
     };
-    events.on_target_left = [this]( auto const& ) {};
+    events.on_target_left = []( auto const& ) {};
+    events.on_update = [this]( auto const& update ) {
+        group_.set_store_state( registry_.known_until(),
+                                registry_.store_age() );
+        auto bytes = peers::encode_update( update );
+        if ( bytes.size() <= largest_told_update )
+            group_.tell_update( std::move( bytes ) );
+    };
     events.on_targets_changed = [this] { room_.poke(); };
     events.on_instance = [this]( auto const&, auto const& ip ) {
         group_.add_ip( ip );
@@ -118,6 +128,11 @@
     datagrams_.start(
         [this]( std::string_view bytes ) { group_.on_datagram( bytes ); } );
     group_.on_load_changed = [this] { room_.poke(); };
+    group_.on_update = [this]( auto const& from, auto const& bytes ) {
+        auto const update = peers::decode_update( bytes );
+        if ( update.has_value() )
+            registry_.take_update( update.value(), from );
+    };
     group_.on_size_changed = [this] {
         retries_.set_instances( group_.size() );
     };
@@ -140,7 +155,9 @@
 
 auto gateway_node::tick() -> void
 {
-    group_.set_known_until( registry_.known_until() );
+    group_.set_store_state( registry_.known_until(), registry_.store_age() );
+    registry_.set_reader( !registry_.configuration() ||
+                          group_.should_read_store() );
     fetch_from_peer();
     tick_call_ = scheduler_.call_after( tick_period, [this] {
         auto const done = std::move( tick_call_ );
@@ -160,8 +177,7 @@
         behind_since_ = now;
         return;
     }
-    auto const is_behind =
-        !registry_.store_serves() || now - behind_since_ > behind_time;
+    auto const is_behind = now - behind_since_ > behind_time;
     if ( fetching_ || !is_behind )
         return;
     fetching_ = true;
@@ -169,17 +185,18 @@
     call.address = { better->ip, settings_.peers.port };
     call.pool = "peer " + better->ip;
     call.text = std::make_shared<std::string const>(
-        adapters::asio::write_request( "GET", peers::state_path,
-                                       { { "Host", better->ip } }, "" ) );
+        adapters::asio::write_request(
+            "GET", peers::state_request( registry_.known_until() ),
+            { { "Host", better->ip } }, "" ) );
     http_.fetch( std::move( call ), fetch_time,
                  [this, from = better->id]( auto reply ) {
                      fetching_ = false;
                      if ( reply.has_error() )
                          return;
-                     auto const batch =
-                         peers::decode_records( reply.value().body );
-                     if ( batch.has_value() )
-                         registry_.take_snapshot( batch.value(), from.str() );
+                     auto const update =
+                         peers::decode_update( reply.value().body );
+                     if ( update.has_value() )
+                         registry_.take_update( update.value(), from.str() );
                  } );
 }
 
--- a/apps/gateway/state_handler.cpp
+++ b/apps/gateway/state_handler.cpp
@@ -27,12 +27,14 @@
                             std::shared_ptr<exchange::answer_channel> answer )
     -> std::shared_ptr<adapters::asio::request_in_progress>
 {
-    if ( request.target != peers::state_path )
+    if ( !request.target.starts_with( peers::state_path ) )
         answer->send_whole( { status_not_found, {}, "no such path\n" } );
     else
         answer->send_whole( { status_ok,
                               { { "Content-Type", "application/cbor" } },
-                              peers::encode_records( registry_.snapshot() ) } );
+                              peers::encode_update( registry_.changes_after(
+                                  peers::requested_revision(
+                                      request.target ) ) ) } );
     return nullptr;
 }
 
--- a/src/pollenstream/peers/peer_group.cpp
+++ b/src/pollenstream/peers/peer_group.cpp
@@ -1,3 +1,4 @@
+#include <pollenstream/core/hash.hpp>
 #include <pollenstream/peers/peer_group.hpp>
 
 #include <algorithm>
@@ -21,6 +22,15 @@
 constexpr auto beat_per_peer = core::duration( 15ms );
 /// Beats that may be missed before an instance is left out.
 constexpr auto beats_to_silence = 4;
+/// Instances that read the store; the others hear of its changes from them.
+/// Three: one may be frozen, and the next cut off from the store.
+constexpr auto store_readers = 3;
+/// Without an answer of the store to any instance for this long, the next
+/// ones in the order read too, one after the other. Operators give two seconds
+/// for what the store says to be known everywhere.
+constexpr auto stale_store = core::duration( 1200ms );
+constexpr auto turn_time = core::duration( 60ms );
+constexpr auto most_turns = 8;
 /// An instance that was not heard for this long shares no budget any more.
 constexpr auto forget_time = core::duration( 30s );
 /// Addresses of others that each complete message passes on.
@@ -66,9 +76,37 @@
             delay, [this] { send_to_all( base_message() ); } ) );
 }
 
-auto peer_group::set_known_until( ports::store_revision at ) -> void
+auto peer_group::set_store_state( ports::store_revision at, core::duration age )
+    -> void
 {
     known_until_ = at;
+    store_age_ = age;
+}
+
+auto peer_group::tell_update( std::string update ) -> void
+{
+    auto message = base_message();
+    message.update = std::move( update );
+    send_to_all( message );
+}
+
+auto peer_group::should_read_store() const -> bool
+{
+    auto const now = scheduler_.now();
+    auto const own_rank = core::stable_hash( self_.id.str() );
+    auto before = 0;
+    auto youngest = core::duration::max();
+    for ( auto const& [id, p] : peers_ )
+    {
+        if ( !p.alive || p.leaving )
+            continue;
+        before += core::stable_hash( id.str() ) < own_rank ? 1 : 0;
+        youngest = std::min( youngest, now - p.store_answered );
+    }
+    if ( before < store_readers )
+        return true;
+    auto const turn = std::min( before - store_readers, most_turns );
+    return youngest > stale_store + turn_time * turn;
 }
 
 auto peer_group::add_ip( std::string const& ip ) -> void
@@ -104,6 +142,7 @@
     message.known_until = known_until_;
     message.ready = ready_;
     message.leaving = leaving_;
+    message.store_age_ms = core::milliseconds_of( store_age_ );
     return message;
 }
 
@@ -170,6 +209,8 @@
 
 auto peer_group::beat_period() const -> core::duration
 {
+    if ( store_age_ < stale_store )
+        return shortest_beat;
     return std::max( shortest_beat,
                      beat_per_peer * static_cast<int>( peers_.size() ) );
 }
@@ -204,7 +245,10 @@
 auto peer_group::check_silent() -> void
 {
     auto const now = scheduler_.now();
-    auto const limit = beat_period() * beats_to_silence;
+    auto const limit =
+        std::max( shortest_beat,
+                  beat_per_peer * static_cast<int>( peers_.size() ) ) *
+        beats_to_silence;
     auto forgotten = std::vector<core::instance_id>{};
     for ( auto& [id, p] : peers_ )
     {
@@ -240,8 +284,11 @@
     auto const message = decode( bytes );
     if ( message.has_error() || message.value().sender == self_.id )
         return;
-    if ( take_sender( message.value() ) )
-        take_work( message.value() );
+    if ( !take_sender( message.value() ) )
+        return;
+    take_work( message.value() );
+    if ( !message.value().update.empty() && on_update )
+        on_update( message.value().sender.str(), message.value().update );
 }
 
 /// False where the message comes from a former process of its sender.
@@ -266,6 +313,9 @@
     p.leaving = message.leaving;
     p.alive = true;
     p.heard = now;
+    p.store_answered =
+        std::max( p.store_answered,
+                  now - std::chrono::milliseconds( message.store_age_ms ) );
     extra_ips_.erase( p.ip );
     if ( !was_alive )
         note( p, "alive", "heard" );
--- a/src/pollenstream/peers/peer_group.hpp
+++ b/src/pollenstream/peers/peer_group.hpp
@@ -34,6 +34,7 @@
     core::place_id place;
     std::string callers;
     ports::store_revision known_until;
+    core::instant store_answered; ///< when the store last answered it
     bool ready{ false };
     bool leaving{ false };
     bool alive{ false };
@@ -67,7 +68,15 @@
     auto set_ready( bool ready ) -> void;
     /// Tells all others at once that no caller should be sent here.
     auto announce_leaving() -> void;
-    auto set_known_until( ports::store_revision at ) -> void;
+    /// What this instance knows of the store, and when that answered it.
+    auto set_store_state( ports::store_revision at, core::duration age )
+        -> void;
+    /// Tells all others of changes that the store told this instance.
+    auto tell_update( std::string update ) -> void;
+    /// True where this instance is one of those that read the store: one of
+    /// the first few in an order that all agree on, or one of the next where
+    /// the store has not answered these lately.
+    [[nodiscard]] auto should_read_store() const -> bool;
     /// An instance that the registry names.
     auto add_ip( std::string const& ip ) -> void;
 
@@ -86,6 +95,9 @@
 
     /// Called when load that others caused has gone.
     std::function<void()> on_load_changed;
+    /// Called with changes of records that another instance tells of.
+    std::function<void( std::string const& from, std::string const& update )>
+        on_update;
     /// Called when the number of instances has changed.
     std::function<void()> on_size_changed;
 
@@ -122,8 +134,8 @@
     bool ready_{ false };
     bool leaving_{ false };
     ports::store_revision known_until_;
+    core::duration store_age_{ 0 };
     peer_message pending_;
-    bool has_pending_{ false };
     std::size_t next_ip_{ 0 };
     std::unique_ptr<ports::scheduled_call> flush_call_;
     std::unique_ptr<ports::scheduled_call> beat_call_;
--- a/src/pollenstream/peers/peer_message.cpp
+++ b/src/pollenstream/peers/peer_message.cpp
@@ -11,7 +11,7 @@
 using nlohmann::json;
 
 /// Raised with each change of the layout; others are passed over.
-constexpr auto layout = 1;
+constexpr auto layout = 2;
 
 auto work_to_json( exchange::open_work const& work ) -> json
 {
@@ -53,7 +53,9 @@
                           m.place.str(), m.callers, m.known_until.count(),
                           m.ready, m.leaving, m.complete, std::move( work ),
                           m.reading_ended, m.ended, std::move( shunned ),
-                          m.known_ips } );
+                          m.known_ips, m.store_age_ms,
+                          json::binary( { m.update.begin(),
+                                          m.update.end() } ) } );
 }
 
 auto from_json( json const& object ) -> peer_message
@@ -81,6 +83,9 @@
             { core::target_id( s.at( 0 ).get<std::string>() ),
               s.at( 1 ).get<std::int64_t>() } );
     m.known_ips = object.at( at++ ).get<std::vector<std::string>>();
+    m.store_age_ms = object.at( at++ ).get<std::int64_t>();
+    auto const& update = object.at( at++ ).get_binary();
+    m.update.assign( update.begin(), update.end() );
     return m;
 }
 
--- a/src/pollenstream/peers/peer_message.hpp
+++ b/src/pollenstream/peers/peer_message.hpp
@@ -40,6 +40,9 @@
     std::vector<std::uint64_t> ended;
     std::vector<shunned_target> shunned;
     std::vector<std::string> known_ips; ///< some other instances
+    /// Time since the store answered the sender.
+    std::int64_t store_age_ms{ 0 };
+    std::string update; ///< changes of records as `encode_update` writes them
 };
 
 /// CBOR, by the JSON library.
--- a/src/pollenstream/peers/state_transfer.cpp
+++ b/src/pollenstream/peers/state_transfer.cpp
@@ -2,45 +2,85 @@
 
 #include <nlohmann/json.hpp>
 
+#include <charconv>
+#include <string_view>
+
 namespace pollenstream::peers
 {
 
+namespace
+{
+
 using nlohmann::json;
 
-auto encode_records( ports::record_batch const& batch ) -> std::string
+constexpr auto after_query = std::string_view( "?after=" );
+
+auto to_json( ports::record const& r ) -> json
+{
+    auto value = json( nullptr );
+    if ( r.value )
+        value = json::binary( { r.value->begin(), r.value->end() } );
+    return json::array( { r.key, r.revision.count(), std::move( value ) } );
+}
+
+auto from_json( json const& entry ) -> ports::record
+{
+    auto r = ports::record{};
+    r.key = entry.at( 0 ).get<std::string>();
+    r.revision = ports::store_revision( entry.at( 1 ).get<std::int64_t>() );
+    if ( entry.at( 2 ).is_null() )
+        return r;
+    auto const& value = entry.at( 2 ).get_binary();
+    r.value = std::string( value.begin(), value.end() );
+    return r;
+}
+
+}
+
+auto state_request( ports::store_revision after ) -> std::string
+{
+    return std::string( state_path ) + std::string( after_query ) +
+           std::to_string( after.count() );
+}
+
+auto requested_revision( std::string const& target ) -> ports::store_revision
+{
+    auto const at = target.find( after_query );
+    auto revision = std::int64_t{ 0 };
+    if ( at != std::string::npos )
+        std::from_chars( target.data() + at + after_query.size(),
+                         target.data() + target.size(), revision );
+    return ports::store_revision( revision );
+}
+
+auto encode_update( registry::record_update const& update ) -> std::string
 {
     auto records = json::array();
-    for ( auto const& r : batch.records )
-    {
-        auto const value = r.value.value_or( "" );
-        records.push_back( json::array(
-            { r.key, r.revision.count(),
-              json::binary( { value.begin(), value.end() } ) } ) );
-    }
+    for ( auto const& r : update.batch.records )
+        records.push_back( to_json( r ) );
     auto bytes = std::string{};
-    json::to_cbor( json::array( { batch.at.count(), std::move( records ) } ),
+    json::to_cbor( json::array( { update.from.count(), update.batch.at.count(),
+                                  update.lapse_possible,
+                                  std::move( records ) } ),
                    bytes );
     return bytes;
 }
 
-auto decode_records( std::string const& bytes )
-    -> core::result<ports::record_batch>
+auto decode_update( std::string const& bytes )
+    -> core::result<registry::record_update>
 {
     try
     {
         auto const object = json::from_cbor( bytes );
-        auto batch = ports::record_batch{};
-        batch.at = ports::store_revision( object.at( 0 ).get<std::int64_t>() );
-        for ( auto const& entry : object.at( 1 ) )
-        {
-            auto const& value = entry.at( 2 ).get_binary();
-            batch.records.push_back(
-                { entry.at( 0 ).get<std::string>(),
-                  std::string( value.begin(), value.end() ),
-                  ports::store_revision(
-                      entry.at( 1 ).get<std::int64_t>() ) } );
-        }
-        return batch;
+        auto update = registry::record_update{};
+        update.from =
+            ports::store_revision( object.at( 0 ).get<std::int64_t>() );
+        update.batch.at =
+            ports::store_revision( object.at( 1 ).get<std::int64_t>() );
+        update.lapse_possible = object.at( 2 ).get<bool>();
+        for ( auto const& entry : object.at( 3 ) )
+            update.batch.records.push_back( from_json( entry ) );
+        return update;
     }
     catch ( json::exception const& e )
     {
--- a/src/pollenstream/registry/registry_watch.cpp
+++ b/src/pollenstream/registry/registry_watch.cpp
@@ -13,8 +13,10 @@
 
 using namespace std::chrono_literals;
 
-/// One watch; short enough that a store that has fallen silent is noticed.
-constexpr auto watch_time = core::duration( 4s );
+/// One watch. A store that drops its history first leaves its watches without
+/// news; a new watch hears of it. Targets that leave have to be known within
+/// two seconds.
+constexpr auto watch_time = core::duration( 700ms );
 /// Pauses before the store is tried again; they double.
 constexpr auto shortest_pause = core::duration( 100ms );
 constexpr auto longest_pause = core::duration( 800ms );
@@ -40,13 +42,35 @@
     list();
 }
 
+auto registry_watch::set_reader( bool reader ) -> void
+{
+    if ( std::exchange( reader_, reader ) == reader || !reader )
+        return;
+    if ( !reading_ && !retry_ )
+        watch();
+}
+
+auto registry_watch::store_age() const -> core::duration
+{
+    return scheduler_.now() - answered_at_;
+}
+
+/// Goes on reading, or stops where others do.
+auto registry_watch::next() -> void
+{
+    if ( reader_ )
+        watch();
+}
+
 auto registry_watch::list() -> void
 {
+    reading_ = true;
     store_.list( "", [this]( auto batch ) { on_list( std::move( batch ) ); } );
 }
 
 auto registry_watch::watch() -> void
 {
+    reading_ = true;
     store_.watch( "", known_until_, watch_time, [this]( auto batch ) {
         on_watch( std::move( batch ) );
     } );
@@ -54,15 +78,20 @@
 
 auto registry_watch::on_list( core::result<ports::record_batch> batch ) -> void
 {
+    reading_ = false;
     if ( batch.has_error() )
         return on_trouble( batch.error() );
     on_answer();
+    auto const before = known_until_;
     take_complete( batch.value(), "store" );
-    watch();
+    if ( events_.on_update && known_until_ > before )
+        events_.on_update( changes_after( before ) );
+    next();
 }
 
 auto registry_watch::on_watch( core::result<ports::record_batch> batch ) -> void
 {
+    reading_ = false;
     if ( batch.has_error() )
     {
         // The history may be gone, or a cut may have hidden changes.
@@ -71,10 +100,13 @@
         return on_trouble( batch.error() );
     }
     on_answer();
+    auto const before = known_until_;
     for ( auto const& r : batch.value().records )
         take( r, "store" );
     known_until_ = std::max( known_until_, batch.value().at );
-    watch();
+    if ( events_.on_update && known_until_ > before )
+        events_.on_update( changes_after( before ) );
+    next();
 }
 
 auto registry_watch::on_trouble( core::error const& why ) -> void
@@ -90,6 +122,8 @@
 auto registry_watch::on_answer() -> void
 {
     pause_ = core::duration( 0 );
+    answered_at_ = scheduler_.now();
+    told_of_lapse_ = false;
     if ( store_serves_ )
         return;
     store_serves_ = true;
@@ -104,7 +138,8 @@
     pause_ = std::clamp( pause_ * 2, shortest_pause, longest_pause );
     retry_ = scheduler_.call_after( pause_, [this] {
         auto const done = std::move( retry_ );
-        list();
+        if ( reader_ )
+            list();
     } );
 }
 
@@ -126,20 +161,35 @@
     known_until_ = std::max( known_until_, batch.at );
 }
 
-auto registry_watch::take_snapshot( ports::record_batch const& batch,
-                                    std::string const& from ) -> void
+auto registry_watch::changes_after( ports::store_revision after ) const
+    -> record_update
 {
-    if ( batch.at > known_until_ )
-        take_complete( batch, from );
+    auto update = record_update{};
+    update.from = after;
+    update.batch.at = known_until_;
+    update.lapse_possible = may_be_lapsed();
+    for ( auto const& [key, known] : records_ )
+        if ( known.revision > after )
+            update.batch.records.push_back(
+                { key, known.value, known.revision } );
+    for ( auto const& [key, revision] : removed_ )
+        if ( revision > after )
+            update.batch.records.push_back( { key, std::nullopt, revision } );
+    return update;
 }
 
-auto registry_watch::snapshot() const -> ports::record_batch
+auto registry_watch::take_update( record_update const& update,
+                                  std::string const& from ) -> bool
 {
-    auto batch = ports::record_batch{};
-    batch.at = known_until_;
-    for ( auto const& [key, known] : records_ )
-        batch.records.push_back( { key, known.value, known.revision } );
-    return batch;
+    if ( update.batch.at <= known_until_ )
+        return true;
+    if ( update.from > known_until_ )
+        return false;
+    told_of_lapse_ = update.lapse_possible;
+    for ( auto const& r : update.batch.records )
+        take( r, from );
+    known_until_ = std::max( known_until_, update.batch.at );
+    return true;
 }
 
 auto registry_watch::take( ports::record const& r, std::string const& from )
@@ -219,6 +269,8 @@
 
 auto registry_watch::may_be_lapsed() const -> bool
 {
+    if ( !reader_ )
+        return told_of_lapse_;
     return !store_serves_ || ( trouble_until_ != core::instant{} &&
                                scheduler_.now() - trouble_until_ < return_time );
 }
--- a/src/pollenstream/registry/registry_watch.hpp
+++ b/src/pollenstream/registry/registry_watch.hpp
@@ -17,6 +17,15 @@
 namespace pollenstream::registry
 {
 
+/// Changes of the store's records, complete from one revision to another.
+struct record_update
+{
+    ports::store_revision from;
+    ports::record_batch batch;
+    /// Entries that are missing may have lapsed while the store was away.
+    bool lapse_possible{ false };
+};
+
 /// What the watch tells the rest of the process.
 struct registry_events
 {
@@ -25,11 +34,13 @@
     std::function<void()> on_targets_changed;
     std::function<void( std::string const& key, std::string const& value )>
         on_instance;
+    /// The store told of changes; other instances may not have heard.
+    std::function<void( record_update const& )> on_update;
 };
 
 /// Follows the records of the platform's store: the operators' configuration,
-/// the targets' entries and the instances. While the store does not serve
-/// this instance, records come from other instances.
+/// the targets' entries and the instances. Only some instances read the store;
+/// they tell the others. Which ones do is decided outside.
 ///
 /// A record is only replaced by one of a later revision, whichever way it
 /// comes, and a configuration only by one of a later version, so that
@@ -45,6 +56,13 @@
                     registry_events events );
 
     auto start() -> void;
+    /// From now on this instance reads the store, or follows those who do.
+    auto set_reader( bool reader ) -> void;
+
+    /// Time since the store last answered this instance.
+    [[nodiscard]] auto store_age() const -> core::duration;
+    /// True while a missing entry may only have lapsed.
+    [[nodiscard]] auto may_be_lapsed() const -> bool;
 
     /// Store revision up to which all changes are known here.
     [[nodiscard]] auto known_until() const -> ports::store_revision
@@ -61,11 +79,13 @@
         return configuration_;
     }
 
-    /// Everything that is known, for another instance.
-    [[nodiscard]] auto snapshot() const -> ports::record_batch;
-    /// Takes over what another instance knows, complete up to `batch.at`.
-    auto take_snapshot( ports::record_batch const& batch,
-                        std::string const& from ) -> void;
+    /// All changes after `after`, for another instance.
+    [[nodiscard]] auto changes_after( ports::store_revision after ) const
+        -> record_update;
+    /// Takes over changes that another instance knows. Changes that do not
+    /// join what is known here are left out; returns false then.
+    auto take_update( record_update const& update, std::string const& from )
+        -> bool;
 
 private:
     struct known_record
@@ -76,6 +96,7 @@
 
     auto list() -> void;
     auto watch() -> void;
+    auto next() -> void;
     auto on_list( core::result<ports::record_batch> batch ) -> void;
     auto on_watch( core::result<ports::record_batch> batch ) -> void;
     auto on_trouble( core::error const& why ) -> void;
@@ -93,7 +114,6 @@
                        std::string const& from ) -> void;
     auto target_gone( core::target_id const& id, std::string const& why )
         -> void;
-    auto may_be_lapsed() const -> bool;
     auto arm_missing_check() -> void;
     auto check_missing() -> void;
 
@@ -110,8 +130,12 @@
     std::map<std::string, ports::store_revision> removed_;
     ports::store_revision known_until_;
     exchange::configuration_ptr configuration_;
+    bool reader_{ true };
+    bool reading_{ false }; ///< a call to the store is under way
     bool store_serves_{ false };
     bool ever_served_{ false };
+    bool told_of_lapse_{ false }; ///< by the instance that reads the store
+    core::instant answered_at_;
     core::instant trouble_until_;
     core::duration pause_{ 0 };
     std::map<core::target_id, core::instant> missing_;
