--- a/apps/gateway/caller_handler.cpp
+++ b/apps/gateway/caller_handler.cpp
@@ -1,7 +1,6 @@
 #include "caller_handler.hpp"
 
 #include "../../platform/exchange_headers.hpp"
-
 #include <pollenstream/exchange/exchange.hpp>
 
 namespace pollenstream::gateway
@@ -49,8 +48,15 @@
                                              shared_.scheduler.now() );
     if ( decoded.has_error() )
     {
-        shared_.log.record( exchange::request_refused{
-            {}, status_bad_request, "", decoded.error().detail, {}, {}, {}, 0, 0 } );
+        shared_.log.record( exchange::request_refused{ {},
+                                                       status_bad_request,
+                                                       "",
+                                                       decoded.error().detail,
+                                                       {},
+                                                       {},
+                                                       {},
+                                                       0,
+                                                       0 } );
         answer->send_whole( { status_bad_request,
                               { { "Content-Type", "text/plain" } },
                               decoded.error().detail + "\n" } );
--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -1,7 +1,7 @@
 #include "gateway_node.hpp"
 
 #include <pollenstream/adapters/asio/http_text.hpp>
-#include <pollenstream/core/invariant.hpp>
+#include <pollenstream/exchange/exchange.hpp>
 #include <pollenstream/peers/caller_directory.hpp>
 #include <pollenstream/peers/state_transfer.hpp>
 
@@ -24,7 +24,9 @@
 constexpr auto directory_patience = 3;
 /// Part of the grace period that is left unused: the process has to be gone
 /// before it is killed.
-constexpr auto stop_margin = core::duration( 500ms );
+constexpr auto stop_margin = core::duration( 650ms );
+/// For the last answers and orders of a process that ends.
+constexpr auto last_words_time = core::duration( 150ms );
 constexpr auto tick_period = core::duration( 100ms );
 /// How long this instance may know less of the store than another one before
 /// it asks that one: most changes come in datagrams within some ms.
@@ -62,53 +64,81 @@
       retries_( { settings_.retry_ratio, settings_.retry_constant,
                   settings_.retry_window } ),
       room_( scheduler_ ), datagrams_( io, settings_.peers ),
-      group_( own_state_of( settings_ ), settings_.seed_ips, scheduler_,
-              datagrams_, board_, log ),
+      group_( own_state_of( settings_ ),
+              settings_.seed_ips,
+              scheduler_,
+              datagrams_,
+              board_,
+              log ),
       context_( make_context() ),
-      registry_( store_, scheduler_, records_, board_, log,
-                 make_registry_events() ),
-      registration_( store_, scheduler_,
+      registry_(
+          store_, scheduler_, records_, board_, log, make_registry_events() ),
+      registration_( store_,
+                     scheduler_,
                      records_.instance_key( settings_.instance ),
                      settings_.callers.ip ),
       caller_handler_( context_ ), state_handler_( registry_ ),
       directory_handler_(
-          [this] {
+          [this]
+          {
               return peers::choose_caller_addresses(
                   group_, core::to_string( settings_.callers ), is_ready() );
           },
           std::min( directory_time, settings_.longest_directory_ttl ) ),
-      readiness_handler_( [this] { return is_ready(); } )
+      readiness_handler_(
+          [this]
+          {
+              return is_ready();
+          } )
 {
 }
 
 auto gateway_node::make_context() -> exchange::exchange_context
 {
     return exchange::exchange_context{
-        scheduler_, target_calls_, speller_, memory_orders_,
-        board_,     placement_,    retries_, room_,
-        log_,       group_,        settings_.instance,
-        nullptr,    std::nullopt,  0,
-        0,          {},            std::minstd_rand( seed_of( settings_ ) ) };
+        scheduler_,
+        target_calls_,
+        speller_,
+        memory_orders_,
+        board_,
+        placement_,
+        retries_,
+        room_,
+        log_,
+        group_,
+        settings_.instance,
+        nullptr,
+        std::nullopt,
+        0,
+        0,
+        {},
+        std::minstd_rand( seed_of( settings_ ) ) };
 }
 
 auto gateway_node::make_registry_events() -> registry::registry_events
 {
     auto events = registry::registry_events{};
-    events.on_configuration = [this]( auto configuration ) {
+    events.on_configuration = [this]( auto configuration )
+    {
         context_.configuration = std::move( configuration );
         update_ready();
         room_.poke();
     };
     events.on_target_left = []( auto const& ) {};
-    events.on_update = [this]( auto const& update ) {
+    events.on_update = [this]( auto const& update )
+    {
         group_.set_store_state( registry_.known_until(),
                                 registry_.store_age() );
         auto bytes = peers::encode_update( update );
         if ( bytes.size() <= largest_told_update )
             group_.tell_update( std::move( bytes ) );
     };
-    events.on_targets_changed = [this] { room_.poke(); };
-    events.on_instance = [this]( auto const&, auto const& ip ) {
+    events.on_targets_changed = [this]
+    {
+        room_.poke();
+    };
+    events.on_instance = [this]( auto const&, auto const& ip )
+    {
         group_.add_ip( ip );
     };
     return events;
@@ -126,14 +156,22 @@
     peer_listener_ = std::make_unique<caller_listener>( io_, settings_.peers,
                                                         state_handler_ );
     datagrams_.start(
-        [this]( std::string_view bytes ) { group_.on_datagram( bytes ); } );
-    group_.on_load_changed = [this] { room_.poke(); };
-    group_.on_update = [this]( auto const& from, auto const& bytes ) {
+        [this]( std::string_view bytes )
+        {
+            group_.on_datagram( bytes );
+        } );
+    group_.on_load_changed = [this]
+    {
+        room_.poke();
+    };
+    group_.on_update = [this]( auto const& from, auto const& bytes )
+    {
         auto const update = peers::decode_update( bytes );
         if ( update.has_value() )
             registry_.take_update( update.value(), from );
     };
-    group_.on_size_changed = [this] {
+    group_.on_size_changed = [this]
+    {
         retries_.set_instances( group_.size() );
     };
     group_.start();
@@ -159,10 +197,13 @@
     registry_.set_reader( !registry_.configuration() ||
                           group_.should_read_store() );
     fetch_from_peer();
-    tick_call_ = scheduler_.call_after( tick_period, [this] {
-        auto const done = std::move( tick_call_ );
-        tick();
-    } );
+    tick_call_ = scheduler_.call_after( tick_period,
+                                        [this]
+                                        {
+                                            auto const done =
+                                                std::move( tick_call_ );
+                                            tick();
+                                        } );
 }
 
 /// Takes the records of a better informed instance where the store does not
@@ -184,12 +225,13 @@
     auto call = adapters::asio::http_call{};
     call.address = { better->ip, settings_.peers.port };
     call.pool = "peer " + better->ip;
-    call.text = std::make_shared<std::string const>(
-        adapters::asio::write_request(
+    call.text =
+        std::make_shared<std::string const>( adapters::asio::write_request(
             "GET", peers::state_request( registry_.known_until() ),
             { { "Host", better->ip } }, "" ) );
     http_.fetch( std::move( call ), fetch_time,
-                 [this, from = better->id]( auto reply ) {
+                 [this, from = better->id]( auto reply )
+                 {
                      fetching_ = false;
                      if ( reply.has_error() )
                          return;
@@ -221,29 +263,48 @@
     auto const now = scheduler_.now();
     if ( now >= stopped_taking_at_ )
         callers_->close_idle();
-    auto const is_idle = context_.open_exchanges == 0 &&
-                         callers_->connections() == 0;
-    if ( ( now >= stopped_taking_at_ && is_idle ) || now >= *context_.stop_at )
-    {
-        core::check_invariant( core::invariant::stop_cuts_nothing,
-                               context_.open_exchanges == 0,
-                               "stopped with open requests" );
-        record_process( "stopped", is_idle ? "idle" : "out of time" );
-        io_.stop();
-        return;
-    }
-    stop_call_ = scheduler_.call_after( tick_period, [this] {
-        auto const done = std::move( stop_call_ );
-        check_stopped();
-    } );
+    auto const is_idle = context_.open.empty() && callers_->connections() == 0;
+    if ( now >= stopped_taking_at_ && is_idle )
+        return end_process( "idle" );
+    if ( now >= *context_.stop_at )
+        return abandon_open();
+    stop_call_ = scheduler_.call_after( tick_period,
+                                        [this]
+                                        {
+                                            auto const done =
+                                                std::move( stop_call_ );
+                                            check_stopped();
+                                        } );
+}
+
+/// Ends what is still open, so that callers hear of it and targets get their
+/// memory back, and leaves the orders a moment to go out.
+auto gateway_node::abandon_open() -> void
+{
+    auto const open = std::vector( context_.open.begin(), context_.open.end() );
+    for ( auto* const which : open )
+        which->abandon( "process_ends" );
+    stop_call_ = scheduler_.call_after( last_words_time,
+                                        [this]
+                                        {
+                                            end_process( "out of time" );
+                                        } );
+}
+
+auto gateway_node::end_process( std::string because ) -> void
+{
+    record_process( "stopped", std::move( because ) );
+    io_.stop();
 }
 
 auto gateway_node::record_process( std::string now, std::string because )
     -> void
 {
-    log_.record( exchange::belief_changed{ "process", settings_.instance.str(),
+    log_.record( exchange::belief_changed{ "process",
+                                           settings_.instance.str(),
                                            std::move( now ),
-                                           std::move( because ), {} } );
+                                           std::move( because ),
+                                           {} } );
 }
 
 }
--- a/apps/gateway/gateway_node.hpp
+++ b/apps/gateway/gateway_node.hpp
@@ -9,7 +9,6 @@
 #include "../../platform/target_calls.hpp"
 #include "caller_handler.hpp"
 #include "state_handler.hpp"
-
 #include <pollenstream/adapters/asio/asio_scheduler.hpp>
 #include <pollenstream/adapters/asio/caller_listener.hpp>
 #include <pollenstream/adapters/asio/datagram_socket.hpp>
@@ -47,6 +46,8 @@
     auto tick() -> void;
     auto fetch_from_peer() -> void;
     auto check_stopped() -> void;
+    auto abandon_open() -> void;
+    auto end_process( std::string because ) -> void;
     auto record_process( std::string now, std::string because ) -> void;
 
     adapters::asio::net::io_context& io_;
--- a/apps/gateway/main.cpp
+++ b/apps/gateway/main.cpp
@@ -40,32 +40,39 @@
     return platform::read_settings( path, text.str(), found );
 }
 
-auto run( std::string const& path,
-          platform::gateway_settings const& settings ) -> int
+auto run( std::string const& path, platform::gateway_settings const& settings )
+    -> int
 {
     auto io = net::io_context( 1 );
     auto log =
         pollenstream::adapters::spdlog::structured_log( settings.instance );
     auto node = gw::gateway_node( io, settings, log );
     auto stop_signals = net::signal_set( io, SIGTERM, SIGINT );
-    stop_signals.async_wait( [&node]( auto ec, int ) {
-        if ( !ec )
-            node.stop();
-    } );
+    stop_signals.async_wait(
+        [&node]( auto ec, int )
+        {
+            if ( !ec )
+                node.stop();
+        } );
     auto reload_signals = net::signal_set( io, SIGHUP );
     auto wait_for_reload = std::function<void()>{};
-    wait_for_reload = [&] {
-        reload_signals.async_wait( [&]( auto ec, int ) {
-            if ( ec )
-                return;
-            auto found = pollenstream::core::findings{};
-            static_cast<void>( load( path, found ) );
-            log.record( pollenstream::exchange::belief_changed{
-                "process", settings.instance.str(),
-                found.empty() ? "reloaded" : "kept_settings",
-                found.empty() ? "signal" : found.report(), {} } );
-            wait_for_reload();
-        } );
+    wait_for_reload = [&]
+    {
+        reload_signals.async_wait(
+            [&]( auto ec, int )
+            {
+                if ( ec )
+                    return;
+                auto found = pollenstream::core::findings{};
+                static_cast<void>( load( path, found ) );
+                log.record( pollenstream::exchange::belief_changed{
+                    "process",
+                    settings.instance.str(),
+                    found.empty() ? "reloaded" : "kept_settings",
+                    found.empty() ? "signal" : found.report(),
+                    {} } );
+                wait_for_reload();
+            } );
     };
     wait_for_reload();
     node.start();
--- a/apps/gateway/state_handler.cpp
+++ b/apps/gateway/state_handler.cpp
@@ -30,11 +30,11 @@
     if ( !request.target.starts_with( peers::state_path ) )
         answer->send_whole( { status_not_found, {}, "no such path\n" } );
     else
-        answer->send_whole( { status_ok,
-                              { { "Content-Type", "application/cbor" } },
-                              peers::encode_update( registry_.changes_after(
-                                  peers::requested_revision(
-                                      request.target ) ) ) } );
+        answer->send_whole(
+            { status_ok,
+              { { "Content-Type", "application/cbor" } },
+              peers::encode_update( registry_.changes_after(
+                  peers::requested_revision( request.target ) ) ) } );
     return nullptr;
 }
 
--- a/src/pollenstream/adapters/asio/asio_scheduler.cpp
+++ b/src/pollenstream/adapters/asio/asio_scheduler.cpp
@@ -19,11 +19,12 @@
         : timer_( io ), live_( std::make_shared<bool>( true ) )
     {
         timer_.expires_after( std::max( delay, core::duration( 0 ) ) );
-        timer_.async_wait( [live = live_, call = std::move( callback )](
-                               error_code ec ) {
-            if ( !ec && *live )
-                call();
-        } );
+        timer_.async_wait(
+            [live = live_, call = std::move( callback )]( error_code ec )
+            {
+                if ( !ec && *live )
+                    call();
+            } );
     }
     ~timer_call() override
     {
--- a/src/pollenstream/adapters/asio/caller_connection.cpp
+++ b/src/pollenstream/adapters/asio/caller_connection.cpp
@@ -101,8 +101,7 @@
     ++number_;
     parser_.emplace();
     parser_->eager( true );
-    parser_->header_limit(
-        static_cast<std::uint32_t>( limits_.header_bytes ) );
+    parser_->header_limit( static_cast<std::uint32_t>( limits_.header_bytes ) );
     parser_->body_limit( limits_.body_bytes );
     arm( limits_.idle_time );
 }
@@ -116,7 +115,8 @@
     reading_ = true;
     socket_.async_read_some(
         buffer_.prepare( read_size ),
-        [self = shared_from_this()]( error_code ec, std::size_t n ) {
+        [self = shared_from_this()]( error_code ec, std::size_t n )
+        {
             self->on_read( ec, n );
         } );
 }
@@ -223,10 +223,12 @@
 auto caller_connection::arm( core::duration time ) -> void
 {
     timer_.expires_after( time );
-    timer_.async_wait( [self = shared_from_this()]( error_code ec ) {
-        if ( !ec )
-            self->on_time();
-    } );
+    timer_.async_wait(
+        [self = shared_from_this()]( error_code ec )
+        {
+            if ( !ec )
+                self->on_time();
+        } );
 }
 
 auto caller_connection::on_time() -> void
@@ -334,8 +336,8 @@
     write_open_ = true;
     writing_ = std::exchange( pending_, {} );
     net::async_write( socket_, net::buffer( writing_ ),
-                      [self = shared_from_this()]( error_code ec,
-                                                   std::size_t ) {
+                      [self = shared_from_this()]( error_code ec, std::size_t )
+                      {
                           self->write_open_ = false;
                           self->writing_.clear();
                           if ( ec )
--- a/src/pollenstream/adapters/asio/caller_connection.hpp
+++ b/src/pollenstream/adapters/asio/caller_connection.hpp
@@ -16,8 +16,7 @@
 
 /// One caller's connection. There is always one read under way, so that the
 /// caller's leaving is seen also while its answer is being made.
-class caller_connection
-    : public std::enable_shared_from_this<caller_connection>
+class caller_connection : public std::enable_shared_from_this<caller_connection>
 {
 public:
     caller_connection( caller_listener& owner, tcp::socket socket );
--- a/src/pollenstream/adapters/asio/caller_listener.cpp
+++ b/src/pollenstream/adapters/asio/caller_listener.cpp
@@ -31,26 +31,30 @@
 
 auto caller_listener::accept() -> void
 {
-    acceptor_.async_accept( [this]( error_code ec, tcp::socket socket ) {
-        if ( !acceptor_.is_open() )
-            return;
-        if ( ec )
-            return pause_accept();
-        auto connection = std::make_shared<caller_connection>(
-            *this, std::move( socket ) );
-        connections_.insert( connection );
-        connection->start();
-        accept();
-    } );
+    acceptor_.async_accept(
+        [this]( error_code ec, tcp::socket socket )
+        {
+            if ( !acceptor_.is_open() )
+                return;
+            if ( ec )
+                return pause_accept();
+            auto connection = std::make_shared<caller_connection>(
+                *this, std::move( socket ) );
+            connections_.insert( connection );
+            connection->start();
+            accept();
+        } );
 }
 
 auto caller_listener::pause_accept() -> void
 {
     pause_.expires_after( accept_pause );
-    pause_.async_wait( [this]( error_code ec ) {
-        if ( !ec )
-            accept();
-    } );
+    pause_.async_wait(
+        [this]( error_code ec )
+        {
+            if ( !ec )
+                accept();
+        } );
 }
 
 auto caller_listener::begin_drain() -> void
--- a/src/pollenstream/adapters/asio/datagram_socket.cpp
+++ b/src/pollenstream/adapters/asio/datagram_socket.cpp
@@ -3,8 +3,7 @@
 namespace pollenstream::adapters::asio
 {
 
-datagram_socket::datagram_socket( net::io_context& io,
-                                  core::address const& at )
+datagram_socket::datagram_socket( net::io_context& io, core::address const& at )
     : socket_( io, udp::endpoint( net::ip::make_address( at.ip ), at.port ) ),
       port_( at.port )
 {
@@ -20,15 +19,17 @@
 
 auto datagram_socket::receive() -> void
 {
-    socket_.async_receive_from(
-        net::buffer( buffer_ ), from_, [this]( error_code ec, std::size_t n ) {
-            if ( ec == net::error::operation_aborted )
-                return;
-            // Other errors tell of datagrams sent earlier; reading goes on.
-            if ( !ec )
-                receiver_( { buffer_.data(), n } );
-            receive();
-        } );
+    socket_.async_receive_from( net::buffer( buffer_ ), from_,
+                                [this]( error_code ec, std::size_t n )
+                                {
+                                    if ( ec == net::error::operation_aborted )
+                                        return;
+                                    // Other errors tell of datagrams sent
+                                    // earlier; reading goes on.
+                                    if ( !ec )
+                                        receiver_( { buffer_.data(), n } );
+                                    receive();
+                                } );
 }
 
 auto datagram_socket::send( std::string const& ip, std::string const& bytes )
--- a/src/pollenstream/adapters/asio/http_client.cpp
+++ b/src/pollenstream/adapters/asio/http_client.cpp
@@ -60,8 +60,7 @@
 }
 
 /// One connection with at most one call on it.
-class client_connection
-    : public std::enable_shared_from_this<client_connection>
+class client_connection : public std::enable_shared_from_this<client_connection>
 {
 public:
     client_connection( http_client& owner, std::string pool )
@@ -110,7 +109,8 @@
     }
     [[nodiscard]] auto is_usable() const -> bool
     {
-        return socket_.is_open() && std::chrono::steady_clock::now() < idle_until_;
+        return socket_.is_open() &&
+               std::chrono::steady_clock::now() < idle_until_;
     }
 
     auto close() -> void
@@ -133,18 +133,21 @@
     {
         owner_.made_.add();
         timer_.expires_after( call_.connect_time );
-        timer_.async_wait( [self = shared_from_this()]( error_code ec ) {
-            if ( !ec && self->connecting_ )
-                self->fail( { core::error_code::unreachable,
-                              "no connection in time" } );
-        } );
+        timer_.async_wait(
+            [self = shared_from_this()]( error_code ec )
+            {
+                if ( !ec && self->connecting_ )
+                    self->fail( { core::error_code::unreachable,
+                                  "no connection in time" } );
+            } );
         connecting_ = true;
         auto ec = error_code{};
         socket_.open( tcp::v4(), ec );
         if ( !ec )
             set_up_connection( socket_, call_.silence );
         socket_.async_connect( endpoint_of( call_.address ),
-                               [self = shared_from_this()]( error_code e ) {
+                               [self = shared_from_this()]( error_code e )
+                               {
                                    self->on_connected( e );
                                } );
     }
@@ -165,8 +168,9 @@
     {
         sent_ = true;
         net::async_write( socket_, net::buffer( *call_.text ),
-                          [self = shared_from_this(), text = call_.text](
-                              error_code ec, std::size_t ) {
+                          [self = shared_from_this(),
+                           text = call_.text]( error_code ec, std::size_t )
+                          {
                               if ( !ec )
                                   self->written_ = true;
                           } );
@@ -189,7 +193,8 @@
         reading_ = true;
         socket_.async_read_some(
             buffer_.prepare( read_size ),
-            [self = shared_from_this()]( error_code ec, std::size_t n ) {
+            [self = shared_from_this()]( error_code ec, std::size_t n )
+            {
                 self->on_read( ec, n );
             } );
     }
@@ -253,8 +258,8 @@
                                   fields_of( message.base() ) };
             is_stray_ = head.status < continue_status ||
                         ( call_.is_mine && !call_.is_mine( head ) );
-            had_stray_ = had_stray_ ||
-                         ( is_stray_ && head.status >= continue_status );
+            had_stray_ =
+                had_stray_ || ( is_stray_ && head.status >= continue_status );
             if ( !is_stray_ )
                 listener_->on_head( std::move( head ) );
         }
@@ -310,8 +315,8 @@
 
     auto on_closed( error_code ec ) -> void
     {
-        if ( ec == net::error::eof && parser_->is_header_done() &&
-             !is_stray_ && parser_->need_eof() )
+        if ( ec == net::error::eof && parser_->is_header_done() && !is_stray_ &&
+             parser_->need_eof() )
         {
             auto end_error = error_code{};
             parser_->put_eof( end_error );
@@ -379,8 +384,7 @@
     /// False once the connection serves another call or none.
     [[nodiscard]] auto is_open() const -> bool
     {
-        return connection_->call_number() == number_ &&
-               connection_->has_call();
+        return connection_->call_number() == number_ && connection_->has_call();
     }
 
     std::shared_ptr<client_connection> connection_;
@@ -402,14 +406,16 @@
         if ( !callback_ )
             return;
         timer_.expires_after( time );
-        timer_.async_wait( [self = shared_from_this(),
-                            call = std::move( call )]( error_code ec ) {
-            if ( ec || !self->callback_ )
-                return;
-            call->cancel();
-            self->finish( core::error{ core::error_code::timed_out,
-                                       "no answer in time" } );
-        } );
+        timer_.async_wait(
+            [self = shared_from_this(),
+             call = std::move( call )]( error_code ec )
+            {
+                if ( ec || !self->callback_ )
+                    return;
+                call->cancel();
+                self->finish( core::error{ core::error_code::timed_out,
+                                           "no answer in time" } );
+            } );
     }
     auto on_head( raw_head head ) -> void override
     {
@@ -482,9 +488,11 @@
     auto const found = idle_.find( connection->pool() );
     if ( found == idle_.end() )
         return;
-    std::erase_if( found->second, [connection]( auto const& c ) {
-        return c.get() == connection;
-    } );
+    std::erase_if( found->second,
+                   [connection]( auto const& c )
+                   {
+                       return c.get() == connection;
+                   } );
 }
 
 auto http_client::drop_pool( std::string const& pool ) -> void
@@ -497,19 +505,20 @@
     idle_.erase( found );
 }
 
-auto http_client::send( http_call call, std::shared_ptr<http_listener> listener )
+auto http_client::send( http_call call,
+                        std::shared_ptr<http_listener> listener )
     -> std::shared_ptr<exchange::open_attempt>
 {
-    auto connection =
-        call.fresh_connection ? nullptr : take_idle( call.pool );
+    auto connection = call.fresh_connection ? nullptr : take_idle( call.pool );
     if ( !connection )
         connection = std::make_shared<client_connection>( *this, call.pool );
     connection->begin( std::move( call ), std::move( listener ) );
-    return std::make_shared<open_call>( connection,
-                                        connection->call_number() );
+    return std::make_shared<open_call>( connection, connection->call_number() );
 }
 
-auto http_client::fetch( http_call call, core::duration limit, fetched callback )
+auto http_client::fetch( http_call call,
+                         core::duration limit,
+                         fetched callback )
     -> std::shared_ptr<exchange::open_attempt>
 {
     auto gather = std::make_shared<gathering>( io_, std::move( callback ) );
--- a/src/pollenstream/adapters/asio/http_text.cpp
+++ b/src/pollenstream/adapters/asio/http_text.cpp
@@ -21,15 +21,20 @@
     auto ec = error_code{};
     while ( !serializer.is_done() )
     {
-        serializer.next( ec, [&]( auto&, auto const& buffers ) {
-            auto size = std::size_t{ 0 };
-            for ( auto const b : boost::beast::buffers_range_ref( buffers ) )
-            {
-                text.append( static_cast<char const*>( b.data() ), b.size() );
-                size += b.size();
-            }
-            serializer.consume( size );
-        } );
+        serializer.next( ec,
+                         [&]( auto&, auto const& buffers )
+                         {
+                             auto size = std::size_t{ 0 };
+                             for ( auto const b :
+                                   boost::beast::buffers_range_ref( buffers ) )
+                             {
+                                 text.append(
+                                     static_cast<char const*>( b.data() ),
+                                     b.size() );
+                                 size += b.size();
+                             }
+                             serializer.consume( size );
+                         } );
         if ( ec || ( head_only && serializer.is_header_done() ) )
             break;
     }
@@ -50,8 +55,8 @@
 {
     auto list = exchange::header_list{};
     for ( auto const& f : fields )
-        list.push_back( { std::string( f.name_string() ),
-                          std::string( f.value() ) } );
+        list.push_back(
+            { std::string( f.name_string() ), std::string( f.value() ) } );
     return list;
 }
 
--- a/src/pollenstream/adapters/asio/prelude.hpp
+++ b/src/pollenstream/adapters/asio/prelude.hpp
@@ -3,10 +3,10 @@
 
 // Boost 1.74 uses std::exchange in its coroutine header without including
 // <utility>; in C++20 that header has to come first.
-#include <utility>
-
 #include <boost/asio.hpp>
 
+#include <utility>
+
 namespace pollenstream::adapters::asio
 {
 
--- a/src/pollenstream/adapters/asio/socket_options.cpp
+++ b/src/pollenstream/adapters/asio/socket_options.cpp
@@ -1,7 +1,6 @@
 #include <pollenstream/adapters/asio/socket_options.hpp>
 
 #include <algorithm>
-
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
--- a/src/pollenstream/adapters/spdlog/structured_log.cpp
+++ b/src/pollenstream/adapters/spdlog/structured_log.cpp
@@ -172,7 +172,8 @@
 auto structured_log::record( exchange::event const& what ) -> void
 {
     std::visit(
-        [this]( auto const& e ) {
+        [this]( auto const& e )
+        {
             auto const line = line_of( e );
             logger_->info( "{}", line.str() );
         },
--- a/src/pollenstream/exchange/context.hpp
+++ b/src/pollenstream/exchange/context.hpp
@@ -16,10 +16,13 @@
 #include <functional>
 #include <optional>
 #include <random>
+#include <unordered_set>
 
 namespace pollenstream::exchange
 {
 
+class exchange;
+
 /// Tells other instances of this instance's open work.
 class work_announcer
 {
@@ -63,7 +66,8 @@
     /// When the process has to have ended; set by a planned stop.
     std::optional<core::instant> stop_at;
     std::uint64_t last_serial{ 0 };
-    std::size_t open_exchanges{ 0 };
+    /// All exchanges without a last word; each takes itself off.
+    std::unordered_set<exchange*> open;
     exchange_counters counters;
     std::minstd_rand random;
 };
--- a/src/pollenstream/exchange/event_log.hpp
+++ b/src/pollenstream/exchange/event_log.hpp
@@ -34,7 +34,7 @@
     std::string route;
     core::target_id target;
     std::vector<work_part> parts; ///< the target's own part is the first
-    std::int64_t number{ 1 }; ///< targets reached so far, this one included
+    std::int64_t number{ 1 };     ///< targets reached so far, this one included
     core::duration waited{ 0 };
     core::duration time_left{ 0 };
     double predicted_ms{ 0 };
--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -112,7 +112,7 @@
     : shared_( shared ), request_( std::move( request ) ),
       answer_( std::move( answer ) ), configuration_( shared.configuration )
 {
-    ++shared_.open_exchanges;
+    shared_.open.insert( this );
     shared_.counters.requests.add();
 }
 
@@ -167,17 +167,19 @@
 
 auto exchange::set_times() -> void
 {
-    auto const limit =
-        std::min( request_.time_limit.value_or( route_->timeout ),
-                  route_->timeout );
+    auto const limit = std::min(
+        request_.time_limit.value_or( route_->timeout ), route_->timeout );
     deadline_ = request_.received + limit;
     auto const patience = std::max(
         { shortest_patience, route_->latency_objective * patience_per_latency,
           route_->gap_objective * patience_per_gap } );
     patience_until_ = request_.received + std::min( limit, patience );
     auto const left = deadline_ - shared_.scheduler.now();
-    deadline_call_ =
-        shared_.scheduler.call_after( left, [this] { on_deadline(); } );
+    deadline_call_ = shared_.scheduler.call_after( left,
+                                                   [this]
+                                                   {
+                                                       on_deadline();
+                                                   } );
 }
 
 auto exchange::start() -> void
@@ -192,9 +194,8 @@
         return refuse( status_unavailable, "unknown_service",
                        retry_after_no_target );
     auto const now = shared_.scheduler.now();
-    auto const usual = route_->kind == request_kind::stream
-                           ? usual_stream_time
-                           : usual_call_time;
+    auto const usual = route_->kind == request_kind::stream ? usual_stream_time
+                                                            : usual_call_time;
     if ( shared_.stop_at && now + usual > *shared_.stop_at )
         return refuse( status_unavailable, "stopping", retry_after_stop );
     set_times();
@@ -218,8 +219,7 @@
     auto const due = request_.received + route_->latency_objective;
     auto const seconds = core::seconds_of( due.time_since_epoch() );
     auto const is_late = shared_.scheduler.now() > due;
-    return seconds + ( is_late ? late_penalty : 0 ) +
-           priority_ * priority_step;
+    return seconds + ( is_late ? late_penalty : 0 ) + priority_ * priority_step;
 }
 
 auto exchange::try_start() -> bool
@@ -258,10 +258,13 @@
 {
     waiting_ = true;
     shared_.room.add( shared_from_this() );
-    auto const until =
-        std::min( deadline_, patience_until_ ) - refusal_margin;
-    patience_call_ = shared_.scheduler.call_after(
-        until - shared_.scheduler.now(), [this] { on_out_of_patience(); } );
+    auto const until = std::min( deadline_, patience_until_ ) - refusal_margin;
+    patience_call_ =
+        shared_.scheduler.call_after( until - shared_.scheduler.now(),
+                                      [this]
+                                      {
+                                          on_out_of_patience();
+                                      } );
 }
 
 auto exchange::begin( placement_choice choice ) -> void
@@ -279,14 +282,16 @@
     auto memory = std::make_shared<reservation_group>(
         shared_.reservations, shared_.scheduler, id, std::move( places ),
         longest );
-    memory->start( [self = shared_from_this(), memory,
-                    choice = std::move( choice )]( auto status ) {
-        if ( self->finished_ )
-            return memory->release();
-        if ( !status.has_error() )
-            return self->send( choice, memory );
-        self->on_no_memory( choice, status.error() );
-    } );
+    memory->start(
+        [self = shared_from_this(), memory,
+         choice = std::move( choice )]( auto status )
+        {
+            if ( self->finished_ )
+                return memory->release();
+            if ( !status.has_error() )
+                return self->send( choice, memory );
+            self->on_no_memory( choice, status.error() );
+        } );
 }
 
 /// The targets hold less than the board says; others may have reserved at the
@@ -294,9 +299,9 @@
 auto exchange::on_no_memory( placement_choice const& choice,
                              core::error const& why ) -> void
 {
-    shared_.log.record( attempt_failed{
-        request_.id, choice.targets.front()->facts.id,
-        "reservation: " + why.detail, false, "wait" } );
+    shared_.log.record(
+        attempt_failed{ request_.id, choice.targets.front()->facts.id,
+                        "reservation: " + why.detail, false, "wait" } );
     auto const spread = std::uniform_int_distribution<std::int64_t>(
         0, reservation_pause.count() )( shared_.random );
     not_before_ =
@@ -304,18 +309,16 @@
     wait_for_room();
 }
 
-auto exchange::directions(
-    placement_choice const& choice,
-    std::shared_ptr<reservation_group> const& memory ) const
-    -> target_directions
+auto exchange::directions( placement_choice const& choice,
+                           std::shared_ptr<reservation_group> const& memory )
+    const -> target_directions
 {
     auto told = target_directions{};
     told.target = choice.targets.front()->facts.id;
     told.time_left = deadline_ - shared_.scheduler.now();
     told.workspace = workspace_;
     told.last_event = last_event_;
-    auto const ticket =
-        memory ? memory->id() : core::reservation_id{};
+    auto const ticket = memory ? memory->id() : core::reservation_id{};
     // With memory held the first target lists its own part too, in front.
     for ( auto i = std::size_t{ memory ? 0U : 1U }; i < choice.targets.size();
           ++i )
@@ -363,8 +366,8 @@
     out.target = first.facts.id;
     out.address = first.facts.address;
     out.is_get = request_.method == "GET";
-    out.text = std::make_shared<std::string const>(
-        shared_.speller.spell( request_, directions( choice, opened.memory ) ) );
+    out.text = std::make_shared<std::string const>( shared_.speller.spell(
+        request_, directions( choice, opened.memory ) ) );
     splitter_.reset();
     auto const serial = work.serial;
     auto call = shared_.targets.send(
@@ -529,8 +532,8 @@
         return;
     if ( streaming_ )
         return fail( status, "target_failed" );
-    answer_->send_whole( { status, current_->head->headers,
-                           std::move( current_->body ) } );
+    answer_->send_whole(
+        { status, current_->head->headers, std::move( current_->body ) } );
     close_try( false );
     shared_.counters.failed.add();
     end( "target_failed", status );
@@ -638,7 +641,10 @@
     auto const due = current_->heard_at + allowed;
     watch_call_ = shared_.scheduler.call_after(
         std::max( core::duration( 1ms ), due - shared_.scheduler.now() ),
-        [this] { on_watch(); } );
+        [this]
+        {
+            on_watch();
+        } );
 }
 
 auto exchange::on_watch() -> void
@@ -692,9 +698,9 @@
 {
     constexpr auto for_each_waiting = core::duration( 10ms );
     constexpr auto most = core::duration( 1500ms );
-    auto const queue = std::min(
-        most, for_each_waiting *
-                  static_cast<std::int64_t>( shared_.room.size() ) );
+    auto const queue =
+        std::min( most, for_each_waiting *
+                            static_cast<std::int64_t>( shared_.room.size() ) );
     auto const spread = std::uniform_int_distribution<std::int64_t>(
         0, core::duration( 300ms ).count() )( shared_.random );
     return queue + core::duration( spread );
@@ -710,6 +716,19 @@
     end( "caller_gone", 0 );
 }
 
+auto exchange::abandon( std::string reason ) -> void
+{
+    auto const keep = shared_from_this();
+    if ( finished_ )
+        return;
+    if ( current_ && current_->call && current_->call->sent() )
+        may_have_run_ = true;
+    close_try( true );
+    if ( may_have_run_ )
+        return fail( status_bad_gateway, std::move( reason ) );
+    refuse( status_unavailable, std::move( reason ), retry_after_stop );
+}
+
 auto exchange::close_try( bool cancel ) -> void
 {
     if ( !current_ )
@@ -768,7 +787,7 @@
     patience_call_.reset();
     watch_call_.reset();
     shared_.room.remove( this );
-    --shared_.open_exchanges;
+    shared_.open.erase( this );
     shared_.log.record( request_ended{
         request_.id, route_ != nullptr ? route_->id.str() : "",
         std::move( outcome ), status, last_target_,
--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -29,6 +29,8 @@
     auto start() -> void;
     /// The caller has closed its connection.
     auto on_caller_gone() -> void;
+    /// Ends the request now, since the process is about to end.
+    auto abandon( std::string reason ) -> void;
 
     auto try_start() -> bool override;
     [[nodiscard]] auto order() const -> double override;
@@ -118,7 +120,7 @@
     bool is_long_{ false };
 
     core::instant deadline_;
-    core::instant not_before_; ///< no choice of targets earlier
+    core::instant not_before_;     ///< no choice of targets earlier
     core::instant patience_until_; ///< the caller leaves without a first event
     std::unique_ptr<ports::scheduled_call> deadline_call_;
     std::unique_ptr<ports::scheduled_call> patience_call_;
--- a/src/pollenstream/exchange/message.hpp
+++ b/src/pollenstream/exchange/message.hpp
@@ -110,7 +110,7 @@
 struct attempt_end
 {
     bool complete{ false };
-    core::error error; ///< where not complete
+    core::error error;  ///< where not complete
     bool sent{ false }; ///< bytes may have reached the target
 };
 
@@ -158,9 +158,9 @@
 {
     core::target_id target;
     core::duration time_left{ 0 };
-    core::workspace_id workspace;         ///< empty: none
+    core::workspace_id workspace;           ///< empty: none
     std::optional<std::int64_t> last_event; ///< go on behind this event
-    std::optional<int> urgency;           ///< 0 is first
+    std::optional<int> urgency;             ///< 0 is first
     std::vector<helper_place> helpers;
 };
 
@@ -169,9 +169,9 @@
 {
 public:
     virtual ~request_speller() = default;
-    [[nodiscard]] virtual auto spell( caller_request const& request,
-                                      target_directions const& directions ) const
-        -> std::string = 0;
+    [[nodiscard]] virtual auto
+    spell( caller_request const& request,
+           target_directions const& directions ) const -> std::string = 0;
 };
 
 }
--- a/src/pollenstream/exchange/placement.cpp
+++ b/src/pollenstream/exchange/placement.cpp
@@ -246,7 +246,6 @@
     return choice;
 }
 
-
 auto nothing( no_choice reason ) -> placement_result
 {
     return { std::nullopt, reason };
@@ -300,9 +299,11 @@
     if ( is_long_prompt( speed, demand ) )
     {
         auto const has_room =
-            std::any_of( targets.begin(), targets.end(), [&]( auto const& t ) {
-                return free_memory( speed, *t ) >= memory;
-            } );
+            std::any_of( targets.begin(), targets.end(),
+                         [&]( auto const& t )
+                         {
+                             return free_memory( speed, *t ) >= memory;
+                         } );
         return has_room ? choose_long( demand, speed, targets, now )
                         : choose_reserved( demand, speed, targets, now );
     }
@@ -402,9 +403,11 @@
         if ( !writer )
             break;
         auto readers = readers_of( speed, targets, part_ms, 0, now );
-        std::erase_if( readers, [&]( auto const& r ) {
-            return r.target == writer->target;
-        } );
+        std::erase_if( readers,
+                       [&]( auto const& r )
+                       {
+                           return r.target == writer->target;
+                       } );
         if ( readers.size() + 1 < parts )
             break;
         readers.resize( parts - 1 );
--- a/src/pollenstream/exchange/placement.hpp
+++ b/src/pollenstream/exchange/placement.hpp
@@ -23,9 +23,9 @@
     core::duration latency_objective{ 0 };
     core::duration gap_objective{ 0 };
     core::duration tightest_gap{ 0 }; ///< of all routes of the service
-    core::duration waited{ 0 };     ///< since the request came
+    core::duration waited{ 0 };       ///< since the request came
     core::duration time_left{ 0 };
-    core::duration patience_left{ 0 }; ///< until the caller leaves
+    core::duration patience_left{ 0 };  ///< until the caller leaves
     std::vector<core::target_id> tried; ///< not to be chosen again
 };
 
@@ -44,9 +44,9 @@
 /// Why nothing was chosen.
 enum class no_choice
 {
-    no_targets,  ///< none that may get work
-    full,        ///< none has room now
-    too_large,   ///< all memory together does not hold it
+    no_targets, ///< none that may get work
+    full,       ///< none has room now
+    too_large,  ///< all memory together does not hold it
 };
 
 struct placement_result
--- a/src/pollenstream/exchange/reservation.cpp
+++ b/src/pollenstream/exchange/reservation.cpp
@@ -40,7 +40,8 @@
     pending_ = places_.size();
     for ( auto const& place : places_ )
         caller_.reserve( place, id_, hold_,
-                         [self = shared_from_this()]( auto status ) {
+                         [self = shared_from_this()]( auto status )
+                         {
                              self->on_reserved( status );
                          } );
 }
@@ -59,7 +60,11 @@
     }
     if ( pending_ > 0 )
         return;
-    renewal_ = scheduler_.call_after( renewal_period, [this] { renew(); } );
+    renewal_ = scheduler_.call_after( renewal_period,
+                                      [this]
+                                      {
+                                          renew();
+                                      } );
     auto const callback = std::exchange( callback_, nullptr );
     callback( core::success() );
 }
@@ -69,7 +74,11 @@
     // A renewal that fails shows as a stream that is cut when the hold ends.
     for ( auto const& place : places_ )
         caller_.reserve( place, id_, hold_, []( auto ) {} );
-    renewal_ = scheduler_.call_after( renewal_period, [this] { renew(); } );
+    renewal_ = scheduler_.call_after( renewal_period,
+                                      [this]
+                                      {
+                                          renew();
+                                      } );
 }
 
 auto reservation_group::release() -> void
@@ -85,16 +94,22 @@
 auto reservation_group::release_at( std::size_t index, int tries ) -> void
 {
     auto self = shared_from_this();
-    caller_.release( places_[index], id_, [self, index, tries]( auto status ) {
-        if ( !status.has_error() || tries <= 1 )
-            return;
-        auto holder = std::make_shared<std::unique_ptr<ports::scheduled_call>>();
-        *holder = self->scheduler_.call_after(
-            release_pause, [self, index, tries, holder] {
-                auto const call = std::move( *holder );
-                self->release_at( index, tries - 1 );
-            } );
-    } );
+    caller_.release(
+        places_[index], id_,
+        [self, index, tries]( auto status )
+        {
+            if ( !status.has_error() || tries <= 1 )
+                return;
+            auto holder =
+                std::make_shared<std::unique_ptr<ports::scheduled_call>>();
+            *holder = self->scheduler_.call_after(
+                release_pause,
+                [self, index, tries, holder]
+                {
+                    auto const call = std::move( *holder );
+                    self->release_at( index, tries - 1 );
+                } );
+        } );
 }
 
 }
--- a/src/pollenstream/exchange/reservation.hpp
+++ b/src/pollenstream/exchange/reservation.hpp
@@ -44,8 +44,7 @@
 
 /// Memory of one request at several targets: all of it or none. It is given
 /// back on every way out; what cannot be given back expires with its hold.
-class reservation_group
-    : public std::enable_shared_from_this<reservation_group>
+class reservation_group : public std::enable_shared_from_this<reservation_group>
 {
 public:
     using ready = std::function<void( core::result<void> )>;
--- a/src/pollenstream/exchange/routes.cpp
+++ b/src/pollenstream/exchange/routes.cpp
@@ -22,9 +22,9 @@
         by_host_[routes[i].host].push_back( i );
     for ( auto& [host, indexes] : by_host_ )
         std::sort( indexes.begin(), indexes.end(),
-                   [this]( auto a, auto b ) {
-                       return routes[a].prefix.size() >
-                              routes[b].prefix.size();
+                   [this]( auto a, auto b )
+                   {
+                       return routes[a].prefix.size() > routes[b].prefix.size();
                    } );
 }
 
--- a/src/pollenstream/exchange/routes.hpp
+++ b/src/pollenstream/exchange/routes.hpp
@@ -41,8 +41,8 @@
     std::string host;
     std::string prefix; ///< begins and ends with a slash
     request_kind kind{ request_kind::unsafe };
-    bool resumable{ false };       ///< a stream may go on at another target
-    core::duration timeout{ 0 };   ///< longest time a caller is kept waiting
+    bool resumable{ false };     ///< a stream may go on at another target
+    core::duration timeout{ 0 }; ///< longest time a caller is kept waiting
     core::duration latency_objective{ 0 };
     core::duration gap_objective{ 0 }; ///< longest pause between events
     int priority{ 0 };                 ///< 0 is first
@@ -80,7 +80,7 @@
 {
     core::service_id id;
     std::string health_path;
-    std::int64_t max_connections{ 0 }; ///< to each target, over all callers
+    std::int64_t max_connections{ 0 };  ///< to each target, over all callers
     std::optional<engine_speed> engine; ///< absent for a plain service
 };
 
--- a/src/pollenstream/exchange/shared_retry_budget.hpp
+++ b/src/pollenstream/exchange/shared_retry_budget.hpp
@@ -14,8 +14,8 @@
 /// What the operators allow all instances together.
 struct retry_allowance
 {
-    double ratio{ 0.2 };       ///< repeats for each request
-    double constant{ 0 };      ///< repeats in a window besides
+    double ratio{ 0.2 };  ///< repeats for each request
+    double constant{ 0 }; ///< repeats in a window besides
     core::duration window{ std::chrono::seconds( 10 ) };
 };
 
--- a/src/pollenstream/exchange/target_board.cpp
+++ b/src/pollenstream/exchange/target_board.cpp
@@ -33,9 +33,8 @@
 auto shun_time( std::int64_t failures ) -> core::duration
 {
     constexpr auto most_doublings = std::int64_t{ 4 };
-    auto const doublings =
-        std::clamp( failures - failures_to_shun, std::int64_t{ 0 },
-                    most_doublings );
+    auto const doublings = std::clamp( failures - failures_to_shun,
+                                       std::int64_t{ 0 }, most_doublings );
     return std::min( longest_shun, first_shun * ( 1 << doublings ) );
 }
 
@@ -43,8 +42,7 @@
 
 auto board_target::backlog_ms( core::instant now ) const -> double
 {
-    return std::max( 0.0,
-                     core::seconds_of( load.read_until - now ) * 1'000 );
+    return std::max( 0.0, core::seconds_of( load.read_until - now ) * 1'000 );
 }
 
 auto target_board::put( target_facts facts ) -> bool
@@ -94,7 +92,8 @@
         if ( entry->facts.service == id )
             order.push_back( entry );
     std::sort( order.begin(), order.end(),
-               []( auto const& a, auto const& b ) {
+               []( auto const& a, auto const& b )
+               {
                    return a->rank < b->rank;
                } );
 }
@@ -295,8 +294,7 @@
 {
     auto const at = find( id );
     if ( at )
-        at->health.shunned_until =
-            std::max( at->health.shunned_until, until );
+        at->health.shunned_until = std::max( at->health.shunned_until, until );
 }
 
 auto target_board::note_told( core::target_id const& id,
--- a/src/pollenstream/exchange/target_board.hpp
+++ b/src/pollenstream/exchange/target_board.hpp
@@ -34,7 +34,7 @@
 struct work_part
 {
     core::target_id target;
-    double read_ms{ 0 };            ///< reading that this part costs the target
+    double read_ms{ 0 }; ///< reading that this part costs the target
     std::int64_t memory_tokens{ 0 }; ///< taken up there until the work ends
 };
 
@@ -46,7 +46,7 @@
     std::vector<work_part> parts;
     std::int64_t context_tokens{ 0 };
     std::int64_t tolerated_gap_ms{ 0 }; ///< longest pause that is on time
-    bool reading{ true };            ///< the first event has not come yet
+    bool reading{ true };               ///< the first event has not come yet
 };
 
 /// Requests that tolerate pauses up to the same length.
--- a/src/pollenstream/exchange/waiting_room.cpp
+++ b/src/pollenstream/exchange/waiting_room.cpp
@@ -34,7 +34,10 @@
 auto waiting_room::remove( waiter const* who ) -> void
 {
     std::erase_if( waiting_,
-                   [who]( auto const& w ) { return w.get() == who; } );
+                   [who]( auto const& w )
+                   {
+                       return w.get() == who;
+                   } );
 }
 
 auto waiting_room::poke() -> void
@@ -49,22 +52,24 @@
     if ( round_ && round_at_ <= at )
         return;
     round_at_ = at;
-    round_ = scheduler_.call_after( delay, [this] {
-        auto const done = std::move( round_ );
-        run_round();
-    } );
+    round_ = scheduler_.call_after( delay,
+                                    [this]
+                                    {
+                                        auto const done = std::move( round_ );
+                                        run_round();
+                                    } );
 }
 
 auto waiting_room::run_round() -> void
 {
     auto round = waiting_;
     std::stable_sort( round.begin(), round.end(),
-                      []( auto const& a, auto const& b ) {
+                      []( auto const& a, auto const& b )
+                      {
                           return a->order() < b->order();
                       } );
     // The smallest size that found no room, by service and by kind of place.
-    auto no_room =
-        std::map<std::pair<core::service_id, bool>, std::int64_t>{};
+    auto no_room = std::map<std::pair<core::service_id, bool>, std::int64_t>{};
     for ( auto const& who : round )
     {
         auto const kind = std::pair( who->service(), who->is_long() );
--- a/src/pollenstream/peers/peer_group.cpp
+++ b/src/pollenstream/peers/peer_group.cpp
@@ -72,8 +72,12 @@
     send_to_all( message );
     // Datagrams may be lost; callers that come here later are turned away.
     for ( auto const delay : { 40ms, 120ms, 300ms } )
-        repeats_.push_back( scheduler_.call_after(
-            delay, [this] { send_to_all( base_message() ); } ) );
+        repeats_.push_back( scheduler_.call_after( delay,
+                                                   [this]
+                                                   {
+                                                       send_to_all(
+                                                           base_message() );
+                                                   } ) );
 }
 
 auto peer_group::set_store_state( ports::store_revision at, core::duration age )
@@ -191,10 +195,13 @@
 auto peer_group::arm_flush() -> void
 {
     if ( !flush_call_ )
-        flush_call_ = scheduler_.call_after( flush_delay, [this] {
-            auto const done = std::move( flush_call_ );
-            flush();
-        } );
+        flush_call_ = scheduler_.call_after( flush_delay,
+                                             [this]
+                                             {
+                                                 auto const done =
+                                                     std::move( flush_call_ );
+                                                 flush();
+                                             } );
 }
 
 auto peer_group::flush() -> void
@@ -223,10 +230,13 @@
     message.known_ips = some_ips();
     send_to_all( message );
     check_silent();
-    beat_call_ = scheduler_.call_after( beat_period(), [this] {
-        auto const done = std::move( beat_call_ );
-        beat();
-    } );
+    beat_call_ = scheduler_.call_after( beat_period(),
+                                        [this]
+                                        {
+                                            auto const done =
+                                                std::move( beat_call_ );
+                                            beat();
+                                        } );
 }
 
 auto peer_group::some_ips() -> std::vector<std::string>
@@ -266,9 +276,11 @@
         peers_.erase( id );
     if ( !forgotten.empty() && on_size_changed )
         on_size_changed();
-    std::erase_if( extra_ips_, [now]( auto const& entry ) {
-        return now - entry.second > try_time;
-    } );
+    std::erase_if( extra_ips_,
+                   [now]( auto const& entry )
+                   {
+                       return now - entry.second > try_time;
+                   } );
 }
 
 auto peer_group::note( peer const& which, std::string now, std::string because )
@@ -323,10 +335,11 @@
         note( p, "leaving", "it said so" );
     for ( auto const& ip : message.known_ips )
     {
-        auto const is_known =
-            std::any_of( peers_.begin(), peers_.end(), [&]( auto const& e ) {
-                return e.second.ip == ip;
-            } );
+        auto const is_known = std::any_of( peers_.begin(), peers_.end(),
+                                           [&]( auto const& e )
+                                           {
+                                               return e.second.ip == ip;
+                                           } );
         if ( !is_known )
             add_ip( ip );
     }
--- a/src/pollenstream/peers/peer_group.hpp
+++ b/src/pollenstream/peers/peer_group.hpp
@@ -82,8 +82,7 @@
 
     auto on_datagram( std::string_view bytes ) -> void;
 
-    [[nodiscard]] auto peers() const
-        -> std::map<core::instance_id, peer> const&
+    [[nodiscard]] auto peers() const -> std::map<core::instance_id, peer> const&
     {
         return peers_;
     }
--- a/src/pollenstream/peers/peer_message.cpp
+++ b/src/pollenstream/peers/peer_message.cpp
@@ -18,8 +18,7 @@
     auto parts = json::array();
     for ( auto const& part : work.parts )
         parts.push_back( json::array(
-            { part.target.str(),
-              static_cast<std::int64_t>( part.read_ms * 10 ),
+            { part.target.str(), static_cast<std::int64_t>( part.read_ms * 10 ),
               part.memory_tokens } ) );
     return json::array( { work.serial, work.context_tokens,
                           work.tolerated_gap_ms, work.reading,
@@ -49,13 +48,12 @@
     auto shunned = json::array();
     for ( auto const& s : m.shunned )
         shunned.push_back( json::array( { s.target.str(), s.time_ms } ) );
-    return json::array( { layout, m.sender.str(), m.incarnation.count(), m.ip,
-                          m.place.str(), m.callers, m.known_until.count(),
-                          m.ready, m.leaving, m.complete, std::move( work ),
-                          m.reading_ended, m.ended, std::move( shunned ),
-                          m.known_ips, m.store_age_ms,
-                          json::binary( { m.update.begin(),
-                                          m.update.end() } ) } );
+    return json::array(
+        { layout, m.sender.str(), m.incarnation.count(), m.ip, m.place.str(),
+          m.callers, m.known_until.count(), m.ready, m.leaving, m.complete,
+          std::move( work ), m.reading_ended, m.ended, std::move( shunned ),
+          m.known_ips, m.store_age_ms,
+          json::binary( { m.update.begin(), m.update.end() } ) } );
 }
 
 auto from_json( json const& object ) -> peer_message
@@ -63,8 +61,7 @@
     auto m = peer_message{};
     auto at = std::size_t{ 1 };
     m.sender = core::instance_id( object.at( at++ ).get<std::string>() );
-    m.incarnation =
-        core::incarnation( object.at( at++ ).get<std::int64_t>() );
+    m.incarnation = core::incarnation( object.at( at++ ).get<std::int64_t>() );
     m.ip = object.at( at++ ).get<std::string>();
     m.place = core::place_id( object.at( at++ ).get<std::string>() );
     m.callers = object.at( at++ ).get<std::string>();
@@ -75,13 +72,11 @@
     m.complete = object.at( at++ ).get<bool>();
     for ( auto const& w : object.at( at++ ) )
         m.work.push_back( work_from_json( w ) );
-    m.reading_ended =
-        object.at( at++ ).get<std::vector<std::uint64_t>>();
+    m.reading_ended = object.at( at++ ).get<std::vector<std::uint64_t>>();
     m.ended = object.at( at++ ).get<std::vector<std::uint64_t>>();
     for ( auto const& s : object.at( at++ ) )
-        m.shunned.push_back(
-            { core::target_id( s.at( 0 ).get<std::string>() ),
-              s.at( 1 ).get<std::int64_t>() } );
+        m.shunned.push_back( { core::target_id( s.at( 0 ).get<std::string>() ),
+                               s.at( 1 ).get<std::int64_t>() } );
     m.known_ips = object.at( at++ ).get<std::vector<std::string>>();
     m.store_age_ms = object.at( at++ ).get<std::int64_t>();
     auto const& update = object.at( at++ ).get_binary();
--- a/src/pollenstream/peers/peer_message.hpp
+++ b/src/pollenstream/peers/peer_message.hpp
@@ -32,8 +32,8 @@
     core::place_id place;          ///< of the sender
     std::string callers;           ///< where callers reach the sender
     ports::store_revision known_until;
-    bool ready{ false };   ///< callers may be sent to it
-    bool leaving{ false }; ///< it is about to stop
+    bool ready{ false };    ///< callers may be sent to it
+    bool leaving{ false };  ///< it is about to stop
     bool complete{ false }; ///< `work` is all of the sender's open work
     std::vector<exchange::open_work> work;
     std::vector<std::uint64_t> reading_ended;
--- a/src/pollenstream/peers/state_transfer.cpp
+++ b/src/pollenstream/peers/state_transfer.cpp
@@ -59,10 +59,10 @@
     for ( auto const& r : update.batch.records )
         records.push_back( to_json( r ) );
     auto bytes = std::string{};
-    json::to_cbor( json::array( { update.from.count(), update.batch.at.count(),
-                                  update.lapse_possible,
-                                  std::move( records ) } ),
-                   bytes );
+    json::to_cbor(
+        json::array( { update.from.count(), update.batch.at.count(),
+                       update.lapse_possible, std::move( records ) } ),
+        bytes );
     return bytes;
 }
 
--- a/src/pollenstream/registry/registration.cpp
+++ b/src/pollenstream/registry/registration.cpp
@@ -32,51 +32,61 @@
     grant();
 }
 
-auto registration::later( core::duration delay,
-                          void ( registration::*step )() ) -> void
+auto registration::later( core::duration delay, void ( registration::*step )() )
+    -> void
 {
-    next_ = scheduler_.call_after( delay, [this, step] {
-        auto const done = std::move( next_ );
-        if ( !stopped_ )
-            ( this->*step )();
-    } );
+    next_ = scheduler_.call_after( delay,
+                                   [this, step]
+                                   {
+                                       auto const done = std::move( next_ );
+                                       if ( !stopped_ )
+                                           ( this->*step )();
+                                   } );
 }
 
 auto registration::grant() -> void
 {
-    store_.grant_lease( lease_time, [this]( auto lease ) {
-        if ( lease.has_error() )
-            return later( retry_pause, &registration::grant );
-        lease_ = lease.value();
-        put();
-    } );
+    store_.grant_lease( lease_time,
+                        [this]( auto lease )
+                        {
+                            if ( lease.has_error() )
+                                return later( retry_pause,
+                                              &registration::grant );
+                            lease_ = lease.value();
+                            put();
+                        } );
 }
 
 auto registration::put() -> void
 {
-    store_.put( key_, value_, lease_, [this]( auto status ) {
-        if ( !status.has_error() )
-            return later( renewal_period, &registration::renew );
-        // The write may have been made all the same; writing the same value
-        // again does no harm.
-        auto const lease_ended =
-            status.error().code == core::error_code::expired;
-        later( retry_pause,
-               lease_ended ? &registration::grant : &registration::put );
-    } );
+    store_.put( key_, value_, lease_,
+                [this]( auto status )
+                {
+                    if ( !status.has_error() )
+                        return later( renewal_period, &registration::renew );
+                    // The write may have been made all the same; writing the
+                    // same value again does no harm.
+                    auto const lease_ended =
+                        status.error().code == core::error_code::expired;
+                    later( retry_pause, lease_ended ? &registration::grant
+                                                    : &registration::put );
+                } );
 }
 
 auto registration::renew() -> void
 {
-    store_.renew_lease( lease_, [this]( auto status ) {
-        auto const lease_ended =
-            status.has_error() &&
-            status.error().code == core::error_code::expired;
-        if ( lease_ended )
-            return grant();
-        later( status.has_error() ? retry_pause : renewal_period,
-               &registration::renew );
-    } );
+    store_.renew_lease(
+        lease_,
+        [this]( auto status )
+        {
+            auto const lease_ended =
+                status.has_error() &&
+                status.error().code == core::error_code::expired;
+            if ( lease_ended )
+                return grant();
+            later( status.has_error() ? retry_pause : renewal_period,
+                   &registration::renew );
+        } );
 }
 
 auto registration::stop() -> void
--- a/src/pollenstream/registry/registry_codec.hpp
+++ b/src/pollenstream/registry/registry_codec.hpp
@@ -26,7 +26,8 @@
     virtual ~registry_codec() = default;
     [[nodiscard]] virtual auto kind_of( std::string const& key ) const
         -> record_kind = 0;
-    [[nodiscard]] virtual auto read_configuration( std::string const& value ) const
+    [[nodiscard]] virtual auto
+    read_configuration( std::string const& value ) const
         -> core::result<exchange::configuration_ptr> = 0;
     [[nodiscard]] virtual auto target_of( std::string const& key ) const
         -> core::target_id = 0;
--- a/src/pollenstream/registry/registry_watch.cpp
+++ b/src/pollenstream/registry/registry_watch.cpp
@@ -65,15 +65,21 @@
 auto registry_watch::list() -> void
 {
     reading_ = true;
-    store_.list( "", [this]( auto batch ) { on_list( std::move( batch ) ); } );
+    store_.list( "",
+                 [this]( auto batch )
+                 {
+                     on_list( std::move( batch ) );
+                 } );
 }
 
 auto registry_watch::watch() -> void
 {
     reading_ = true;
-    store_.watch( "", known_until_, watch_time, [this]( auto batch ) {
-        on_watch( std::move( batch ) );
-    } );
+    store_.watch( "", known_until_, watch_time,
+                  [this]( auto batch )
+                  {
+                      on_watch( std::move( batch ) );
+                  } );
 }
 
 auto registry_watch::on_list( core::result<ports::record_batch> batch ) -> void
@@ -112,8 +118,8 @@
 auto registry_watch::on_trouble( core::error const& why ) -> void
 {
     if ( store_serves_ )
-        log_.record( exchange::belief_changed{ "store", "", "away",
-                                               why.detail, {} } );
+        log_.record(
+            exchange::belief_changed{ "store", "", "away", why.detail, {} } );
     store_serves_ = false;
     trouble_until_ = scheduler_.now();
     retry_later();
@@ -129,18 +135,20 @@
     store_serves_ = true;
     if ( std::exchange( ever_served_, true ) )
         trouble_until_ = scheduler_.now();
-    log_.record( exchange::belief_changed{
-        "store", "", "serves", "it answered", {} } );
+    log_.record(
+        exchange::belief_changed{ "store", "", "serves", "it answered", {} } );
 }
 
 auto registry_watch::retry_later() -> void
 {
     pause_ = std::clamp( pause_ * 2, shortest_pause, longest_pause );
-    retry_ = scheduler_.call_after( pause_, [this] {
-        auto const done = std::move( retry_ );
-        if ( reader_ )
-            list();
-    } );
+    retry_ = scheduler_.call_after( pause_,
+                                    [this]
+                                    {
+                                        auto const done = std::move( retry_ );
+                                        if ( reader_ )
+                                            list();
+                                    } );
 }
 
 auto registry_watch::take_complete( ports::record_batch const& batch,
@@ -226,9 +234,8 @@
     if ( read.has_error() )
     {
         // The last good version stays in force.
-        log_.record( exchange::belief_changed{ "configuration", r.key,
-                                               "unreadable",
-                                               read.error().detail, {} } );
+        log_.record( exchange::belief_changed{
+            "configuration", r.key, "unreadable", read.error().detail, {} } );
         return;
     }
     auto const next = std::move( read.value() );
@@ -239,9 +246,12 @@
                                next->version > configuration_->version,
                            "configuration went back" );
     configuration_ = next;
-    log_.record( exchange::belief_changed{
-        "configuration", std::to_string( next->version.count() ), "in_force",
-        from, {} } );
+    log_.record(
+        exchange::belief_changed{ "configuration",
+                                  std::to_string( next->version.count() ),
+                                  "in_force",
+                                  from,
+                                  {} } );
     events_.on_configuration( next );
 }
 
@@ -251,8 +261,8 @@
     auto read = codec_.read_target( r.key, *r.value );
     if ( read.has_error() )
     {
-        log_.record( exchange::belief_changed{ "target", r.key, "unreadable",
-                                               read.error().detail, {} } );
+        log_.record( exchange::belief_changed{
+            "target", r.key, "unreadable", read.error().detail, {} } );
         return;
     }
     auto const id = read.value().id;
@@ -271,8 +281,9 @@
 {
     if ( !reader_ )
         return told_of_lapse_;
-    return !store_serves_ || ( trouble_until_ != core::instant{} &&
-                               scheduler_.now() - trouble_until_ < return_time );
+    return !store_serves_ ||
+           ( trouble_until_ != core::instant{} &&
+             scheduler_.now() - trouble_until_ < return_time );
 }
 
 auto registry_watch::take_removal( std::string const& key,
@@ -291,9 +302,12 @@
     if ( !may_be_lapsed() )
         return target_gone( id, from );
     missing_.try_emplace( id, scheduler_.now() );
-    log_.record( exchange::belief_changed{
-        "target", id.str(), "missing", "its entry lapsed beside trouble of "
-                                       "the store", {} } );
+    log_.record( exchange::belief_changed{ "target",
+                                           id.str(),
+                                           "missing",
+                                           "its entry lapsed beside trouble of "
+                                           "the store",
+                                           {} } );
     arm_missing_check();
 }
 
@@ -310,10 +324,13 @@
 auto registry_watch::arm_missing_check() -> void
 {
     if ( !missing_check_ )
-        missing_check_ = scheduler_.call_after( return_time, [this] {
-            auto const done = std::move( missing_check_ );
-            check_missing();
-        } );
+        missing_check_ = scheduler_.call_after( return_time,
+                                                [this]
+                                                {
+                                                    auto const done = std::move(
+                                                        missing_check_ );
+                                                    check_missing();
+                                                } );
 }
 
 auto registry_watch::check_missing() -> void
