--- a/src/pollenstream/adapters/asio/prelude.hpp
+++ b/src/pollenstream/adapters/asio/prelude.hpp
@@ -3,10 +3,12 @@
 
 // Boost 1.74 uses std::exchange in its coroutine header without including
 // <utility>; in C++20 that header has to come first.
-#include <boost/asio.hpp>
-
+// clang-format off
 #include <utility>
 
+#include <boost/asio.hpp>
+// clang-format on
+
 namespace pollenstream::adapters::asio
 {
 
