--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -96,23 +96,23 @@
 auto gateway_node::make_context() -> exchange::exchange_context
 {
     return exchange::exchange_context{
-        scheduler_,
-        target_calls_,
-        speller_,
-        memory_orders_,
-        board_,
-        placement_,
-        retries_,
-        room_,
-        log_,
-        group_,
-        settings_.instance,
-        nullptr,
-        std::nullopt,
-        0,
-        0,
-        {},
-        std::minstd_rand( seed_of( settings_ ) ) };
+        .scheduler = scheduler_,
+        .targets = target_calls_,
+        .speller = speller_,
+        .reservations = memory_orders_,
+        .board = board_,
+        .chooser = placement_,
+        .retries = retries_,
+        .room = room_,
+        .log = log_,
+        .announcer = group_,
+        .self = settings_.instance,
+        .configuration = nullptr,
+        .stop_at = std::nullopt,
+        .last_serial = 0,
+        .open = {},
+        .counters = {},
+        .random = std::minstd_rand( seed_of( settings_ ) ) };
 }
 
 auto gateway_node::make_registry_events() -> registry::registry_events
--- /dev/null
+++ b/tests/exchange/exchange_test.cpp
@@ -0,0 +1,292 @@
+#include "support/exchange_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace tests;
+using namespace std::chrono_literals;
+
+TEST_CASE( "an answer comes back with status, headers and body unchanged",
+           "[exchange]" )
+{
+    auto f = exchange_fixture{};
+    f.start( f.request( "/safe/x?y=1" ) );
+    REQUIRE( f.targets.all.size() == 1 );
+    CHECK( f.targets.all[0]->request.text->find( "POST /safe/x?y=1 " ) == 0 );
+    f.targets.all[0]->answer( 200, "body" );
+    CHECK( f.answer->whole.status == 200 );
+    CHECK( f.answer->whole.body == "body" );
+    CHECK( f.announcer.open == 0 );
+    CHECK( f.context.open.empty() );
+}
+
+TEST_CASE( "the key becomes the workspace and an unknown one is refused",
+           "[exchange][keys]" )
+{
+    auto f = exchange_fixture{};
+    SECTION( "known" )
+    {
+        auto const open = f.start( f.request( "/safe/x" ) );
+        REQUIRE( f.targets.all.size() == 1 );
+        CHECK( f.targets.all[0]->request.text->find( "for ws" ) !=
+               std::string::npos );
+        open->on_caller_gone();
+    }
+    SECTION( "unknown" )
+    {
+        auto r = f.request( "/safe/x" );
+        r.key = "other";
+        f.start( r );
+        CHECK( f.targets.all.empty() );
+        CHECK( f.answer->whole.status == 401 );
+    }
+    SECTION( "a public route asks for none" )
+    {
+        auto r = f.request( "/open/x" );
+        r.key = "";
+        auto const open = f.start( r );
+        CHECK( f.targets.all.size() == 1 );
+        open->on_caller_gone();
+    }
+}
+
+TEST_CASE( "without a configuration the answer is 503 and never 401 or 404",
+           "[exchange][configuration]" )
+{
+    auto f = exchange_fixture{};
+    f.context.configuration = nullptr;
+    f.start( f.request( "/nowhere/" ) );
+    CHECK( f.answer->whole.status == 503 );
+    CHECK_FALSE( f.answer->header( "Retry-After" ).empty() );
+}
+
+TEST_CASE( "no route is 404", "[exchange][configuration]" )
+{
+    auto f = exchange_fixture{};
+    f.start( f.request( "/nowhere/" ) );
+    CHECK( f.answer->whole.status == 404 );
+}
+
+TEST_CASE( "a safe call that fails is sent to another target",
+           "[exchange][repeat]" )
+{
+    auto f = exchange_fixture{};
+    f.start( f.request( "/safe/x" ) );
+    SECTION( "its connection is lost" )
+    {
+        f.targets.all[0]->lose();
+    }
+    SECTION( "the target fails" )
+    {
+        f.targets.all[0]->answer( 500, "no" );
+    }
+    SECTION( "the target is silent" )
+    {
+        f.scheduler.run( 700ms );
+        CHECK( f.targets.all[0]->cancelled );
+    }
+    SECTION( "a success has no digest" )
+    {
+        f.targets.all[0]->head( 200, false );
+        f.targets.all[0]->complete();
+    }
+    REQUIRE( f.targets.all.size() == 2 );
+    CHECK( f.targets.all[0]->request.target !=
+           f.targets.all[1]->request.target );
+    f.targets.all[1]->answer( 200, "yes" );
+    CHECK( f.answer->whole.status == 200 );
+}
+
+TEST_CASE( "an unsafe call is never sent again once it may have run",
+           "[exchange][repeat]" )
+{
+    auto f = exchange_fixture{};
+    f.start( f.request( "/unsafe/x" ) );
+    SECTION( "lost after it was sent" )
+    {
+        f.targets.all[0]->lose();
+        CHECK( f.answer->whole.status == 502 );
+    }
+    SECTION( "failed by its target" )
+    {
+        f.targets.all[0]->answer( 500, "no" );
+        CHECK( f.answer->whole.status == 500 );
+    }
+    SECTION( "silent until its time is over" )
+    {
+        f.scheduler.run( 11s );
+        CHECK( f.answer->whole.status == 504 );
+    }
+    CHECK( f.targets.all.size() == 1 );
+}
+
+TEST_CASE( "an unsafe call that was not run goes to another target",
+           "[exchange][repeat]" )
+{
+    auto f = exchange_fixture{};
+    f.start( f.request( "/unsafe/x" ) );
+    SECTION( "turned away" )
+    {
+        f.targets.all[0]->turn_away();
+    }
+    SECTION( "another instance has the address" )
+    {
+        f.targets.all[0]->turn_away( 421 );
+    }
+    SECTION( "no connection was made" )
+    {
+        f.targets.all[0]->lose( false );
+    }
+    REQUIRE( f.targets.all.size() == 2 );
+    f.targets.all[1]->answer( 200, "yes" );
+    CHECK( f.answer->whole.status == 200 );
+}
+
+TEST_CASE( "a call that every target turned away is refused as not run",
+           "[exchange][repeat]" )
+{
+    auto f = exchange_fixture{};
+    f.start( f.request( "/unsafe/x" ) );
+    f.targets.all[0]->turn_away();
+    f.targets.all[1]->turn_away();
+    CHECK( f.answer->whole.status == 503 );
+    CHECK_FALSE( f.answer->header( "Retry-After" ).empty() );
+}
+
+TEST_CASE( "an answer that was lost and then refused elsewhere is no promise",
+           "[exchange][repeat]" )
+{
+    auto f = exchange_fixture{};
+    f.start( f.request( "/safe/x" ) );
+    f.targets.all[0]->lose();
+    f.targets.all[1]->turn_away();
+    CHECK( f.answer->whole.status == 502 );
+}
+
+TEST_CASE( "a stream is resumed at another target with no event twice or gone",
+           "[exchange][stream]" )
+{
+    auto f = exchange_fixture{};
+    f.start( f.request( "/chat/x" ) );
+    auto& first = *f.targets.all[0];
+    first.head( 200 );
+    first.event( 1 );
+    first.event( 2 );
+    first.listener->on_body( "id: 3\nda" );
+    first.lose();
+    REQUIRE( f.targets.all.size() == 2 );
+    CHECK( f.targets.all[1]->request.text->find( "after 2" ) !=
+           std::string::npos );
+    auto& second = *f.targets.all[1];
+    second.head( 200 );
+    second.event( 2 );
+    second.event( 3 );
+    second.complete();
+    CHECK( f.answer->stream == "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
+                               "id: 3\ndata: x\n\n" );
+    CHECK( f.answer->ended );
+}
+
+TEST_CASE( "a stream with a missing event is not joined", "[exchange][stream]" )
+{
+    auto f = exchange_fixture{};
+    f.start( f.request( "/chat/x" ) );
+    f.targets.all[0]->head( 200 );
+    f.targets.all[0]->event( 1 );
+    f.targets.all[0]->event( 3 );
+    CHECK( f.answer->stream == "id: 1\ndata: x\n\n" );
+    REQUIRE( f.targets.all.size() == 2 );
+    f.targets.all[1]->head( 200 );
+    f.targets.all[1]->event( 3 );
+    CHECK( f.answer->aborted );
+    CHECK_FALSE( f.answer->ended );
+}
+
+TEST_CASE( "a stream that may not be resumed is cut and looks cut",
+           "[exchange][stream]" )
+{
+    auto f = exchange_fixture{};
+    f.start( f.request( "/once/x" ) );
+    f.targets.all[0]->head( 200 );
+    f.targets.all[0]->event( 1 );
+    f.targets.all[0]->lose();
+    CHECK( f.targets.all.size() == 1 );
+    CHECK( f.answer->aborted );
+    CHECK_FALSE( f.answer->ended );
+}
+
+TEST_CASE( "half an event at the end is no whole stream", "[exchange][stream]" )
+{
+    auto f = exchange_fixture{};
+    f.start( f.request( "/once/x" ) );
+    f.targets.all[0]->head( 200 );
+    f.targets.all[0]->event( 1 );
+    f.targets.all[0]->listener->on_body( "id: 2\n" );
+    f.targets.all[0]->complete();
+    CHECK( f.answer->aborted );
+}
+
+TEST_CASE( "the caller's leaving ends the work at the target",
+           "[exchange][caller]" )
+{
+    auto f = exchange_fixture{};
+    auto const open = f.start( f.request( "/chat/x" ) );
+    open->on_caller_gone();
+    CHECK( f.targets.all[0]->cancelled );
+    CHECK( f.announcer.open == 0 );
+    CHECK( f.log.last_outcome() == "caller_gone" );
+}
+
+TEST_CASE( "a request ends when its route's time is over", "[exchange][time]" )
+{
+    auto f = exchange_fixture{};
+    auto r = f.request( "/unsafe/x" );
+    r.time_limit = 60s;
+    f.start( r );
+    f.scheduler.run( 9'990ms );
+    CHECK( f.answer->whole.status == 0 );
+    f.scheduler.run( 20ms );
+    CHECK( f.answer->whole.status == 504 );
+    CHECK( f.targets.all[0]->cancelled );
+}
+
+TEST_CASE( "a process that is about to end admits only what fits in",
+           "[exchange][stop]" )
+{
+    auto f = exchange_fixture{};
+    f.context.stop_at = f.scheduler.now() + 1s;
+    f.start( f.request( "/chat/x" ) );
+    CHECK( f.answer->whole.status == 503 );
+    f.answer = std::make_shared<recorded_channel>();
+    auto const call = f.start( f.request( "/safe/x" ) );
+    CHECK( f.targets.all.size() == 1 );
+    call->abandon( "process_ends" );
+    CHECK( f.answer->whole.status == 502 );
+}
+
+TEST_CASE( "a leaving target gets nothing new", "[exchange][leaving]" )
+{
+    auto f = exchange_fixture{};
+    auto gone = make_target( "p1", "plain" );
+    gone.leaving = true;
+    f.board.put( gone );
+    for ( auto i = 0; i < 20; ++i )
+    {
+        f.start( f.request( "/safe/x" ) );
+        CHECK( f.targets.all.back()->request.target ==
+               core::target_id( "p2" ) );
+        f.targets.all.back()->answer( 200, "" );
+    }
+}
+
+TEST_CASE( "callers that do not read end their own stream only",
+           "[exchange][stream]" )
+{
+    auto f = exchange_fixture{};
+    f.start( f.request( "/chat/x" ) );
+    f.targets.all[0]->head( 200 );
+    f.targets.all[0]->event( 1 );
+    f.answer->unsent = 2'000'000;
+    f.targets.all[0]->event( 2 );
+    CHECK( f.answer->aborted );
+    CHECK( f.targets.all[0]->cancelled );
+}
--- /dev/null
+++ b/tests/exchange/placement_test.cpp
@@ -0,0 +1,260 @@
+#include "support/exchange_fixture.hpp"
+#include <pollenstream/exchange/engine_model.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace tests;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// 18 engines as the Valuation Office has them.
+struct engine_floor
+{
+    engine_floor()
+    {
+        for ( auto i = 0; i < 18; ++i )
+            board.put( make_target( "m" + std::to_string( i ), "model" ) );
+        service.id = core::service_id( "model" );
+        service.engine = engine_speed_of_users();
+    }
+
+    auto choose( std::int64_t tokens, core::duration gap )
+        -> exchange::placement_result
+    {
+        auto demand = exchange::placement_demand{};
+        demand.service = service.id;
+        demand.prompt_tokens = tokens;
+        demand.output_tokens = 1'600;
+        demand.latency_objective = gap == 200ms ? 300ms : 3s;
+        demand.gap_objective = gap;
+        demand.tightest_gap = 200ms;
+        demand.waited = waited;
+        demand.time_left = 10s;
+        demand.patience_left = 10s;
+        return chooser.choose( demand, service, now );
+    }
+
+    /// Chooses and counts the work, as an instance does; false if full.
+    auto place( std::int64_t tokens, core::duration gap ) -> bool
+    {
+        last = choose( tokens, gap );
+        if ( !last.choice )
+            return false;
+        auto work = exchange::open_work{};
+        work.serial = ++serial;
+        work.parts = last.choice->parts;
+        work.context_tokens = tokens;
+        work.tolerated_gap_ms = core::milliseconds_of( gap );
+        board.add_work( self, work, now );
+        return true;
+    }
+
+    auto end_reading( std::uint64_t which ) -> void
+    {
+        board.end_reading( self, which, now );
+    }
+
+    exchange::target_board board;
+    exchange::placement chooser{ board, core::place_id( "a" ) };
+    exchange::service_settings service;
+    core::instance_id self{ "self" };
+    core::instant now{ 100s };
+    core::duration waited{ 0 };
+    std::uint64_t serial{ 0 };
+    exchange::placement_result last;
+};
+
+}
+
+TEST_CASE( "reading grows with the square of a prompt", "[placement]" )
+{
+    auto const speed = engine_speed_of_users();
+    CHECK( exchange::read_ms( speed, 5'000 ) ==
+           Approx( 20.7 ).epsilon( 0.05 ) );
+    CHECK( exchange::read_ms( speed, 210'000 ) ==
+           Approx( 2'842 ).epsilon( 0.02 ) );
+    CHECK( exchange::read_ms( speed, 1'000'000 ) ==
+           Approx( 49'756 ).epsilon( 0.02 ) );
+}
+
+TEST_CASE( "short prompts are packed and leave engines free", "[placement]" )
+{
+    auto floor = engine_floor{};
+    auto used = std::set<std::string>{};
+    for ( auto i = 0; i < 60; ++i )
+    {
+        REQUIRE( floor.place( 5'000, 200ms ) );
+        floor.end_reading( floor.serial );
+        used.insert( floor.last.choice->targets[0]->facts.id.str() );
+    }
+    // 60 requests over 13 packed slots an engine.
+    CHECK( used.size() <= 6 );
+}
+
+TEST_CASE( "a long prompt is read away from short writers", "[placement]" )
+{
+    auto floor = engine_floor{};
+    auto used = std::set<std::string>{};
+    for ( auto i = 0; i < 60; ++i )
+    {
+        REQUIRE( floor.place( 5'000, 200ms ) );
+        floor.end_reading( floor.serial );
+        used.insert( floor.last.choice->targets[0]->facts.id.str() );
+    }
+    REQUIRE( floor.place( 210'000, 800ms ) );
+    CHECK( floor.last.choice->targets.size() >= 7 );
+    for ( auto const& t : floor.last.choice->targets )
+        CHECK( used.count( t->facts.id.str() ) == 0 );
+    // A dossier spoils short pauses too, though its own route is patient.
+    REQUIRE( floor.place( 45'000, 500ms ) );
+    for ( auto const& t : floor.last.choice->targets )
+        CHECK( used.count( t->facts.id.str() ) == 0 );
+}
+
+TEST_CASE( "a long prompt waits where every engine writes short answers",
+           "[placement]" )
+{
+    auto floor = engine_floor{};
+    while ( floor.place( 5'000, 200ms ) )
+        floor.end_reading( floor.serial );
+    CHECK_FALSE( floor.place( 210'000, 800ms ) );
+    SECTION( "and goes on waiting once it is late itself" )
+    {
+        floor.waited = 4s;
+        CHECK_FALSE( floor.place( 210'000, 800ms ) );
+    }
+}
+
+TEST_CASE( "one huge prompt does not make those behind it late", "[placement]" )
+{
+    auto floor = engine_floor{};
+    // It waits a little for more engines than there are.
+    floor.waited = 500ms;
+    REQUIRE( floor.place( 400'000, 800ms ) );
+    CHECK( floor.last.choice->first_event_ms < 1'100 );
+    // Nor is a second one placed upon the first.
+    CHECK_FALSE( floor.place( 420'000, 800ms ) );
+    CHECK( floor.place( 120'000, 800ms ) );
+}
+
+TEST_CASE( "an engine that reads for itself reads for no other", "[placement]" )
+{
+    auto floor = engine_floor{};
+    REQUIRE( floor.place( 210'000, 800ms ) );
+    auto const writer = floor.last.choice->targets[0]->facts.id;
+    REQUIRE( floor.place( 210'000, 800ms ) );
+    for ( auto i = std::size_t{ 1 }; i < floor.last.choice->targets.size();
+          ++i )
+        CHECK( floor.last.choice->targets[i]->facts.id != writer );
+}
+
+TEST_CASE( "a prompt that no engine has room for is reserved at several",
+           "[placement]" )
+{
+    auto floor = engine_floor{};
+    // Every engine has less than 200,000 tokens free.
+    for ( auto const& [id, target] : floor.board.all() )
+    {
+        auto work = exchange::open_work{};
+        work.serial = ++floor.serial;
+        work.parts = { { id, 0, 260'000 } };
+        work.tolerated_gap_ms = 800;
+        work.reading = false;
+        floor.board.add_work( floor.self, work, floor.now );
+    }
+    REQUIRE( floor.place( 210'000, 800ms ) );
+    CHECK( floor.last.choice->needs_reservation );
+    auto tokens = std::int64_t{ 0 };
+    for ( auto const& part : floor.last.choice->parts )
+        tokens += part.memory_tokens;
+    CHECK( tokens >= 211'600 );
+}
+
+TEST_CASE( "what all memory together cannot hold is said to be too large",
+           "[placement]" )
+{
+    auto floor = engine_floor{};
+    auto const result = floor.choose( 16 * 450'000, 800ms );
+    CHECK_FALSE( result.choice );
+    CHECK( result.reason == exchange::no_choice::too_large );
+}
+
+TEST_CASE( "leaving and shunned targets are passed over", "[placement]" )
+{
+    auto f = exchange_fixture{};
+    f.board.shun( core::target_id( "p1" ), f.scheduler.now() + 1s );
+    auto demand = exchange::placement_demand{};
+    demand.service = core::service_id( "plain" );
+    auto const settings = exchange::service_settings{};
+    auto result = f.chooser.choose( demand, settings, f.scheduler.now() );
+    REQUIRE( result.choice );
+    CHECK( result.choice->targets[0]->facts.id == core::target_id( "p2" ) );
+    f.board.mark_gone( core::target_id( "p2" ) );
+    // Better a target that failed than none.
+    result = f.chooser.choose( demand, settings, f.scheduler.now() );
+    REQUIRE( result.choice );
+    CHECK( result.choice->targets[0]->facts.id == core::target_id( "p1" ) );
+    f.board.mark_gone( core::target_id( "p1" ) );
+    result = f.chooser.choose( demand, settings, f.scheduler.now() );
+    CHECK_FALSE( result.choice );
+    CHECK( result.reason == exchange::no_choice::no_targets );
+}
+
+/// Ten seconds of the users' mix over a floor whose engines behave as the model
+/// says; what matters is how many short answers have a long part beside them.
+TEST_CASE( "under the heaviest mix few short answers meet a long part",
+           "[placement][load]" )
+{
+    auto floor = engine_floor{};
+    struct running
+    {
+        std::uint64_t serial;
+        core::instant until;
+    };
+    auto open = std::vector<running>{};
+    auto random = std::minstd_rand( 7 );
+    auto spoiled = 0;
+    auto shorts = 0;
+    auto longs_placed = 0;
+    auto longs = 0;
+    for ( auto ms = 0; ms < 10'000; ms += 10 )
+    {
+        floor.now += 10ms;
+        std::erase_if( open,
+                       [&]( auto const& r )
+                       {
+                           if ( r.until > floor.now )
+                               return false;
+                           floor.board.end_work( floor.self, r.serial,
+                                                 floor.now );
+                           return true;
+                       } );
+        auto const draw = std::uniform_real_distribution<>( 0, 1 )( random );
+        if ( draw < 0.4 )
+        {
+            ++shorts;
+            if ( floor.place( 5'000, 200ms ) )
+            {
+                auto const& t = *floor.last.choice->targets[0];
+                spoiled += t.backlog_ms( floor.now ) > 200 ? 1 : 0;
+                floor.end_reading( floor.serial );
+                open.push_back( { floor.serial, floor.now + 2s } );
+            }
+        }
+        else if ( draw < 0.42 )
+        {
+            ++longs;
+            if ( floor.place( 210'000, 800ms ) )
+            {
+                ++longs_placed;
+                open.push_back( { floor.serial, floor.now + 3s } );
+            }
+        }
+    }
+    CHECK( spoiled * 20 <= shorts );
+    CHECK( longs_placed * 10 >= longs * 8 );
+}
--- /dev/null
+++ b/tests/support/exchange_fixture.cpp
@@ -0,0 +1,143 @@
+#include "exchange_fixture.hpp"
+
+namespace tests
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+auto route_of( std::string const& name,
+               exchange::request_kind kind,
+               std::string const& service ) -> exchange::route
+{
+    auto r = exchange::route{};
+    r.id = exchange::route_id( name );
+    r.host = "host";
+    r.prefix = "/" + name + "/";
+    r.kind = kind;
+    r.timeout = 10s;
+    r.latency_objective = 300ms;
+    r.gap_objective = 200ms;
+    r.max_targets = 2;
+    r.services.push_back( { core::service_id( service ), 1 } );
+    return r;
+}
+
+}
+
+auto engine_speed_of_users() -> exchange::engine_speed
+{
+    auto s = exchange::engine_speed{};
+    s.slots = 16;
+    s.memory_tokens = 450'000;
+    s.step_ms = 0.925;
+    s.step_ms_per_request = 0.00483;
+    s.step_ms_per_k_context = 0.00254;
+    s.read_tokens_per_ms = 256;
+    s.read_ms_per_m_pairs = 0.0917;
+    s.read_chunk = 2048;
+    s.steps_per_pass = 46;
+    return s;
+}
+
+auto sample_configuration( int version ) -> exchange::configuration_ptr
+{
+    using exchange::request_kind;
+    auto c = std::make_shared<exchange::route_configuration>();
+    c->version = core::revision( version );
+    auto chat = route_of( "chat", request_kind::stream, "model" );
+    chat.resumable = true;
+    auto audit = chat;
+    audit.id = exchange::route_id( "audit" );
+    audit.prefix = "/audit/";
+    audit.timeout = 15s;
+    audit.latency_objective = 3s;
+    audit.gap_objective = 800ms;
+    auto open = route_of( "open", request_kind::safe, "plain" );
+    open.is_public = true;
+    c->routes = { chat,
+                  audit,
+                  route_of( "once", request_kind::stream, "model" ),
+                  route_of( "safe", request_kind::safe, "plain" ),
+                  route_of( "unsafe", request_kind::unsafe, "plain" ),
+                  open };
+    auto model = exchange::service_settings{};
+    model.id = core::service_id( "model" );
+    model.engine = engine_speed_of_users();
+    auto plain = exchange::service_settings{};
+    plain.id = core::service_id( "plain" );
+    c->services = { { model.id, model }, { plain.id, plain } };
+    c->needs_keys = true;
+    c->add_workspace( { core::workspace_id( "ws" ), std::nullopt }, { "key" } );
+    c->index_routes();
+    return c;
+}
+
+auto make_target( std::string const& id, std::string const& service )
+    -> exchange::target_facts
+{
+    auto facts = exchange::target_facts{};
+    facts.id = core::target_id( id );
+    facts.service = core::service_id( service );
+    facts.address = { "10.0.0.1",
+                      static_cast<std::uint16_t>(
+                          1000 + std::hash<std::string>{}( id ) % 1000 ) };
+    facts.place = core::place_id( "a" );
+    facts.slots = service == "model" ? 16 : 6;
+    return facts;
+}
+
+exchange_fixture::exchange_fixture()
+    : context{ .scheduler = scheduler,
+               .targets = targets,
+               .speller = speller,
+               .reservations = reservations,
+               .board = board,
+               .chooser = chooser,
+               .retries = retries,
+               .room = room,
+               .log = log,
+               .announcer = announcer,
+               .self = core::instance_id( "self" ),
+               .configuration = sample_configuration( 1 ),
+               .stop_at = std::nullopt,
+               .last_serial = 0,
+               .open = {},
+               .counters = {},
+               .random = std::minstd_rand( 1 ) }
+{
+    for ( auto const* id : { "m1", "m2", "m3" } )
+        board.put( make_target( id, "model" ) );
+    for ( auto const* id : { "p1", "p2" } )
+        board.put( make_target( id, "plain" ) );
+}
+
+auto exchange_fixture::request( std::string const& path )
+    -> exchange::caller_request
+{
+    auto r = exchange::caller_request{};
+    r.id = exchange::attempt_id( std::to_string( ++last_attempt ) );
+    r.method = "POST";
+    r.target = path;
+    r.host = "host";
+    r.key = "key";
+    r.time_limit = 10s;
+    r.received = scheduler.now();
+    if ( path.starts_with( "/chat/" ) || path.starts_with( "/audit/" ) ||
+         path.starts_with( "/once/" ) )
+        r.prompt = exchange::prompt_facts{ 5'000, 1'600, 0 };
+    return r;
+}
+
+auto exchange_fixture::start( exchange::caller_request what )
+    -> std::shared_ptr<exchange::exchange>
+{
+    auto started = std::make_shared<exchange::exchange>(
+        context, std::move( what ), answer );
+    started->start();
+    return started;
+}
+
+}
--- /dev/null
+++ b/tests/support/exchange_fixture.hpp
@@ -0,0 +1,295 @@
+#ifndef TESTS_SUPPORT_EXCHANGE_FIXTURE_HPP
+#define TESTS_SUPPORT_EXCHANGE_FIXTURE_HPP
+
+#include "held_scheduler.hpp"
+#include <pollenstream/exchange/context.hpp>
+#include <pollenstream/exchange/exchange.hpp>
+
+#include <string>
+#include <vector>
+
+namespace tests
+{
+
+namespace exchange = pollenstream::exchange;
+
+/// What one caller has received.
+class recorded_channel : public exchange::answer_channel
+{
+public:
+    auto send_whole( exchange::whole_answer answer ) -> void override
+    {
+        whole = std::move( answer );
+        ended = true;
+    }
+    auto start_stream( int status, exchange::header_list headers )
+        -> void override
+    {
+        stream_status = status;
+        stream_headers = std::move( headers );
+    }
+    auto send_piece( std::string bytes ) -> void override
+    {
+        stream += bytes;
+    }
+    auto end_stream() -> void override
+    {
+        ended = true;
+    }
+    auto abort() -> void override
+    {
+        aborted = true;
+    }
+    [[nodiscard]] auto unsent_bytes() const -> std::size_t override
+    {
+        return unsent;
+    }
+
+    /// Value of a header of the whole answer; empty where there is none.
+    [[nodiscard]] auto header( std::string const& name ) const -> std::string
+    {
+        for ( auto const& h : whole.headers )
+            if ( h.name == name )
+                return h.value;
+        return {};
+    }
+
+    exchange::whole_answer whole{ 0, {}, {} };
+    int stream_status{ 0 };
+    exchange::header_list stream_headers;
+    std::string stream;
+    bool ended{ false };
+    bool aborted{ false };
+    std::size_t unsent{ 0 };
+};
+
+/// One request as it reached a target.
+struct sent_request
+{
+    exchange::outgoing_request request;
+    std::shared_ptr<exchange::attempt_listener> listener;
+    bool cancelled{ false };
+    bool left{ true }; ///< bytes have been sent
+
+    /// The target answers with `status`, and its digest unless told not to.
+    auto head( int status, bool seal = true ) -> void
+    {
+        auto h = exchange::answer_head{};
+        h.status = status;
+        h.has_seal = seal;
+        listener->on_head( std::move( h ) );
+    }
+    /// The target says that it does not run the request.
+    auto turn_away( int status = 503 ) -> void
+    {
+        auto h = exchange::answer_head{};
+        h.status = status;
+        h.proves_not_run = true;
+        h.wrong_target = status == 421;
+        listener->on_head( std::move( h ) );
+        complete();
+    }
+    auto event( int id ) -> void
+    {
+        listener->on_body( "id: " + std::to_string( id ) + "\ndata: x\n\n" );
+    }
+    auto complete() -> void
+    {
+        auto end = exchange::attempt_end{};
+        end.complete = true;
+        end.sent = true;
+        listener->on_end( end );
+    }
+    auto answer( int status, std::string body ) -> void
+    {
+        head( status );
+        listener->on_body( std::move( body ) );
+        complete();
+    }
+    /// The connection is lost; `sent` tells whether bytes had left.
+    auto lose( bool sent = true ) -> void
+    {
+        auto end = exchange::attempt_end{};
+        end.error = { sent ? core::error_code::connection_lost
+                           : core::error_code::unreachable,
+                      "lost" };
+        end.sent = sent;
+        listener->on_end( end );
+    }
+};
+
+/// Keeps what is sent, for a test to answer.
+class recorded_targets : public exchange::target_caller
+{
+public:
+    auto send( exchange::outgoing_request request,
+               std::shared_ptr<exchange::attempt_listener> listener )
+        -> std::shared_ptr<exchange::open_attempt> override
+    {
+        auto const sent = std::make_shared<sent_request>();
+        sent->request = std::move( request );
+        sent->listener = std::move( listener );
+        all.push_back( sent );
+        return std::make_shared<handle>( sent );
+    }
+
+    std::vector<std::shared_ptr<sent_request>> all;
+
+private:
+    class handle : public exchange::open_attempt
+    {
+    public:
+        explicit handle( std::shared_ptr<sent_request> sent )
+            : sent_( std::move( sent ) )
+        {
+        }
+        auto cancel() -> void override
+        {
+            sent_->cancelled = true;
+        }
+        [[nodiscard]] auto sent() const -> bool override
+        {
+            return sent_->left;
+        }
+
+    private:
+        std::shared_ptr<sent_request> sent_;
+    };
+};
+
+/// Writes directions so that tests can read them.
+class plain_speller : public exchange::request_speller
+{
+public:
+    [[nodiscard]] auto
+    spell( exchange::caller_request const& request,
+           exchange::target_directions const& directions ) const
+        -> std::string override
+    {
+        auto text = request.method + " " + request.target + " to " +
+                    directions.target.str() + " for " +
+                    directions.workspace.str();
+        if ( directions.last_event )
+            text += " after " + std::to_string( *directions.last_event );
+        for ( auto const& helper : directions.helpers )
+            text += " with " + core::to_string( helper.address ) + "/" +
+                    helper.memory.str();
+        return text;
+    }
+};
+
+/// Orders for memory; a test decides what the targets say.
+class recorded_reservations : public exchange::reservation_caller
+{
+public:
+    struct order
+    {
+        exchange::reservation_place place;
+        core::reservation_id id;
+        core::duration hold{ 0 };
+        done callback;
+    };
+
+    auto reserve( exchange::reservation_place const& place,
+                  core::reservation_id const& id,
+                  core::duration hold,
+                  done callback ) -> void override
+    {
+        reserved.push_back( { place, id, hold, std::move( callback ) } );
+    }
+    auto release( exchange::reservation_place const& place,
+                  core::reservation_id const& id,
+                  done callback ) -> void override
+    {
+        released.push_back( { place, id, {}, std::move( callback ) } );
+    }
+
+    std::vector<order> reserved;
+    std::vector<order> released;
+};
+
+class recorded_announcements : public exchange::work_announcer
+{
+public:
+    auto work_began( exchange::open_work const& ) -> void override
+    {
+        ++open;
+    }
+    auto reading_ended( std::uint64_t ) -> void override {}
+    auto work_ended( std::uint64_t ) -> void override
+    {
+        --open;
+    }
+    auto target_shunned( core::target_id const& id, core::duration )
+        -> void override
+    {
+        shunned.push_back( id );
+    }
+
+    int open{ 0 };
+    std::vector<core::target_id> shunned;
+};
+
+class recorded_events : public exchange::event_log
+{
+public:
+    auto record( exchange::event const& what ) -> void override
+    {
+        all.push_back( what );
+    }
+
+    /// How the last request ended.
+    [[nodiscard]] auto last_outcome() const -> std::string
+    {
+        for ( auto at = all.rbegin(); at != all.rend(); ++at )
+            if ( auto const* ended =
+                     std::get_if<exchange::request_ended>( &*at ) )
+                return ended->outcome;
+        return {};
+    }
+
+    std::vector<exchange::event> all;
+};
+
+/// One instance with three engines and two plain targets; no network.
+struct exchange_fixture
+{
+    exchange_fixture();
+
+    /// A request on the route of `path`, as a caller sends it.
+    auto request( std::string const& path ) -> exchange::caller_request;
+    auto start( exchange::caller_request what )
+        -> std::shared_ptr<exchange::exchange>;
+
+    held_scheduler scheduler;
+    recorded_targets targets;
+    plain_speller speller;
+    recorded_reservations reservations;
+    exchange::target_board board;
+    exchange::placement chooser{ board, core::place_id( "a" ) };
+    exchange::shared_retry_budget retries{
+        { 0.2, 100, std::chrono::seconds( 10 ) } };
+    exchange::waiting_room room{ scheduler };
+    recorded_events log;
+    recorded_announcements announcer;
+    exchange::exchange_context context;
+    std::shared_ptr<recorded_channel> answer{
+        std::make_shared<recorded_channel>() };
+    int last_attempt{ 0 };
+};
+
+/// Speed of the users' engines: 16 requests, 450,000 tokens, 256 tokens read
+/// in a millisecond.
+auto engine_speed_of_users() -> exchange::engine_speed;
+
+/// Routes `/chat/` (a stream that may be resumed, pauses of 200 ms), `/audit/`
+/// (the same, pauses of 800 ms), `/once/` (a stream that may not), `/safe/`,
+/// `/unsafe/` and `/open/` (needs no key).
+auto sample_configuration( int version ) -> exchange::configuration_ptr;
+
+auto make_target( std::string const& id, std::string const& service )
+    -> exchange::target_facts;
+
+}
+
+#endif
