--- /dev/null
+++ b/tests/platform/adapter_test.cpp
@@ -0,0 +1,264 @@
+#include <catch2/catch.hpp>
+
+#include <base64.hpp>
+#include <exchange_headers.hpp>
+#include <registry_records.hpp>
+#include <settings_file.hpp>
+
+using namespace std::chrono_literals;
+namespace core = pollenstream::core;
+namespace platform = pollenstream::platform;
+namespace exchange = pollenstream::exchange;
+namespace asio = pollenstream::adapters::asio;
+
+namespace
+{
+
+auto const good_settings =
+    std::string( "node_name=n1\n"
+                 "zone=hall\n"
+                 "listen_addresses.front=10.1.0.4:80\n"
+                 "listen_addresses.ready=10.1.0.4:81\n"
+                 "listen_addresses.directory=10.1.0.4:82\n"
+                 "internal_port_range=7340,7355\n"
+                 "seed_nodes=10.1.0.4:89,10.2.0.9:89\n"
+                 "platform.address=10.9.0.1:99\n"
+                 "bounds.retry_budget_slack=102\n"
+                 "something.new=1\n" );
+
+auto request_with( exchange::header_list fields ) -> asio::raw_request
+{
+    auto raw = asio::raw_request{ "POST", "/a/b?c=d", {}, "body" };
+    raw.fields = { { "Host", "Some.Host:80" },
+                   { "Attempt-Id", "id1" },
+                   { "Deadline-Ms", "600" } };
+    for ( auto& f : fields )
+        raw.fields.push_back( std::move( f ) );
+    return raw;
+}
+
+auto value_of( std::string const& text, std::string const& name ) -> std::string
+{
+    auto const at = text.find( "\r\n" + name + ": " );
+    if ( at == std::string::npos )
+        return {};
+    auto const from = at + name.size() + 4;
+    return text.substr( from, text.find( "\r\n", from ) - from );
+}
+
+}
+
+TEST_CASE( "settings are read, unknown names passed over", "[platform]" )
+{
+    auto found = core::findings{};
+    auto const s = platform::read_settings( "f", good_settings, found );
+    CHECK( found.empty() );
+    CHECK( s.callers == core::address{ "10.1.0.4", 80 } );
+    CHECK( s.peers == core::address{ "10.1.0.4", 7340 } );
+    CHECK( s.seed_ips == std::vector<std::string>{ "10.2.0.9" } );
+    CHECK( s.retry_constant == 102 );
+    CHECK( s.grace_period == 8s );
+}
+
+TEST_CASE( "all faults of a settings file are found with their lines",
+           "[platform]" )
+{
+    auto found = core::findings{};
+    platform::read_settings( "f",
+                             good_settings + "bounds.grace_period_s=soon\n"
+                                             "no equals sign\n"
+                                             "listen_addresses.ready=x\n",
+                             found );
+    REQUIRE( found.all().size() == 3 );
+    auto lines = std::vector<int>{};
+    for ( auto const& one : found.all() )
+        lines.push_back( one.place.line );
+    std::sort( lines.begin(), lines.end() );
+    CHECK( lines == std::vector<int>{ 11, 12, 13 } );
+    auto missing = core::findings{};
+    platform::read_settings( "f", "", missing );
+    CHECK( missing.all().size() >= 5 );
+}
+
+TEST_CASE( "base64 goes there and back, and spoiled text is an error",
+           "[platform]" )
+{
+    for ( auto const* text : { "", "a", "ab", "abc", "abcd" } )
+    {
+        auto const coded = platform::encode_base64( text );
+        CHECK( coded.size() % 4 == 0 );
+        auto const back = platform::decode_base64( coded );
+        REQUIRE( back.has_value() );
+        CHECK( back.value() == text );
+    }
+    CHECK( platform::encode_base64( "node-1" ) == "bm9kZS0x" );
+    CHECK( platform::decode_base64( "abc" ).has_error() );
+    CHECK( platform::decode_base64( "a$cd" ).has_error() );
+}
+
+TEST_CASE( "a caller's request is decoded and passes on unchanged",
+           "[platform][headers]" )
+{
+    auto decoded =
+        platform::decode_request( request_with( { { "Token-Usage", "1460,80" },
+                                                  { "Last-Event-Id", "12" },
+                                                  { "X-Other", "kept" } } ),
+                                  core::instant( 1s ) );
+    REQUIRE( decoded.has_value() );
+    auto const& r = decoded.value();
+    CHECK( r.host == "some.host" );
+    CHECK( r.time_limit == core::duration( 600ms ) );
+    CHECK( r.last_event == 12 );
+    REQUIRE( r.prompt );
+    CHECK( r.prompt->prompt_tokens == 1460 );
+    auto to = exchange::target_directions{};
+    to.target = core::target_id( "i-1" );
+    to.time_left = 450ms;
+    to.last_event = 14;
+    to.helpers = { { { "10.0.0.1", 80 }, core::reservation_id( "t" ) },
+                   { { "10.0.0.2", 80 }, {} } };
+    auto const text = platform::header_speller().spell( r, to );
+    CHECK( text.starts_with( "POST /a/b?c=d HTTP/1.1\r\n" ) );
+    CHECK( value_of( text, "Attempt-Id" ) == "id1" );
+    CHECK( value_of( text, "Token-Usage" ) == "1460,80" );
+    CHECK( value_of( text, "X-Other" ) == "kept" );
+    CHECK( value_of( text, "Deadline-Ms" ) == "450" );
+    CHECK( value_of( text, "Expect-Instance" ) == "i-1" );
+    CHECK( value_of( text, "Last-Event-Id" ) == "14" );
+    CHECK( value_of( text, "Helpers" ) == "10.0.0.1:80/t,10.0.0.2:80" );
+    CHECK( text.ends_with( "\r\n\r\nbody" ) );
+}
+
+TEST_CASE( "a caller cannot set what only the system may set",
+           "[platform][headers]" )
+{
+    auto decoded = platform::decode_request(
+        request_with( { { "Tenant", "other" },
+                        { "tenant", "again" },
+                        { "Helpers", "10.0.0.1:80" },
+                        { "Expect-Instance", "x" },
+                        { "Expect-Version", "3" },
+                        { "Request-Urgency", "0" },
+                        { "Api-Key", "secret" },
+                        { "Connection", "close, X-Hop" },
+                        { "X-Hop", "gone" },
+                        { "Keep-Alive", "timeout=5" },
+                        { "Transfer-Encoding", "chunked" } } ),
+        core::instant( 1s ) );
+    REQUIRE( decoded.has_value() );
+    CHECK( decoded.value().key == "secret" );
+    auto to = exchange::target_directions{};
+    to.target = core::target_id( "i-1" );
+    to.time_left = 1s;
+    to.workspace = core::workspace_id( "ws" );
+    auto const text = platform::header_speller().spell( decoded.value(), to );
+    CHECK( text.find( "secret" ) == std::string::npos );
+    CHECK( text.find( "other" ) == std::string::npos );
+    CHECK( text.find( "again" ) == std::string::npos );
+    CHECK( text.find( "Helpers" ) == std::string::npos );
+    CHECK( text.find( "X-Hop" ) == std::string::npos );
+    CHECK( text.find( "Urgency" ) == std::string::npos );
+    CHECK( text.find( "chunked" ) == std::string::npos );
+    CHECK( value_of( text, "Tenant" ) == "ws" );
+    CHECK( value_of( text, "Expect-Instance" ) == "i-1" );
+}
+
+TEST_CASE( "requests that can be read in two ways are malformed",
+           "[platform][headers]" )
+{
+    auto const refused = []( exchange::header_list fields )
+    {
+        return platform::decode_request( request_with( std::move( fields ) ),
+                                         core::instant( 1s ) )
+            .has_error();
+    };
+    CHECK( refused( { { "Host", "other" } } ) );
+    CHECK( refused( { { "attempt-id", "other" } } ) );
+    CHECK( refused( { { "Api-Key", "a" }, { "Api-Key", "b" } } ) );
+    CHECK( refused( { { "Token-Usage", "many" } } ) );
+    auto absolute = request_with( {} );
+    absolute.target = "http://elsewhere/";
+    CHECK(
+        platform::decode_request( absolute, core::instant( 1s ) ).has_error() );
+}
+
+TEST_CASE( "a target's answer tells what it proves", "[platform][headers]" )
+{
+    auto const head = platform::decode_answer( { 503,
+                                                 { { "Not-Executed", "1" },
+                                                   { "Instance-Load", "3,1,8" },
+                                                   { "Connection", "close" },
+                                                   { "At-Server", "i-9" } } } );
+    CHECK( head.proves_not_run );
+    REQUIRE( head.load );
+    CHECK( head.load->waiting == 1 );
+    CHECK( head.at_fault == "i-9" );
+    for ( auto const& h : head.headers )
+        CHECK( h.name != "Connection" );
+    auto const moved = platform::decode_answer( { 421, {} } );
+    CHECK( moved.wrong_target );
+    CHECK( moved.proves_not_run );
+    auto const own = platform::decode_answer( { 500, {} } );
+    CHECK_FALSE( own.proves_not_run );
+    auto const id = exchange::attempt_id( "a" );
+    CHECK(
+        platform::answers_attempt( { 200, { { "Attempt-Id", "a" } } }, id ) );
+    CHECK_FALSE(
+        platform::answers_attempt( { 200, { { "attempt-id", "b" } } }, id ) );
+}
+
+TEST_CASE( "the operators' configuration is decoded once", "[platform]" )
+{
+    auto const records = platform::registry_records{};
+    auto const text = std::string( R"({"version":7,"routes":[
+        {"name":"r1","host":"h","prefix":"/a/","kind":"streaming",
+         "timeout_ms":10000,"target_latency_ms":300,"priority":1,
+         "traffic_split":[{"service":"s1","weight":90},
+                          {"service":"s2","weight":10}],
+         "max_attempts":2,"public":false,"stream_resumption":true,
+         "target_gap_ms":200},
+        {"name":"r2","host":"h","prefix":"/b/","kind":"something",
+         "timeout_ms":600,"service":"s2","max_attempts":1}],
+      "services":[{"name":"s1","max_connections":424,"inference_engine":
+         {"slots":16,"kv_capacity":450000,"stride":46,"step_ms":0.9,
+          "read_per_s":256000.0,"pairs_per_m":0.09,"chunk":2048}},
+         {"name":"s2"}],
+      "limits":{"max_header_bytes":100,"max_body_bytes":200,
+                "header_timeout_ms":3000,"idle_timeout_ms":15000},
+      "tenants":[{"name":"t","api_keys":["k1","k2"],"priority":2}]})" );
+    auto const read = records.read_configuration( text );
+    REQUIRE( read.has_value() );
+    auto const& c = *read.value();
+    CHECK( c.version == core::revision( 7 ) );
+    CHECK( c.routes[0].is_idempotent() );
+    CHECK( c.routes[0].services.size() == 2 );
+    // An unknown kind must not be repeated.
+    CHECK_FALSE( c.routes[1].is_idempotent() );
+    CHECK( c.find_service( core::service_id( "s1" ) )->engine->slots == 16 );
+    CHECK( c.find_service( core::service_id( "s1" ) )
+               ->engine->read_tokens_per_ms == Approx( 256 ) );
+    CHECK( c.limits.header_bytes == 100 );
+    REQUIRE( c.find_workspace( "k2" ) != nullptr );
+    CHECK( c.find_workspace( "k2" )->priority == 2 );
+    CHECK( c.tightest_gap( core::service_id( "s1" ) ) == 200ms );
+    CHECK( records.read_configuration( "{}" ).has_error() );
+    CHECK( records.read_configuration( "no json" ).has_error() );
+}
+
+TEST_CASE( "an entry of a target is decoded; one that is not is an error",
+           "[platform]" )
+{
+    auto const records = platform::registry_records{};
+    auto const read = records.read_target(
+        "servers/i-1", R"({"service":"s","address":"10.1.0.1:80",
+                           "zone":"z","slots":6,"state":"draining"})" );
+    REQUIRE( read.has_value() );
+    CHECK( read.value().id == core::target_id( "i-1" ) );
+    CHECK( read.value().leaving );
+    CHECK( read.value().slots == 6 );
+    CHECK( records.read_target( "servers/i-1", "{}" ).has_error() );
+    CHECK( records
+               .read_target( "servers/i-1",
+                             R"({"service":"s","address":"nowhere"})" )
+               .has_error() );
+}
