The platform in small, and a fault soak of real processes

Stand-ins of the store and the runners speak the published protocol (watches, leases, conditions, outages, lost and late answers; digests, slots, refusals, resumption, reservations, faults). scripts/soak-processes starts them with gateways and a proxy on every connection, draws faults in series and overlapping, and checks from callers and runners.

--- /dev/null
+++ b/scripts/platform_fleet.py
@@ -0,0 +1,367 @@
+"""Starts the platform's stand-in and gateways on loopback, with a proxy of our
+own on every connection, and callers that check what they get."""
+
+import asyncio
+import json
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import tempfile
+
+from fleet import free_port
+
+HOST = "host.example"
+KEY = "secret-key"
+
+
+class Proxy:
+    """Passes connections on to one address, and does to them what a network
+    does: delays, resets, cuts one way, silence."""
+
+    def __init__(self, target):
+        self.target = target
+        self.delay = 0.0
+        self.silent_to = False      # nothing reaches the target
+        self.silent_from = False    # nothing comes back
+        self.refuse = False
+        self.pairs = set()
+        self.address = None
+
+    async def start(self):
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        self.server = server
+
+    async def serve(self, reader, writer):
+        if self.refuse:
+            writer.transport.abort()
+            return
+        host, port = self.target.split(":")
+        try:
+            to_reader, to_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        pair = (writer, to_writer)
+        self.pairs.add(pair)
+        try:
+            await asyncio.gather(self.pump(reader, to_writer, "silent_to"),
+                                 self.pump(to_reader, writer, "silent_from"))
+        except asyncio.CancelledError:
+            pass    # the run is over
+        self.pairs.discard(pair)
+
+    async def pump(self, reader, writer, silent):
+        try:
+            while True:
+                data = await reader.read(65536)
+                if self.delay:
+                    await asyncio.sleep(self.delay)
+                if getattr(self, silent):
+                    continue
+                if not data:
+                    break
+                writer.write(data)
+                await writer.drain()
+            writer.close()
+        except OSError:
+            writer.transport.abort()
+
+    def reset_some(self, draw, share):
+        for pair in list(self.pairs):
+            if draw.random() < share:
+                for writer in pair:
+                    writer.transport.abort()
+
+
+class Gateway:
+    """One gateway process, started anew after each end."""
+
+    def __init__(self, fleet, number):
+        self.fleet = fleet
+        self.number = number
+        self.name = f"gateway-{number}"
+        self.ip = f"127.0.0.{number + 2}"
+        self.child = None
+        self.starts = 0
+        self.stopping = False
+        self.addresses = {name: f"{self.ip}:{fleet.ports[name]}"
+                          for name in ("front", "ready", "directory")}
+
+    def write_settings(self):
+        fleet = self.fleet
+        lines = [
+            f"node_name={self.name}", "zone=hall",
+            *(f"listen_addresses.{name}={address}"
+              for name, address in self.addresses.items()),
+            f"internal_port_range={fleet.ports['internal']},"
+            f"{fleet.ports['internal']}",
+            "seed_nodes=127.0.0.2:1,127.0.0.3:1,127.0.0.4:1",
+            f"platform.address={fleet.store_proxy.address}",
+            "bounds.grace_period_s=5", "bounds.retry_budget_slack=100",
+        ]
+        path = pathlib.Path(fleet.folder) / f"{self.name}.conf"
+        path.write_text("\n".join(lines) + "\n")
+        return path
+
+    def start(self):
+        log = open(pathlib.Path(self.fleet.folder) / f"{self.name}.log", "ab")
+        self.child = subprocess.Popen(
+            [str(self.fleet.build / "pollenstream-gateway"),
+             f"--settings={self.write_settings()}"],
+            stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+        self.starts += 1
+        self.stopping = False
+
+    def signal(self, number):
+        if self.child.poll() is None:
+            os.kill(self.child.pid, number)
+
+    def log(self):
+        return (pathlib.Path(self.fleet.folder) /
+                f"{self.name}.log").read_text(errors="replace")
+
+
+class PlatformFleet:
+    """The stand-in, proxies before its store and runners, and gateways."""
+
+    def __init__(self, build, seed, gateways=3, engines=4, plain=2):
+        self.build = pathlib.Path(build)
+        self.seed = seed
+        self.folder = tempfile.mkdtemp(prefix="pollenstream-")
+        self.ports = {name: free_port()
+                      for name in ("front", "ready", "directory", "internal")}
+        self.count = gateways
+        self.engines = engines
+        self.plain = plain
+        self.version = 0
+        self.proxies = {}
+        self.gateways = []
+
+    async def start(self):
+        self.standin = subprocess.Popen(
+            [str(self.build / "pollenstream-platform-standin"),
+             f"--engines={self.engines}", f"--plain={self.plain}",
+             f"--seed={self.seed}"],
+            stdout=subprocess.PIPE, stdin=subprocess.DEVNULL)
+        self.where = json.loads(self.standin.stdout.readline())
+        self.store_proxy = Proxy(self.where["store"])
+        await self.store_proxy.start()
+        for name, address in self.where["runners"].items():
+            proxy = Proxy(address)
+            await proxy.start()
+            self.proxies[name] = proxy
+            await self.control("/register",
+                               {"id": name, "address": proxy.address})
+        await self.configure()
+        for number in range(self.count):
+            gateway = Gateway(self, number)
+            gateway.start()
+            self.gateways.append(gateway)
+        for gateway in self.gateways:
+            await self.wait_ready(gateway)
+
+    async def wait_ready(self, gateway, limit=20.0):
+        end = asyncio.get_running_loop().time() + limit
+        while asyncio.get_running_loop().time() < end:
+            try:
+                reply = await call(gateway.addresses["ready"], "GET",
+                                   "/v1/readiness", {}, limit=1)
+                if reply.status == 200:
+                    return
+            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+                pass
+            await asyncio.sleep(0.05)
+        raise TimeoutError(f"{gateway.name} is not ready in {limit} s")
+
+    async def control(self, path, body=None):
+        reply = await call(self.where["control"],
+                           "GET" if body is None else "POST", path,
+                           {}, json.dumps(body or {}), limit=10)
+        return json.loads(reply.body)
+
+    async def configure(self, extra=()):
+        """Writes the next version; `extra` are prefixes added to the routes."""
+        self.version += 1
+        kinds = [("stream", "streaming", "model", True),
+                 ("once-stream", "streaming", "model", False),
+                 ("safe", "safe", "plain", False),
+                 ("unsafe", "unsafe", "plain", False),
+                 *((name, "safe", "plain", False) for name in extra)]
+        routes = [{"name": f"r-{name}", "host": HOST, "prefix": f"/{name}/",
+                   "kind": kind, "timeout_ms": 4000, "target_latency_ms": 300,
+                   "target_gap_ms": 200, "priority": 1, "service": service,
+                   "max_attempts": 2, "public": False,
+                   "stream_resumption": resumes}
+                  for name, kind, service, resumes in kinds]
+        await self.control("/config", {
+            "version": self.version, "routes": routes,
+            "services": [{"name": "model"}, {"name": "plain"}],
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 1000000,
+                       "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+            "tenants": [{"name": "workspace-1", "api_keys": [KEY]}]})
+
+    def stop(self):
+        for gateway in self.gateways:
+            gateway.signal(signal.SIGCONT)
+            gateway.signal(signal.SIGKILL)
+            gateway.child.wait()
+        self.standin.terminate()
+        self.standin.wait()
+
+
+class Reply:
+    """An answer as a caller saw it."""
+
+    def __init__(self):
+        self.status = 0
+        self.headers = {}
+        self.body = ""
+        self.complete = False
+
+
+async def call(address, method, path, headers, body="", limit=6.0,
+               connection=None):
+    """One call over HTTP/1.1. Raises OSError, TimeoutError or
+    IncompleteReadError where the answer is cut; `connection` is kept."""
+    return await asyncio.wait_for(
+        exchange(address, method, path, headers, body, connection), limit)
+
+
+async def exchange(address, method, path, headers, body, connection):
+    host, port = address.split(":")
+    if connection and connection.get("pair"):
+        reader, writer = connection["pair"]
+    else:
+        reader, writer = await asyncio.open_connection(host, int(port))
+    lines = [f"{method} {path} HTTP/1.1",
+             *(f"{name}: {value}" for name, value in
+               {"Host": HOST, "Content-Length": len(body), **headers}.items())]
+    keep = False
+    try:
+        writer.write(("\r\n".join(lines) + "\r\n\r\n" + body).encode())
+        await writer.drain()
+        reply = await read_reply(reader)
+        keep = connection is not None and \
+            reply.headers.get("connection") != "close"
+        return reply
+    finally:
+        if keep:
+            connection["pair"] = (reader, writer)
+        else:
+            if connection is not None:
+                connection["pair"] = None
+            writer.close()
+
+
+async def read_reply(reader):
+    reply = Reply()
+    line = (await reader.readuntil(b"\r\n")).decode()
+    reply.status = int(line.split()[1])
+    while line.strip():
+        line = (await reader.readuntil(b"\r\n")).decode()
+        if ":" in line:
+            name, value = line.split(":", 1)
+            reply.headers[name.strip().lower()] = value.strip()
+    if reply.headers.get("transfer-encoding") == "chunked":
+        reply.body = await read_chunks(reader)
+    else:
+        size = int(reply.headers.get("content-length", "0"))
+        reply.body = (await reader.readexactly(size)).decode()
+    reply.complete = True
+    return reply
+
+
+async def read_chunks(reader):
+    body = b""
+    while True:
+        size = int((await reader.readuntil(b"\r\n")).strip(), 16)
+        body += await reader.readexactly(size)
+        await reader.readexactly(2)
+        if size == 0:
+            return body.decode()
+
+
+class Callers:
+    """Callers that ask the directory, keep its answer and connections, and
+    remember what became of each request."""
+
+    KINDS = ["/stream/x", "/once-stream/x", "/safe/x", "/unsafe/x"]
+
+    def __init__(self, fleet, draw, count=8):
+        self.fleet = fleet
+        self.draw = draw
+        self.count = count
+        self.stop = False
+        self.seen = {}       # attempt: what the caller saw
+        self.serial = 0
+        self.violations = []
+
+    async def run(self):
+        await asyncio.gather(*(self.one_caller(n) for n in range(self.count)))
+
+    async def addresses(self):
+        gateways = list(self.fleet.gateways)
+        self.draw.shuffle(gateways)
+        for gateway in gateways[:3]:
+            try:
+                reply = await call(gateway.addresses["directory"], "GET",
+                                   f"/v1/resolution?name={HOST}", {}, limit=1)
+                if reply.status == 200:
+                    return json.loads(reply.body)["addresses"]
+            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError,
+                    ValueError):
+                continue
+        return []
+
+    async def one_caller(self, number):
+        loop = asyncio.get_running_loop()
+        known, until, kept = [], 0.0, {}
+        while not self.stop:
+            if loop.time() > until or not known:
+                known = await self.addresses() or known
+                # Some keep the answer three times as long as they should.
+                until = loop.time() + (3 if number % 4 == 0 else 1)
+            if not known:
+                await asyncio.sleep(0.1)
+                continue
+            address = self.draw.choice(known)
+            connection = kept.setdefault(address, {})
+            await self.send(address, connection)
+            await asyncio.sleep(self.draw.random() * 0.05)
+
+    async def send(self, address, connection):
+        self.serial += 1
+        attempt = f"a{self.serial}"
+        path = self.draw.choice(self.KINDS)
+        entry = {"path": path, "status": None, "address": address}
+        self.seen[attempt] = entry
+        started = asyncio.get_running_loop().time()
+        try:
+            reply = await call(address, "POST", path,
+                               {"Attempt-Id": attempt, "Deadline-Ms": 4000,
+                                "Api-Key": KEY, "Tenant": "forged"},
+                               "body", limit=6, connection=connection)
+            entry["status"] = reply.status
+            self.check(attempt, path, reply)
+        except asyncio.TimeoutError:
+            entry["status"] = "timeout"
+        except (OSError, asyncio.IncompleteReadError, ValueError, IndexError):
+            entry["status"] = "cut"
+        entry["took"] = asyncio.get_running_loop().time() - started
+
+    def check(self, attempt, path, reply):
+        """A success is the runner's whole answer to this very request."""
+        if reply.status != 200:
+            return
+        if "server-seal" not in reply.headers:
+            self.violations.append(f"{attempt}: success without a digest")
+        if "stream" in path:
+            whole = "".join(f"id: {n}\ndata: {attempt} {n}\n\n"
+                            for n in range(1, 9))
+            if reply.body != whole:
+                self.violations.append(f"{attempt}: not the whole stream")
+        elif not reply.body.startswith(attempt + " "):
+            self.violations.append(f"{attempt}: another request's answer")
--- /dev/null
+++ b/scripts/soak_processes.py
@@ -0,0 +1,253 @@
+"""A randomised soak of real processes: gateways, the platform's stand-in and
+a proxy on every connection, with faults from outside in series and
+overlapping. What must hold is checked from what callers and runners saw.
+
+    scripts/soak-processes [BUILD] [--seeds=A-B] [--seconds=N] [--gateways=N]
+
+Each seed draws its faults from itself; how processes interleave it cannot
+fix. Logs of a seed that fails are kept and their folder is printed."""
+
+import argparse
+import asyncio
+import pathlib
+import random
+import shutil
+import signal
+import sys
+
+import platform_check
+from platform_fleet import Callers, PlatformFleet
+
+# Seeds that ever failed, with the cause; they run first.
+REGRESSION_SEEDS = pathlib.Path(__file__).with_name("soak_seeds.txt")
+
+
+class Faults:
+    """Draws faults and undoes them; several may be under way at once."""
+
+    def __init__(self, fleet, draw):
+        self.fleet = fleet
+        self.draw = draw
+        self.done = []
+        self.disturbed = []      # spans in which the store was not itself
+        self.loop = asyncio.get_running_loop()
+        self.runners_left = 0
+
+    async def run(self, seconds):
+        end = self.loop.time() + seconds
+        tasks = []
+        while self.loop.time() < end:
+            fault = self.draw.choice([
+                self.kill, self.kill, self.pause, self.stop, self.reload,
+                self.kill_many, self.reset, self.delay, self.one_way,
+                self.silence_runner, self.runner_fails, self.runner_mute,
+                self.runner_cuts, self.leave, self.store_away, self.store_slow,
+                self.store_loses, self.store_forgets, self.configure])
+            self.done.append(fault.__name__)
+            tasks.append(asyncio.create_task(fault()))
+            await asyncio.sleep(0.2 + self.draw.random() * 0.8)
+        await asyncio.gather(*tasks)
+
+    def span(self):
+        return 0.3 + self.draw.random() * 1.5
+
+    def one(self):
+        return self.draw.choice(self.fleet.gateways)
+
+    def proxy(self):
+        return self.draw.choice(list(self.fleet.proxies.values()))
+
+    async def restart(self, gateway):
+        await asyncio.sleep(0.2)
+        if gateway.child.poll() is not None:
+            gateway.start()
+
+    async def kill(self):
+        gateway = self.one()
+        gateway.signal(signal.SIGCONT)
+        gateway.signal(signal.SIGKILL)
+        gateway.child.wait()
+        await self.restart(gateway)
+
+    async def kill_many(self):
+        for gateway in list(self.fleet.gateways):
+            if self.draw.random() < 0.6:
+                gateway.signal(signal.SIGKILL)
+        await asyncio.sleep(0.2)
+        for gateway in self.fleet.gateways:
+            await self.restart(gateway)
+
+    async def pause(self):
+        gateway = self.one()
+        gateway.signal(signal.SIGSTOP)
+        await asyncio.sleep(self.span())
+        gateway.signal(signal.SIGCONT)
+
+    async def stop(self):
+        gateway = self.one()
+        if gateway.stopping:
+            return
+        gateway.stopping = True
+        gateway.signal(signal.SIGTERM)
+        for _ in range(60):
+            if gateway.child.poll() is not None:
+                break
+            await asyncio.sleep(0.1)
+        gateway.signal(signal.SIGKILL)
+        gateway.child.wait()
+        await self.restart(gateway)
+
+    async def reload(self):
+        self.one().signal(signal.SIGHUP)
+
+    async def reset(self):
+        self.proxy().reset_some(self.draw, 0.5)
+
+    async def delay(self):
+        proxy = self.proxy()
+        proxy.delay = 0.05 + self.draw.random() * 0.2
+        await asyncio.sleep(self.span())
+        proxy.delay = 0.0
+
+    async def one_way(self):
+        proxy = self.proxy()
+        name = self.draw.choice(["silent_to", "silent_from"])
+        setattr(proxy, name, True)
+        await asyncio.sleep(self.span())
+        setattr(proxy, name, False)
+        proxy.reset_some(self.draw, 1)
+
+    async def silence_runner(self):
+        proxy = self.proxy()
+        proxy.silent_to = proxy.silent_from = True
+        await asyncio.sleep(self.span())
+        proxy.silent_to = proxy.silent_from = False
+        proxy.reset_some(self.draw, 1)
+
+    async def runner_fault(self, **what):
+        name = self.draw.choice(list(self.fleet.proxies))
+        await self.fleet.control("/runner", {"id": name, **what})
+        await asyncio.sleep(self.span())
+        await self.fleet.control("/runner", {"id": name})
+
+    async def runner_fails(self):
+        await self.runner_fault(fail=0.5, shed=0.3)
+
+    async def runner_mute(self):
+        await self.runner_fault(mute=True)
+
+    async def runner_cuts(self):
+        await self.runner_fault(cut=0.5)
+
+    async def leave(self):
+        engines = [n for n in self.fleet.proxies if n.startswith("i-model")]
+        if self.runners_left + 2 >= len(engines):
+            return
+        name = engines[self.runners_left]
+        self.runners_left += 1
+        how = self.draw.choice(["says", "silently"])
+        await self.fleet.control("/runner", {"id": name, "leave": how})
+
+    async def store_fault(self, **what):
+        began = self.loop.time()
+        await self.fleet.control("/store", what)
+        await asyncio.sleep(self.span())
+        await self.fleet.control("/store", {})
+        self.disturbed.append((began, self.loop.time()))
+
+    async def store_away(self):
+        await self.store_fault(**self.draw.choice(
+            [{"silent": True}, {"busy": True}]))
+        self.fleet.store_proxy.reset_some(self.draw, 1)
+
+    async def store_slow(self):
+        await self.store_fault(slow_ms=300)
+
+    async def store_loses(self):
+        await self.store_fault(lost=0.5,
+                               late_ms=self.draw.choice([0, 1000]))
+
+    async def store_forgets(self):
+        await self.fleet.control("/forget", {})
+
+    async def configure(self):
+        await self.fleet.configure()
+
+
+def disturbed_spans(faults, margin_s=4.0):
+    """On the stand-in's clock, which is the machine's monotonic one."""
+    return [(int((a - 1) * 1000), int((b + margin_s) * 1000))
+            for a, b in faults.disturbed]
+
+
+async def soak_one(build, seed, seconds, gateways):
+    draw = random.Random(seed)
+    fleet = PlatformFleet(build, seed, gateways=gateways, engines=6, plain=2)
+    found = []
+    try:
+        await fleet.start()
+        callers = Callers(fleet, draw, count=3 * gateways)
+        load = asyncio.create_task(callers.run())
+        faults = Faults(fleet, draw)
+        await faults.run(seconds)
+        await fleet.control("/store", {})
+        await asyncio.sleep(3)
+        before = len(callers.seen)
+        await asyncio.sleep(2)
+        callers.stop = True
+        await load
+        await asyncio.sleep(4.2)
+        record = await fleet.control("/record")
+        found = platform_check.violations(callers, record,
+                                          disturbed_spans(faults))
+        after = list(callers.seen.values())[before:]
+        served = sum(one["status"] == 200 for one in after)
+        if served < 0.5 * len(after):
+            found.append(f"only {served} of {len(after)} served after the "
+                         "faults were over")
+        if record["reserved"] or record["open"]:
+            found.append(f"left at the runners: {record['reserved']} tokens, "
+                         f"{record['open']} requests")
+        found += [f"{g.name}: invariant" for g in fleet.gateways
+                  if "invariant" in g.log() or "violat" in g.log()]
+        statuses = sorted({str(s["status"]) for s in callers.seen.values()})
+        print(f"seed {seed}: {len(callers.seen)} requests, "
+              f"{len(faults.done)} faults, answers {','.join(statuses)}, "
+              f"{len(found)} violations", flush=True)
+    finally:
+        fleet.stop()
+    if found:
+        for text in found[:10]:
+            print(f"  {text}")
+        print(f"  faults: {' '.join(faults.done)}")
+        print(f"  logs: {fleet.folder}", flush=True)
+    else:
+        shutil.rmtree(fleet.folder)
+    return not found
+
+
+def known_seeds():
+    seeds = []
+    for line in REGRESSION_SEEDS.read_text().splitlines():
+        if line and not line.startswith("#"):
+            seeds.append(int(line.split()[0]))
+    return seeds
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("build", nargs="?", default="build-test")
+    parser.add_argument("--seeds", default="1-3")
+    parser.add_argument("--seconds", type=float, default=8)
+    parser.add_argument("--gateways", type=int, default=4)
+    options = parser.parse_args()
+    first, last = (int(x) for x in options.seeds.split("-"))
+    seeds = known_seeds() + list(range(first, last + 1))
+    good = sum(asyncio.run(soak_one(options.build, seed, options.seconds,
+                                    options.gateways)) for seed in seeds)
+    print(f"soak: {good} of {len(seeds)} seeds held")
+    sys.exit(0 if good == len(seeds) else 1)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/pollenstream/adapters/asio/caller_listener.cpp
+++ b/src/pollenstream/adapters/asio/caller_listener.cpp
@@ -29,6 +29,12 @@
 
 caller_listener::~caller_listener() = default;
 
+auto caller_listener::address() const -> core::address
+{
+    auto const at = acceptor_.local_endpoint();
+    return { at.address().to_string(), at.port() };
+}
+
 auto caller_listener::accept() -> void
 {
     acceptor_.async_accept(
--- a/src/pollenstream/adapters/asio/caller_listener.hpp
+++ b/src/pollenstream/adapters/asio/caller_listener.hpp
@@ -67,6 +67,8 @@
     /// Closes the listening socket.
     auto stop_accepting() -> void;
 
+    /// Where it listens; the kernel chooses a port for port 0.
+    [[nodiscard]] auto address() const -> core::address;
     [[nodiscard]] auto connections() const -> std::size_t
     {
         return connections_.size();
--- /dev/null
+++ b/standins/platform/runner.cpp
@@ -0,0 +1,298 @@
+#include "runner.hpp"
+
+#include <pollenstream/core/hash.hpp>
+
+namespace standins::platform
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr auto status_ok = 200;
+constexpr auto status_failed = 500;
+constexpr auto status_misdirected = 421;
+constexpr auto status_busy = 503;
+constexpr auto status_conflict = 409;
+
+auto field( asio::raw_request const& request, std::string const& name )
+    -> std::string
+{
+    for ( auto const& f : request.fields )
+        if ( f.name == name )
+            return f.value;
+    return {};
+}
+
+auto seal_of( std::string const& id, std::string const& body ) -> std::string
+{
+    return id + "." + pollenstream::core::content_hash( body );
+}
+
+}
+
+/// One request that a runner works on.
+class runner::work : public asio::request_in_progress,
+                     public std::enable_shared_from_this<work>
+{
+public:
+    work( runner& owner,
+          asio::raw_request request,
+          std::shared_ptr<exchange::answer_channel> answer )
+        : owner_( owner ), request_( std::move( request ) ),
+          answer_( std::move( answer ) )
+    {
+        ++owner_.open_;
+        auto const last = field( request_, "Last-Event-Id" );
+        next_ = last.empty() ? 1 : std::stoi( last ) + 1;
+    }
+    ~work() override
+    {
+        end();
+    }
+
+    auto start() -> void
+    {
+        auto const streams =
+            request_.target.find( "stream" ) != std::string::npos;
+        later( owner_.settings_.work,
+               [this, streams]
+               {
+                   streams ? begin_stream() : answer_whole();
+               } );
+    }
+    auto on_caller_gone() -> void override
+    {
+        end();
+    }
+
+private:
+    auto headers( std::string const& seal ) const -> exchange::header_list
+    {
+        return { { "Attempt-Id", field( request_, "Attempt-Id" ) },
+                 { "Server-Seal", seal },
+                 { "Instance-Id", owner_.settings_.id } };
+    }
+    auto later( core::duration time, std::function<void()> step ) -> void
+    {
+        call_ = owner_.scheduler_.call_after(
+            time,
+            [self = shared_from_this(), step = std::move( step )]
+            {
+                auto const done = std::move( self->call_ );
+                step();
+            } );
+    }
+    auto answer_whole() -> void
+    {
+        if ( owner_.faults_.mute )
+            return;
+        if ( owner_.drawn( owner_.faults_.cut ) )
+        {
+            answer_->abort();
+            return end();
+        }
+        auto const fails = owner_.drawn( owner_.faults_.fail );
+        auto const body = field( request_, "Attempt-Id" ) + " " +
+                          owner_.settings_.id + " " + request_.target;
+        answer_->send_whole( { fails ? status_failed : status_ok,
+                               headers( seal_of( owner_.settings_.id, body ) ),
+                               body } );
+        end();
+    }
+    auto begin_stream() -> void
+    {
+        if ( owner_.faults_.mute )
+            return;
+        auto h = headers(
+            seal_of( owner_.settings_.id, field( request_, "Attempt-Id" ) ) );
+        h.push_back( { "Content-Type", "text/event-stream" } );
+        answer_->start_stream( status_ok, std::move( h ) );
+        breaks_at_ = owner_.drawn( owner_.faults_.cut ) ? next_ + 2 : 0;
+        write_event();
+    }
+    auto write_event() -> void
+    {
+        auto const id = next_++;
+        auto const event = "id: " + std::to_string( id ) +
+                           "\ndata: " + field( request_, "Attempt-Id" ) + " " +
+                           std::to_string( id ) + "\n\n";
+        if ( id == breaks_at_ )
+        {
+            answer_->send_piece( event.substr( 0, event.size() / 2 ) );
+            answer_->abort();
+            return end();
+        }
+        answer_->send_piece( event );
+        if ( id >= owner_.settings_.events )
+        {
+            answer_->end_stream();
+            return end();
+        }
+        later( owner_.settings_.event_gap,
+               [this]
+               {
+                   write_event();
+               } );
+    }
+    auto end() -> void
+    {
+        call_.reset();
+        if ( !std::exchange( ended_, true ) )
+            --owner_.open_;
+    }
+
+    runner& owner_;
+    asio::raw_request request_;
+    std::shared_ptr<exchange::answer_channel> answer_;
+    std::unique_ptr<ports::scheduled_call> call_;
+    int next_{ 1 };
+    int breaks_at_{ 0 };
+    bool ended_{ false };
+};
+
+runner::runner( settings s,
+                store& registry,
+                ports::scheduler& scheduler,
+                run_records& records,
+                std::uint64_t seed )
+    : settings_( std::move( s ) ), registry_( registry ),
+      scheduler_( scheduler ), records_( records ),
+      random_( static_cast<std::minstd_rand::result_type>( seed + 1 ) )
+{
+}
+
+auto runner::limits() const -> exchange::caller_limits
+{
+    return {};
+}
+
+auto runner::drawn( double share ) -> bool
+{
+    return std::uniform_real_distribution<>( 0, 1 )( random_ ) < share;
+}
+
+auto runner::entry() const -> std::string
+{
+    return json{ { "service", settings_.service },
+                 { "address", address_ },
+                 { "zone", "hall" },
+                 { "version", "v1" },
+                 { "slots", settings_.slots },
+                 { "state", leaving_ ? "draining" : "ready" },
+                 { "cold_remaining_ms", 0 },
+                 { "sequence", 1 } }
+        .dump();
+}
+
+auto runner::register_at( std::string const& address ) -> void
+{
+    address_ = address;
+    registry_.put( "servers/" + settings_.id, entry() );
+}
+
+auto runner::set_faults( runner_faults faults ) -> void
+{
+    faults_ = faults;
+}
+
+auto runner::leave( bool says_so ) -> void
+{
+    leaving_ = true;
+    leaving_since_ = scheduler_.now();
+    if ( says_so )
+        registry_.put( "servers/" + settings_.id, entry() );
+    else
+        registry_.remove( "servers/" + settings_.id );
+}
+
+auto runner::set_version( std::int64_t version ) -> void
+{
+    version_ = version;
+}
+
+auto runner::reserved_tokens() const -> std::int64_t
+{
+    auto sum = std::int64_t{ 0 };
+    for ( auto const& [id, r] : reservations_ )
+        sum += r.tokens;
+    return sum;
+}
+
+auto runner::note( asio::raw_request const& request, bool ran ) -> void
+{
+    auto r = run_record{};
+    r.attempt = field( request, "Attempt-Id" );
+    r.target = settings_.id;
+    r.path = request.target;
+    r.workspace = field( request, "Tenant" );
+    r.ran = ran;
+    r.leaked_key = !field( request, "Api-Key" ).empty();
+    r.at_ms = core::milliseconds_of( scheduler_.now().time_since_epoch() );
+    if ( leaving_ )
+        r.leaving_ms =
+            core::milliseconds_of( scheduler_.now() - leaving_since_ );
+    r.version = version_;
+    records_.push_back( std::move( r ) );
+}
+
+auto runner::order( asio::raw_request const& request,
+                    exchange::answer_channel& answer ) -> void
+{
+    auto const body = json::parse( request.body, nullptr, false );
+    auto const id = body.value( "id", std::string{} );
+    if ( body.value( "operation", std::string{} ) == "release" )
+    {
+        reservations_.erase( id );
+        return answer.send_whole( { status_ok, {}, "{}" } );
+    }
+    auto const tokens = body.value( "token_count", std::int64_t{ 0 } );
+    auto const known = reservations_.count( id ) != 0;
+    if ( !known && reserved_tokens() + tokens > settings_.memory )
+        return answer.send_whole( { status_conflict, {}, "{}" } );
+    auto& r = reservations_[id];
+    r.tokens = tokens;
+    r.end = scheduler_.call_after(
+        std::chrono::milliseconds( body.value( "hold_ms", 0 ) ),
+        [this, id]
+        {
+            reservations_.erase( id );
+        } );
+    answer.send_whole( { status_ok, {}, R"({"free_slots":1})" } );
+}
+
+auto runner::handle( asio::raw_request request,
+                     std::shared_ptr<exchange::answer_channel> answer )
+    -> std::shared_ptr<asio::request_in_progress>
+{
+    auto const expected = field( request, "Expect-Instance" );
+    if ( !expected.empty() && expected != settings_.id )
+    {
+        note( request, false );
+        answer->send_whole( { status_misdirected, {}, "" } );
+        return nullptr;
+    }
+    if ( request.target == "/v1/order" )
+    {
+        order( request, *answer );
+        return nullptr;
+    }
+    if ( open_ >= settings_.slots || drawn( faults_.shed ) )
+    {
+        note( request, false );
+        answer->send_whole(
+            { status_busy,
+              { { "Not-Executed", "1" },
+                { "Attempt-Id", field( request, "Attempt-Id" ) } },
+              "" } );
+        return nullptr;
+    }
+    note( request, true );
+    auto started = std::make_shared<work>( *this, std::move( request ),
+                                           std::move( answer ) );
+    started->start();
+    return started;
+}
+
+}
--- /dev/null
+++ b/standins/platform/runner.hpp
@@ -0,0 +1,117 @@
+#ifndef POLLENSTREAM_STANDINS_PLATFORM_RUNNER_HPP
+#define POLLENSTREAM_STANDINS_PLATFORM_RUNNER_HPP
+
+#include "store.hpp"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace standins::platform
+{
+
+/// What a runner does wrong at the moment.
+struct runner_faults
+{
+    bool mute{ false }; ///< takes requests and answers nothing
+    double fail{ 0 };   ///< share of requests answered with 500
+    double shed{ 0 };   ///< share of requests turned away
+    double cut{ 0 };    ///< share of answers that break off
+};
+
+/// One request as it came to a runner; the truth that tests check against.
+struct run_record
+{
+    std::string attempt;
+    std::string target; ///< the runner
+    std::string path;
+    std::string workspace;
+    bool ran{ false };
+    bool leaked_key{ false };
+    std::int64_t at_ms{ 0 };
+    /// Time since the runner's leaving stood in the store; -1: it does not
+    /// leave.
+    std::int64_t leaving_ms{ -1 };
+    std::int64_t version{ 0 }; ///< of the configuration in the store
+};
+
+using run_records = std::vector<run_record>;
+
+/// A stand-in for a model runner or plain service of the platform. Paths with
+/// `stream` answer with events, others with one body. Reads and writes take
+/// fixed times; memory is counted for requests and reservations.
+class runner : public asio::request_handler
+{
+public:
+    struct settings
+    {
+        std::string id;
+        std::string service;
+        std::int64_t slots{ 8 };
+        std::int64_t memory{ 450'000 };
+        core::duration work{ std::chrono::milliseconds( 10 ) };
+        core::duration event_gap{ std::chrono::milliseconds( 15 ) };
+        int events{ 8 };
+    };
+
+    runner( settings s,
+            store& registry,
+            ports::scheduler& scheduler,
+            run_records& records,
+            std::uint64_t seed );
+
+    [[nodiscard]] auto limits() const -> exchange::caller_limits override;
+    auto handle( asio::raw_request request,
+                 std::shared_ptr<exchange::answer_channel> answer )
+        -> std::shared_ptr<asio::request_in_progress> override;
+
+    /// Writes the entry into the store, now and again.
+    auto register_at( std::string const& address ) -> void;
+    auto set_faults( runner_faults faults ) -> void;
+    /// Says that it leaves, or has its entry removed.
+    auto leave( bool says_so ) -> void;
+    auto set_version( std::int64_t version ) -> void;
+
+    [[nodiscard]] auto id() const -> std::string const&
+    {
+        return settings_.id;
+    }
+    [[nodiscard]] auto reserved_tokens() const -> std::int64_t;
+    [[nodiscard]] auto open_requests() const -> std::int64_t
+    {
+        return open_;
+    }
+
+private:
+    class work;
+    friend class work;
+    struct reservation
+    {
+        std::int64_t tokens{ 0 };
+        std::unique_ptr<ports::scheduled_call> end;
+    };
+
+    auto entry() const -> std::string;
+    auto order( asio::raw_request const& request,
+                exchange::answer_channel& answer ) -> void;
+    auto drawn( double share ) -> bool;
+    auto note( asio::raw_request const& request, bool ran ) -> void;
+
+    settings settings_;
+    store& registry_;
+    ports::scheduler& scheduler_;
+    run_records& records_;
+    std::minstd_rand random_;
+    runner_faults faults_;
+    std::string address_;
+    bool leaving_{ false };
+    core::instant leaving_since_;
+    std::int64_t version_{ 0 };
+    std::int64_t open_{ 0 };
+    std::map<std::string, reservation> reservations_;
+};
+
+}
+
+#endif
