Records reach all instances whole and soon; a told lapse ends by itself

Change: packed with zlib, asked for at one of those who know, not all at the best informed; records of later changes are taken though a gap remains.

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -31,10 +31,10 @@
 /// How long this instance may know less of the store than another one before
 /// it asks that one: most changes come in datagrams within some ms.
 constexpr auto behind_time = core::duration( 80ms );
-/// Changes larger than this go over a connection when others ask for them; a
-/// datagram in many pieces is lost more easily.
-constexpr auto largest_told_update = std::size_t{ 8'000 };
-constexpr auto fetch_time = core::duration( 700ms );
+/// Changes larger than this, packed, go over a connection when others ask for
+/// them: one datagram to each of many instances would fill a slow link.
+constexpr auto largest_told_update = std::size_t{ 2'000 };
+constexpr auto fetch_time = core::duration( 2500ms );
 
 auto own_state_of( platform::gateway_settings const& s ) -> peers::own_state
 {
--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -11,7 +11,7 @@
   src/pollenstream/peers/*.cpp)
 add_library(gateway_core STATIC ${GATEWAY_CORE_SOURCES})
 target_link_libraries(gateway_core
-  PUBLIC pollenstream_base nlohmann_json::nlohmann_json)
+  PUBLIC pollenstream_base nlohmann_json::nlohmann_json ZLIB::ZLIB)
 
 # Transport, logs, and the platform's names.
 file(GLOB GATEWAY_PART_SOURCES CONFIGURE_DEPENDS
--- a/src/pollenstream/peers/peer_group.cpp
+++ b/src/pollenstream/peers/peer_group.cpp
@@ -138,12 +138,16 @@
 auto peer_group::better_informed( ports::store_revision at ) const
     -> peer const*
 {
-    peer const* best = nullptr;
+    auto better = std::vector<peer const*>{};
     for ( auto const& [id, p] : peers_ )
-        if ( p.alive && p.known_until > at &&
-             ( best == nullptr || p.known_until > best->known_until ) )
-            best = &p;
-    return best;
+        if ( p.alive && p.known_until > at )
+            better.push_back( &p );
+    if ( better.empty() )
+        return nullptr;
+    // Each asks another one, so that none has to tell all: those who have
+    // been told tell others.
+    auto const draw = core::stable_hash( self_.id.str(), ++asked_ );
+    return better[draw % better.size()];
 }
 
 auto peer_group::base_message() const -> peer_message
--- a/src/pollenstream/peers/peer_group.hpp
+++ b/src/pollenstream/peers/peer_group.hpp
@@ -93,7 +93,8 @@
     }
     /// Instances that share budgets: this one and all heard lately.
     [[nodiscard]] auto size() const -> std::size_t;
-    /// A living instance that knows more of the store than `at`, or null.
+    /// One of the living instances that know more of the store than `at`,
+    /// another one at each call; null where there is none.
     [[nodiscard]] auto better_informed( ports::store_revision at ) const
         -> peer const*;
 
@@ -142,6 +143,7 @@
     core::duration store_served_{ 0 };
     peer_message pending_;
     std::size_t next_ip_{ 0 };
+    mutable std::uint64_t asked_{ 0 };
     std::unique_ptr<ports::scheduled_call> flush_call_;
     std::unique_ptr<ports::scheduled_call> beat_call_;
     std::vector<std::unique_ptr<ports::scheduled_call>> repeats_;
--- a/src/pollenstream/peers/state_transfer.cpp
+++ b/src/pollenstream/peers/state_transfer.cpp
@@ -1,3 +1,4 @@
+#include <pollenstream/peers/compression.hpp>
 #include <pollenstream/peers/state_transfer.hpp>
 
 #include <nlohmann/json.hpp>
@@ -13,6 +14,8 @@
 
 using nlohmann::json;
 
+/// Values of the store have a megabyte at most, and few are large.
+constexpr auto largest_update = std::size_t{ 32 } * 1024 * 1024;
 constexpr auto after_query = std::string_view( "?after=" );
 
 auto to_json( ports::record const& r ) -> json
@@ -63,15 +66,18 @@
         json::array( { update.from.count(), update.batch.at.count(),
                        update.lapse_possible, std::move( records ) } ),
         bytes );
-    return bytes;
+    return compress( bytes );
 }
 
 auto decode_update( std::string const& bytes )
     -> core::result<registry::record_update>
 {
+    auto const unpacked = decompress( bytes, largest_update );
+    if ( unpacked.has_error() )
+        return unpacked.error();
     try
     {
-        auto const object = json::from_cbor( bytes );
+        auto const object = json::from_cbor( unpacked.value() );
         auto update = registry::record_update{};
         update.from =
             ports::store_revision( object.at( 0 ).get<std::int64_t>() );
--- a/src/pollenstream/peers/state_transfer.hpp
+++ b/src/pollenstream/peers/state_transfer.hpp
@@ -17,7 +17,7 @@
 /// The revision that `state_request` named; 0 where there is none.
 auto requested_revision( std::string const& target ) -> ports::store_revision;
 
-/// Changes that one instance tells another; CBOR.
+/// Changes that one instance tells another; CBOR, compressed.
 auto encode_update( registry::record_update const& update ) -> std::string;
 /// Error `malformed` for anything that `encode_update` cannot have written.
 auto decode_update( std::string const& bytes )
--- a/src/pollenstream/registry/registry_watch.cpp
+++ b/src/pollenstream/registry/registry_watch.cpp
@@ -140,7 +140,7 @@
 {
     pause_ = core::duration( 0 );
     answered_at_ = scheduler_.now();
-    told_of_lapse_ = false;
+    lapse_told_until_ = core::instant{};
     if ( store_serves_ )
         return;
     store_serves_ = true;
@@ -203,11 +203,14 @@
 {
     if ( update.batch.at <= known_until_ )
         return true;
-    if ( update.from > known_until_ )
-        return false;
-    told_of_lapse_ = update.lapse_possible;
+    // What was told once must not hold for ever: no further change may come.
+    lapse_told_until_ = update.lapse_possible ? scheduler_.now() + return_time
+                                              : core::instant{};
     for ( auto const& r : update.batch.records )
         take( r, from );
+    // Each record is good by itself; what came between is still to be heard.
+    if ( update.from > known_until_ )
+        return false;
     known_until_ = std::max( known_until_, update.batch.at );
     return true;
 }
@@ -291,9 +294,9 @@
 
 auto registry_watch::may_be_lapsed() const -> bool
 {
-    if ( !reader_ )
-        return told_of_lapse_;
     auto const now = scheduler_.now();
+    if ( !reader_ )
+        return now < lapse_told_until_;
     auto const had_trouble =
         !store_serves_ || ( trouble_until_ != core::instant{} &&
                             now - trouble_until_ < return_time );
@@ -343,7 +346,9 @@
 {
     if ( missing_check_ )
         return;
-    auto const due = trouble_until_ + return_time - scheduler_.now();
+    auto const end =
+        std::max( trouble_until_ + return_time, lapse_told_until_ );
+    auto const due = end - scheduler_.now();
     missing_check_ = scheduler_.call_after( std::max( due, recheck_pause ),
                                             [this]
                                             {
--- a/src/pollenstream/registry/registry_watch.hpp
+++ b/src/pollenstream/registry/registry_watch.hpp
@@ -88,8 +88,8 @@
     /// All changes after `after`, for another instance.
     [[nodiscard]] auto changes_after( ports::store_revision after ) const
         -> record_update;
-    /// Takes over changes that another instance knows. Changes that do not
-    /// join what is known here are left out; returns false then.
+    /// Takes over changes that another instance knows. Returns false where
+    /// changes before them are missing here.
     auto take_update( record_update const& update, std::string const& from )
         -> bool;
 
@@ -140,7 +140,8 @@
     bool reading_{ false }; ///< a call to the store is under way
     bool store_serves_{ false };
     bool ever_served_{ false };
-    bool told_of_lapse_{ false }; ///< by the instance that reads the store
+    /// Until when a lapse is possible, as those who read the store have told.
+    core::instant lapse_told_until_;
     core::instant answered_at_;
     core::instant served_since_;
     core::instant trouble_since_;
--- a/tests/peers/peer_group_test.cpp
+++ b/tests/peers/peer_group_test.cpp
@@ -1,5 +1,6 @@
 #include "support/exchange_fixture.hpp"
 #include <pollenstream/peers/caller_directory.hpp>
+#include <pollenstream/peers/compression.hpp>
 #include <pollenstream/peers/peer_group.hpp>
 #include <pollenstream/peers/state_transfer.hpp>
 
@@ -303,6 +304,34 @@
     CHECK( peers::decode( "" ).has_error() );
 }
 
+TEST_CASE( "packed bytes come back, and too many are refused",
+           "[peers][input]" )
+{
+    auto const text = std::string( 300'000, 'x' ) + "end";
+    auto const packed = peers::compress( text );
+    CHECK( packed.size() < 10'000 );
+    REQUIRE( peers::decompress( packed, 1'000'000 ).has_value() );
+    CHECK( peers::decompress( packed, 1'000'000 ).value() == text );
+    CHECK( peers::decompress( packed, 1'000 ).has_error() );
+    CHECK( peers::decompress( packed.substr( 0, 50 ), 1'000'000 ).has_error() );
+    CHECK( peers::decompress( "", 1'000 ).has_error() );
+}
+
+TEST_CASE( "those who are behind ask different instances", "[peers][store]" )
+{
+    auto fleet = small_fleet( 9 );
+    for ( auto i = 1; i < 9; ++i )
+        fleet.all[static_cast<std::size_t>( i )]->group.set_store_state(
+            ports::store_revision( 9 ), 0ms, 0ms );
+    fleet.scheduler.run( 300ms );
+    auto asked = std::set<std::string>{};
+    for ( auto i = 0; i < 20; ++i )
+        asked.insert( fleet.all[0]
+                          ->group.better_informed( ports::store_revision( 1 ) )
+                          ->id.str() );
+    CHECK( asked.size() >= 5 );
+}
+
 TEST_CASE( "changes of records come over whole", "[peers][store]" )
 {
     auto update = pollenstream::registry::record_update{};
--- a/tests/registry/registry_watch_test.cpp
+++ b/tests/registry/registry_watch_test.cpp
@@ -251,7 +251,9 @@
     reader.store.answer( batch( { rec( "t/b", "ready", 3 ) }, 3 ) );
     // The second change came without the first.
     CHECK_FALSE( follower.watch->take_update( reader.updates.back(), "r" ) );
+    CHECK( follower.watch->known_until() == ports::store_revision( 1 ) );
     CHECK( follower.takes_work( "a" ) );
+    CHECK( follower.takes_work( "b" ) );
     CHECK( follower.watch->take_update(
         reader.watch->changes_after( follower.watch->known_until() ), "r" ) );
     CHECK_FALSE( follower.takes_work( "a" ) );
@@ -315,3 +317,18 @@
     f.scheduler.run( 400ms );
     CHECK_FALSE( f.takes_work( "a" ) );
 }
+
+TEST_CASE( "a follower that hears nothing more lets a missing target go",
+           "[registry][peers][outage]" )
+{
+    auto f = watch_fixture{};
+    f.store.answer( batch( { rec( "t/a", "ready", 1 ) }, 1 ) );
+    f.watch->set_reader( false );
+    f.store.answer( batch( {}, 1 ) );
+    f.watch->take_update(
+        { ports::store_revision( 1 ), batch( { gone( "t/a", 2 ) }, 2 ), true },
+        "reader" );
+    CHECK( f.takes_work( "a" ) );
+    f.scheduler.run( 2'400ms );
+    CHECK_FALSE( f.takes_work( "a" ) );
+}
