Metrics, bounded logs, a state dump, and explain

Cause: engineers on call have only logs and metrics. Change: one decorator counts the events that go to the log (requests by route and outcome, refusals by reason, first event, pause, queue and total time as histograms); another bounds the lines: beyond 100 requests a second those that are served are left out whole and counted, those that end badly are logged whole. /metrics and /state on a port of its own; pollenstream explain ID [FILE...] tells one request's story with its cause.

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -1,5 +1,6 @@
 #include "gateway_node.hpp"
 
+#include "node_state.hpp"
 #include <pollenstream/adapters/asio/http_text.hpp>
 #include <pollenstream/exchange/exchange.hpp>
 #include <pollenstream/peers/caller_directory.hpp>
@@ -25,6 +26,9 @@
 /// Part of the grace period that is left unused: the process has to be gone
 /// before it is killed.
 constexpr auto stop_margin = core::duration( 650ms );
+/// Requests a second that are logged whole whatever becomes of them; about
+/// four times an instance's part of the first deployments' peak.
+constexpr auto logged_requests = std::size_t{ 100 };
 /// For the last answers and orders of a process that ends.
 constexpr auto last_words_time = core::duration( 150ms );
 constexpr auto tick_period = core::duration( 100ms );
@@ -56,11 +60,11 @@
 
 gateway_node::gateway_node( adapters::asio::net::io_context& io,
                             platform::gateway_settings settings,
-                            adapters::spdlog::structured_log& log )
-    : io_( io ), settings_( std::move( settings ) ), log_( log ),
-      scheduler_( io ), http_( io ), store_( http_, settings_.store ),
-      target_calls_( http_ ), memory_orders_( http_ ),
-      placement_( board_, settings_.place ),
+                            exchange::event_log& log )
+    : io_( io ), settings_( std::move( settings ) ), scheduler_( io ),
+      bounded_log_( log, scheduler_, logged_requests ), log_( bounded_log_ ),
+      http_( io ), store_( http_, settings_.store ), target_calls_( http_ ),
+      memory_orders_( http_ ), placement_( board_, settings_.place ),
       retries_( { settings_.retry_ratio, settings_.retry_constant,
                   settings_.retry_window } ),
       room_( scheduler_ ), datagrams_( io, settings_.peers ),
@@ -89,6 +93,15 @@
           [this]
           {
               return is_ready();
+          } ),
+      metrics_handler_(
+          [this]
+          {
+              return log_.text() + node_metrics( context_, group_, registry_ );
+          },
+          [this]
+          {
+              return describe_node( context_, group_, registry_ );
           } )
 {
 }
@@ -184,6 +197,12 @@
     record_process( "started", "incarnation" );
 }
 
+auto gateway_node::serve_metrics( std::uint16_t port ) -> void
+{
+    metrics_ = std::make_unique<adapters::asio::caller_listener>(
+        io_, core::address{ settings_.callers.ip, port }, metrics_handler_ );
+}
+
 auto gateway_node::is_ready() const -> bool
 {
     return !stopping_ && context_.configuration != nullptr;
--- a/apps/gateway/gateway_node.hpp
+++ b/apps/gateway/gateway_node.hpp
@@ -8,13 +8,15 @@
 #include "../../platform/store_client.hpp"
 #include "../../platform/target_calls.hpp"
 #include "caller_handler.hpp"
+#include "metrics_handler.hpp"
 #include "state_handler.hpp"
 #include <pollenstream/adapters/asio/asio_scheduler.hpp>
 #include <pollenstream/adapters/asio/caller_listener.hpp>
 #include <pollenstream/adapters/asio/datagram_socket.hpp>
 #include <pollenstream/adapters/asio/http_client.hpp>
-#include <pollenstream/adapters/spdlog/structured_log.hpp>
 #include <pollenstream/exchange/context.hpp>
+#include <pollenstream/observation/bounded_log.hpp>
+#include <pollenstream/observation/event_metrics.hpp>
 #include <pollenstream/peers/peer_group.hpp>
 #include <pollenstream/registry/registration.hpp>
 #include <pollenstream/registry/registry_watch.hpp>
@@ -32,7 +34,10 @@
 public:
     gateway_node( adapters::asio::net::io_context& io,
                   platform::gateway_settings settings,
-                  adapters::spdlog::structured_log& log );
+                  exchange::event_log& log );
+
+    /// Serves metrics and the state dump at `port` from now on.
+    auto serve_metrics( std::uint16_t port ) -> void;
 
     auto start() -> void;
     /// Begins a planned stop: no new callers, all open requests finished.
@@ -53,8 +58,9 @@
 
     adapters::asio::net::io_context& io_;
     platform::gateway_settings settings_;
-    adapters::spdlog::structured_log& log_;
     adapters::asio::asio_scheduler scheduler_;
+    observation::bounded_log bounded_log_;
+    observation::event_metrics log_;
     adapters::asio::http_client http_;
     platform::store_client store_;
     platform::registry_records records_;
@@ -75,10 +81,12 @@
     state_handler state_handler_;
     platform::directory_handler directory_handler_;
     platform::readiness_handler readiness_handler_;
+    metrics_handler metrics_handler_;
     std::unique_ptr<adapters::asio::caller_listener> callers_;
     std::unique_ptr<adapters::asio::caller_listener> directory_;
     std::unique_ptr<adapters::asio::caller_listener> readiness_;
     std::unique_ptr<adapters::asio::caller_listener> peer_listener_;
+    std::unique_ptr<adapters::asio::caller_listener> metrics_;
 
     bool stopping_{ false };
     bool fetching_{ false };
--- a/apps/gateway/main.cpp
+++ b/apps/gateway/main.cpp
@@ -1,9 +1,11 @@
 #include "gateway_node.hpp"
+#include <pollenstream/adapters/spdlog/structured_log.hpp>
 
 #include <docopt/docopt.h>
 
 #include <fstream>
 #include <iostream>
+#include <optional>
 #include <sstream>
 
 namespace
@@ -17,11 +19,12 @@
     R"(The daemon of an instance on the users' platform.
 
 Usage:
-  pollenstream-gateway [--settings=FILE] [--check]
+  pollenstream-gateway [--settings=FILE] [--metrics-port=N] [--check]
   pollenstream-gateway (-h | --help)
 
 Options:
   --settings=FILE  Settings file; the platform's variable names it else.
+  --metrics-port=N Serve /metrics and /state there, at the callers' address.
   --check          Read the settings, report findings and end.
   -h --help        Show this.
 )";
@@ -40,8 +43,9 @@
     return platform::read_settings( path, text.str(), found );
 }
 
-auto run( std::string const& path, platform::gateway_settings const& settings )
-    -> int
+auto run( std::string const& path,
+          platform::gateway_settings const& settings,
+          std::optional<std::uint16_t> metrics_port ) -> int
 {
     auto io = net::io_context( 1 );
     auto log =
@@ -76,6 +80,8 @@
     };
     wait_for_reload();
     node.start();
+    if ( metrics_port )
+        node.serve_metrics( *metrics_port );
     io.run();
     return 0;
 }
@@ -99,7 +105,11 @@
         return 0;
     try
     {
-        return run( path, settings );
+        auto port = std::optional<std::uint16_t>{};
+        if ( args["--metrics-port"] )
+            port =
+                static_cast<std::uint16_t>( args["--metrics-port"].asLong() );
+        return run( path, settings, port );
     }
     catch ( std::exception const& e )
     {
--- /dev/null
+++ b/apps/tool/explain.cpp
@@ -0,0 +1,156 @@
+#include "explain.hpp"
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <memory>
+
+namespace apps::tool
+{
+
+namespace
+{
+
+struct story_line
+{
+    std::string time;
+    std::string text;
+    log_line fields;
+};
+
+auto value_of( log_line const& line, std::string const& name ) -> std::string
+{
+    auto const found = line.find( name );
+    return found == line.end() ? std::string{} : found->second;
+}
+
+/// What the lines of an attempt that failed say, for the sentence.
+auto failures_in( std::vector<story_line> const& story ) -> std::string
+{
+    auto text = std::string{};
+    for ( auto const& line : story )
+        if ( value_of( line.fields, "event" ) == "attempt_failed" )
+            text += ( text.empty() ? "" : ", then " ) +
+                    value_of( line.fields, "target" ) + " failed (" +
+                    value_of( line.fields, "error" ) + ")";
+    return text;
+}
+
+auto cause_of( std::vector<story_line> const& story ) -> std::string
+{
+    if ( story.empty() )
+        return "no line tells of this request";
+    auto const failures = failures_in( story );
+    for ( auto at = story.rbegin(); at != story.rend(); ++at )
+    {
+        auto const event = value_of( at->fields, "event" );
+        if ( event == "refused" )
+            return "refused with " + value_of( at->fields, "status" ) +
+                   " after " + value_of( at->fields, "waited_ms" ) + " ms as " +
+                   value_of( at->fields, "reason" ) + " with " +
+                   value_of( at->fields, "waiting" ) +
+                   " waiting at this instance" +
+                   ( failures.empty() ? "" : "; before that " + failures );
+        if ( event != "ended" )
+            continue;
+        auto const outcome = value_of( at->fields, "outcome" );
+        if ( outcome == "served" )
+            return "served with " + value_of( at->fields, "status" ) + " in " +
+                   value_of( at->fields, "total_ms" ) +
+                   " ms, first event after " +
+                   value_of( at->fields, "first_ms" ) + " ms, longest pause " +
+                   value_of( at->fields, "gap_ms" ) + " ms" +
+                   ( failures.empty() ? "" : "; " + failures );
+        if ( value_of( at->fields, "status" ) != "503" )
+            return "ended as " + outcome + " with status " +
+                   value_of( at->fields, "status" ) + " after " +
+                   value_of( at->fields, "total_ms" ) + " ms at " +
+                   value_of( at->fields, "target" ) +
+                   ( failures.empty() ? "" : ": " + failures );
+    }
+    return "still open at the end of these logs";
+}
+
+auto read_story( std::string const& id, std::vector<std::istream*> const& logs )
+    -> std::vector<story_line>
+{
+    auto story = std::vector<story_line>{};
+    auto text = std::string{};
+    for ( auto* const log : logs )
+        while ( std::getline( *log, text ) )
+        {
+            if ( text.find( id ) == std::string::npos )
+                continue;
+            auto fields = read_log_line( text );
+            if ( value_of( fields, "id" ) == id )
+                story.push_back( { value_of( fields, "time" ), text, fields } );
+        }
+    std::stable_sort( story.begin(), story.end(),
+                      []( auto const& a, auto const& b )
+                      {
+                          return a.time < b.time;
+                      } );
+    return story;
+}
+
+}
+
+auto read_log_line( std::string const& text ) -> log_line
+{
+    auto line = log_line{};
+    auto at = std::size_t{ 0 };
+    while ( at < text.size() )
+    {
+        auto const equals = text.find( '=', at );
+        if ( equals == std::string::npos )
+            break;
+        auto const blank = text.rfind( ' ', equals );
+        auto const from =
+            blank == std::string::npos || blank < at ? at : blank + 1;
+        auto const quoted = equals + 1 < text.size() && text[equals + 1] == '"';
+        auto const start = equals + ( quoted ? 2 : 1 );
+        auto const end =
+            std::min( text.find( quoted ? '"' : ' ', start ), text.size() );
+        line[text.substr( from, equals - from )] =
+            text.substr( start, end - start );
+        at = end + 1;
+    }
+    return line;
+}
+
+auto explain( std::string const& id, std::vector<std::istream*> const& logs )
+    -> explanation
+{
+    auto const story = read_story( id, logs );
+    auto result = explanation{};
+    for ( auto const& line : story )
+        result.lines.push_back( line.text );
+    result.cause = cause_of( story );
+    return result;
+}
+
+auto run_explain( std::string const& id, std::vector<std::string> const& files )
+    -> int
+{
+    auto opened = std::vector<std::unique_ptr<std::ifstream>>{};
+    auto logs = std::vector<std::istream*>{};
+    for ( auto const& name : files )
+    {
+        opened.push_back( std::make_unique<std::ifstream>( name ) );
+        if ( !*opened.back() )
+        {
+            std::cerr << name << ": cannot be read\n";
+            return 1;
+        }
+        logs.push_back( opened.back().get() );
+    }
+    if ( logs.empty() )
+        logs.push_back( &std::cin );
+    auto const result = explain( id, logs );
+    for ( auto const& line : result.lines )
+        std::cout << line << '\n';
+    std::cout << "cause: " << result.cause << '\n';
+    return result.lines.empty() ? 1 : 0;
+}
+
+}
--- a/apps/tool/main.cpp
+++ b/apps/tool/main.cpp
@@ -1,5 +1,6 @@
 #include "commands.hpp"
 #include "exit_status.hpp"
+#include "explain.hpp"
 
 #include <cstdlib>
 #include <iostream>
@@ -19,6 +20,7 @@
   pollenstream entry [options]
   pollenstream send [options] [PROMPT]
   pollenstream call [options] SERVICE PATH
+  pollenstream explain ID [FILE...]
   pollenstream (-h | --help)
   pollenstream --version
 
@@ -55,6 +57,9 @@
         given["--token"] = docopt::value( std::string( token ) );
     try
     {
+        if ( given.at( "explain" ).asBool() )
+            return apps::tool::run_explain( given.at( "ID" ).asString(),
+                                            given.at( "FILE" ).asStringList() );
         return apps::tool::run_command( given );
     }
     catch ( std::exception const& failure )
--- /dev/null
+++ b/src/pollenstream/observation/event_metrics.cpp
@@ -0,0 +1,110 @@
+#include <pollenstream/observation/event_metrics.hpp>
+
+#include <sstream>
+#include <string_view>
+
+namespace pollenstream::observation
+{
+
+namespace
+{
+
+using text = std::string_view;
+
+/// One family of counters with two labels.
+template <class Map>
+auto write_counters( std::ostream& out,
+                     text name,
+                     text first_label,
+                     text second_label,
+                     Map const& counts ) -> void
+{
+    out << "# TYPE " << name << " counter\n";
+    for ( auto const& [labels, count] : counts )
+        out << name << '{' << first_label << "=\"" << labels.first << "\","
+            << second_label << "=\"" << labels.second << "\"} " << count
+            << '\n';
+}
+
+auto write_histograms( std::ostream& out,
+                       std::string const& name,
+                       std::map<std::string, histogram> const& by_route )
+    -> void
+{
+    out << "# TYPE " << name << " histogram\n";
+    for ( auto const& [route, h] : by_route )
+        out << h.text( name, "route=\"" + route + "\"," );
+}
+
+}
+
+event_metrics::event_metrics( exchange::event_log& next ) : next_( next ) {}
+
+auto event_metrics::record( exchange::event const& what ) -> void
+{
+    std::visit(
+        [this]( auto const& e )
+        {
+            count( e );
+        },
+        what );
+    next_.record( what );
+}
+
+auto event_metrics::count( exchange::request_refused const& e ) -> void
+{
+    ++refused_[{ e.route, e.reason }];
+}
+
+auto event_metrics::count( exchange::request_placed const& e ) -> void
+{
+    ++placed_;
+    parts_ += e.parts.size();
+    queued_[e.route].add( e.waited );
+}
+
+auto event_metrics::count( exchange::attempt_failed const& e ) -> void
+{
+    ++failed_attempts_[e.decision];
+}
+
+auto event_metrics::count( exchange::request_ended const& e ) -> void
+{
+    ++ended_[{ e.route, e.outcome }];
+    total_[e.route].add( e.total );
+    if ( e.events == 0 )
+        return;
+    first_event_[e.route].add( e.first_event );
+    longest_gap_[e.route].add( e.longest_gap );
+}
+
+auto event_metrics::count( exchange::belief_changed const& e ) -> void
+{
+    ++beliefs_[{ e.what, e.now }];
+}
+
+auto event_metrics::text() const -> std::string
+{
+    auto out = std::ostringstream{};
+    write_counters( out, "pollenstream_requests_ended_total", "route",
+                    "outcome", ended_ );
+    write_counters( out, "pollenstream_requests_refused_total", "route",
+                    "reason", refused_ );
+    write_counters( out, "pollenstream_beliefs_total", "what", "now",
+                    beliefs_ );
+    out << "# TYPE pollenstream_attempts_failed_total counter\n";
+    for ( auto const& [decision, count] : failed_attempts_ )
+        out << "pollenstream_attempts_failed_total{decision=\"" << decision
+            << "\"} " << count << '\n';
+    out << "# TYPE pollenstream_placements_total counter\n"
+        << "pollenstream_placements_total " << placed_ << '\n'
+        << "# TYPE pollenstream_placed_parts_total counter\n"
+        << "pollenstream_placed_parts_total " << parts_ << '\n';
+    write_histograms( out, "pollenstream_first_event_seconds", first_event_ );
+    write_histograms( out, "pollenstream_longest_gap_seconds", longest_gap_ );
+    write_histograms( out, "pollenstream_request_seconds", total_ );
+    write_histograms( out, "pollenstream_queue_seconds", queued_ );
+    return out.str();
+}
+
+}
--- /dev/null
+++ b/src/pollenstream/observation/histogram.cpp
@@ -0,0 +1,36 @@
+#include <pollenstream/observation/histogram.hpp>
+
+#include <sstream>
+
+namespace pollenstream::observation
+{
+
+auto histogram::add( core::duration span ) -> void
+{
+    auto const seconds = core::seconds_of( span );
+    auto bucket = std::size_t{ 0 };
+    while ( bucket < ends.size() && seconds > ends[bucket] )
+        ++bucket;
+    ++counts_[bucket];
+    sum_ += seconds;
+    ++count_;
+}
+
+auto histogram::text( std::string const& name, std::string const& labels ) const
+    -> std::string
+{
+    auto out = std::ostringstream{};
+    auto below = std::uint64_t{ 0 };
+    for ( auto i = std::size_t{ 0 }; i < ends.size(); ++i )
+    {
+        below += counts_[i];
+        out << name << "_bucket{" << labels << "le=\"" << ends[i] << "\"} "
+            << below << '\n';
+    }
+    out << name << "_bucket{" << labels << "le=\"+Inf\"} " << count_ << '\n'
+        << name << "_sum{" << labels << "} " << sum_ << '\n'
+        << name << "_count{" << labels << "} " << count_ << '\n';
+    return out.str();
+}
+
+}
--- /dev/null
+++ b/tests/observation/observation_test.cpp
@@ -0,0 +1,113 @@
+#include "support/exchange_fixture.hpp"
+#include <pollenstream/observation/bounded_log.hpp>
+#include <pollenstream/observation/event_metrics.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <explain.hpp>
+#include <sstream>
+
+using namespace tests;
+using namespace std::chrono_literals;
+namespace observation = pollenstream::observation;
+
+namespace
+{
+
+auto placed( std::string const& id ) -> exchange::event
+{
+    auto e = exchange::request_placed{};
+    e.id = exchange::attempt_id( id );
+    e.route = "r";
+    e.waited = 5ms;
+    return e;
+}
+
+auto ended( std::string const& id, std::string const& outcome )
+    -> exchange::event
+{
+    auto e = exchange::request_ended{};
+    e.id = exchange::attempt_id( id );
+    e.route = "r";
+    e.outcome = outcome;
+    e.total = 120ms;
+    e.first_event = 90ms;
+    e.events = 3;
+    return e;
+}
+
+}
+
+TEST_CASE( "logs stay bounded and keep what ends badly whole", "[log]" )
+{
+    auto scheduler = held_scheduler{};
+    auto written = recorded_events{};
+    auto log = observation::bounded_log( written, scheduler, 10 );
+    for ( auto i = 0; i < 1'000; ++i )
+        log.record( placed( std::to_string( i ) ) );
+    CHECK( written.all.size() == 10 );
+    for ( auto i = 0; i < 1'000; ++i )
+        log.record( ended( std::to_string( i ),
+                           i % 100 == 99 ? "deadline" : "served" ) );
+    // Ten whole requests of the budget, and ten that ended badly.
+    CHECK( written.all.size() == 40 );
+    CHECK( log.left_out() == 980 );
+    scheduler.run( 2s );
+    log.record( placed( "later" ) );
+    // What was left out is told.
+    auto told = false;
+    for ( auto const& e : written.all )
+        if ( auto const* b = std::get_if<exchange::belief_changed>( &e ) )
+            told = told || ( b->now == "left_out" && b->because == "980" );
+    CHECK( told );
+}
+
+TEST_CASE( "changes of belief are always logged", "[log]" )
+{
+    auto scheduler = held_scheduler{};
+    auto written = recorded_events{};
+    auto log = observation::bounded_log( written, scheduler, 0 );
+    for ( auto i = 0; i < 50; ++i )
+        log.record( exchange::belief_changed{ "target", "x", "gone", "", {} } );
+    CHECK( written.all.size() == 50 );
+}
+
+TEST_CASE( "metrics count what the log tells", "[metrics]" )
+{
+    auto written = recorded_events{};
+    auto metrics = observation::event_metrics( written );
+    metrics.record( placed( "a" ) );
+    metrics.record( ended( "a", "served" ) );
+    metrics.record( ended( "b", "deadline" ) );
+    CHECK( written.all.size() == 3 );
+    auto const text = metrics.text();
+    CHECK( text.find( "pollenstream_requests_ended_total{route=\"r\","
+                      "outcome=\"deadline\"} 1\n" ) != std::string::npos );
+    CHECK( text.find( "pollenstream_first_event_seconds_bucket{route=\"r\","
+                      "le=\"0.1\"} 2\n" ) != std::string::npos );
+    CHECK( text.find( "pollenstream_request_seconds_count{route=\"r\",} 2" ) !=
+           std::string::npos );
+}
+
+TEST_CASE( "a request's story is told in order with its cause", "[explain]" )
+{
+    auto second = std::istringstream(
+        "time=2 instance=b event=ended id=x route=r outcome=target_lost "
+        "status=502 target=i-1 total_ms=50.0\n"
+        "time=2 instance=b event=ended id=y route=r outcome=served\n" );
+    auto first = std::istringstream(
+        "time=1 instance=b event=attempt_failed id=x target=i-1 "
+        "error=\"Connection reset by peer\" may_have_run=1 "
+        "decision=give_up\n" );
+    auto const told = apps::tool::explain( "x", { &second, &first } );
+    REQUIRE( told.lines.size() == 2 );
+    CHECK( told.lines[0].find( "attempt_failed" ) != std::string::npos );
+    CHECK( told.cause == "ended as target_lost with status 502 after 50.0 ms "
+                         "at i-1: i-1 failed (Connection reset by peer)" );
+    auto none = std::istringstream( "nothing here\n" );
+    CHECK( apps::tool::explain( "z", { &none } ).lines.empty() );
+    auto const line =
+        apps::tool::read_log_line( "0.5 host time=1 a=\"b c\" d=e" );
+    CHECK( line.at( "a" ) == "b c" );
+    CHECK( line.at( "d" ) == "e" );
+}
