--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -42,6 +42,9 @@
 constexpr auto retry_after_no_target = core::duration( 400ms );
 constexpr auto retry_after_no_configuration = core::duration( 300ms );
 constexpr auto retry_after_stop = core::duration( 0ms );
+/// How long a target that another one blames is left alone, here and at the
+/// other instances; a helper that is gone leaves the registry within seconds.
+constexpr auto blamed_time = core::duration( 1500ms );
 /// Time that has to be left for another try to be worth it.
 constexpr auto least_time_for_try = core::duration( 40ms );
 /// Shortest pause after memory could not be reserved.
@@ -529,7 +532,8 @@
     auto const now = shared_.scheduler.now();
     shared_.board.note_failure( current_->target, now );
     auto const status = current_->head->status;
-    if ( try_again( "status " + std::to_string( status ), true ) )
+    if ( try_again( "status " + std::to_string( status ), true,
+                    current_->target ) )
         return;
     if ( streaming_ )
         return fail( status, "target_failed" );
@@ -540,19 +544,37 @@
     end( "target_failed", status );
 }
 
-auto exchange::on_not_run() -> void
+/// A target has proved that it did not run the request. Returns the target to
+/// blame: the answering one, or a helper that it names.
+auto exchange::blame( answer_head const& head ) -> core::target_id
 {
     auto const now = shared_.scheduler.now();
+    auto const named = head.at_fault.empty()
+                           ? nullptr
+                           : shared_.board.find_named( head.at_fault );
+    auto const to_blame = named ? named->facts.id : current_->target;
+    auto const answering = shared_.board.find( current_->target );
+    if ( head.wrong_target || to_blame != current_->target )
+    {
+        // Gone, or of no use to others: certain at once, and for all.
+        shared_.board.shun( to_blame, now + blamed_time );
+        shared_.announcer.target_shunned( to_blame, blamed_time );
+    }
+    else if ( answering && answering->load.requests < answering->facts.slots &&
+              shared_.board.note_failure( to_blame, now ) )
+    {
+        shared_.announcer.target_shunned( to_blame, blamed_time );
+    }
+    return to_blame;
+}
+
+auto exchange::on_not_run() -> void
+{
     auto const head = std::move( *current_->head );
-    auto const target = shared_.board.find( current_->target );
-    if ( head.wrong_target )
-        shared_.board.shun( current_->target, now + 2s );
-    else if ( !head.at_fault.empty() )
-        shared_.board.note_failure( core::target_id( head.at_fault ), now );
-    else if ( target && target->load.requests < target->facts.slots )
-        shared_.board.note_failure( current_->target, now );
-    if ( try_again( "not run, status " + std::to_string( head.status ),
-                    false ) )
+    auto const blamed = blame( head );
+    if ( try_again( "not run, status " + std::to_string( head.status ) +
+                        ", blames " + blamed.str(),
+                    false, blamed ) )
         return;
     if ( streaming_ )
         return fail( status_bad_gateway, "resumption_refused" );
@@ -576,7 +598,7 @@
         --targets_reached_;
         ++connects_failed_;
     }
-    if ( try_again( end.error.detail, was_made ) )
+    if ( try_again( end.error.detail, was_made, target ) )
         return;
     close_try( true );
     if ( may_have_run_ || streaming_ )
@@ -594,7 +616,9 @@
            deadline_ - now > least_time_for_try;
 }
 
-auto exchange::try_again( std::string const& why, bool may_have_run ) -> bool
+auto exchange::try_again( std::string const& why,
+                          bool may_have_run,
+                          core::target_id const& avoid ) -> bool
 {
     auto const now = shared_.scheduler.now();
     auto const again =
@@ -608,7 +632,7 @@
     shared_.counters.repeats.add();
     if ( streaming_ )
         shared_.counters.resumed.add();
-    demand_.tried.push_back( current_->target );
+    demand_.tried.push_back( avoid );
     close_try( true );
     if ( !try_start() )
         wait_for_room();
--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -93,7 +93,11 @@
     auto streams() const -> bool;
 
     auto may_repeat() -> bool;
-    auto try_again( std::string const& why, bool may_have_run ) -> bool;
+    /// Sends the request again, not to `avoid`; false where it may not be.
+    auto try_again( std::string const& why,
+                    bool may_have_run,
+                    core::target_id const& avoid ) -> bool;
+    auto blame( answer_head const& head ) -> core::target_id;
     auto tolerated_silence() const -> core::duration;
     auto arm_watch() -> void;
     auto on_watch() -> void;
--- a/src/pollenstream/exchange/target_board.cpp
+++ b/src/pollenstream/exchange/target_board.cpp
@@ -105,6 +105,18 @@
     return found == by_id_.end() ? nullptr : found->second;
 }
 
+auto target_board::find_named( std::string const& name ) const
+    -> std::shared_ptr<board_target>
+{
+    if ( auto const by_id = find( core::target_id( name ) ) )
+        return by_id;
+    for ( auto const& [id, entry] : by_id_ )
+        if ( entry->takes_work() &&
+             core::to_string( entry->facts.address ) == name )
+            return entry;
+    return nullptr;
+}
+
 auto target_board::of_service( core::service_id const& id ) const
     -> std::vector<std::shared_ptr<board_target>> const&
 {
--- a/src/pollenstream/exchange/target_board.hpp
+++ b/src/pollenstream/exchange/target_board.hpp
@@ -130,6 +130,9 @@
 
     [[nodiscard]] auto find( core::target_id const& id ) const
         -> std::shared_ptr<board_target>;
+    /// The target that `name` means: its id, or its IP:PORT; null for neither.
+    [[nodiscard]] auto find_named( std::string const& name ) const
+        -> std::shared_ptr<board_target>;
     /// Targets of a service in the order of their ranks.
     [[nodiscard]] auto of_service( core::service_id const& id ) const
         -> std::vector<std::shared_ptr<board_target>> const&;
--- a/tests/exchange/exchange_test.cpp
+++ b/tests/exchange/exchange_test.cpp
@@ -290,3 +290,30 @@
     CHECK( f.answer->aborted );
     CHECK( f.targets.all[0]->cancelled );
 }
+
+TEST_CASE( "a helper that is blamed is left alone everywhere",
+           "[exchange][repeat]" )
+{
+    auto f = exchange_fixture{};
+    f.start( f.request( "/chat/x" ) );
+    auto const first = f.targets.all[0]->request.target;
+    auto const helper =
+        core::target_id( first == core::target_id( "m1" ) ? "m2" : "m1" );
+    auto const address =
+        core::to_string( f.board.find( helper )->facts.address );
+    SECTION( "named by its address" )
+    {
+        f.targets.all[0]->turn_away( 503, address );
+    }
+    SECTION( "named by its id" )
+    {
+        f.targets.all[0]->turn_away( 503, helper.str() );
+    }
+    CHECK_FALSE( f.board.find( helper )->may_get_work( f.scheduler.now() ) );
+    CHECK( f.board.find( first )->may_get_work( f.scheduler.now() ) );
+    REQUIRE( f.announcer.shunned.size() == 1 );
+    CHECK( f.announcer.shunned[0] == helper );
+    REQUIRE( f.targets.all.size() == 2 );
+    CHECK( f.targets.all[1]->request.target != helper );
+    f.targets.all[1]->answer( 500, "" );
+}
--- a/tests/support/exchange_fixture.hpp
+++ b/tests/support/exchange_fixture.hpp
@@ -80,9 +80,10 @@
         listener->on_head( std::move( h ) );
     }
     /// The target says that it does not run the request.
-    auto turn_away( int status = 503 ) -> void
+    auto turn_away( int status = 503, std::string at_fault = {} ) -> void
     {
         auto h = exchange::answer_head{};
+        h.at_fault = std::move( at_fault );
         h.status = status;
         h.proves_not_run = true;
         h.wrong_target = status == 421;
