At the last chance a long prompt may make a few others late

Cause: the largest price left was long prompts held for 12 s and then refused. Ruled out: refusing them sooner, which serves none more. A test plays it.

--- a/src/pollenstream/exchange/placement.cpp
+++ b/src/pollenstream/exchange/placement.cpp
@@ -50,6 +50,8 @@
 constexpr auto latest_finish_when_late_ms = 600.0;
 constexpr auto latest_finish_at_last_ms = 2'500.0;
 constexpr auto last_chance = core::duration( 3'000'000 );
+/// Part of its weight that a prompt may then make late.
+constexpr auto last_chance_harm = 0.5;
 /// Longest reading that may wait at an engine that writes nothing. Long
 /// prompts' objectives are seconds; nobody else is held up there.
 constexpr auto deepest_backlog_ms = 1'500.0;
@@ -196,9 +198,14 @@
     return latest_finish_ms;
 }
 
-/// Nothing while the request can wait, and nothing once it is late itself.
+/// Nothing while the request can wait, and nothing once it is late itself, but
+/// for the last chance: an answer that never comes is worse than a few late
+/// ones.
 auto harm_allowed( placement_demand const& demand ) -> harm_limit
 {
+    if ( demand.patience_left < last_chance )
+        return { weight_of( demand.prompt_tokens ) * last_chance_harm,
+                 latest_finish_at_last_ms, latest_finish_at_last_ms };
     auto const slack = ms_of( demand.latency_objective - demand.waited );
     auto const is_impatient =
         slack < ms_of( demand.latency_objective ) * impatient_share;
--- a/tests/exchange/placement_test.cpp
+++ b/tests/exchange/placement_test.cpp
@@ -34,7 +34,7 @@
         demand.tightest_gap = 200ms;
         demand.waited = waited;
         demand.time_left = 10s;
-        demand.patience_left = 10s;
+        demand.patience_left = patience;
         return chooser.choose( demand, service, now );
     }
 
@@ -64,6 +64,7 @@
     core::instance_id self{ "self" };
     core::instant now{ 100s };
     core::duration waited{ 0 };
+    core::duration patience{ 10s };
     std::uint64_t serial{ 0 };
     exchange::placement_result last;
 };
@@ -129,6 +130,29 @@
     }
 }
 
+TEST_CASE( "a prompt whose caller is about to leave makes a few others late",
+           "[placement]" )
+{
+    auto floor = engine_floor{};
+    // Two short answers are written at each engine.
+    for ( auto i = 0; i < 36; ++i )
+    {
+        auto work = exchange::open_work{};
+        work.serial = ++floor.serial;
+        work.parts = {
+            { core::target_id( "m" + std::to_string( i % 18 ) ), 0, 6'600 } };
+        work.context_tokens = 5'000;
+        work.tolerated_gap_ms = 200;
+        work.reading = false;
+        floor.board.add_work( floor.self, work, floor.now );
+    }
+    floor.waited = 9s;
+    CHECK_FALSE( floor.place( 210'000, 800ms ) );
+    floor.patience = 2s;
+    REQUIRE( floor.place( 210'000, 800ms ) );
+    CHECK( floor.last.choice->targets.size() <= 3 );
+}
+
 TEST_CASE( "one huge prompt does not make those behind it late", "[placement]" )
 {
     auto floor = engine_floor{};
