--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -552,7 +552,7 @@
     auto const named = head.at_fault.empty()
                            ? nullptr
                            : shared_.board.find_named( head.at_fault );
-    auto const to_blame = named ? named->facts.id : current_->target;
+    auto to_blame = named ? named->facts.id : current_->target;
     auto const answering = shared_.board.find( current_->target );
     if ( head.wrong_target || to_blame != current_->target )
     {
--- a/src/pollenstream/exchange/target_board.cpp
+++ b/src/pollenstream/exchange/target_board.cpp
@@ -108,7 +108,7 @@
 auto target_board::find_named( std::string const& name ) const
     -> std::shared_ptr<board_target>
 {
-    if ( auto const by_id = find( core::target_id( name ) ) )
+    if ( auto by_id = find( core::target_id( name ) ) )
         return by_id;
     for ( auto const& [id, entry] : by_id_ )
         if ( entry->takes_work() &&
--- a/standins/platform/store.cpp
+++ b/standins/platform/store.cpp
@@ -108,7 +108,8 @@
     return nullptr;
 }
 
-auto store::reply( answer_ptr const& answer, int status, json body ) -> void
+auto store::reply( answer_ptr const& answer, int status, json const& body )
+    -> void
 {
     answer->send_whole(
         { status, { { "Content-Type", "application/json" } }, body.dump() } );
--- a/standins/platform/store.hpp
+++ b/standins/platform/store.hpp
@@ -86,8 +86,9 @@
 
     auto serve( asio::raw_request const& request, answer_ptr const& answer )
         -> void;
-    auto reply( answer_ptr const& answer, int status, nlohmann::json body )
-        -> void;
+    auto reply( answer_ptr const& answer,
+                int status,
+                nlohmann::json const& body ) -> void;
     auto range( query const& q, answer_ptr const& answer ) -> void;
     auto watch( query const& q, answer_ptr const& answer ) -> void;
     auto transact( nlohmann::json const& body, answer_ptr const& answer )
