A watch that is cut is no outage of the store

Ruled out: lost datagrams (all four instances had the removal in the same millisecond). Change: a cut watch is followed by a list at once, and only its failure is an outage.

--- a/src/pollenstream/registry/registry_watch.cpp
+++ b/src/pollenstream/registry/registry_watch.cpp
@@ -109,8 +109,11 @@
     reading_ = false;
     if ( batch.has_error() )
     {
-        // The history may be gone, or a cut may have hidden changes.
-        if ( batch.error().code == core::error_code::expired )
+        // The history may be gone, or a cut may have hidden changes. A watch
+        // that is cut is no outage yet; the list tells whether there is one.
+        auto const why = batch.error().code;
+        if ( why == core::error_code::expired ||
+             why == core::error_code::connection_lost )
             return list();
         return on_trouble( batch.error() );
     }
