One place says which silence a target is allowed; an unused call goes

Cause: reading the whole change again: arm_watch held the rule for safe calls beside tolerated_silence, which held it for streams, and http_client::drop_pool was called by nobody. Change: both rules stand in tolerated_silence; drop_pool is gone.

--- a/src/pollenstream/adapters/asio/http_client.cpp
+++ b/src/pollenstream/adapters/asio/http_client.cpp
@@ -495,16 +495,6 @@
                    } );
 }
 
-auto http_client::drop_pool( std::string const& pool ) -> void
-{
-    auto const found = idle_.find( pool );
-    if ( found == idle_.end() )
-        return;
-    for ( auto const& connection : found->second )
-        connection->close();
-    idle_.erase( found );
-}
-
 auto http_client::send( http_call call,
                         std::shared_ptr<http_listener> listener )
     -> std::shared_ptr<exchange::open_attempt>
--- a/src/pollenstream/adapters/asio/http_client.hpp
+++ b/src/pollenstream/adapters/asio/http_client.hpp
@@ -75,9 +75,6 @@
     auto fetch( http_call call, core::duration limit, fetched callback )
         -> std::shared_ptr<exchange::open_attempt>;
 
-    /// Closes the idle connections of `pool`.
-    auto drop_pool( std::string const& pool ) -> void;
-
     [[nodiscard]] auto connections_made() const -> std::uint64_t
     {
         return made_.value();
--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -639,9 +639,12 @@
     return true;
 }
 
-/// Silence of a stream that is not put down to its target yet.
+/// Silence that is not put down to the target yet.
 auto exchange::tolerated_silence() const -> core::duration
 {
+    if ( route_->kind == request_kind::safe )
+        return std::max( shortest_call_silence,
+                         route_->latency_objective * call_silence_per_latency );
     if ( !current_->reading )
         return std::max( shortest_silence,
                          route_->gap_objective * silence_per_gap );
@@ -652,18 +655,9 @@
 
 auto exchange::arm_watch() -> void
 {
-    if ( !current_ )
-        return;
-    auto allowed = core::duration( 0 );
-    if ( route_->kind == request_kind::unsafe )
+    if ( !current_ || route_->kind == request_kind::unsafe )
         return;
-    if ( route_->kind == request_kind::safe )
-        allowed =
-            std::max( shortest_call_silence,
-                      route_->latency_objective * call_silence_per_latency );
-    else
-        allowed = tolerated_silence();
-    auto const due = current_->heard_at + allowed;
+    auto const due = current_->heard_at + tolerated_silence();
     watch_call_ = shared_.scheduler.call_after(
         std::max( core::duration( 1ms ), due - shared_.scheduler.now() ),
         [this]
