Later news does not prolong the time of a missing target

A reader that alone had been cut off for 12 s took the removal for a lapse, since the others had had a short trouble of their own 7 s before; it told its followers so, and each later update prolonged their wait, to 3.9 s. Ruled out: late news (all 65 instances heard within 20 ms). Change: (1) what the store did not hold for others over the whole time of return is no lapse; (2) a follower waits the time of return once, from the removal; (3) a follower takes the surer word of a reader that was served.

--- a/src/pollenstream/registry/registry_watch.cpp
+++ b/src/pollenstream/registry/registry_watch.cpp
@@ -201,9 +201,27 @@
     return update;
 }
 
+/// An instance that was served all the time knows better than one that was cut
+/// off; both tell the same removal.
+auto registry_watch::confirm_removals( record_update const& update,
+                                       std::string const& from ) -> void
+{
+    if ( update.lapse_possible )
+        return;
+    for ( auto const& r : update.batch.records )
+    {
+        if ( r.value || codec_.kind_of( r.key ) != record_kind::target )
+            continue;
+        auto const id = codec_.target_of( r.key );
+        if ( missing_.erase( id ) > 0 )
+            target_gone( id, from );
+    }
+}
+
 auto registry_watch::take_update( record_update const& update,
                                   std::string const& from ) -> bool
 {
+    confirm_removals( update, from );
     if ( update.batch.at <= known_until_ )
         return true;
     // What was told once must not hold for ever: no further change may come.
@@ -307,7 +325,9 @@
         return false;
     auto const others = events_.others_served_for ? events_.others_served_for()
                                                   : core::duration( 0 );
-    return others < now - trouble_since_;
+    // What the store did not hold for the others over the whole time of return
+    // is no lapse, however long this instance itself was away.
+    return others < std::min( now - trouble_since_, return_time );
 }
 
 auto registry_watch::take_removal( std::string const& key,
@@ -347,12 +367,13 @@
 
 auto registry_watch::arm_missing_check() -> void
 {
-    if ( missing_check_ )
+    if ( missing_check_ || missing_.empty() )
         return;
-    auto const end =
-        std::max( trouble_until_ + return_time, lapse_told_until_ );
-    auto const due = end - scheduler_.now();
-    missing_check_ = scheduler_.call_after( std::max( due, recheck_pause ),
+    auto due = core::instant::max();
+    for ( auto const& [id, since] : missing_ )
+        due = std::min( due, wait_for_return_until( since ) );
+    auto const pause = due - scheduler_.now();
+    missing_check_ = scheduler_.call_after( std::max( pause, recheck_pause ),
                                             [this]
                                             {
                                                 auto const done =
@@ -361,15 +382,31 @@
                                             } );
 }
 
+/// When an entry that is missing since `since` is taken as gone, as far as is
+/// known. Later news of trouble does not prolong it for an instance that only
+/// follows: the removal that it was told was the store's own word.
+auto registry_watch::wait_for_return_until( core::instant since ) const
+    -> core::instant
+{
+    if ( !reader_ )
+        return std::min( lapse_told_until_, since + return_time );
+    return trouble_until_ + return_time;
+}
+
 auto registry_watch::check_missing() -> void
 {
-    if ( missing_.empty() )
-        return;
-    if ( may_be_lapsed() )
-        return arm_missing_check();
-    auto const still = std::exchange( missing_, {} );
-    for ( auto const& [id, since] : still )
+    auto const now = scheduler_.now();
+    auto const lapsed = may_be_lapsed();
+    auto gone = std::vector<core::target_id>{};
+    for ( auto const& [id, since] : missing_ )
+        if ( !lapsed || ( !reader_ && wait_for_return_until( since ) <= now ) )
+            gone.push_back( id );
+    for ( auto const& id : gone )
+    {
+        missing_.erase( id );
         target_gone( id, "not back after the store's return" );
+    }
+    arm_missing_check();
 }
 
 }
--- a/src/pollenstream/registry/registry_watch.hpp
+++ b/src/pollenstream/registry/registry_watch.hpp
@@ -120,6 +120,10 @@
                        std::string const& from ) -> void;
     auto target_gone( core::target_id const& id, std::string const& why )
         -> void;
+    auto confirm_removals( record_update const& update,
+                           std::string const& from ) -> void;
+    [[nodiscard]] auto wait_for_return_until( core::instant since ) const
+        -> core::instant;
     auto arm_missing_check() -> void;
     auto check_missing() -> void;
 
--- a/tests/registry/registry_watch_test.cpp
+++ b/tests/registry/registry_watch_test.cpp
@@ -344,3 +344,53 @@
     // The store served all the time, so that the entry has not lapsed.
     CHECK_FALSE( f.takes_work( "a" ) );
 }
+
+TEST_CASE( "later news does not prolong the time of a missing target",
+           "[registry][peers][outage]" )
+{
+    auto f = watch_fixture{};
+    f.store.answer(
+        batch( { rec( "t/a", "ready", 1 ), rec( "t/b", "ready", 1 ) }, 1 ) );
+    f.watch->set_reader( false );
+    f.store.answer( batch( {}, 1 ) );
+    f.watch->take_update(
+        { ports::store_revision( 1 ), batch( { gone( "t/a", 2 ) }, 2 ), true },
+        "reader" );
+    f.scheduler.run( 1'500ms );
+    f.watch->take_update( { ports::store_revision( 2 ),
+                            batch( { rec( "t/b", "leaving", 3 ) }, 3 ), true },
+                          "reader" );
+    CHECK( f.takes_work( "a" ) );
+    f.scheduler.run( 900ms );
+    CHECK_FALSE( f.takes_work( "a" ) );
+}
+
+TEST_CASE( "a follower takes the surer word on a missing target",
+           "[registry][peers][outage]" )
+{
+    auto f = watch_fixture{};
+    f.store.answer( batch( { rec( "t/a", "ready", 1 ) }, 1 ) );
+    f.watch->set_reader( false );
+    f.store.answer( batch( {}, 1 ) );
+    auto update = registry::record_update{
+        ports::store_revision( 1 ), batch( { gone( "t/a", 2 ) }, 2 ), true };
+    f.watch->take_update( update, "was cut off" );
+    CHECK( f.takes_work( "a" ) );
+    update.lapse_possible = false;
+    f.watch->take_update( update, "was served all the time" );
+    CHECK_FALSE( f.takes_work( "a" ) );
+}
+
+TEST_CASE( "what others saw served for the whole time of return has not lapsed",
+           "[registry][outage]" )
+{
+    auto f = watch_fixture{};
+    f.store.answer( batch( { rec( "t/a", "ready", 1 ) }, 1 ) );
+    f.store.fail( core::error_code::timed_out );
+    f.scheduler.run( 60s );
+    // The others had trouble of their own meanwhile, seconds ago.
+    f.others_served = 6s;
+    f.store.answer( batch( { rec( "t/a", "ready", 1 ) }, 4 ) );
+    f.store.answer( batch( { gone( "t/a", 5 ) }, 5 ) );
+    CHECK_FALSE( f.takes_work( "a" ) );
+}
