Wide prompts take turns over all instances; an engine ends what it reads for others

Playing the logged dispatches against three orders of reading, the seen first events agree with newest part first (correlation 0.79; oldest first and shared 0.31): parts that arrive at a busy engine go before those that wait, and a wave of audits (4 s of reading arriving in 4 s at 20 of 60 engines, the others at 10 to 60 in 100) starves the earlier ones. Besides, prompts that wait at several instances all chose in the same millisecond when engines came free (23.77 s: two on the same four engines; 24.48 s: three), being told of it at once. Change: (1) an engine that has read for others for 0.25 s without a break gets no further part; (2) a prompt in parts is told to the others at once and not after 8 ms; (3) wide prompts take turns: the one due first chooses, the others draw lots; instances tell how many wait and when the first is due.

--- a/src/pollenstream/exchange/context.hpp
+++ b/src/pollenstream/exchange/context.hpp
@@ -31,6 +31,8 @@
     virtual auto work_began( open_work const& work ) -> void = 0;
     virtual auto reading_ended( std::uint64_t serial ) -> void = 0;
     virtual auto work_ended( std::uint64_t serial ) -> void = 0;
+    /// The wide prompts that wait at this instance have changed.
+    virtual auto waiting_changed() -> void = 0;
     virtual auto target_shunned( core::target_id const& id,
                                  core::duration time ) -> void = 0;
 };
--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -211,6 +211,7 @@
         demand_.output_tokens = request_.prompt->most_output_tokens;
     }
     is_long_ = service_->engine && is_long_prompt( *service_->engine, demand_ );
+    is_wide_ = service_->engine && is_wide_prompt( *service_->engine, demand_ );
     last_event_ = request_.last_event;
     shared_.retries.note_request( demand_.service, now );
     if ( !try_start() )
@@ -219,9 +220,8 @@
 
 auto exchange::order() const -> double
 {
-    auto const due = request_.received + route_->latency_objective;
-    auto const seconds = core::seconds_of( due.time_since_epoch() );
-    auto const is_late = shared_.scheduler.now() > due;
+    auto const seconds = core::seconds_of( due().time_since_epoch() );
+    auto const is_late = shared_.scheduler.now() > due();
     return seconds + ( is_late ? late_penalty : 0 ) + priority_ * priority_step;
 }
 
@@ -237,11 +237,16 @@
     demand_.patience_left = patience_until_ - now;
     demand_.draw =
         std::uniform_real_distribution<double>( 0, 1 )( shared_.random );
+    if ( is_wide_ &&
+         !shared_.board.wide().may_choose( due(), demand_.draw, now ) )
+    {
+        not_before_ = now + wide_queue::turn_time;
+        return false;
+    }
     auto result = shared_.chooser.choose( demand_, *service_, now );
     if ( result.choice )
     {
-        waiting_ = false;
-        patience_call_.reset();
+        stop_waiting();
         begin( std::move( *result.choice ) );
         return true;
     }
@@ -259,9 +264,27 @@
     return false;
 }
 
+auto exchange::due() const -> core::instant
+{
+    return request_.received + route_->latency_objective;
+}
+
+auto exchange::stop_waiting() -> void
+{
+    patience_call_.reset();
+    if ( !std::exchange( waiting_, false ) || !is_wide_ )
+        return;
+    shared_.board.wide().leave( due() );
+    shared_.announcer.waiting_changed();
+}
+
 auto exchange::wait_for_room() -> void
 {
-    waiting_ = true;
+    if ( !std::exchange( waiting_, true ) && is_wide_ )
+    {
+        shared_.board.wide().enter( due() );
+        shared_.announcer.waiting_changed();
+    }
     shared_.room.add( shared_from_this() );
     auto const until = std::min( deadline_, patience_until_ ) - refusal_margin;
     patience_call_ =
@@ -805,7 +828,7 @@
 {
     finished_ = true;
     deadline_call_.reset();
-    patience_call_.reset();
+    stop_waiting();
     watch_call_.reset();
     shared_.room.remove( this );
     shared_.open.erase( this );
--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -77,6 +77,8 @@
                      std::shared_ptr<reservation_group> const& memory ) const
         -> target_directions;
     auto wait_for_room() -> void;
+    auto stop_waiting() -> void;
+    [[nodiscard]] auto due() const -> core::instant;
     auto on_no_memory( placement_choice const& choice, core::error const& why )
         -> void;
 
@@ -122,6 +124,7 @@
     placement_demand demand_;
     service_settings const* service_{ nullptr };
     bool is_long_{ false };
+    bool is_wide_{ false };
 
     core::instant deadline_;
     core::instant not_before_;     ///< no choice of targets earlier
--- a/src/pollenstream/exchange/placement.cpp
+++ b/src/pollenstream/exchange/placement.cpp
@@ -35,6 +35,9 @@
 /// Longest time in ms that one part of a long prompt should take; shorter
 /// parts gain little beside a pass of writing.
 constexpr auto part_goal_ms = 180.0;
+/// Prompts that make this many parts or more take turns: those below mostly go
+/// to one engine.
+constexpr auto wide_parts = 3.0;
 /// The platform's engines take so many helpers at most beside the first.
 constexpr auto most_helpers = std::size_t{ 16 };
 /// Part of the latency objective that has to be left when a long prompt stops
@@ -65,6 +68,10 @@
 /// Longest reading that may wait at an engine that writes nothing. Long
 /// prompts' objectives are seconds; nobody else is held up there.
 constexpr auto deepest_backlog_ms = 1'500.0;
+/// An engine reads the part that came last before all others. One that has read
+/// for this long without a break gets no further part, or under a wave of
+/// audits the earliest part there would never end.
+constexpr auto longest_joining = core::duration( 250'000 );
 /// A division into more parts has to end this much sooner: each part costs
 /// its engine a pass.
 constexpr auto least_gain_ms = 15.0;
@@ -154,8 +161,9 @@
 }
 
 /// The engines that may read a part for another, best first; each has
-/// `memory` free. An engine reads for others before it reads for itself: one
-/// that has prompts of its own to read is left alone, or these would starve.
+/// `memory` free. An engine reads for others before it reads for itself, and
+/// what came last first: one that has prompts of its own to read, or has read
+/// for others for a while, is left alone, or these would starve.
 auto readers_of( engine_speed const& speed,
                  std::vector<std::shared_ptr<board_target>> const& targets,
                  double part_ms,
@@ -165,6 +173,7 @@
     auto readers = std::vector<long_reader>{};
     for ( auto const& t : targets )
         if ( t->load.own_parts_reading == 0 &&
+             t->has_read_for( now ) <= longest_joining &&
              t->backlog_ms( now ) <= deepest_backlog_ms &&
              free_memory( speed, *t ) >= memory )
             readers.push_back( reader_of( speed, t, part_ms, now ) );
@@ -322,6 +331,12 @@
            ms_of( demand.tightest_gap ) * long_part_of_gap;
 }
 
+auto is_wide_prompt( engine_speed const& speed, placement_demand const& demand )
+    -> bool
+{
+    return read_ms( speed, demand.prompt_tokens ) > part_goal_ms * wide_parts;
+}
+
 placement::placement( target_board const& board, core::place_id own_place )
     : board_( board ), own_place_( std::move( own_place ) )
 {
--- a/src/pollenstream/exchange/target_board.cpp
+++ b/src/pollenstream/exchange/target_board.cpp
@@ -50,6 +50,11 @@
     return std::max( 0.0, core::seconds_of( load.read_until - now ) * 1'000 );
 }
 
+auto board_target::has_read_for( core::instant now ) const -> core::duration
+{
+    return load.read_until > now ? now - load.reads_since : core::duration( 0 );
+}
+
 auto target_board::put( target_facts facts ) -> bool
 {
     auto const service = facts.service;
@@ -157,6 +162,8 @@
         auto& load = known.at[i]->load;
         ++load.parts_reading;
         load.own_parts_reading += i == 0 ? 1 : 0;
+        if ( load.read_until <= now )
+            load.reads_since = now;
         load.read_until = std::max( load.read_until, now ) +
                           ms_of( known.work.parts[i].read_ms );
     }
@@ -275,6 +282,7 @@
 auto target_board::end_all_work( core::instance_id const& owner,
                                  core::instant now ) -> void
 {
+    wide_.forget( owner );
     auto const found = works_.find( owner );
     if ( found == works_.end() )
         return;
--- a/src/pollenstream/exchange/target_board.hpp
+++ b/src/pollenstream/exchange/target_board.hpp
@@ -5,6 +5,7 @@
 #include <pollenstream/core/ids.hpp>
 #include <pollenstream/core/units.hpp>
 #include <pollenstream/exchange/message.hpp>
+#include <pollenstream/exchange/wide_queue.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -78,7 +79,8 @@
     std::int64_t own_parts_reading{ 0 };
     /// Requests answered here by the pause that they tolerate, in ms.
     std::map<std::int64_t, tolerant_group> by_gap;
-    core::instant read_until; ///< when all reading is expected to be done
+    core::instant read_until;  ///< when all reading is expected to be done
+    core::instant reads_since; ///< since when it has read without a break
 };
 
 /// How a target has answered lately.
@@ -110,6 +112,9 @@
         return takes_work() && health.shunned_until <= now;
     }
     [[nodiscard]] auto backlog_ms( core::instant now ) const -> double;
+    /// For how long it has read without a break; zero where it reads nothing.
+    [[nodiscard]] auto has_read_for( core::instant now ) const
+        -> core::duration;
 };
 
 /// All targets with all open work on them, as far as this instance knows.
@@ -141,6 +146,15 @@
         return by_id_;
     }
 
+    /// Wide prompts that wait, here and at other instances.
+    [[nodiscard]] auto wide() -> wide_queue&
+    {
+        return wide_;
+    }
+    [[nodiscard]] auto wide() const -> wide_queue const&
+    {
+        return wide_;
+    }
     /// Requests a second that all instances have lately sent to a service,
     /// over about a second.
     [[nodiscard]] auto arrivals_per_second( core::service_id const& id,
@@ -157,7 +171,7 @@
     auto end_work( core::instance_id const& owner,
                    std::uint64_t serial,
                    core::instant now ) -> void;
-    /// Forgets all work of `owner`, which has ended.
+    /// Forgets all work of `owner`, which has ended, and what waits there.
     auto end_all_work( core::instance_id const& owner, core::instant now )
         -> void;
     /// Serial numbers of the work that is known of `owner`.
@@ -207,6 +221,7 @@
         by_service_;
     std::unordered_map<core::instance_id, work_map> works_;
     std::unordered_map<core::service_id, arrival_rate> arrivals_;
+    wide_queue wide_;
 };
 
 }
--- /dev/null
+++ b/src/pollenstream/exchange/wide_queue.cpp
@@ -0,0 +1,58 @@
+#include <pollenstream/exchange/wide_queue.hpp>
+
+namespace pollenstream::exchange
+{
+
+auto wide_queue::enter( core::instant due ) -> void
+{
+    own_.insert( due );
+}
+
+auto wide_queue::leave( core::instant due ) -> void
+{
+    auto const found = own_.find( due );
+    if ( found != own_.end() )
+        own_.erase( found );
+}
+
+auto wide_queue::note( core::instance_id const& id, wide_waiting const& what )
+    -> void
+{
+    if ( what.count == 0 )
+        others_.erase( id );
+    else
+        others_[id] = what;
+}
+
+auto wide_queue::forget( core::instance_id const& id ) -> void
+{
+    others_.erase( id );
+}
+
+auto wide_queue::own( core::instant now ) const -> wide_waiting
+{
+    auto waiting = wide_waiting{};
+    waiting.count = static_cast<std::int64_t>( own_.size() );
+    auto const first = own_.lower_bound( now );
+    if ( first != own_.end() )
+        waiting.first_due = *first;
+    return waiting;
+}
+
+auto wide_queue::may_choose( core::instant due,
+                             double draw,
+                             core::instant now ) const -> bool
+{
+    auto others = std::int64_t{ 0 };
+    auto is_first = due >= now;
+    for ( auto const& [id, waiting] : others_ )
+    {
+        others += waiting.count;
+        auto const is_before = waiting.first_due && *waiting.first_due >= now &&
+                               *waiting.first_due < due;
+        is_first = is_first && !is_before;
+    }
+    return is_first || draw * static_cast<double>( others + 1 ) < 1;
+}
+
+}
--- a/src/pollenstream/peers/peer_group.cpp
+++ b/src/pollenstream/peers/peer_group.cpp
@@ -163,6 +163,11 @@
     message.leaving = leaving_;
     message.store_age_ms = core::milliseconds_of( store_age_ );
     message.store_served_ms = core::milliseconds_of( store_served_ );
+    auto const now = scheduler_.now();
+    auto const waiting = board_.wide().own( now );
+    message.wide_waiting = waiting.count;
+    if ( waiting.first_due )
+        message.wide_due_ms = core::milliseconds_of( *waiting.first_due - now );
     return message;
 }
 
@@ -186,6 +191,9 @@
 auto peer_group::work_began( exchange::open_work const& work ) -> void
 {
     pending_.work.push_back( work );
+    // A prompt in parts takes up many engines: the next one has to know.
+    if ( work.parts.size() > 1 )
+        return flush();
     arm_flush();
 }
 
@@ -201,6 +209,11 @@
     arm_flush();
 }
 
+auto peer_group::waiting_changed() -> void
+{
+    arm_flush();
+}
+
 auto peer_group::target_shunned( core::target_id const& id,
                                  core::duration time ) -> void
 {
@@ -222,6 +235,7 @@
 
 auto peer_group::flush() -> void
 {
+    flush_call_.reset();
     auto message = base_message();
     message.work = std::exchange( pending_.work, {} );
     message.reading_ended = std::exchange( pending_.reading_ended, {} );
@@ -369,6 +383,12 @@
 {
     auto const now = scheduler_.now();
     auto freed = !message.ended.empty() || !message.reading_ended.empty();
+    auto waiting = exchange::wide_waiting{};
+    waiting.count = message.wide_waiting;
+    if ( message.wide_due_ms )
+        waiting.first_due =
+            now + std::chrono::milliseconds( *message.wide_due_ms );
+    board_.wide().note( message.sender, waiting );
     for ( auto const& work : message.work )
         board_.add_work( message.sender, work, now );
     for ( auto const serial : message.reading_ended )
--- a/src/pollenstream/peers/peer_group.hpp
+++ b/src/pollenstream/peers/peer_group.hpp
@@ -109,6 +109,7 @@
     auto work_began( exchange::open_work const& work ) -> void override;
     auto reading_ended( std::uint64_t serial ) -> void override;
     auto work_ended( std::uint64_t serial ) -> void override;
+    auto waiting_changed() -> void override;
     auto target_shunned( core::target_id const& id, core::duration time )
         -> void override;
 
--- a/src/pollenstream/peers/peer_message.cpp
+++ b/src/pollenstream/peers/peer_message.cpp
@@ -11,7 +11,7 @@
 using nlohmann::json;
 
 /// Raised with each change of the layout; others are passed over.
-constexpr auto layout = 3;
+constexpr auto layout = 4;
 
 auto work_to_json( exchange::open_work const& work ) -> json
 {
@@ -49,10 +49,25 @@
     for ( auto const& s : m.shunned )
         shunned.push_back( json::array( { s.target.str(), s.time_ms } ) );
     return json::array(
-        { layout, m.sender.str(), m.incarnation.count(), m.ip, m.place.str(),
-          m.callers, m.known_until.count(), m.ready, m.leaving, m.complete,
-          std::move( work ), m.reading_ended, m.ended, std::move( shunned ),
-          m.known_ips, m.store_served_ms, m.store_age_ms,
+        { layout,
+          m.sender.str(),
+          m.incarnation.count(),
+          m.ip,
+          m.place.str(),
+          m.callers,
+          m.known_until.count(),
+          m.ready,
+          m.leaving,
+          m.complete,
+          std::move( work ),
+          m.reading_ended,
+          m.ended,
+          std::move( shunned ),
+          m.known_ips,
+          m.store_served_ms,
+          m.store_age_ms,
+          m.wide_waiting,
+          m.wide_due_ms ? json( *m.wide_due_ms ) : json(),
           json::binary( { m.update.begin(), m.update.end() } ) } );
 }
 
@@ -80,6 +95,10 @@
     m.known_ips = object.at( at++ ).get<std::vector<std::string>>();
     m.store_served_ms = object.at( at++ ).get<std::int64_t>();
     m.store_age_ms = object.at( at++ ).get<std::int64_t>();
+    m.wide_waiting = object.at( at++ ).get<std::int64_t>();
+    auto const& due = object.at( at++ );
+    if ( !due.is_null() )
+        m.wide_due_ms = due.get<std::int64_t>();
     auto const& update = object.at( at++ ).get_binary();
     m.update.assign( update.begin(), update.end() );
     return m;
--- a/src/pollenstream/peers/peer_message.hpp
+++ b/src/pollenstream/peers/peer_message.hpp
@@ -7,6 +7,7 @@
 #include <pollenstream/ports/record_store.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -44,6 +45,10 @@
     std::int64_t store_age_ms{ 0 };
     /// For how long the store has served the sender without a break.
     std::int64_t store_served_ms{ 0 };
+    std::int64_t wide_waiting{ 0 }; ///< wide prompts that wait at the sender
+    /// Time until the first of these that is not late has to have its first
+    /// event.
+    std::optional<std::int64_t> wide_due_ms;
     std::string update; ///< changes of records as `encode_update` writes them
 };
 
--- a/tests/exchange/placement_test.cpp
+++ b/tests/exchange/placement_test.cpp
@@ -325,3 +325,26 @@
         CHECK( at_engine.size() == 1 );
     }
 }
+
+TEST_CASE( "an engine that reads for others ends it before it gets more",
+           "[placement]" )
+{
+    auto floor = engine_floor{};
+    REQUIRE( floor.place( 300'000, 800ms ) );
+    auto first = std::set<std::string>{};
+    for ( auto const& t : floor.last.choice->targets )
+        first.insert( t->facts.id.str() );
+    REQUIRE( first.size() >= 10 );
+    // A part that came now would be read before the one that waits.
+    floor.now += 260ms;
+    floor.waited = 2s;
+    if ( floor.place( 210'000, 800ms ) )
+        for ( auto const& t : floor.last.choice->targets )
+            CHECK( first.count( t->facts.id.str() ) == 0 );
+    SECTION( "and is free as soon as that has ended" )
+    {
+        floor.now += 300ms;
+        REQUIRE( floor.place( 210'000, 800ms ) );
+        CHECK( floor.last.choice->targets.size() >= 10 );
+    }
+}
--- a/tests/support/exchange_fixture.hpp
+++ b/tests/support/exchange_fixture.hpp
@@ -221,6 +221,7 @@
     {
         --open;
     }
+    auto waiting_changed() -> void override {}
     auto target_shunned( core::target_id const& id, core::duration )
         -> void override
     {
