Prompts that leave most engines to others may take longer; the last chance is judged by what it brings

Ruled out: engines that were dead (the silent ones were reading such parts). Change: (1) a prompt may take 0.4 s for each time that its engines go into all, 1.8 s at most, so that on 60 engines it starts early; on 18 nothing changes for 16 parts; (2) at the last chance it may harm a third of its weight, what a late answer earns over what a late one loses, and has to end 0.5 s before its caller leaves; (3) whatever reads for over 50 ms is told to the others at once.

--- a/src/pollenstream/exchange/placement.cpp
+++ b/src/pollenstream/exchange/placement.cpp
@@ -54,17 +54,26 @@
 /// Pauses below this belong to answers that a person watches being written.
 constexpr auto tight_gap_ms = 300.0;
 /// When a long prompt placed now has to be read, its engines' backlog
-/// included. The shortest objective of a long route of the first deployments
-/// is 1.5 s: with a backlog of a second these are still in time, so that one
-/// prompt of a million tokens does not make all others late.
+/// included, where it takes all engines. The shortest objective of a long route
+/// of the first deployments is 1.5 s: with a backlog of a second these are
+/// still in time, so that one prompt of a million tokens does not make all
+/// others late.
 constexpr auto latest_finish_ms = 1'000.0;
+/// A prompt that leaves most engines to others may take longer: this many ms
+/// for each time that its engines go into all of them, up to a limit.
+constexpr auto finish_per_share_ms = 400.0;
+constexpr auto most_finish_ms = 1'800.0;
 /// The same for a prompt that is late itself, and for one whose caller is
 /// about to leave: it is now or never.
 constexpr auto latest_finish_when_late_ms = 600.0;
 constexpr auto latest_finish_at_last_ms = 2'500.0;
 constexpr auto last_chance = core::duration( 3'000'000 );
-/// Part of its weight that a prompt may then make late.
-constexpr auto last_chance_harm = 0.5;
+/// What has to be left of the caller's patience when a prompt is read at the
+/// last chance: predictions are late by a pass or two.
+constexpr auto last_chance_margin_ms = 500.0;
+/// Part of its weight that a prompt may then make late. Late itself, it earns a
+/// quarter, and the others lose three quarters.
+constexpr auto last_chance_harm = 0.33;
 /// Longest reading that may wait at an engine that writes nothing. Long
 /// prompts' objectives are seconds; nobody else is held up there.
 constexpr auto deepest_backlog_ms = 1'500.0;
@@ -205,9 +214,18 @@
 {
     double weight{ 0 };    ///< that may be made late to have this one in time
     double until_ms{ 0 };  ///< when it has to be read to be in time
-    double latest_ms{ 0 }; ///< when it has to be read in any case
+    double latest_ms{ 0 }; ///< when it has to be read if it takes all engines
+    double engines{ 0 };   ///< that could take it
 };
 
+/// When a prompt that takes `parts` engines has to be read.
+auto latest_for( harm_limit const& limit, std::size_t parts ) -> double
+{
+    auto const for_share =
+        finish_per_share_ms * limit.engines / static_cast<double>( parts );
+    return std::max( limit.latest_ms, std::min( for_share, most_finish_ms ) );
+}
+
 auto latest_finish( placement_demand const& demand ) -> double
 {
     if ( demand.patience_left < last_chance )
@@ -220,17 +238,24 @@
 /// Nothing while the request can wait, and nothing once it is late itself, but
 /// for the last chance: an answer that never comes is worse than a few late
 /// ones.
-auto harm_allowed( placement_demand const& demand ) -> harm_limit
+auto harm_allowed( placement_demand const& demand, std::size_t engines )
+    -> harm_limit
 {
+    auto const all = static_cast<double>( engines );
     if ( demand.patience_left < last_chance )
-        return { weight_of( demand.prompt_tokens ) * last_chance_harm,
-                 latest_finish_at_last_ms, latest_finish_at_last_ms };
+    {
+        auto const finish =
+            std::min( latest_finish_at_last_ms,
+                      ms_of( demand.patience_left ) - last_chance_margin_ms );
+        return { weight_of( demand.prompt_tokens ) * last_chance_harm, finish,
+                 finish, 0 };
+    }
     auto const slack = ms_of( demand.latency_objective - demand.waited );
     auto const is_impatient =
         slack < ms_of( demand.latency_objective ) * impatient_share;
     auto const weight =
         is_impatient ? weight_of( demand.prompt_tokens ) * late_loss : 0.0;
-    return { weight, slack, latest_finish( demand ) };
+    return { weight, slack, latest_finish( demand ), all };
 }
 
 /// Puts the division of a prompt among `readers` into `best` if it harms no
@@ -248,7 +273,7 @@
         backlog = std::max( backlog, r.backlog_ms );
     }
     auto const finish = backlog + part_ms;
-    if ( finish > limit.latest_ms ||
+    if ( finish > latest_for( limit, readers.size() ) ||
          harm > ( finish <= limit.until_ms ? limit.weight : 0 ) )
         return;
     auto const more_parts =
@@ -471,7 +496,7 @@
     auto const total = read_ms( speed, demand.prompt_tokens );
     auto const memory =
         memory_need( demand.prompt_tokens, demand.output_tokens );
-    auto const limit = harm_allowed( demand );
+    auto const limit = harm_allowed( demand, targets.size() );
     auto const most_parts = std::min( targets.size(), most_helpers + 1 );
     // The longer a request waits, the fewer engines it makes do with.
     auto const most_part = ms_of( demand.gap_objective ) * part_of_own_gap *
@@ -544,7 +569,7 @@
     if ( memory > most * static_cast<std::int64_t>(
                              std::min( service_targets, most_helpers ) ) )
         return nothing( no_choice::too_large );
-    auto const limit = harm_allowed( demand );
+    auto const limit = harm_allowed( demand, targets.size() );
     auto const most_parts = std::min( targets.size(), most_helpers );
     auto const most_part =
         std::max( ms_of( demand.latency_objective ) * part_of_objective,
--- a/src/pollenstream/peers/peer_group.cpp
+++ b/src/pollenstream/peers/peer_group.cpp
@@ -16,6 +16,9 @@
 /// Changes of one instance's work go out together after this time. It bounds
 /// how old the others' knowledge is, and what telling them costs.
 constexpr auto flush_delay = core::duration( 8ms );
+/// Work that reads for longer than this goes out at once: about a pass of
+/// writing, the shortest time in which another one could be harmed by it.
+constexpr auto told_at_once_ms = 50.0;
 /// Complete messages go out this often, and more rarely the more instances
 /// there are, so that one instance's cost stays about the same.
 constexpr auto shortest_beat = core::duration( 250ms );
@@ -191,8 +194,8 @@
 auto peer_group::work_began( exchange::open_work const& work ) -> void
 {
     pending_.work.push_back( work );
-    // A prompt in parts takes up many engines: the next one has to know.
-    if ( work.parts.size() > 1 )
+    // What takes an engine up for long has to be known to the next one.
+    if ( !work.parts.empty() && work.parts.front().read_ms > told_at_once_ms )
         return flush();
     arm_flush();
 }
