--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -33,6 +33,9 @@
 /// Silence between events: at least this, or this many tolerated pauses.
 constexpr auto shortest_silence = core::duration( 1s );
 constexpr auto silence_per_gap = 4;
+/// Longest time for which an engine that reads is expected to be silent: longer
+/// parts are not given to one that writes.
+constexpr auto longest_reading = core::duration( 2s );
 /// Silence of a call that may be repeated: at least this, or this many times
 /// its objective. Calls of the first deployments take 220 ms at most.
 constexpr auto shortest_call_silence = core::duration( 250ms );
@@ -45,6 +48,9 @@
 /// How long a target that another one blames is left alone, here and at the
 /// other instances; a helper that is gone leaves the registry within seconds.
 constexpr auto blamed_time = core::duration( 1500ms );
+/// Chance of a long prompt that waits to choose an engine in one round of 15 ms:
+/// with the four or so that wait in a wave, about one of them does.
+constexpr auto long_try_chance = 0.3;
 /// Time that has to be left for another try to be worth it.
 constexpr auto least_time_for_try = core::duration( 40ms );
 /// Shortest pause after memory could not be reserved.
@@ -225,6 +231,21 @@
     return seconds + ( is_late ? late_penalty : 0 ) + priority_ * priority_step;
 }
 
+/// Instances hear at the same moment that engines have come free. So that not
+/// all that wait choose the same ones, wide prompts take turns, and long ones
+/// that go to one engine draw lots.
+auto exchange::is_own_turn( core::instant now ) -> bool
+{
+    auto const draw =
+        std::uniform_real_distribution<double>( 0, 1 )( shared_.random );
+    if ( is_wide_ && !shared_.board.wide().may_choose( due(), draw, now ) )
+    {
+        not_before_ = now + wide_queue::turn_time;
+        return false;
+    }
+    return is_wide_ || !is_long_ || !waiting_ || draw < long_try_chance;
+}
+
 auto exchange::try_start() -> bool
 {
     if ( finished_ )
@@ -237,12 +258,8 @@
     demand_.patience_left = patience_until_ - now;
     demand_.draw =
         std::uniform_real_distribution<double>( 0, 1 )( shared_.random );
-    if ( is_wide_ &&
-         !shared_.board.wide().may_choose( due(), demand_.draw, now ) )
-    {
-        not_before_ = now + wide_queue::turn_time;
+    if ( !is_own_turn( now ) )
         return false;
-    }
     auto result = shared_.chooser.choose( demand_, *service_, now );
     if ( result.choice )
     {
@@ -664,8 +681,19 @@
     return true;
 }
 
-/// Silence that is not put down to the target yet.
+/// Silence that is not put down to the target yet. An engine is silent while it
+/// reads what the board knows of: that is no failure, and the request would
+/// only be read a second time elsewhere.
 auto exchange::tolerated_silence() const -> core::duration
+{
+    auto const at = shared_.board.find( current_->target );
+    auto const reads_until = at ? at->load.read_until : core::instant{};
+    auto const reading = std::clamp( reads_until - current_->heard_at,
+                                     core::duration( 0 ), longest_reading );
+    return idle_silence() + reading;
+}
+
+auto exchange::idle_silence() const -> core::duration
 {
     if ( route_->kind == request_kind::safe )
         return std::max( shortest_call_silence,
--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -76,6 +76,7 @@
     auto directions( placement_choice const& choice,
                      std::shared_ptr<reservation_group> const& memory ) const
         -> target_directions;
+    auto is_own_turn( core::instant now ) -> bool;
     auto wait_for_room() -> void;
     auto stop_waiting() -> void;
     [[nodiscard]] auto due() const -> core::instant;
@@ -101,6 +102,7 @@
                     core::target_id const& avoid ) -> bool;
     auto blame( answer_head const& head ) -> core::target_id;
     auto tolerated_silence() const -> core::duration;
+    auto idle_silence() const -> core::duration;
     auto arm_watch() -> void;
     auto on_watch() -> void;
     auto on_deadline() -> void;
--- a/src/pollenstream/exchange/placement.cpp
+++ b/src/pollenstream/exchange/placement.cpp
@@ -84,8 +84,13 @@
 /// A division into more parts has to end this much sooner: each part costs
 /// its engine a pass.
 constexpr auto least_gain_ms = 15.0;
-/// Part of its worth that an answer loses by being late.
-constexpr auto late_loss = 0.75;
+/// The writer of a long answer is drawn among this many, if these harm equally
+/// little: dossiers that arrive together else go to one engine.
+constexpr auto equal_writers = std::size_t{ 3 };
+/// Part of its weight that a prompt which is about to be late may make late of
+/// others: the three quarters that it would lose, for the six of ten that are
+/// then in time indeed.
+constexpr auto impatient_harm = 0.45;
 /// Part of an engine's memory that is handed out: knowledge of others'
 /// dispatches is some ms old, and an overfull engine reads prompts twice.
 constexpr auto usable_memory = 0.97;
@@ -198,7 +203,7 @@
         return a.harm < b.harm;
     if ( a.tight != b.tight )
         return a.tight < b.tight;
-    return a.target->load.requests >= b.target->load.requests;
+    return a.target->load.requests > b.target->load.requests;
 }
 
 /// A way to divide a long prompt among engines; the first writes.
@@ -254,7 +259,7 @@
     auto const is_impatient =
         slack < ms_of( demand.latency_objective ) * impatient_share;
     auto const weight =
-        is_impatient ? weight_of( demand.prompt_tokens ) * late_loss : 0.0;
+        is_impatient ? weight_of( demand.prompt_tokens ) * impatient_harm : 0.0;
     return { weight, slack, latest_finish( demand ), all };
 }
 
@@ -508,7 +513,7 @@
         if ( part_ms > most_part )
             continue;
         auto const writer =
-            choose_writer( speed, targets, memory, part_ms, now );
+            choose_writer( speed, targets, memory, part_ms, demand.draw, now );
         if ( !writer )
             break;
         auto readers = readers_of( speed, targets, part_ms, 0, now );
@@ -538,21 +543,30 @@
                                candidates const& targets,
                                std::int64_t memory,
                                double part_ms,
+                               double draw,
                                core::instant now ) const
     -> std::optional<long_reader>
 {
-    auto best = std::optional<long_reader>{};
+    auto fitting = std::vector<long_reader>{};
     for ( auto const& t : targets )
     {
         auto const backlog = t->backlog_ms( now );
         if ( !has_slot( speed, *t ) || free_memory( speed, *t ) < memory ||
              backlog > deepest_backlog_ms )
             continue;
-        auto const candidate = reader_of( speed, t, part_ms, now );
-        if ( !best || writes_better( candidate, *best ) )
-            best = candidate;
+        fitting.push_back( reader_of( speed, t, part_ms, now ) );
     }
-    return best;
+    if ( fitting.empty() )
+        return std::nullopt;
+    std::stable_sort( fitting.begin(), fitting.end(), writes_better );
+    auto equal = std::size_t{ 1 };
+    while ( equal < std::min( fitting.size(), equal_writers ) &&
+            fitting[equal].harm == fitting[0].harm &&
+            fitting[equal].tight == fitting[0].tight )
+        ++equal;
+    auto const drawn = static_cast<std::size_t>(
+        draw * static_cast<double>( equal ) );
+    return fitting[std::min( drawn, equal - 1 )];
 }
 
 auto placement::choose_reserved( placement_demand const& demand,
--- a/src/pollenstream/exchange/placement.hpp
+++ b/src/pollenstream/exchange/placement.hpp
@@ -100,6 +100,7 @@
                                       candidates const& targets,
                                       std::int64_t memory,
                                       double part_ms,
+                                      double draw,
                                       core::instant now ) const
         -> std::optional<long_reader>;
     [[nodiscard]] auto choose_reserved( placement_demand const& demand,
--- a/tests/exchange/exchange_test.cpp
+++ b/tests/exchange/exchange_test.cpp
@@ -317,3 +317,27 @@
     CHECK( f.targets.all[1]->request.target != helper );
     f.targets.all[1]->answer( 500, "" );
 }
+
+TEST_CASE( "an engine that is silent while it reads a long part is not left",
+           "[exchange][stream]" )
+{
+    auto f = exchange_fixture{};
+    auto const open = f.start( f.request( "/chat/" ) );
+    REQUIRE( f.targets.all.size() == 1 );
+    auto const sent = f.targets.all[0];
+    sent->head( 200 );
+    sent->event( 0 );
+    // Another instance gives the engine a part to read that takes 3 s.
+    auto work = exchange::open_work{};
+    work.serial = 1;
+    work.parts = { { sent->request.target, 3'000, 0 } };
+    f.board.add_work( core::instance_id( "other" ), work, f.scheduler.now() );
+    f.scheduler.run( 2'500ms );
+    CHECK( f.targets.all.size() == 1 );
+    SECTION( "but for longer than that it is" )
+    {
+        f.scheduler.run( 2s );
+        CHECK( f.targets.all.size() == 2 );
+    }
+    open->on_caller_gone();
+}
