Settings that change are in force without a new start

Change: settings_watch reads the file at the signal and looks at it each second; gateway_node::apply takes over allowances, times and instances to ask, and names what waits for the next start. Faults keep the old settings and are logged once.

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -270,6 +270,38 @@
                  } );
 }
 
+auto gateway_node::apply( platform::gateway_settings const& next )
+    -> std::string
+{
+    auto waits = std::string{};
+    auto const check = [&waits]( bool same, char const* name )
+    {
+        if ( !same )
+            waits += ( waits.empty() ? "" : ", " ) + std::string( name );
+    };
+    check( next.instance == settings_.instance, "instance" );
+    check( next.place == settings_.place, "place" );
+    check( next.callers == settings_.callers, "address for callers" );
+    check( next.readiness == settings_.readiness, "address for readiness" );
+    check( next.directory == settings_.directory, "address of the directory" );
+    check( next.peers == settings_.peers, "address for instances" );
+    check( next.store == settings_.store, "address of the store" );
+
+    settings_.retry_ratio = next.retry_ratio;
+    settings_.retry_constant = next.retry_constant;
+    settings_.retry_window = next.retry_window;
+    retries_.set_allowance(
+        { next.retry_ratio, next.retry_constant, next.retry_window } );
+    settings_.grace_period = next.grace_period;
+    settings_.longest_directory_ttl = next.longest_directory_ttl;
+    directory_handler_.set_time_to_live(
+        std::min( directory_time, next.longest_directory_ttl ) );
+    settings_.seed_ips = next.seed_ips;
+    for ( auto const& ip : next.seed_ips )
+        group_.add_ip( ip );
+    return waits;
+}
+
 auto gateway_node::stop() -> void
 {
     if ( std::exchange( stopping_, true ) )
--- a/apps/gateway/gateway_node.hpp
+++ b/apps/gateway/gateway_node.hpp
@@ -40,6 +40,9 @@
     auto serve_metrics( std::uint16_t port ) -> void;
 
     auto start() -> void;
+    /// Takes over what may change while the process runs: allowances, times,
+    /// instances to ask. Returns the names of what waits for the next start.
+    auto apply( platform::gateway_settings const& next ) -> std::string;
     /// Begins a planned stop: no new callers, all open requests finished.
     auto stop() -> void;
 
--- a/apps/gateway/main.cpp
+++ b/apps/gateway/main.cpp
@@ -1,4 +1,5 @@
 #include "gateway_node.hpp"
+#include "settings_watch.hpp"
 #include <pollenstream/adapters/spdlog/structured_log.hpp>
 
 #include <docopt/docopt.h>
@@ -31,16 +32,25 @@
 
 constexpr auto exit_bad_settings = 2;
 
-/// The settings in `path`; findings go to `found`.
-auto load( std::string const& path, pollenstream::core::findings& found )
-    -> platform::gateway_settings
+/// The text of the file at `path`; none where it cannot be read.
+auto read_text( std::string const& path ) -> std::optional<std::string>
 {
     auto file = std::ifstream( path );
     if ( !file )
-        found.add( { path, 0, "" }, "cannot be read" );
+        return std::nullopt;
     auto text = std::ostringstream{};
     text << file.rdbuf();
-    return platform::read_settings( path, text.str(), found );
+    return text.str();
+}
+
+/// The settings in `path`; findings go to `found`.
+auto load( std::string const& path, pollenstream::core::findings& found )
+    -> platform::gateway_settings
+{
+    auto const text = read_text( path );
+    if ( !text )
+        found.add( { path, 0, "" }, "cannot be read" );
+    return platform::read_settings( path, text.value_or( "" ), found );
 }
 
 auto run( std::string const& path,
@@ -58,6 +68,18 @@
             if ( !ec )
                 node.stop();
         } );
+    auto scheduler = pollenstream::adapters::asio::asio_scheduler( io );
+    auto watch = gw::settings_watch(
+        path, settings.instance,
+        [&path]
+        {
+            return read_text( path );
+        },
+        [&node]( auto const& next )
+        {
+            return node.apply( next );
+        },
+        scheduler, log );
     auto reload_signals = net::signal_set( io, SIGHUP );
     auto wait_for_reload = std::function<void()>{};
     wait_for_reload = [&]
@@ -67,18 +89,12 @@
             {
                 if ( ec )
                     return;
-                auto found = pollenstream::core::findings{};
-                static_cast<void>( load( path, found ) );
-                log.record( pollenstream::exchange::belief_changed{
-                    "process",
-                    settings.instance.str(),
-                    found.empty() ? "reloaded" : "kept_settings",
-                    found.empty() ? "signal" : found.report(),
-                    {} } );
+                watch.reload();
                 wait_for_reload();
             } );
     };
     wait_for_reload();
+    watch.start();
     node.start();
     if ( metrics_port )
         node.serve_metrics( *metrics_port );
--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -48,8 +48,8 @@
 /// How long a target that another one blames is left alone, here and at the
 /// other instances; a helper that is gone leaves the registry within seconds.
 constexpr auto blamed_time = core::duration( 1500ms );
-/// Chance of a long prompt that waits to choose an engine in one round of 15 ms:
-/// with the four or so that wait in a wave, about one of them does.
+/// Chance of a long prompt that waits to choose an engine in one round of 15
+/// ms: with the four or so that wait in a wave, about one of them does.
 constexpr auto long_try_chance = 0.3;
 /// Time that has to be left for another try to be worth it.
 constexpr auto least_time_for_try = core::duration( 40ms );
--- a/src/pollenstream/exchange/placement.cpp
+++ b/src/pollenstream/exchange/placement.cpp
@@ -564,8 +564,8 @@
             fitting[equal].harm == fitting[0].harm &&
             fitting[equal].tight == fitting[0].tight )
         ++equal;
-    auto const drawn = static_cast<std::size_t>(
-        draw * static_cast<double>( equal ) );
+    auto const drawn =
+        static_cast<std::size_t>( draw * static_cast<double>( equal ) );
     return fitting[std::min( drawn, equal - 1 )];
 }
 
--- a/src/pollenstream/exchange/shared_retry_budget.cpp
+++ b/src/pollenstream/exchange/shared_retry_budget.cpp
@@ -19,6 +19,11 @@
 {
 }
 
+auto shared_retry_budget::set_allowance( retry_allowance allowance ) -> void
+{
+    allowance_ = allowance;
+}
+
 auto shared_retry_budget::set_instances( std::size_t count ) -> void
 {
     instances_ = std::max<std::size_t>( 1, count );
--- a/src/pollenstream/exchange/shared_retry_budget.hpp
+++ b/src/pollenstream/exchange/shared_retry_budget.hpp
@@ -27,6 +27,7 @@
 public:
     explicit shared_retry_budget( retry_allowance allowance );
 
+    auto set_allowance( retry_allowance allowance ) -> void;
     /// The number of instances between which the constant is divided.
     auto set_instances( std::size_t count ) -> void;
 
