A pass of writing counts with each part; short prompts are packed to 0.9 of the slots

The board's estimate of an engine's reading left out the pass of writing (50 to 95 ms with a context of 350 thousand tokens) that comes with each part where answers are written. In the wave of appraisals prompts over 480 thousand tokens waited 13 s: 52 of 60 engines had short writers. Change: (1) a part counts with a pass where its engine writes; (2) packed_share 0.8 to 0.9: now that choices are spread, the two places kept free against instances that choose at once need be only one.

--- a/src/pollenstream/exchange/placement.cpp
+++ b/src/pollenstream/exchange/placement.cpp
@@ -21,7 +21,7 @@
 constexpr auto short_pass_of_gap = 0.8;
 /// Share of an engine's slots up to which short prompts are packed before the
 /// next engine is opened; packing leaves whole engines for long prompts.
-constexpr auto packed_share = 0.8;
+constexpr auto packed_share = 0.9;
 /// Time in which instances place requests without knowing of each other's
 /// choices: messages are gathered for 8 ms, and a busy small machine takes tens
 /// of ms to read them. Short prompts are spread over as many free places as
@@ -116,6 +116,15 @@
     return write_pass_ms( speed, t.load.writers, t.load.context_tokens );
 }
 
+/// Time that `t` takes for a part of `read_ms`: where answers are written, a
+/// pass of writing comes with it.
+auto part_time_ms( engine_speed const& speed,
+                   board_target const& t,
+                   double read_ms ) -> double
+{
+    return read_ms + ( t.load.writers > 0 ? pass_ms( speed, t ) : 0.0 );
+}
+
 /// Weight of the requests at `t` that tolerate no pause of `pause_ms`.
 auto harmed_by( board_target const& t, double pause_ms ) -> double
 {
@@ -295,7 +304,9 @@
     for ( auto const& r : divided.readers )
     {
         choice.targets.push_back( r.target );
-        choice.parts.push_back( { r.target->facts.id, divided.part_ms, 0 } );
+        choice.parts.push_back(
+            { r.target->facts.id,
+              part_time_ms( speed, *r.target, divided.part_ms ), 0 } );
     }
     choice.first_event_ms =
         divided.finish_ms + pass_ms( speed, *choice.targets.front() );
