The tool shows a gateway's state; a follower asks the store no more at its start

Change: an instance reads the store where the order of readers says so, with a configuration or without; the others hear of it from the readers. Tests: status over a dump; who reads the store was tested before.

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -222,8 +222,7 @@
 auto gateway_node::tick() -> void
 {
     tell_store_state();
-    registry_.set_reader( !registry_.configuration() ||
-                          group_.should_read_store() );
+    registry_.set_reader( group_.should_read_store() );
     fetch_from_peer();
     tick_call_ = scheduler_.call_after( tick_period,
                                         [this]
--- a/apps/tool/commands.cpp
+++ b/apps/tool/commands.cpp
@@ -2,6 +2,7 @@
 
 #include "caller.hpp"
 #include "exit_status.hpp"
+#include "status.hpp"
 #include "table.hpp"
 #include <pollenstream/adapters/ini/ini_reader.hpp>
 
@@ -101,7 +102,7 @@
     if ( as_json || columns.empty() )
         std::cout << json.value().serialize() << '\n';
     else
-        print_table( json.value(), columns );
+        print_table( json.value(), columns, std::cout );
     return exit_ok;
 }
 
@@ -119,6 +120,26 @@
 
 }
 
+/// State of a gateway, from its metrics address.
+auto run_status( arguments const& given ) -> int
+{
+    auto const at = address_of( given, "--metrics" );
+    if ( !at )
+        return exit_findings;
+    auto gateway = operator_client( *at, {} );
+    auto const state = gateway.get( "/state" );
+    if ( !state )
+    {
+        std::cerr << state.error().detail << '\n';
+        return exit_unreachable;
+    }
+    if ( given.at( "--json" ).asBool() )
+        std::cout << state.value().serialize() << '\n';
+    else
+        print_status( state.value(), std::cout );
+    return exit_ok;
+}
+
 auto run_command( arguments const& given ) -> int
 {
     auto const is_caller = given.at( "send" ).asBool() ||
@@ -126,6 +147,8 @@
                            given.at( "entry" ).asBool();
     if ( is_caller )
         return run_caller( given );
+    if ( given.at( "status" ).asBool() )
+        return run_status( given );
     auto const at = address_of( given, "--operators" );
     if ( !at )
         return exit_findings;
--- a/apps/tool/config_commands.cpp
+++ b/apps/tool/config_commands.cpp
@@ -220,8 +220,10 @@
     if ( as_json )
         std::cout << changes.serialize() << '\n';
     else
-        print_table( changes, { "revision", "unix_seconds", "author",
-                                "documents", "id" } );
+        print_table(
+            changes,
+            { "revision", "unix_seconds", "author", "documents", "id" },
+            std::cout );
     return exit_ok;
 }
 
--- a/apps/tool/main.cpp
+++ b/apps/tool/main.cpp
@@ -20,12 +20,14 @@
   pollenstream entry [options]
   pollenstream send [options] [PROMPT]
   pollenstream call [options] SERVICE PATH
+  pollenstream status [options]
   pollenstream explain ID [FILE...]
   pollenstream (-h | --help)
   pollenstream --version
 
 Options:
   --operators=A      A daemon's address for operators [default: 127.0.0.1:8082].
+  --metrics=A        A gateway's metrics address [default: 127.0.0.1:9464].
   --token=T          Operators' token; else POLLENSTREAM_TOKEN.
   --json             Print JSON instead of tables and texts.
   --change-id=ID     Name of the change, to ask again with.
--- /dev/null
+++ b/apps/tool/status.cpp
@@ -0,0 +1,55 @@
+#include "status.hpp"
+
+#include "table.hpp"
+
+namespace apps::tool
+{
+
+namespace
+{
+
+auto yes_or_no( web::json::value const& value ) -> char const*
+{
+    return value.as_bool() ? "yes" : "no";
+}
+
+auto print_violations( web::json::value const& invariants, std::ostream& out )
+    -> void
+{
+    for ( auto const& [name, counts] : invariants.as_object() )
+    {
+        auto const violations =
+            counts.at( "violations" ).as_number().to_int64();
+        if ( violations > 0 )
+            out << "VIOLATED " << name << ": " << violations << " times\n";
+    }
+}
+
+}
+
+auto print_status( web::json::value const& state, std::ostream& out ) -> void
+{
+    out << "instance " << state.at( "instance" ).as_string()
+        << ", configuration " << state.at( "configuration" ).serialize()
+        << ", open requests " << state.at( "open_requests" ).serialize()
+        << ", waiting " << state.at( "waiting_requests" ).serialize()
+        << ", stopping " << yes_or_no( state.at( "stopping" ) ) << '\n';
+    auto const& store = state.at( "store" );
+    out << "store serves " << yes_or_no( store.at( "serves" ) )
+        << ", read here " << yes_or_no( store.at( "reads" ) )
+        << ", known until " << store.at( "known_until" ).serialize() << '\n';
+    print_violations( state.at( "invariants" ), out );
+    out << '\n';
+    print_table( state.at( "targets" ),
+                 { "id", "service", "leaving", "gone", "may_get_work",
+                   "requests", "writers", "backlog_ms", "memory_tokens",
+                   "failure_share" },
+                 out );
+    out << '\n';
+    print_table( state.at( "peers" ),
+                 { "id", "ip", "alive", "ready", "leaving", "known_until",
+                   "heard_ms_ago" },
+                 out );
+}
+
+}
--- a/apps/tool/table.cpp
+++ b/apps/tool/table.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iomanip>
-#include <iostream>
 
 namespace apps::tool
 {
@@ -22,7 +21,8 @@
 }
 
 auto print_table( web::json::value const& rows,
-                  std::vector<std::string> const& columns ) -> void
+                  std::vector<std::string> const& columns,
+                  std::ostream& out ) -> void
 {
     auto widths = std::vector<std::size_t>{};
     for ( auto const& column : columns )
@@ -35,10 +35,9 @@
     auto const print = [&]( auto const& text_of )
     {
         for ( auto i = std::size_t{ 0 }; i < columns.size(); ++i )
-            std::cout << std::left
-                      << std::setw( static_cast<int>( widths[i] + 2 ) )
-                      << text_of( columns[i] );
-        std::cout << '\n';
+            out << std::left << std::setw( static_cast<int>( widths[i] + 2 ) )
+                << text_of( columns[i] );
+        out << '\n';
     };
     print(
         []( std::string const& column )
--- a/apps/tool/table.hpp
+++ b/apps/tool/table.hpp
@@ -3,6 +3,7 @@
 
 #include <cpprest/json.h>
 
+#include <ostream>
 #include <string>
 #include <vector>
 
@@ -11,7 +12,8 @@
 
 /// Prints an array of objects as a table of the members `columns`.
 auto print_table( web::json::value const& rows,
-                  std::vector<std::string> const& columns ) -> void;
+                  std::vector<std::string> const& columns,
+                  std::ostream& out ) -> void;
 
 }
 
--- a/tests/observation/observation_test.cpp
+++ b/tests/observation/observation_test.cpp
@@ -6,6 +6,7 @@
 
 #include <explain.hpp>
 #include <sstream>
+#include <status.hpp>
 
 using namespace tests;
 using namespace std::chrono_literals;
@@ -111,3 +112,26 @@
     CHECK( line.at( "a" ) == "b c" );
     CHECK( line.at( "d" ) == "e" );
 }
+
+TEST_CASE( "a gateway's state is told to people, violations first", "[status]" )
+{
+    auto const state = web::json::value::parse( R"({
+        "instance": "front-1", "configuration": 42, "open_requests": 3,
+        "waiting_requests": 1, "stopping": false,
+        "store": { "serves": true, "reads": false, "known_until": 99 },
+        "invariants": { "at_most_once": { "checks": 9, "violations": 2 },
+                        "ends_in_time": { "checks": 9, "violations": 0 } },
+        "targets": [ { "id": "i-1", "service": "model", "requests": 4 } ],
+        "peers": [ { "id": "front-2", "alive": true } ] })" );
+    auto out = std::ostringstream{};
+    apps::tool::print_status( state, out );
+    auto const text = out.str();
+    CHECK( text.find( "instance front-1, configuration 42, open requests 3, "
+                      "waiting 1, stopping no\n" ) == 0 );
+    CHECK( text.find( "store serves yes, read here no, known until 99\n" ) !=
+           std::string::npos );
+    CHECK( text.find( "VIOLATED at_most_once: 2 times" ) != std::string::npos );
+    CHECK( text.find( "ends_in_time" ) == std::string::npos );
+    CHECK( text.find( "i-1" ) != std::string::npos );
+    CHECK( text.find( "front-2" ) != std::string::npos );
+}
