A prompt of any size is placed while no other one waits

Ruled out: memory, and turns (they were first in the queue). Change: while no other wide prompt waits at any instance, a prompt may take 1.5 times what it takes divided as far as can be. Its test fails without the change.

--- a/src/pollenstream/exchange/placement.cpp
+++ b/src/pollenstream/exchange/placement.cpp
@@ -63,6 +63,10 @@
 /// for each time that its engines go into all of them, up to a limit.
 constexpr auto finish_per_share_ms = 400.0;
 constexpr auto most_finish_ms = 1'800.0;
+/// But while no other one waits, a prompt may take this many times what it
+/// takes when it is divided as far as can be, or the longest ones would never
+/// be placed. In a wave they would make several others late each.
+constexpr auto least_finish_parts = 1.5;
 /// The same for a prompt that is late itself, and for one whose caller is
 /// about to leave: it is now or never.
 constexpr auto latest_finish_when_late_ms = 600.0;
@@ -230,6 +234,9 @@
     double until_ms{ 0 };  ///< when it has to be read to be in time
     double latest_ms{ 0 }; ///< when it has to be read if it takes all engines
     double engines{ 0 };   ///< that could take it
+    /// Reading time of one part where it is divided as far as can be; zero
+    /// while others wait.
+    double shortest_part_ms{ 0 };
 };
 
 /// When a prompt that takes `parts` engines has to be read.
@@ -237,7 +244,8 @@
 {
     auto const for_share =
         finish_per_share_ms * limit.engines / static_cast<double>( parts );
-    return std::max( limit.latest_ms, std::min( for_share, most_finish_ms ) );
+    return std::max( { limit.latest_ms, std::min( for_share, most_finish_ms ),
+                       limit.shortest_part_ms * least_finish_parts } );
 }
 
 auto latest_finish( placement_demand const& demand ) -> double
@@ -262,14 +270,14 @@
             std::min( latest_finish_at_last_ms,
                       ms_of( demand.patience_left ) - last_chance_margin_ms );
         return { weight_of( demand.prompt_tokens ) * last_chance_harm, finish,
-                 finish, 0 };
+                 finish, 0, 0 };
     }
     auto const slack = ms_of( demand.latency_objective - demand.waited );
     auto const is_impatient =
         slack < ms_of( demand.latency_objective ) * impatient_share;
     auto const weight =
         is_impatient ? weight_of( demand.prompt_tokens ) * impatient_harm : 0.0;
-    return { weight, slack, latest_finish( demand ), all };
+    return { weight, slack, latest_finish( demand ), all, 0 };
 }
 
 /// Puts the division of a prompt among `readers` into `best` if it harms no
@@ -512,8 +520,10 @@
     auto const total = read_ms( speed, demand.prompt_tokens );
     auto const memory =
         memory_need( demand.prompt_tokens, demand.output_tokens );
-    auto const limit = harm_allowed( demand, targets.size() );
     auto const most_parts = std::min( targets.size(), most_helpers + 1 );
+    auto limit = harm_allowed( demand, targets.size() );
+    if ( demand.is_alone )
+        limit.shortest_part_ms = total / static_cast<double>( most_parts );
     // The longer a request waits, the fewer engines it makes do with.
     auto const most_part = ms_of( demand.gap_objective ) * part_of_own_gap *
                            ( 1 + core::seconds_of( demand.waited ) );
@@ -594,8 +604,10 @@
     if ( memory > most * static_cast<std::int64_t>(
                              std::min( service_targets, most_helpers ) ) )
         return nothing( no_choice::too_large );
-    auto const limit = harm_allowed( demand, targets.size() );
     auto const most_parts = std::min( targets.size(), most_helpers );
+    auto limit = harm_allowed( demand, targets.size() );
+    if ( demand.is_alone )
+        limit.shortest_part_ms = total / static_cast<double>( most_parts );
     auto const most_part =
         std::max( ms_of( demand.latency_objective ) * part_of_objective,
                   total / static_cast<double>( most_parts ) );
--- a/src/pollenstream/exchange/placement.hpp
+++ b/src/pollenstream/exchange/placement.hpp
@@ -27,6 +27,8 @@
     core::duration time_left{ 0 };
     core::duration patience_left{ 0 };  ///< until the caller leaves
     std::vector<core::target_id> tried; ///< not to be chosen again
+    /// No other wide prompt waits at any instance.
+    bool is_alone{ false };
     /// Uniform in 0 to 1. Instances that choose at the same moment do not know
     /// of each other's choice: each draws among targets that are equally good.
     double draw{ 0 };
--- a/src/pollenstream/exchange/wide_queue.cpp
+++ b/src/pollenstream/exchange/wide_queue.cpp
@@ -39,20 +39,26 @@
     return waiting;
 }
 
+auto wide_queue::others() const -> std::int64_t
+{
+    auto count = std::int64_t{ 0 };
+    for ( auto const& [id, waiting] : others_ )
+        count += waiting.count;
+    return count;
+}
+
 auto wide_queue::may_choose( core::instant due,
                              double draw,
                              core::instant now ) const -> bool
 {
-    auto others = std::int64_t{ 0 };
     auto is_first = due >= now;
     for ( auto const& [id, waiting] : others_ )
     {
-        others += waiting.count;
         auto const is_before = waiting.first_due && *waiting.first_due >= now &&
                                *waiting.first_due < due;
         is_first = is_first && !is_before;
     }
-    return is_first || draw * static_cast<double>( others + 1 ) < 1;
+    return is_first || draw * static_cast<double>( others() + 1 ) < 1;
 }
 
 }
--- a/src/pollenstream/exchange/wide_queue.hpp
+++ b/src/pollenstream/exchange/wide_queue.hpp
@@ -44,6 +44,9 @@
 
     [[nodiscard]] auto own( core::instant now ) const -> wide_waiting;
 
+    /// Wide prompts that wait at other instances.
+    [[nodiscard]] auto others() const -> std::int64_t;
+
     /// True where a prompt that is due at `due` may choose engines now; `draw`
     /// is uniform in 0 to 1. One that may not waits `turn_time` before it asks
     /// again.
--- a/tests/exchange/placement_test.cpp
+++ b/tests/exchange/placement_test.cpp
@@ -37,6 +37,7 @@
         demand.time_left = 10s;
         demand.patience_left = patience;
         demand.draw = draw;
+        demand.is_alone = is_alone;
         return chooser.choose( demand, service, now );
     }
 
@@ -68,6 +69,7 @@
     core::duration waited{ 0 };
     core::duration patience{ 10s };
     double draw{ 0 };
+    bool is_alone{ false };
     std::uint64_t serial{ 0 };
     exchange::placement_result last;
 };
@@ -348,3 +350,17 @@
         CHECK( floor.last.choice->targets.size() >= 10 );
     }
 }
+
+TEST_CASE( "a prompt of any size is placed where all engines are free",
+           "[placement]" )
+{
+    for ( auto const tokens : { 500'000, 700'000, 850'000, 1'000'000 } )
+    {
+        auto floor = engine_floor{};
+        floor.is_alone = true;
+        INFO( tokens );
+        REQUIRE( floor.place( tokens, 800ms ) );
+        CHECK( floor.last.choice->needs_reservation );
+        CHECK( floor.last.choice->first_event_ms < 3'500 );
+    }
+}
