Placement and exchange each in files of one job; a record that is lost is logged

Change: exchange_attempts, placement_long, prompt_division, engine_room, own_answers; no behaviour moved with them. registration logs once that its record is lost, and once that it is back.

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -80,7 +80,8 @@
       registration_( store_,
                      scheduler_,
                      records_.instance_key( settings_.instance ),
-                     settings_.callers.ip ),
+                     settings_.callers.ip,
+                     log ),
       caller_handler_( context_ ), state_handler_( registry_ ),
       directory_handler_(
           [this]
--- /dev/null
+++ b/src/pollenstream/exchange/exchange_attempts.cpp
@@ -0,0 +1,486 @@
+#include <pollenstream/core/invariant.hpp>
+#include <pollenstream/exchange/exchange.hpp>
+#include <pollenstream/exchange/own_answers.hpp>
+
+#include <algorithm>
+#include <utility>
+
+// The part of an exchange's life at targets: each try, what it brings, and
+// whether another one follows.
+
+namespace pollenstream::exchange
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Connections that could not be made do not count as targets reached, but a
+/// request does not try for ever.
+constexpr auto most_failed_connects = std::int64_t{ 4 };
+/// Silence before the first event that is put down to the target: this much
+/// and this many times the prediction. Predictions are late by a pass or two.
+/// A prompt read in parts waits for the slowest of its readers, so that the
+/// slack is never less than the route's objective.
+constexpr auto first_event_slack = core::duration( 900ms );
+constexpr auto first_event_factor = 2.5;
+/// Silence between events: at least this, or this many tolerated pauses.
+constexpr auto shortest_silence = core::duration( 1s );
+constexpr auto silence_per_gap = 4;
+/// Longest time for which an engine that reads is expected to be silent: longer
+/// parts are not given to one that writes.
+constexpr auto longest_reading = core::duration( 2s );
+/// Silence of a call that may be repeated: at least this, or this many times
+/// its objective. Calls of the first deployments take 220 ms at most.
+constexpr auto shortest_call_silence = core::duration( 250ms );
+constexpr auto call_silence_per_latency = 2;
+/// How long a target that another one blames is left alone, here and at the
+/// other instances; a helper that is gone leaves the registry within seconds.
+constexpr auto blamed_time = core::duration( 1500ms );
+/// Time that has to be left for another try to be worth it.
+constexpr auto least_time_for_try = core::duration( 40ms );
+/// Bytes that may wait for a slow caller before the stream is given up.
+constexpr auto most_unsent = std::size_t{ 1 } << 20U;
+constexpr auto first_failure_status = 500;
+
+auto is_success( int status ) -> bool
+{
+    return status >= 200 && status < 300;
+}
+
+}
+
+/// Passes a target's answer on under the number of the try that it belongs
+/// to, and keeps the exchange alive meanwhile.
+class exchange::attempt : public attempt_listener
+{
+public:
+    attempt( std::shared_ptr<exchange> owner, std::uint64_t serial )
+        : owner_( std::move( owner ) ), serial_( serial )
+    {
+    }
+    auto on_head( answer_head head ) -> void override
+    {
+        owner_->on_head( serial_, std::move( head ) );
+    }
+    auto on_body( std::string bytes ) -> void override
+    {
+        owner_->on_body( serial_, bytes );
+    }
+    auto on_end( attempt_end end ) -> void override
+    {
+        auto const keep = owner_;
+        keep->on_end( serial_, end );
+    }
+
+private:
+    std::shared_ptr<exchange> owner_;
+    std::uint64_t serial_;
+};
+
+auto exchange::directions( placement_choice const& choice,
+                           std::shared_ptr<reservation_group> const& memory )
+    const -> target_directions
+{
+    auto told = target_directions{};
+    told.target = choice.targets.front()->facts.id;
+    told.time_left = deadline_ - shared_.scheduler.now();
+    told.workspace = workspace_;
+    told.last_event = last_event_;
+    auto const ticket = memory ? memory->id() : core::reservation_id{};
+    // With memory held the first target lists its own part too, in front.
+    for ( auto i = std::size_t{ memory ? 0U : 1U }; i < choice.targets.size();
+          ++i )
+        told.helpers.push_back( { choice.targets[i]->facts.address, ticket } );
+    return told;
+}
+
+auto exchange::send( placement_choice const& choice,
+                     std::shared_ptr<reservation_group> memory ) -> void
+{
+    auto const now = shared_.scheduler.now();
+    auto const& first = *choice.targets.front();
+    core::check_invariant( core::invariant::leaving_gets_no_work,
+                           first.takes_work() || memory,
+                           "target " + first.facts.id.str() + " is leaving" );
+    ++targets_reached_;
+    core::check_invariant( core::invariant::at_most_once,
+                           route_->is_idempotent() || !may_have_run_,
+                           "attempt " + request_.id.str() + " sent again" );
+    auto work = open_work{};
+    work.serial = ++shared_.last_serial;
+    work.parts = choice.parts;
+    work.context_tokens = demand_.prompt_tokens;
+    work.tolerated_gap_ms = core::milliseconds_of( demand_.gap_objective );
+    work.reading = route_->kind == request_kind::stream;
+    shared_.log.record( request_placed{
+        request_.id, route_->id.str(), first.facts.id, choice.parts,
+        targets_reached_, now - request_.received, deadline_ - now,
+        choice.first_event_ms, demand_.prompt_tokens, first.load.requests,
+        first.backlog_ms( now ), configuration_->version } );
+    shared_.board.add_work( shared_.self, work, now );
+    shared_.announcer.work_began( work );
+
+    current_ = open_try{};
+    auto& opened = *current_;
+    opened.serial = work.serial;
+    opened.target = first.facts.id;
+    opened.address = first.facts.address;
+    opened.memory = std::move( memory );
+    opened.predicted_ms = choice.first_event_ms;
+    opened.sent_at = now;
+    opened.heard_at = now;
+    last_target_ = first.facts.id;
+    auto out = outgoing_request{};
+    out.id = request_.id;
+    out.target = first.facts.id;
+    out.address = first.facts.address;
+    out.is_get = request_.method == "GET";
+    out.text = std::make_shared<std::string const>( shared_.speller.spell(
+        request_, directions( choice, opened.memory ) ) );
+    splitter_.reset();
+    auto const serial = work.serial;
+    auto call = shared_.targets.send(
+        std::move( out ),
+        std::make_shared<attempt>( shared_from_this(), serial ) );
+    if ( current_ && current_->serial == serial )
+        current_->call = std::move( call );
+    arm_watch();
+}
+
+auto exchange::streams() const -> bool
+{
+    return route_->kind == request_kind::stream && current_->head &&
+           is_success( current_->head->status );
+}
+
+auto exchange::on_head( std::uint64_t serial, answer_head head ) -> void
+{
+    if ( !current_ || current_->serial != serial )
+        return;
+    current_->heard_at = shared_.scheduler.now();
+    if ( head.load )
+        shared_.board.note_told( current_->target, *head.load,
+                                 current_->heard_at );
+    if ( !head.proves_not_run && !head.wrong_target )
+        may_have_run_ = true;
+    current_->head = std::move( head );
+}
+
+auto exchange::on_body( std::uint64_t serial, std::string const& bytes ) -> void
+{
+    if ( !current_ || current_->serial != serial )
+        return;
+    if ( streams() )
+        relay( bytes );
+    else
+        current_->body += bytes;
+}
+
+auto exchange::relay( std::string const& bytes ) -> void
+{
+    auto out = std::string{};
+    for ( auto& event : splitter_.take( bytes ) )
+    {
+        if ( !relay_event( event ) )
+        {
+            // A gap in the numbers: what follows cannot be joined.
+            if ( !out.empty() )
+                answer_->send_piece( std::move( out ) );
+            auto lost = attempt_end{};
+            lost.error = { core::error_code::failed, "event out of order" };
+            lost.sent = true;
+            return on_broken( lost );
+        }
+        out += event.bytes;
+    }
+    if ( out.empty() )
+        return;
+    if ( !streaming_ )
+    {
+        streaming_ = true;
+        answer_->start_stream( current_->head->status,
+                               current_->head->headers );
+    }
+    if ( answer_->unsent_bytes() > most_unsent )
+        return fail( status_gateway_timeout, "caller_does_not_read" );
+    answer_->send_piece( std::move( out ) );
+}
+
+/// Takes one event into account; an event that the caller has already is
+/// emptied. False where events between are missing.
+auto exchange::relay_event( stream_event& event ) -> bool
+{
+    note_event();
+    if ( !event.id )
+        return true;
+    if ( last_event_ && *event.id <= *last_event_ )
+    {
+        event.bytes.clear();
+        return true;
+    }
+    auto const in_order = !last_event_ || *event.id == *last_event_ + 1;
+    if ( in_order )
+        last_event_ = event.id;
+    return in_order;
+}
+
+auto exchange::note_event() -> void
+{
+    auto const now = shared_.scheduler.now();
+    current_->heard_at = now;
+    if ( current_->reading )
+    {
+        current_->reading = false;
+        shared_.board.end_reading( shared_.self, current_->serial, now );
+        shared_.announcer.reading_ended( current_->serial );
+        shared_.room.poke();
+    }
+    if ( events_ == 0 )
+        first_event_ = now - request_.received;
+    else
+        longest_gap_ = std::max( longest_gap_, now - last_event_at_ );
+    last_event_at_ = now;
+    ++events_;
+}
+
+auto exchange::on_end( std::uint64_t serial, attempt_end const& end ) -> void
+{
+    if ( !current_ || current_->serial != serial )
+        return;
+    if ( end.sent && !( current_->head && current_->head->proves_not_run ) )
+        may_have_run_ = may_have_run_ || !end.complete;
+    if ( !end.complete || !current_->head )
+        return on_broken( end );
+    auto const& head = *current_->head;
+    if ( head.wrong_target || head.proves_not_run )
+        return on_not_run();
+    if ( head.status >= first_failure_status )
+        return on_own_failure();
+    on_complete();
+}
+
+auto exchange::on_complete() -> void
+{
+    auto const& head = *current_->head;
+    if ( is_success( head.status ) &&
+         ( !head.has_seal || ( streams() && splitter_.pending() > 0 ) ) )
+    {
+        auto lost = attempt_end{};
+        lost.error = { core::error_code::malformed, "answer not whole" };
+        lost.sent = true;
+        return on_broken( lost );
+    }
+    shared_.board.note_success( current_->target );
+    auto const status = head.status;
+    if ( streams() )
+    {
+        if ( !streaming_ )
+            answer_->start_stream( status, head.headers );
+        answer_->end_stream();
+    }
+    else if ( streaming_ )
+    {
+        return fail( status_bad_gateway, "resumption_refused" );
+    }
+    else
+    {
+        answer_->send_whole(
+            { status, head.headers, std::move( current_->body ) } );
+    }
+    close_try( false );
+    shared_.counters.served.add();
+    end( "served", status );
+}
+
+auto exchange::on_own_failure() -> void
+{
+    auto const now = shared_.scheduler.now();
+    shared_.board.note_failure( current_->target, now );
+    auto const status = current_->head->status;
+    if ( try_again( "status " + std::to_string( status ), true,
+                    current_->target ) )
+        return;
+    if ( streaming_ )
+        return fail( status, "target_failed" );
+    answer_->send_whole(
+        { status, current_->head->headers, std::move( current_->body ) } );
+    close_try( false );
+    shared_.counters.failed.add();
+    end( "target_failed", status );
+}
+
+/// A target has proved that it did not run the request. Returns the target to
+/// blame: the answering one, or a helper that it names.
+auto exchange::blame( answer_head const& head ) -> core::target_id
+{
+    auto const now = shared_.scheduler.now();
+    auto const named = head.at_fault.empty()
+                           ? nullptr
+                           : shared_.board.find_named( head.at_fault );
+    auto to_blame = named ? named->facts.id : current_->target;
+    auto const answering = shared_.board.find( current_->target );
+    if ( head.wrong_target || to_blame != current_->target )
+    {
+        // Gone, or of no use to others: certain at once, and for all.
+        shared_.board.shun( to_blame, now + blamed_time );
+        shared_.announcer.target_shunned( to_blame, blamed_time );
+    }
+    else if ( answering && answering->load.requests < answering->facts.slots &&
+              shared_.board.note_failure( to_blame, now ) )
+    {
+        shared_.announcer.target_shunned( to_blame, blamed_time );
+    }
+    return to_blame;
+}
+
+auto exchange::on_not_run() -> void
+{
+    auto const head = std::move( *current_->head );
+    auto const blamed = blame( head );
+    if ( try_again( "not run, status " + std::to_string( head.status ) +
+                        ", blames " + blamed.str(),
+                    false, blamed ) )
+        return;
+    if ( streaming_ )
+        return fail( status_bad_gateway, "resumption_refused" );
+    close_try( false );
+    if ( may_have_run_ )
+        return fail( status_bad_gateway, "not_run_after_failure" );
+    refuse( status_unavailable, "turned_away", retry_after_turned_away );
+}
+
+auto exchange::on_broken( attempt_end const& end ) -> void
+{
+    auto const now = shared_.scheduler.now();
+    auto const target = current_->target;
+    shared_.board.note_failure( target, now );
+    auto const was_made = end.sent;
+    if ( !was_made )
+    {
+        // Nobody listens there: stronger evidence than a broken answer.
+        if ( shared_.board.note_failure( target, now ) )
+            shared_.announcer.target_shunned( target, 1s );
+        --targets_reached_;
+        ++connects_failed_;
+    }
+    if ( try_again( end.error.detail, was_made, target ) )
+        return;
+    close_try( true );
+    if ( may_have_run_ || streaming_ )
+        return fail( status_bad_gateway, "target_lost" );
+    refuse( status_unavailable, "not_reached", retry_after_turned_away );
+}
+
+auto exchange::may_repeat() -> bool
+{
+    if ( may_have_run_ && !route_->is_idempotent() )
+        return false;
+    auto const now = shared_.scheduler.now();
+    return targets_reached_ < route_->max_targets &&
+           connects_failed_ < most_failed_connects &&
+           deadline_ - now > least_time_for_try;
+}
+
+auto exchange::try_again( std::string const& why,
+                          bool may_have_run,
+                          core::target_id const& avoid ) -> bool
+{
+    auto const now = shared_.scheduler.now();
+    auto const again =
+        may_repeat() && ( targets_reached_ == 0 ||
+                          shared_.retries.take( demand_.service, now ) );
+    shared_.log.record( attempt_failed{ request_.id, current_->target, why,
+                                        may_have_run,
+                                        again ? "send_again" : "give_up" } );
+    if ( !again )
+        return false;
+    shared_.counters.repeats.add();
+    if ( streaming_ )
+        shared_.counters.resumed.add();
+    demand_.tried.push_back( avoid );
+    close_try( true );
+    if ( !try_start() )
+        wait_for_room();
+    return true;
+}
+
+/// Silence that is not put down to the target yet. An engine is silent while it
+/// reads what the board knows of: that is no failure, and the request would
+/// only be read a second time elsewhere.
+auto exchange::tolerated_silence() const -> core::duration
+{
+    auto const at = shared_.board.find( current_->target );
+    auto const reads_until = at ? at->load.read_until : core::instant{};
+    auto const reading = std::clamp( reads_until - current_->heard_at,
+                                     core::duration( 0 ), longest_reading );
+    return idle_silence() + reading;
+}
+
+auto exchange::idle_silence() const -> core::duration
+{
+    if ( route_->kind == request_kind::safe )
+        return std::max( shortest_call_silence,
+                         route_->latency_objective * call_silence_per_latency );
+    if ( !current_->reading )
+        return std::max( shortest_silence,
+                         route_->gap_objective * silence_per_gap );
+    return std::max( first_event_slack, route_->latency_objective ) +
+           core::duration_of( current_->predicted_ms * first_event_factor /
+                              1'000 );
+}
+
+auto exchange::arm_watch() -> void
+{
+    if ( !current_ || route_->kind == request_kind::unsafe )
+        return;
+    auto const due = current_->heard_at + tolerated_silence();
+    watch_call_ = shared_.scheduler.call_after(
+        std::max( core::duration( 1ms ), due - shared_.scheduler.now() ),
+        [this]
+        {
+            on_watch();
+        } );
+}
+
+auto exchange::on_watch() -> void
+{
+    auto const done = std::move( watch_call_ );
+    if ( finished_ || !current_ )
+        return;
+    auto const keep = shared_from_this();
+    auto const now = shared_.scheduler.now();
+    auto const since = now - current_->heard_at;
+    if ( route_->kind == request_kind::stream && since < tolerated_silence() )
+        return arm_watch();
+    if ( !route_->is_idempotent() )
+        return;
+    // Only worth a try where another target may be reached.
+    if ( targets_reached_ >= route_->max_targets )
+        return;
+    auto silent = attempt_end{};
+    silent.error = { core::error_code::timed_out, "silent" };
+    silent.sent = true;
+    may_have_run_ = true;
+    on_broken( silent );
+}
+
+auto exchange::close_try( bool cancel ) -> void
+{
+    if ( !current_ )
+        return;
+    auto gone = std::move( *current_ );
+    current_.reset();
+    watch_call_.reset();
+    if ( cancel && gone.call )
+        gone.call->cancel();
+    if ( gone.memory )
+        gone.memory->release();
+    shared_.board.end_work( shared_.self, gone.serial,
+                            shared_.scheduler.now() );
+    shared_.announcer.work_ended( gone.serial );
+    shared_.room.poke();
+}
+
+}
--- a/src/pollenstream/exchange/placement.hpp
+++ b/src/pollenstream/exchange/placement.hpp
@@ -60,14 +60,13 @@
     no_choice reason{ no_choice::no_targets };
 };
 
-/// An engine that may read a part of a long prompt.
-struct long_reader
+struct long_reader;
+
+/// No choice, for `reason`.
+inline auto nothing( no_choice reason ) -> placement_result
 {
-    std::shared_ptr<board_target> target;
-    double backlog_ms{ 0 };
-    double harm{ 0 };  ///< weight of the requests whose pauses would be late
-    double tight{ 0 }; ///< weight of the requests that tolerate least
-};
+    return { std::nullopt, reason };
+}
 
 /// Chooses targets on the board; decides nothing about refusing.
 class placement
--- /dev/null
+++ b/src/pollenstream/exchange/placement_long.cpp
@@ -0,0 +1,180 @@
+#include <pollenstream/exchange/engine_room.hpp>
+#include <pollenstream/exchange/placement.hpp>
+#include <pollenstream/exchange/prompt_division.hpp>
+
+#include <algorithm>
+
+namespace pollenstream::exchange
+{
+
+namespace
+{
+
+/// Longest time in ms that one part of a long prompt should take; shorter
+/// parts gain little beside a pass of writing.
+constexpr auto part_goal_ms = 180.0;
+/// Prompts that make this many parts or more take turns: those below mostly go
+/// to one engine.
+constexpr auto wide_parts = 3.0;
+/// The platform's engines take so many helpers at most beside the first.
+constexpr auto most_helpers = std::size_t{ 16 };
+/// Longest part of a long prompt, in parts of its own pause objective: who
+/// joins the engine meanwhile as a rule comes from such a route.
+constexpr auto part_of_own_gap = 0.55;
+/// Longest part of a prompt that is larger than one engine, in parts of its
+/// latency objective.
+constexpr auto part_of_objective = 0.8;
+/// The writer of a long answer is drawn among this many, if these harm equally
+/// little: dossiers that arrive together else go to one engine.
+constexpr auto equal_writers = std::size_t{ 3 };
+
+auto make_choice( engine_speed const& speed, division const& divided )
+    -> placement_choice
+{
+    auto choice = placement_choice{};
+    for ( auto const& r : divided.readers )
+    {
+        choice.targets.push_back( r.target );
+        choice.parts.push_back(
+            { r.target->facts.id,
+              part_time_ms( speed, *r.target, divided.part_ms ), 0 } );
+    }
+    choice.first_event_ms =
+        divided.finish_ms + pass_ms( speed, *choice.targets.front() );
+    return choice;
+}
+
+}
+
+auto is_wide_prompt( engine_speed const& speed, placement_demand const& demand )
+    -> bool
+{
+    return read_ms( speed, demand.prompt_tokens ) > part_goal_ms * wide_parts;
+}
+
+auto placement::choose_long( placement_demand const& demand,
+                             engine_speed const& speed,
+                             candidates const& targets,
+                             core::instant now ) const -> placement_result
+{
+    auto const total = read_ms( speed, demand.prompt_tokens );
+    auto const memory =
+        memory_need( demand.prompt_tokens, demand.output_tokens );
+    auto const most_parts = std::min( targets.size(), most_helpers + 1 );
+    auto limit = harm_allowed( demand, targets.size() );
+    if ( demand.is_alone )
+        limit.shortest_part_ms = total / static_cast<double>( most_parts );
+    // The longer a request waits, the fewer engines it makes do with.
+    auto const most_part = ms_of( demand.gap_objective ) * part_of_own_gap *
+                           ( 1 + core::seconds_of( demand.waited ) );
+    auto best = std::optional<division>{};
+    for ( auto parts = std::size_t{ 1 }; parts <= most_parts; ++parts )
+    {
+        auto const part_ms = total / static_cast<double>( parts );
+        if ( part_ms > most_part )
+            continue;
+        auto const writer =
+            choose_writer( speed, targets, memory, part_ms, demand.draw, now );
+        if ( !writer )
+            break;
+        auto readers = readers_of( speed, targets, part_ms, 0, now );
+        std::erase_if( readers,
+                       [&]( auto const& r )
+                       {
+                           return r.target == writer->target;
+                       } );
+        if ( readers.size() + 1 < parts )
+            break;
+        readers.resize( parts - 1 );
+        readers.insert( readers.begin(), *writer );
+        take_better( best, std::move( readers ), part_ms, limit );
+        if ( part_ms < part_goal_ms )
+            break;
+    }
+    if ( !best )
+        return nothing( no_choice::full );
+    auto choice = make_choice( speed, *best );
+    choice.parts.front().memory_tokens = memory;
+    return { std::move( choice ), no_choice::full };
+}
+
+/// The engine that holds a long prompt's memory and writes its answer: one
+/// that writes such answers already, so that others stay free to read.
+auto placement::choose_writer( engine_speed const& speed,
+                               candidates const& targets,
+                               std::int64_t memory,
+                               double part_ms,
+                               double draw,
+                               core::instant now ) const
+    -> std::optional<long_reader>
+{
+    auto fitting = std::vector<long_reader>{};
+    for ( auto const& t : targets )
+    {
+        auto const backlog = t->backlog_ms( now );
+        if ( !has_slot( speed, *t ) || free_memory( speed, *t ) < memory ||
+             backlog > deepest_backlog_ms )
+            continue;
+        fitting.push_back( reader_of( speed, t, part_ms, now ) );
+    }
+    if ( fitting.empty() )
+        return std::nullopt;
+    std::stable_sort( fitting.begin(), fitting.end(), writes_better );
+    auto equal = std::size_t{ 1 };
+    while ( equal < std::min( fitting.size(), equal_writers ) &&
+            fitting[equal].harm == fitting[0].harm &&
+            fitting[equal].tight == fitting[0].tight )
+        ++equal;
+    auto const drawn =
+        static_cast<std::size_t>( draw * static_cast<double>( equal ) );
+    return fitting[std::min( drawn, equal - 1 )];
+}
+
+auto placement::choose_reserved( placement_demand const& demand,
+                                 engine_speed const& speed,
+                                 candidates const& targets,
+                                 core::instant now ) const -> placement_result
+{
+    auto const total = read_ms( speed, demand.prompt_tokens );
+    auto const memory =
+        memory_need( demand.prompt_tokens, demand.output_tokens );
+    auto const most = usable_memory( speed );
+    auto const service_targets = board_.of_service( demand.service ).size();
+    if ( memory > most * static_cast<std::int64_t>(
+                             std::min( service_targets, most_helpers ) ) )
+        return nothing( no_choice::too_large );
+    auto const most_parts = std::min( targets.size(), most_helpers );
+    auto limit = harm_allowed( demand, targets.size() );
+    if ( demand.is_alone )
+        limit.shortest_part_ms = total / static_cast<double>( most_parts );
+    auto const most_part =
+        std::max( ms_of( demand.latency_objective ) * part_of_objective,
+                  total / static_cast<double>( most_parts ) );
+    auto best = std::optional<division>{};
+    for ( auto parts = std::size_t{ 2 }; parts <= most_parts; ++parts )
+    {
+        auto const part_ms = total / static_cast<double>( parts );
+        if ( part_ms > most_part )
+            continue;
+        auto const each = memory / static_cast<std::int64_t>( parts ) + 1;
+        auto readers = readers_of( speed, targets, part_ms, each, now );
+        if ( readers.size() < parts )
+            continue;
+        readers.resize( parts );
+        if ( !has_slot( speed, *readers.front().target ) )
+            continue;
+        take_better( best, std::move( readers ), part_ms, limit );
+        if ( part_ms < part_goal_ms )
+            break;
+    }
+    if ( !best )
+        return nothing( no_choice::full );
+    auto choice = make_choice( speed, *best );
+    choice.needs_reservation = true;
+    for ( auto& part : choice.parts )
+        part.memory_tokens =
+            memory / static_cast<std::int64_t>( choice.parts.size() ) + 1;
+    return { std::move( choice ), no_choice::full };
+}
+
+}
--- /dev/null
+++ b/src/pollenstream/exchange/prompt_division.hpp
@@ -0,0 +1,84 @@
+#ifndef POLLENSTREAM_EXCHANGE_PROMPT_DIVISION_HPP
+#define POLLENSTREAM_EXCHANGE_PROMPT_DIVISION_HPP
+
+#include <pollenstream/exchange/placement.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace pollenstream::exchange
+{
+
+/// Longest reading that may wait at an engine that writes nothing. Long
+/// prompts' objectives are seconds; nobody else is held up there.
+inline constexpr auto deepest_backlog_ms = 1'500.0;
+
+/// An engine that may read a part of a long prompt.
+struct long_reader
+{
+    std::shared_ptr<board_target> target;
+    double backlog_ms{ 0 };
+    double harm{ 0 };  ///< weight of the requests whose pauses would be late
+    double tight{ 0 }; ///< weight of the requests that tolerate least
+};
+
+/// A way to divide a long prompt among engines; the first writes.
+struct division
+{
+    std::vector<long_reader> readers;
+    double part_ms{ 0 };
+    double finish_ms{ 0 }; ///< when the last part is read
+};
+
+/// What a placement may cost others.
+struct harm_limit
+{
+    double weight{ 0 };    ///< that may be made late to have this one in time
+    double until_ms{ 0 };  ///< when it has to be read to be in time
+    double latest_ms{ 0 }; ///< when it has to be read if it takes all engines
+    double engines{ 0 };   ///< that could take it
+    /// Reading time of one part where it is divided as far as can be; zero
+    /// while others wait.
+    double shortest_part_ms{ 0 };
+};
+
+/// The reader that `t` would be for a part of `part_ms`, with what that does to
+/// the requests there.
+auto reader_of( engine_speed const& speed,
+                std::shared_ptr<board_target> const& t,
+                double part_ms,
+                core::instant now ) -> long_reader;
+
+/// The engines that may read a part for another, best first; each has
+/// `memory` free. An engine reads for others before it reads for itself, and
+/// what came last first: one that has prompts of its own to read, or has read
+/// for others for a while, is left alone, or these would starve.
+auto readers_of( engine_speed const& speed,
+                 std::vector<std::shared_ptr<board_target>> const& targets,
+                 double part_ms,
+                 std::int64_t memory,
+                 core::instant now ) -> std::vector<long_reader>;
+
+/// Least harm, then away from those who tolerate least, then where most is
+/// written already, so that other engines stay free to read.
+auto writes_better( long_reader const& a, long_reader const& b ) -> bool;
+
+/// Nothing while the request can wait, and nothing once it is late itself, but
+/// for the last chance: an answer that never comes is worse than a few late
+/// ones.
+auto harm_allowed( placement_demand const& demand, std::size_t engines )
+    -> harm_limit;
+
+/// Puts the division of a prompt among `readers` into `best` if it harms no
+/// more than `limit` and ends sooner by more than its parts cost.
+auto take_better( std::optional<division>& best,
+                  std::vector<long_reader> readers,
+                  double part_ms,
+                  harm_limit limit ) -> void;
+
+}
+
+#endif
--- a/src/pollenstream/registry/registration.cpp
+++ b/src/pollenstream/registry/registration.cpp
@@ -21,12 +21,23 @@
 registration::registration( ports::record_store& store,
                             ports::scheduler& scheduler,
                             std::string key,
-                            std::string value )
+                            std::string value,
+                            exchange::event_log& log )
     : store_( store ), scheduler_( scheduler ), key_( std::move( key ) ),
-      value_( std::move( value ) )
+      value_( std::move( value ) ), log_( log )
 {
 }
 
+auto registration::note( bool held, std::string const& because ) -> void
+{
+    auto const is_news = held ? !held_ : !trouble_told_;
+    held_ = held;
+    trouble_told_ = !held;
+    if ( is_news )
+        log_.record( exchange::belief_changed{
+            "registration", key_, held ? "held" : "not_held", because, {} } );
+}
+
 auto registration::start() -> void
 {
     grant();
@@ -50,8 +61,11 @@
                         [this]( auto lease )
                         {
                             if ( lease.has_error() )
+                            {
+                                note( false, lease.error().detail );
                                 return later( retry_pause,
                                               &registration::grant );
+                            }
                             lease_ = lease.value();
                             put();
                         } );
@@ -63,7 +77,11 @@
                 [this]( auto status )
                 {
                     if ( !status.has_error() )
+                    {
+                        note( true, "written" );
                         return later( renewal_period, &registration::renew );
+                    }
+                    note( false, status.error().detail );
                     // The write may have been made all the same; writing the
                     // same value again does no harm.
                     auto const lease_ended =
@@ -82,6 +100,10 @@
             auto const lease_ended =
                 status.has_error() &&
                 status.error().code == core::error_code::expired;
+            if ( status.has_error() )
+                note( false, status.error().detail );
+            else
+                note( true, "renewed" );
             if ( lease_ended )
                 return grant();
             later( status.has_error() ? retry_pause : renewal_period,
