A huge prompt that is late leaves half of the engines to short ones

Ruled out: slow instances (waited_ms 0.1), failed engines (one try each). Change: a prompt that waits alone and is late may take long only at half of the engines, and then as long as that division needs.

--- a/src/pollenstream/exchange/placement_long.cpp
+++ b/src/pollenstream/exchange/placement_long.cpp
@@ -62,8 +62,8 @@
         memory_need( demand.prompt_tokens, demand.output_tokens );
     auto const most_parts = std::min( targets.size(), most_helpers + 1 );
     auto limit = harm_allowed( demand, targets.size() );
-    if ( demand.is_alone )
-        limit.shortest_part_ms = total / static_cast<double>( most_parts );
+    limit.most_parts = static_cast<double>( most_parts );
+    limit.alone_ms = demand.is_alone ? total : 0.0;
     // The longer a request waits, the fewer engines it makes do with.
     auto const most_part = ms_of( demand.gap_objective ) * part_of_own_gap *
                            ( 1 + core::seconds_of( demand.waited ) );
@@ -145,8 +145,8 @@
         return nothing( no_choice::too_large );
     auto const most_parts = std::min( targets.size(), most_helpers );
     auto limit = harm_allowed( demand, targets.size() );
-    if ( demand.is_alone )
-        limit.shortest_part_ms = total / static_cast<double>( most_parts );
+    limit.most_parts = static_cast<double>( most_parts );
+    limit.alone_ms = demand.is_alone ? total : 0.0;
     auto const most_part =
         std::max( ms_of( demand.latency_objective ) * part_of_objective,
                   total / static_cast<double>( most_parts ) );
--- a/src/pollenstream/exchange/prompt_division.cpp
+++ b/src/pollenstream/exchange/prompt_division.cpp
@@ -30,6 +30,9 @@
 /// takes when it is divided as far as can be, or the longest ones would never
 /// be placed. In a wave they would make several others late each.
 constexpr auto least_finish_parts = 1.5;
+/// Share of the engines that it may take for that when it is late itself: a
+/// wave of short prompts may begin at any moment, and finds the others free.
+constexpr auto late_share = 0.5;
 /// When a prompt has to be read that is late itself, and one whose caller is
 /// about to leave: it is now or never.
 constexpr auto latest_finish_when_late_ms = 600.0;
@@ -80,10 +83,16 @@
 /// When a prompt that takes `parts` engines has to be read.
 auto latest_for( harm_limit const& limit, std::size_t parts ) -> double
 {
-    auto const for_share =
-        finish_per_share_ms * limit.engines / static_cast<double>( parts );
-    return std::max( { limit.latest_ms, std::min( for_share, most_finish_ms ),
-                       limit.shortest_part_ms * least_finish_parts } );
+    auto const share = static_cast<double>( parts ) / limit.engines;
+    auto const most_parts =
+        limit.is_late ? std::min( limit.most_parts, limit.engines * late_share )
+                      : limit.most_parts;
+    auto const longest = static_cast<double>( parts ) <= most_parts
+                             ? limit.alone_ms / most_parts * least_finish_parts
+                             : 0.0;
+    return std::max(
+        { limit.latest_ms, longest,
+          std::min( finish_per_share_ms / share, most_finish_ms ) } );
 }
 
 auto latest_finish( placement_demand const& demand ) -> double
@@ -143,15 +152,21 @@
         auto const finish =
             std::min( latest_finish_at_last_ms,
                       ms_of( demand.patience_left ) - last_chance_margin_ms );
-        return { weight_of( demand.prompt_tokens ) * last_chance_harm, finish,
-                 finish, 0, 0 };
+        return { weight_of( demand.prompt_tokens ) * last_chance_harm,
+                 finish,
+                 finish,
+                 0,
+                 0,
+                 0,
+                 true };
     }
     auto const slack = ms_of( demand.latency_objective - demand.waited );
     auto const is_impatient =
         slack < ms_of( demand.latency_objective ) * impatient_share;
     auto const weight =
         is_impatient ? weight_of( demand.prompt_tokens ) * impatient_harm : 0.0;
-    return { weight, slack, latest_finish( demand ), all, 0 };
+    auto const is_late = demand.waited > demand.latency_objective;
+    return { weight, slack, latest_finish( demand ), all, 0, 0, is_late };
 }
 
 auto take_better( std::optional<division>& best,
--- a/src/pollenstream/exchange/prompt_division.hpp
+++ b/src/pollenstream/exchange/prompt_division.hpp
@@ -36,13 +36,14 @@
 /// What a placement may cost others.
 struct harm_limit
 {
-    double weight{ 0 };    ///< that may be made late to have this one in time
-    double until_ms{ 0 };  ///< when it has to be read to be in time
-    double latest_ms{ 0 }; ///< when it has to be read if it takes all engines
-    double engines{ 0 };   ///< that could take it
-    /// Reading time of one part where it is divided as far as can be; zero
-    /// while others wait.
-    double shortest_part_ms{ 0 };
+    double weight{ 0 };     ///< that may be made late to have this one in time
+    double until_ms{ 0 };   ///< when it has to be read to be in time
+    double latest_ms{ 0 };  ///< when it has to be read if it takes all engines
+    double engines{ 0 };    ///< that could take it
+    double most_parts{ 0 }; ///< into which a prompt may be divided
+    /// Reading time of the whole prompt; zero while others wait.
+    double alone_ms{ 0 };
+    bool is_late{ false }; ///< it is past its objective
 };
 
 /// The reader that `t` would be for a part of `part_ms`, with what that does to
--- a/tests/exchange/placement_test.cpp
+++ b/tests/exchange/placement_test.cpp
@@ -364,3 +364,14 @@
         CHECK( floor.last.choice->first_event_ms < 3'500 );
     }
 }
+
+TEST_CASE( "a huge prompt that is late leaves engines to short ones",
+           "[placement]" )
+{
+    auto floor = engine_floor{};
+    floor.is_alone = true;
+    floor.waited = 9s;
+    // Parts of 1.1 s at most engines would meet a wave of short prompts.
+    REQUIRE( floor.place( 441'000, 800ms ) );
+    CHECK( floor.last.choice->targets.size() <= 9 );
+}
