One place for the limits of a long prompt; a branch that was never reached goes

Cause: reading the whole change once more: choose_long and choose_reserved set up the same limit in the same three lines, and latest_finish asked for the last chance, which harm_allowed has answered before it calls it. Change: limit_for serves both; the branch goes. No behaviour changes.

--- a/src/pollenstream/exchange/placement_long.cpp
+++ b/src/pollenstream/exchange/placement_long.cpp
@@ -28,6 +28,19 @@
 /// little: dossiers that arrive together else go to one engine.
 constexpr auto equal_writers = std::size_t{ 3 };
 
+/// What placing a prompt of `total_ms` of reading in at most `most_parts` of
+/// `engines` engines may cost others.
+auto limit_for( placement_demand const& demand,
+                std::size_t engines,
+                std::size_t most_parts,
+                double total_ms ) -> harm_limit
+{
+    auto limit = harm_allowed( demand, engines );
+    limit.most_parts = static_cast<double>( most_parts );
+    limit.alone_ms = demand.is_alone ? total_ms : 0.0;
+    return limit;
+}
+
 auto make_choice( engine_speed const& speed, division const& divided )
     -> placement_choice
 {
@@ -61,9 +74,7 @@
     auto const memory =
         memory_need( demand.prompt_tokens, demand.output_tokens );
     auto const most_parts = std::min( targets.size(), most_helpers + 1 );
-    auto limit = harm_allowed( demand, targets.size() );
-    limit.most_parts = static_cast<double>( most_parts );
-    limit.alone_ms = demand.is_alone ? total : 0.0;
+    auto const limit = limit_for( demand, targets.size(), most_parts, total );
     // The longer a request waits, the fewer engines it makes do with.
     auto const most_part = ms_of( demand.gap_objective ) * part_of_own_gap *
                            ( 1 + core::seconds_of( demand.waited ) );
@@ -144,9 +155,7 @@
                              std::min( service_targets, most_helpers ) ) )
         return nothing( no_choice::too_large );
     auto const most_parts = std::min( targets.size(), most_helpers );
-    auto limit = harm_allowed( demand, targets.size() );
-    limit.most_parts = static_cast<double>( most_parts );
-    limit.alone_ms = demand.is_alone ? total : 0.0;
+    auto const limit = limit_for( demand, targets.size(), most_parts, total );
     auto const most_part =
         std::max( ms_of( demand.latency_objective ) * part_of_objective,
                   total / static_cast<double>( most_parts ) );
--- a/src/pollenstream/exchange/prompt_division.cpp
+++ b/src/pollenstream/exchange/prompt_division.cpp
@@ -97,8 +97,6 @@
 
 auto latest_finish( placement_demand const& demand ) -> double
 {
-    if ( demand.patience_left < last_chance )
-        return latest_finish_at_last_ms;
     if ( demand.waited > demand.latency_objective )
         return latest_finish_when_late_ms;
     return latest_finish_ms;
