A target that starts again under its id is a new one; entries of others name none

Cause: target_board kept "leaving" for ever under one id, and `born` was read nowhere, so that a target that came back under its id got no work, or kept load, memory, failures and connections of its former process. An entry with fields missing or of another type could name a target, and one value that could not be decoded spoiled every list of the store.

Change: a type for a target's lifetime; a later one is a new entry on the board, open work stays counted on the former; failures, told load, shuns and works of peers carry the lifetime and count for no other; kept connections belong to one lifetime; reserved memory of a lifetime that ended is given up. An entry is read only where every field that the platform names is there and of its type; else its target gets nothing new, the others hold, and one line names the key and the reason.

Ruled out: taking a lower `born` for a new start after a clock went back. A late write of the former process would then replace the present one.

--- a/src/pollenstream/core/ids.hpp
+++ b/src/pollenstream/core/ids.hpp
@@ -29,6 +29,9 @@
 
 /// Tells restarts of one instance apart; a later start has a higher number.
 using incarnation = strong_number<struct incarnation_tag>;
+/// Tells the starts of one target under the same id apart: the Unix time in ms
+/// at which it started, by its own clock; 0 where the target does not tell it.
+using target_lifetime = strong_number<struct target_lifetime_tag>;
 /// Counts the attempts of one request, from 1.
 using attempt_number = strong_number<struct attempt_number_tag>;
 /// Version of the operators' configuration; it only rises.
--- a/src/pollenstream/exchange/context.hpp
+++ b/src/pollenstream/exchange/context.hpp
@@ -33,8 +33,8 @@
     virtual auto work_ended( std::uint64_t serial ) -> void = 0;
     /// The wide prompts that wait at this instance have changed.
     virtual auto waiting_changed() -> void = 0;
-    virtual auto target_shunned( core::target_id const& id,
-                                 core::duration time ) -> void = 0;
+    virtual auto target_shunned( target_ref const& ref, core::duration time )
+        -> void = 0;
 };
 
 /// Counts over all requests of this instance.
--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -271,12 +271,27 @@
         {
             if ( self->finished_ )
                 return memory->release();
-            if ( !status.has_error() )
+            if ( status.has_error() )
+                return self->on_no_memory( choice, status.error() );
+            if ( self->is_current( choice ) )
                 return self->send( choice, memory );
-            self->on_no_memory( choice, status.error() );
+            memory->release();
+            self->on_no_memory(
+                choice, { core::error_code::expired, "target restarted" } );
         } );
 }
 
+/// False where a target of the choice has started again since, and holds none
+/// of the memory that was reserved.
+auto exchange::is_current( placement_choice const& choice ) const -> bool
+{
+    return std::all_of( choice.targets.begin(), choice.targets.end(),
+                        [this]( auto const& t )
+                        {
+                            return shared_.board.find_lifetime( t->ref() ) == t;
+                        } );
+}
+
 /// The targets hold less than the board says; others may have reserved at the
 /// same time. A pause that is spread keeps them from meeting again.
 auto exchange::on_no_memory( placement_choice const& choice,
--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -55,7 +55,7 @@
     struct open_try
     {
         std::uint64_t serial{ 0 };
-        core::target_id target;
+        target_ref target;
         core::address address;
         std::shared_ptr<open_attempt> call;
         std::shared_ptr<reservation_group> memory;
@@ -76,6 +76,8 @@
     auto directions( placement_choice const& choice,
                      std::shared_ptr<reservation_group> const& memory ) const
         -> target_directions;
+    [[nodiscard]] auto is_current( placement_choice const& choice ) const
+        -> bool;
     auto is_own_turn( core::instant now ) -> bool;
     auto wait_for_room() -> void;
     auto stop_waiting() -> void;
@@ -100,7 +102,7 @@
     auto try_again( std::string const& why,
                     bool may_have_run,
                     core::target_id const& avoid ) -> bool;
-    auto blame( answer_head const& head ) -> core::target_id;
+    auto blame( answer_head const& head ) -> target_ref;
     auto tolerated_silence() const -> core::duration;
     auto idle_silence() const -> core::duration;
     auto arm_watch() -> void;
--- a/src/pollenstream/exchange/exchange_attempts.cpp
+++ b/src/pollenstream/exchange/exchange_attempts.cpp
@@ -125,7 +125,7 @@
     current_ = open_try{};
     auto& opened = *current_;
     opened.serial = work.serial;
-    opened.target = first.facts.id;
+    opened.target = first.ref();
     opened.address = first.facts.address;
     opened.memory = std::move( memory );
     opened.predicted_ms = choice.first_event_ms;
@@ -135,6 +135,7 @@
     auto out = outgoing_request{};
     out.id = request_.id;
     out.target = first.facts.id;
+    out.lifetime = first.facts.lifetime;
     out.address = first.facts.address;
     out.is_get = request_.method == "GET";
     out.text = std::make_shared<std::string const>( shared_.speller.spell(
@@ -300,7 +301,7 @@
     shared_.board.note_failure( current_->target, now );
     auto const status = current_->head->status;
     if ( try_again( "status " + std::to_string( status ), true,
-                    current_->target ) )
+                    current_->target.id ) )
         return;
     if ( streaming_ )
         return fail( status, "target_failed" );
@@ -313,14 +314,14 @@
 
 /// A target has proved that it did not run the request. Returns the target to
 /// blame: the answering one, or a helper that it names.
-auto exchange::blame( answer_head const& head ) -> core::target_id
+auto exchange::blame( answer_head const& head ) -> target_ref
 {
     auto const now = shared_.scheduler.now();
     auto const named = head.at_fault.empty()
                            ? nullptr
                            : shared_.board.find_named( head.at_fault );
-    auto to_blame = named ? named->facts.id : current_->target;
-    auto const answering = shared_.board.find( current_->target );
+    auto to_blame = named ? named->ref() : current_->target;
+    auto const answering = shared_.board.find_lifetime( current_->target );
     if ( head.wrong_target || to_blame != current_->target )
     {
         // Gone, or of no use to others: certain at once, and for all.
@@ -340,8 +341,8 @@
     auto const head = std::move( *current_->head );
     auto const blamed = blame( head );
     if ( try_again( "not run, status " + std::to_string( head.status ) +
-                        ", blames " + blamed.str(),
-                    false, blamed ) )
+                        ", blames " + blamed.id.str(),
+                    false, blamed.id ) )
         return;
     if ( streaming_ )
         return fail( status_bad_gateway, "resumption_refused" );
@@ -365,7 +366,7 @@
         --targets_reached_;
         ++connects_failed_;
     }
-    if ( try_again( end.error.detail, was_made, target ) )
+    if ( try_again( end.error.detail, was_made, target.id ) )
         return;
     close_try( true );
     if ( may_have_run_ || streaming_ )
@@ -391,7 +392,7 @@
     auto const again =
         may_repeat() && ( targets_reached_ == 0 ||
                           shared_.retries.take( demand_.service, now ) );
-    shared_.log.record( attempt_failed{ request_.id, current_->target, why,
+    shared_.log.record( attempt_failed{ request_.id, current_->target.id, why,
                                         may_have_run,
                                         again ? "send_again" : "give_up" } );
     if ( !again )
@@ -411,7 +412,7 @@
 /// only be read a second time elsewhere.
 auto exchange::tolerated_silence() const -> core::duration
 {
-    auto const at = shared_.board.find( current_->target );
+    auto const at = shared_.board.find_lifetime( current_->target );
     auto const reads_until = at ? at->load.read_until : core::instant{};
     auto const reading = std::clamp( reads_until - current_->heard_at,
                                      core::duration( 0 ), longest_reading );
--- a/src/pollenstream/exchange/message.hpp
+++ b/src/pollenstream/exchange/message.hpp
@@ -100,6 +100,7 @@
 {
     attempt_id id;
     core::target_id target;
+    core::target_lifetime lifetime; ///< connections of a former one are dead
     core::address address;
     std::shared_ptr<std::string const> text; ///< head and body as sent
     bool fresh_connection{ false };          ///< use no kept connection
--- a/src/pollenstream/exchange/placement.cpp
+++ b/src/pollenstream/exchange/placement.cpp
@@ -171,7 +171,7 @@
     }
     auto choice = placement_choice{};
     choice.targets.push_back( best );
-    choice.parts.push_back( { best->facts.id, 0, 0 } );
+    choice.parts.push_back( { best->facts.id, 0, 0, best->facts.lifetime } );
     return { choice, no_choice::full };
 }
 
@@ -217,7 +217,8 @@
     auto const& best = drawn_from( preferred, demand.draw );
     auto choice = placement_choice{};
     choice.targets.push_back( best.target );
-    choice.parts.push_back( { best.target->facts.id, own_read, memory } );
+    choice.parts.push_back( { best.target->facts.id, own_read, memory,
+                              best.target->facts.lifetime } );
     choice.first_event_ms = best.first_ms;
     return { choice, no_choice::full };
 }
--- a/src/pollenstream/exchange/placement_long.cpp
+++ b/src/pollenstream/exchange/placement_long.cpp
@@ -50,7 +50,8 @@
         choice.targets.push_back( r.target );
         choice.parts.push_back(
             { r.target->facts.id,
-              part_time_ms( speed, *r.target, divided.part_ms ), 0 } );
+              part_time_ms( speed, *r.target, divided.part_ms ), 0,
+              r.target->facts.lifetime } );
     }
     choice.first_event_ms =
         divided.finish_ms + pass_ms( speed, *choice.targets.front() );
--- a/src/pollenstream/exchange/target_board.cpp
+++ b/src/pollenstream/exchange/target_board.cpp
@@ -55,26 +55,43 @@
     return load.read_until > now ? now - load.reads_since : core::duration( 0 );
 }
 
-auto target_board::put( target_facts facts ) -> bool
+auto target_board::put( target_facts facts ) -> board_change
 {
-    auto const service = facts.service;
-    auto& entry = by_id_[facts.id];
-    if ( entry && entry->facts.service == service )
+    auto const entry = find( facts.id );
+    if ( !entry || entry->facts.service != facts.service )
+    {
+        auto const leaving = facts.leaving;
+        set_entry( std::move( facts ) );
+        return leaving ? board_change::starts_to_leave : board_change::added;
+    }
+    if ( facts.lifetime < entry->facts.lifetime )
+        return board_change::none;
+    if ( facts.lifetime > entry->facts.lifetime )
     {
-        auto const starts_to_leave = facts.leaving && !entry->facts.leaving;
-        // A target that has begun to leave does not come back under its id.
-        facts.leaving = facts.leaving || entry->facts.leaving;
-        entry->facts = std::move( facts );
-        entry->gone = false;
-        return starts_to_leave;
+        set_entry( std::move( facts ) );
+        return board_change::restarted;
     }
-    auto const leaving = facts.leaving;
+    auto const starts_to_leave = facts.leaving && !entry->facts.leaving;
+    // A target that has begun to leave does not come back in one lifetime.
+    facts.leaving = facts.leaving || entry->facts.leaving;
+    entry->facts = std::move( facts );
+    entry->gone = false;
+    return starts_to_leave ? board_change::starts_to_leave : board_change::none;
+}
+
+/// Open work keeps the entry on which it was counted, so that what ends later
+/// is taken off there and not off the new entry.
+auto target_board::set_entry( target_facts facts ) -> void
+{
+    auto const service = facts.service;
     auto fresh = std::make_shared<board_target>();
     fresh->rank = core::stable_hash( facts.id.str() );
     fresh->facts = std::move( facts );
-    entry = std::move( fresh );
+    auto& entry = by_id_[fresh->facts.id];
+    auto const former = std::exchange( entry, fresh );
+    if ( former && former->facts.service != service )
+        rebuild_order( former->facts.service );
     rebuild_order( service );
-    return leaving;
 }
 
 auto target_board::remove( core::target_id const& id ) -> void
@@ -115,6 +132,13 @@
     return found == by_id_.end() ? nullptr : found->second;
 }
 
+auto target_board::find_lifetime( target_ref const& ref ) const
+    -> std::shared_ptr<board_target>
+{
+    auto const at = find( ref.id );
+    return at && at->facts.lifetime == ref.lifetime ? at : nullptr;
+}
+
 auto target_board::find_named( std::string const& name ) const
     -> std::shared_ptr<board_target>
 {
@@ -219,7 +243,7 @@
     }
     auto& known = at->second;
     for ( auto const& part : known.work.parts )
-        known.at.push_back( find( part.target ) );
+        known.at.push_back( find_lifetime( { part.target, part.lifetime } ) );
     if ( known.work.reading )
         count_reading( known, now );
     else
@@ -304,10 +328,10 @@
     return result;
 }
 
-auto target_board::note_failure( core::target_id const& id, core::instant now )
+auto target_board::note_failure( target_ref const& ref, core::instant now )
     -> bool
 {
-    auto const at = find( id );
+    auto const at = find_lifetime( ref );
     if ( !at )
         return false;
     auto& health = at->health;
@@ -319,32 +343,31 @@
     if ( !is_failing )
         return false;
     auto const was_shunned = health.shunned_until > now;
-    shun( id, now + shun_time( health.failures_in_a_row ) );
+    shun( ref, now + shun_time( health.failures_in_a_row ) );
     return !was_shunned;
 }
 
-auto target_board::note_success( core::target_id const& id ) -> void
+auto target_board::note_success( target_ref const& ref ) -> void
 {
-    auto const at = find( id );
+    auto const at = find_lifetime( ref );
     if ( !at )
         return;
     at->health.failures_in_a_row = 0;
     at->health.failure_share *= failure_decay;
 }
 
-auto target_board::shun( core::target_id const& id, core::instant until )
-    -> void
+auto target_board::shun( target_ref const& ref, core::instant until ) -> void
 {
-    auto const at = find( id );
+    auto const at = find_lifetime( ref );
     if ( at )
         at->health.shunned_until = std::max( at->health.shunned_until, until );
 }
 
-auto target_board::note_told( core::target_id const& id,
+auto target_board::note_told( target_ref const& ref,
                               told_load load,
                               core::instant now ) -> void
 {
-    auto const at = find( id );
+    auto const at = find_lifetime( ref );
     if ( !at )
         return;
     at->told = load;
--- a/src/pollenstream/exchange/target_board.hpp
+++ b/src/pollenstream/exchange/target_board.hpp
@@ -14,15 +14,36 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace pollenstream::exchange
 {
 
+/// One lifetime of a target. A target may start again under the id that it had
+/// and then holds nothing of before, so that news of a former lifetime says
+/// nothing about this one.
+struct target_ref
+{
+    target_ref() = default;
+    // Implicit: where no lifetime is told, the id alone names the target.
+    target_ref( core::target_id which, core::target_lifetime of = {} )
+        : id( std::move( which ) ), lifetime( of )
+    {
+    }
+
+    core::target_id id;
+    core::target_lifetime lifetime;
+
+    friend auto operator==( target_ref const&, target_ref const& )
+        -> bool = default;
+};
+
 /// What the registry says of a target.
 struct target_facts
 {
     core::target_id id;
+    core::target_lifetime lifetime;
     core::service_id service;
     core::address address;
     core::place_id place;
@@ -36,7 +57,8 @@
 {
     core::target_id target;
     double read_ms{ 0 }; ///< reading that this part costs the target
-    std::int64_t memory_tokens{ 0 }; ///< taken up there until the work ends
+    std::int64_t memory_tokens{ 0 };  ///< taken up there until the work ends
+    core::target_lifetime lifetime{}; ///< of the target, when it was chosen
 };
 
 /// A request that is open at targets, as all instances know it. The first
@@ -102,6 +124,10 @@
     core::instant told_at;
     bool gone{ false }; ///< not in the registry; its entry may come back
 
+    [[nodiscard]] auto ref() const -> target_ref
+    {
+        return { facts.id, facts.lifetime };
+    }
     /// False once it leaves or has left.
     [[nodiscard]] auto takes_work() const -> bool
     {
@@ -117,6 +143,15 @@
         -> core::duration;
 };
 
+/// What new facts about a target have changed.
+enum class board_change
+{
+    none,      ///< known before, or news of a former lifetime
+    added,     ///< not known before
+    restarted, ///< a later lifetime under an id that was known
+    starts_to_leave,
+};
+
 /// All targets with all open work on them, as far as this instance knows.
 /// Used by one thread.
 class target_board
@@ -125,9 +160,10 @@
     using target_map =
         std::unordered_map<core::target_id, std::shared_ptr<board_target>>;
 
-    /// Adds a target or takes over what has changed of it. Returns true where
-    /// it has just begun to leave.
-    auto put( target_facts facts ) -> bool;
+    /// Adds a target or takes over what has changed of it. A later lifetime is
+    /// a new target: open work, memory, load and failures of the former one are
+    /// not counted on it. Facts of a former lifetime change nothing.
+    auto put( target_facts facts ) -> board_change;
     auto remove( core::target_id const& id ) -> void;
     /// The registry no longer lists the target: it gets no new work unless
     /// its entry comes back.
@@ -135,6 +171,9 @@
 
     [[nodiscard]] auto find( core::target_id const& id ) const
         -> std::shared_ptr<board_target>;
+    /// Null where the target's present lifetime is another one.
+    [[nodiscard]] auto find_lifetime( target_ref const& ref ) const
+        -> std::shared_ptr<board_target>;
     /// The target that `name` means: its id, or its IP:PORT; null for neither.
     [[nodiscard]] auto find_named( std::string const& name ) const
         -> std::shared_ptr<board_target>;
@@ -179,13 +218,13 @@
         -> std::vector<open_work>;
 
     /// Takes over how an attempt ended. Returns true where the target is
-    /// shunned from now on and was not before.
-    auto note_failure( core::target_id const& id, core::instant now ) -> bool;
-    auto note_success( core::target_id const& id ) -> void;
-    auto shun( core::target_id const& id, core::instant until ) -> void;
-    auto note_told( core::target_id const& id,
-                    told_load load,
-                    core::instant now ) -> void;
+    /// shunned from now on and was not before. These four change nothing where
+    /// `ref` is a former lifetime.
+    auto note_failure( target_ref const& ref, core::instant now ) -> bool;
+    auto note_success( target_ref const& ref ) -> void;
+    auto shun( target_ref const& ref, core::instant until ) -> void;
+    auto note_told( target_ref const& ref, told_load load, core::instant now )
+        -> void;
 
 private:
     /// Work with the targets on which it is counted; null where a target was
@@ -214,6 +253,7 @@
         -> void;
     auto uncount( known_work& known, core::instant now ) -> void;
     auto rebuild_order( core::service_id const& id ) -> void;
+    auto set_entry( target_facts facts ) -> void;
 
     target_map by_id_;
     std::unordered_map<core::service_id,
--- a/src/pollenstream/peers/peer_group.cpp
+++ b/src/pollenstream/peers/peer_group.cpp
@@ -217,10 +217,10 @@
     arm_flush();
 }
 
-auto peer_group::target_shunned( core::target_id const& id,
+auto peer_group::target_shunned( exchange::target_ref const& ref,
                                  core::duration time ) -> void
 {
-    pending_.shunned.push_back( { id, core::milliseconds_of( time ) } );
+    pending_.shunned.push_back( { ref, core::milliseconds_of( time ) } );
     arm_flush();
 }
 
--- a/src/pollenstream/peers/peer_group.hpp
+++ b/src/pollenstream/peers/peer_group.hpp
@@ -110,7 +110,7 @@
     auto reading_ended( std::uint64_t serial ) -> void override;
     auto work_ended( std::uint64_t serial ) -> void override;
     auto waiting_changed() -> void override;
-    auto target_shunned( core::target_id const& id, core::duration time )
+    auto target_shunned( exchange::target_ref const& ref, core::duration time )
         -> void override;
 
 private:
--- a/src/pollenstream/peers/peer_message.cpp
+++ b/src/pollenstream/peers/peer_message.cpp
@@ -11,7 +11,7 @@
 using nlohmann::json;
 
 /// Raised with each change of the layout; others are passed over.
-constexpr auto layout = 4;
+constexpr auto layout = 5;
 
 auto work_to_json( exchange::open_work const& work ) -> json
 {
@@ -19,7 +19,7 @@
     for ( auto const& part : work.parts )
         parts.push_back( json::array(
             { part.target.str(), static_cast<std::int64_t>( part.read_ms * 10 ),
-              part.memory_tokens } ) );
+              part.memory_tokens, part.lifetime.count() } ) );
     return json::array( { work.serial, work.context_tokens,
                           work.tolerated_gap_ms, work.reading,
                           std::move( parts ) } );
@@ -35,8 +35,8 @@
     for ( auto const& part : object.at( 4 ) )
         work.parts.push_back(
             { core::target_id( part.at( 0 ).get<std::string>() ),
-              part.at( 1 ).get<double>() / 10,
-              part.at( 2 ).get<std::int64_t>() } );
+              part.at( 1 ).get<double>() / 10, part.at( 2 ).get<std::int64_t>(),
+              core::target_lifetime( part.at( 3 ).get<std::int64_t>() ) } );
     return work;
 }
 
@@ -47,7 +47,8 @@
         work.push_back( work_to_json( w ) );
     auto shunned = json::array();
     for ( auto const& s : m.shunned )
-        shunned.push_back( json::array( { s.target.str(), s.time_ms } ) );
+        shunned.push_back( json::array(
+            { s.target.id.str(), s.target.lifetime.count(), s.time_ms } ) );
     return json::array(
         { layout,
           m.sender.str(),
@@ -90,8 +91,10 @@
     m.reading_ended = object.at( at++ ).get<std::vector<std::uint64_t>>();
     m.ended = object.at( at++ ).get<std::vector<std::uint64_t>>();
     for ( auto const& s : object.at( at++ ) )
-        m.shunned.push_back( { core::target_id( s.at( 0 ).get<std::string>() ),
-                               s.at( 1 ).get<std::int64_t>() } );
+        m.shunned.push_back(
+            { { core::target_id( s.at( 0 ).get<std::string>() ),
+                core::target_lifetime( s.at( 1 ).get<std::int64_t>() ) },
+              s.at( 2 ).get<std::int64_t>() } );
     m.known_ips = object.at( at++ ).get<std::vector<std::string>>();
     m.store_served_ms = object.at( at++ ).get<std::int64_t>();
     m.store_age_ms = object.at( at++ ).get<std::int64_t>();
--- a/src/pollenstream/peers/peer_message.hpp
+++ b/src/pollenstream/peers/peer_message.hpp
@@ -18,7 +18,7 @@
 /// A target that the sender keeps away from for some time.
 struct shunned_target
 {
-    core::target_id target;
+    exchange::target_ref target;
     std::int64_t time_ms{ 0 };
 };
 
--- a/src/pollenstream/registry/registry_watch.cpp
+++ b/src/pollenstream/registry/registry_watch.cpp
@@ -26,6 +26,32 @@
 /// Shortest pause between looks at entries that are missing.
 constexpr auto recheck_pause = core::duration( 50ms );
 
+/// Who told of a target, with its lifetime where the target tells it.
+auto source_of( std::string const& from, core::target_lifetime lifetime )
+    -> std::string
+{
+    if ( lifetime == core::target_lifetime{} )
+        return from;
+    return from + ", lifetime " + std::to_string( lifetime.count() );
+}
+
+/// The change's name in logs.
+auto name_of( exchange::board_change change ) -> char const*
+{
+    switch ( change )
+    {
+    case exchange::board_change::none:
+        return "unchanged";
+    case exchange::board_change::added:
+        return "ready";
+    case exchange::board_change::restarted:
+        return "restarted";
+    case exchange::board_change::starts_to_leave:
+        return "leaving";
+    }
+    return "unknown";
+}
+
 }
 
 registry_watch::registry_watch( ports::record_store& store,
@@ -296,23 +322,36 @@
 {
     auto read = codec_.read_target( r.key, *r.value );
     if ( read.has_error() )
-    {
-        log_.record( exchange::belief_changed{
-            "target", r.key, "unreadable", read.error().detail, {} } );
-        return;
-    }
+        return take_unreadable_target( r.key, read.error() );
     auto const id = read.value().id;
-    auto const is_new = board_.find( id ) == nullptr;
+    auto const lifetime = read.value().lifetime;
     missing_.erase( id );
-    auto const leaves = board_.put( std::move( read.value() ) );
-    if ( is_new || leaves )
-        log_.record( exchange::belief_changed{
-            "target", id.str(), leaves ? "leaving" : "ready", from, {} } );
-    if ( leaves )
+    auto const change = board_.put( std::move( read.value() ) );
+    if ( change != exchange::board_change::none )
+        log_.record( exchange::belief_changed{ "target",
+                                               id.str(),
+                                               name_of( change ),
+                                               source_of( from, lifetime ),
+                                               {} } );
+    if ( change == exchange::board_change::starts_to_leave )
         events_.on_target_left( id );
     events_.on_targets_changed();
 }
 
+/// An entry that cannot be read names no target to use, whoever wrote it; the
+/// target that it named before gets nothing new until it can be read again.
+auto registry_watch::take_unreadable_target( std::string const& key,
+                                             core::error const& why ) -> void
+{
+    log_.record( exchange::belief_changed{
+        "target", key, "unreadable", why.detail, {} } );
+    auto const id = codec_.target_of( key );
+    missing_.erase( id );
+    auto const at = board_.find( id );
+    if ( at && !at->gone )
+        target_gone( id, "its entry cannot be read" );
+}
+
 auto registry_watch::may_be_lapsed() const -> bool
 {
     auto const now = scheduler_.now();
--- a/src/pollenstream/registry/registry_watch.hpp
+++ b/src/pollenstream/registry/registry_watch.hpp
@@ -115,6 +115,8 @@
     auto take_configuration( ports::record const& r, std::string const& from )
         -> void;
     auto take_target( ports::record const& r, std::string const& from ) -> void;
+    auto take_unreadable_target( std::string const& key,
+                                 core::error const& why ) -> void;
     auto take_removal( std::string const& key,
                        ports::store_revision at,
                        std::string const& from ) -> void;
--- a/tests/exchange/parts_test.cpp
+++ b/tests/exchange/parts_test.cpp
@@ -219,8 +219,8 @@
     board.put( facts );
     CHECK( board.find( id )->takes_work() );
     facts.leaving = true;
-    CHECK( board.put( facts ) );
+    CHECK( board.put( facts ) == exchange::board_change::starts_to_leave );
     facts.leaving = false;
-    CHECK_FALSE( board.put( facts ) );
+    CHECK( board.put( facts ) == exchange::board_change::none );
     CHECK_FALSE( board.find( id )->takes_work() );
 }
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -251,11 +251,14 @@
     auto const records = platform::registry_records{};
     auto const read = records.read_target(
         "servers/i-1", R"({"service":"s","address":"10.1.0.1:80",
-                           "zone":"z","slots":6,"state":"draining"})" );
+                           "zone":"z","version":"v1","slots":6,
+                           "state":"draining","cold_remaining_ms":0,
+                           "sequence":1,"born":1790000000000})" );
     REQUIRE( read.has_value() );
     CHECK( read.value().id == core::target_id( "i-1" ) );
     CHECK( read.value().leaving );
     CHECK( read.value().slots == 6 );
+    CHECK( read.value().lifetime == core::target_lifetime( 1790000000000 ) );
     CHECK( records.read_target( "servers/i-1", "{}" ).has_error() );
     CHECK( records
                .read_target( "servers/i-1",
--- /dev/null
+++ b/tests/registry/target_entries_test.cpp
@@ -0,0 +1,265 @@
+#include "registry_records.hpp"
+#include "support/answered_store.hpp"
+#include "support/exchange_fixture.hpp"
+#include <pollenstream/registry/registry_watch.hpp>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <random>
+
+using namespace tests;
+using namespace std::chrono_literals;
+namespace platform = pollenstream::platform;
+namespace registry = pollenstream::registry;
+using nlohmann::json;
+
+namespace
+{
+
+/// An entry as a target writes it.
+auto good_entry() -> json
+{
+    return json{ { "service", "model" },
+                 { "address", "10.1.0.9:8080" },
+                 { "zone", "a" },
+                 { "version", "v1" },
+                 { "slots", 16 },
+                 { "state", "ready" },
+                 { "cold_remaining_ms", 0 },
+                 { "stage", "colocated" },
+                 { "sequence", 4 },
+                 { "born", 1'000'000 } };
+}
+
+auto entry_born( std::int64_t born, std::string const& state = "ready" )
+    -> std::string
+{
+    auto entry = good_entry();
+    entry["born"] = born;
+    entry["state"] = state;
+    return entry.dump();
+}
+
+/// The platform's records, followed by one instance.
+struct entries_fixture
+{
+    entries_fixture()
+    {
+        auto events = registry::registry_events{};
+        events.on_configuration = []( auto const& ) {};
+        events.on_target_left = []( auto const& ) {};
+        events.on_targets_changed = [] {};
+        events.on_instance = []( auto const&, auto const& ) {};
+        watch = std::make_unique<registry::registry_watch>(
+            store, scheduler, records, board, log, std::move( events ) );
+        watch->start();
+        store.answer( { {}, ports::store_revision( 1 ) } );
+    }
+    auto write( std::string const& id, std::optional<std::string> value )
+        -> void
+    {
+        auto const at = ports::store_revision( ++revision );
+        store.answer( { { { "servers/" + id, std::move( value ), at } }, at } );
+    }
+    auto takes_work( std::string const& id ) const -> bool
+    {
+        auto const t = board.find( core::target_id( id ) );
+        return t && t->takes_work();
+    }
+    auto unreadable_lines() const -> std::int64_t
+    {
+        return std::count_if(
+            log.all.begin(), log.all.end(),
+            []( auto const& e )
+            {
+                auto const* b = std::get_if<exchange::belief_changed>( &e );
+                return b != nullptr && b->now == "unreadable";
+            } );
+    }
+
+    held_scheduler scheduler;
+    answered_store store;
+    platform::registry_records records;
+    exchange::target_board board;
+    recorded_events log;
+    std::unique_ptr<registry::registry_watch> watch;
+    int revision{ 1 };
+};
+
+auto work_at( std::string const& id, std::uint64_t serial )
+    -> exchange::open_work
+{
+    auto work = exchange::open_work{};
+    work.serial = serial;
+    work.parts.push_back( { core::target_id( id ), 100, 5'000 } );
+    work.context_tokens = 5'000;
+    return work;
+}
+
+}
+
+TEST_CASE( "a target that starts again under its id takes work again",
+           "[registry][restart]" )
+{
+    auto f = entries_fixture{};
+    f.write( "i-1", entry_born( 1'000 ) );
+    f.write( "i-1", entry_born( 1'000, "draining" ) );
+    CHECK_FALSE( f.takes_work( "i-1" ) );
+    SECTION( "while its old entry stands" )
+    {
+        f.write( "i-1", entry_born( 2'000 ) );
+        CHECK( f.takes_work( "i-1" ) );
+    }
+    SECTION( "after its old entry was removed" )
+    {
+        f.write( "i-1", std::nullopt );
+        f.write( "i-1", entry_born( 2'000 ) );
+        CHECK( f.takes_work( "i-1" ) );
+    }
+    SECTION( "but not in the lifetime that leaves" )
+    {
+        f.write( "i-1", entry_born( 1'000 ) );
+        CHECK_FALSE( f.takes_work( "i-1" ) );
+    }
+}
+
+TEST_CASE( "a restarted target holds nothing of before", "[registry][restart]" )
+{
+    auto f = entries_fixture{};
+    f.write( "i-1", entry_born( 1'000 ) );
+    auto const id = core::target_id( "i-1" );
+    auto const self = core::instance_id( "self" );
+    auto const now = f.scheduler.now();
+    auto work = work_at( "i-1", 1 );
+    work.parts[0].lifetime = core::target_lifetime( 1'000 );
+    f.board.add_work( self, work, now );
+    f.board.shun( f.board.find( id )->ref(), now + 5s );
+    REQUIRE( f.board.find( id )->load.requests == 1 );
+
+    f.write( "i-1", entry_born( 2'000 ) );
+    auto const fresh = f.board.find( id );
+    CHECK( fresh->load.requests == 0 );
+    CHECK( fresh->load.memory_tokens == 0 );
+    CHECK( fresh->backlog_ms( now ) == 0 );
+    CHECK( fresh->may_get_work( now ) );
+    // What ends later is not taken off the new lifetime.
+    f.board.end_work( self, 1, now );
+    CHECK( fresh->load.requests == 0 );
+    CHECK( fresh->load.memory_tokens == 0 );
+}
+
+TEST_CASE( "news of a former lifetime changes nothing", "[registry][restart]" )
+{
+    auto f = entries_fixture{};
+    f.write( "i-1", entry_born( 1'000 ) );
+    f.write( "i-1", entry_born( 2'000 ) );
+    auto const id = core::target_id( "i-1" );
+    auto const former =
+        exchange::target_ref{ id, core::target_lifetime( 1'000 ) };
+    auto const now = f.scheduler.now();
+    auto const fresh = f.board.find( id );
+    // A write of the former process that the store carries out late.
+    f.write( "i-1", entry_born( 1'000, "draining" ) );
+    CHECK( f.takes_work( "i-1" ) );
+    // Late answers, and what other instances tell.
+    f.board.note_failure( former, now );
+    f.board.note_failure( former, now );
+    f.board.shun( former, now + 5s );
+    f.board.note_told( former, { 9, 9, 16 }, now );
+    auto work = work_at( "i-1", 7 );
+    work.parts[0].lifetime = core::target_lifetime( 1'000 );
+    f.board.add_work( core::instance_id( "other" ), work, now );
+    CHECK( fresh->may_get_work( now ) );
+    CHECK_FALSE( fresh->told );
+    CHECK( fresh->load.requests == 0 );
+}
+
+TEST_CASE( "an entry that no target wrote names no target, the others hold",
+           "[registry][entries]" )
+{
+    auto spoiled = std::vector<std::string>{
+        "", "no json", "[]", "7", "null", "\xff\xfe\x00\x81" };
+    for ( auto const* field :
+          { "service", "address", "zone", "version", "slots", "state",
+            "cold_remaining_ms", "sequence" } )
+    {
+        auto entry = good_entry();
+        entry.erase( field );
+        spoiled.push_back( entry.dump() );
+        for ( auto const& other :
+              { json( nullptr ), json( true ), json::array(), json::object(),
+                json( "" ), json( -7 ) } )
+        {
+            entry[field] = other;
+            // A number below zero is a number where any is allowed.
+            if ( std::string( field ) != "cold_remaining_ms" || other != -7 )
+                spoiled.push_back( entry.dump() );
+        }
+    }
+    for ( auto const& born : { json( "1000" ), json( 1.5 ), json( true ),
+                               json( nullptr ), json( -1 ) } )
+    {
+        auto entry = good_entry();
+        entry["born"] = born;
+        spoiled.push_back( entry.dump() );
+    }
+    auto unknown_state = good_entry();
+    unknown_state["state"] = "resting";
+    spoiled.push_back( unknown_state.dump() );
+    for ( auto const& value : spoiled )
+    {
+        CAPTURE( value );
+        auto f = entries_fixture{};
+        f.write( "i-1", good_entry().dump() );
+        f.write( "i-2", value );
+        CHECK( f.board.find( core::target_id( "i-2" ) ) == nullptr );
+        CHECK( f.unreadable_lines() == 1 );
+        // In place of an entry that could be read: nothing new goes there.
+        f.write( "i-3", good_entry().dump() );
+        f.write( "i-3", value );
+        CHECK_FALSE( f.takes_work( "i-3" ) );
+        CHECK( f.takes_work( "i-1" ) );
+        f.write( "i-3", good_entry().dump() );
+        CHECK( f.takes_work( "i-3" ) );
+    }
+}
+
+TEST_CASE( "the reader of entries survives 5,000 spoiled ones",
+           "[registry][entries][fuzz]" )
+{
+    auto random = std::mt19937( 20'261'202 );
+    auto const records = platform::registry_records{};
+    auto const good = good_entry().dump();
+    auto read = 0;
+    for ( auto i = 0; i < 5'000; ++i )
+    {
+        auto value = good;
+        auto const changes = 1 + random() % 4;
+        for ( auto c = 0U; c < changes && !value.empty(); ++c )
+        {
+            auto const at = random() % value.size();
+            switch ( random() % 3 )
+            {
+            case 0:
+                value[at] = static_cast<char>( random() % 256 );
+                break;
+            case 1:
+                value.erase( at, 1 + random() % 8 );
+                break;
+            default:
+                value.insert( at, 1, static_cast<char>( random() % 256 ) );
+            }
+        }
+        auto const facts = records.read_target( "servers/i-1", value );
+        if ( facts.has_error() )
+            continue;
+        ++read;
+        CHECK( facts.value().slots >= 1 );
+        CHECK_FALSE( facts.value().service.empty() );
+        CHECK_FALSE( facts.value().address.ip.empty() );
+    }
+    // Many changes leave the entry readable, such as those of a name.
+    CHECK( read > 50 );
+}
--- /dev/null
+++ b/tests/support/answered_store.hpp
@@ -0,0 +1,60 @@
+#ifndef POLLENSTREAM_TESTS_SUPPORT_ANSWERED_STORE_HPP
+#define POLLENSTREAM_TESTS_SUPPORT_ANSWERED_STORE_HPP
+
+#include <pollenstream/ports/record_store.hpp>
+
+#include <string>
+#include <utility>
+
+namespace tests
+{
+
+namespace core = pollenstream::core;
+namespace ports = pollenstream::ports;
+
+/// A store whose answers the test gives.
+class answered_store : public ports::record_store
+{
+public:
+    auto list( std::string const&, batch_done callback ) -> void override
+    {
+        ++lists;
+        pending = std::move( callback );
+    }
+    auto watch( std::string const&,
+                ports::store_revision known,
+                core::duration,
+                batch_done callback ) -> void override
+    {
+        ++watches;
+        known_at = known;
+        pending = std::move( callback );
+    }
+    auto put( std::string const&, std::string const&, ports::lease_id, done )
+        -> void override
+    {
+    }
+    auto grant_lease( core::duration, lease_done ) -> void override {}
+    auto renew_lease( ports::lease_id, done ) -> void override {}
+    auto end_lease( ports::lease_id, done ) -> void override {}
+
+    auto answer( ports::record_batch batch ) -> void
+    {
+        auto const callback = std::exchange( pending, nullptr );
+        callback( std::move( batch ) );
+    }
+    auto fail( core::error_code code ) -> void
+    {
+        auto const callback = std::exchange( pending, nullptr );
+        callback( core::error{ code, "test" } );
+    }
+
+    batch_done pending;
+    int lists{ 0 };
+    int watches{ 0 };
+    ports::store_revision known_at;
+};
+
+}
+
+#endif
--- a/tests/support/exchange_fixture.hpp
+++ b/tests/support/exchange_fixture.hpp
@@ -222,10 +222,10 @@
         --open;
     }
     auto waiting_changed() -> void override {}
-    auto target_shunned( core::target_id const& id, core::duration )
+    auto target_shunned( exchange::target_ref const& ref, core::duration )
         -> void override
     {
-        shunned.push_back( id );
+        shunned.push_back( ref.id );
     }
 
     int open{ 0 };
