A request waits for the first configuration of a fresh instance

A restarted single instance besides placed requests for up to a quarter of a second without knowing of any open work.

Ruled out: listening only once the configuration is there. A refused connection costs the caller a try as well.

Change: such a request waits in the room for 400 ms at most, then it is refused as before. Whoever hears a new process of an instance sends it all of its open work at once.

exchange_test's case without a configuration checks the same refusal after the wait, and that nothing is answered before; three cases are new.

--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -26,6 +26,9 @@
 /// about to end and callers find another instance at once.
 constexpr auto retry_after_no_target = core::duration( 400ms );
 constexpr auto retry_after_no_configuration = core::duration( 300ms );
+/// How long a request waits for the first configuration of its instance: the
+/// store answers within 25 ms of a start, and within 200 ms where it is slow.
+constexpr auto longest_wait_for_configuration = core::duration( 400ms );
 constexpr auto retry_after_stop = core::duration( 0ms );
 /// Chance of a long prompt that waits to choose an engine in one round of 15
 /// ms: with the four or so that wait in a wave, about one of them does.
@@ -131,8 +134,30 @@
 auto exchange::start() -> void
 {
     if ( !configuration_ )
-        return refuse( status_unavailable, "no_configuration",
-                       retry_after_no_configuration );
+        return wait_for_configuration();
+    admit();
+    if ( !finished_ && !try_start() )
+        wait_for_room();
+}
+
+/// A fresh instance is connected to before it has read the configuration. A
+/// refusal then would cost the caller one of its few tries.
+auto exchange::wait_for_configuration() -> void
+{
+    shared_.room.add( shared_from_this() );
+    patience_call_ = shared_.scheduler.call_after(
+        longest_wait_for_configuration,
+        [this]
+        {
+            auto const keep = shared_from_this();
+            refuse( status_unavailable, "no_configuration",
+                    retry_after_no_configuration );
+        } );
+}
+
+/// Finds what the configuration says of the request, or refuses it.
+auto exchange::admit() -> void
+{
     if ( !find_route() )
         return;
     pick_service();
@@ -157,12 +182,26 @@
     is_wide_ = service_->engine && is_wide_prompt( *service_->engine, demand_ );
     last_event_ = request_.last_event;
     shared_.retries.note_request( demand_.service, now );
-    if ( !try_start() )
-        wait_for_room();
+}
+
+/// True once the configuration is there and the request does not wait any more.
+auto exchange::try_admit() -> bool
+{
+    configuration_ = shared_.configuration;
+    if ( !configuration_ )
+        return false;
+    patience_call_.reset();
+    admit();
+    if ( finished_ || try_start() )
+        return true;
+    begin_waiting();
+    return false;
 }
 
 auto exchange::order() const -> double
 {
+    if ( route_ == nullptr )
+        return 0;
     auto const seconds = core::seconds_of( due().time_since_epoch() );
     auto const is_late = shared_.scheduler.now() > due();
     return seconds + ( is_late ? late_penalty : 0 ) + priority_ * priority_step;
@@ -187,6 +226,8 @@
 {
     if ( finished_ )
         return true;
+    if ( !configuration_ )
+        return try_admit();
     auto const now = shared_.scheduler.now();
     if ( now < not_before_ )
         return false;
@@ -234,13 +275,18 @@
 }
 
 auto exchange::wait_for_room() -> void
+{
+    shared_.room.add( shared_from_this() );
+    begin_waiting();
+}
+
+auto exchange::begin_waiting() -> void
 {
     if ( !std::exchange( waiting_, true ) && is_wide_ )
     {
         shared_.board.wide().enter( due() );
         shared_.announcer.waiting_changed();
     }
-    shared_.room.add( shared_from_this() );
     auto const until = std::min( deadline_, patience_until_ ) - refusal_margin;
     patience_call_ =
         shared_.scheduler.call_after( until - shared_.scheduler.now(),
--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -67,6 +67,9 @@
         core::instant heard_at;
     };
 
+    auto wait_for_configuration() -> void;
+    auto try_admit() -> bool;
+    auto admit() -> void;
     auto find_route() -> bool;
     auto pick_service() -> void;
     auto set_times() -> void;
@@ -80,6 +83,7 @@
         -> bool;
     auto is_own_turn( core::instant now ) -> bool;
     auto wait_for_room() -> void;
+    auto begin_waiting() -> void;
     auto stop_waiting() -> void;
     [[nodiscard]] auto due() const -> core::instant;
     auto on_no_memory( placement_choice const& choice, core::error const& why )
--- a/src/pollenstream/peers/peer_group.cpp
+++ b/src/pollenstream/peers/peer_group.cpp
@@ -255,13 +255,25 @@
                      beat_per_peer * static_cast<int>( peers_.size() ) );
 }
 
-auto peer_group::beat() -> void
+auto peer_group::complete_message() -> peer_message
 {
     auto message = base_message();
     message.complete = true;
     message.work = board_.works_of( self_.id );
     message.known_ips = some_ips();
-    send_to_all( message );
+    return message;
+}
+
+/// An instance that has just started knows of no open work: it would choose
+/// busy engines until the next beat, a quarter of a second later.
+auto peer_group::send_complete_to( std::string const& ip ) -> void
+{
+    sender_.send( ip, encode( complete_message() ) );
+}
+
+auto peer_group::beat() -> void
+{
+    send_to_all( complete_message() );
     check_silent();
     beat_call_ = scheduler_.call_after( beat_period(),
                                         [this]
@@ -344,7 +356,8 @@
     auto& p = at->second;
     if ( !is_new && message.incarnation < p.incarnation )
         return false;
-    if ( !is_new && message.incarnation > p.incarnation )
+    auto const restarted = !is_new && message.incarnation > p.incarnation;
+    if ( restarted )
         board_.end_all_work( message.sender, now );
     auto const was_alive = p.alive;
     auto const was_leaving = p.leaving;
@@ -379,6 +392,8 @@
     }
     if ( is_new && on_size_changed )
         on_size_changed();
+    if ( is_new || restarted )
+        send_complete_to( p.ip );
     return true;
 }
 
--- a/src/pollenstream/peers/peer_group.hpp
+++ b/src/pollenstream/peers/peer_group.hpp
@@ -118,6 +118,8 @@
     auto send_to_all( peer_message const& message ) -> void;
     auto arm_flush() -> void;
     auto flush() -> void;
+    auto complete_message() -> peer_message;
+    auto send_complete_to( std::string const& ip ) -> void;
     auto beat() -> void;
     auto beat_period() const -> core::duration;
     auto check_silent() -> void;
--- a/tests/exchange/exchange_test.cpp
+++ b/tests/exchange/exchange_test.cpp
@@ -55,10 +55,52 @@
     auto f = exchange_fixture{};
     f.context.configuration = nullptr;
     f.start( f.request( "/nowhere/" ) );
+    // It may come within a moment; a refusal would cost the caller a try.
+    f.scheduler.run( 390ms );
+    CHECK_FALSE( f.answer->ended );
+    f.scheduler.run( 20ms );
     CHECK( f.answer->whole.status == 503 );
     CHECK_FALSE( f.answer->header( "Retry-After" ).empty() );
 }
 
+TEST_CASE( "a request waits for the first configuration of its instance",
+           "[exchange][configuration]" )
+{
+    auto f = exchange_fixture{};
+    f.context.configuration = nullptr;
+    SECTION( "and is served by it" )
+    {
+        auto const open = f.start( f.request( "/chat/x" ) );
+        f.scheduler.run( 25ms );
+        CHECK( f.targets.all.empty() );
+        f.context.configuration = sample_configuration( 1 );
+        f.room.poke();
+        f.scheduler.run( 5ms );
+        REQUIRE( f.targets.all.size() == 1 );
+        // It is not refused for want of a configuration later.
+        f.scheduler.run( 500ms );
+        CHECK( f.answer->whole.status == 0 );
+        open->on_caller_gone();
+    }
+    SECTION( "and is refused by it" )
+    {
+        f.start( f.request( "/nowhere/" ) );
+        f.context.configuration = sample_configuration( 1 );
+        f.room.poke();
+        f.scheduler.run( 5ms );
+        CHECK( f.answer->whole.status == 404 );
+    }
+    SECTION( "unless its caller leaves" )
+    {
+        f.start( f.request( "/chat/x" ) )->on_caller_gone();
+        f.context.configuration = sample_configuration( 1 );
+        f.room.poke();
+        f.scheduler.run( 500ms );
+        CHECK( f.targets.all.empty() );
+        CHECK_FALSE( f.answer->ended );
+    }
+}
+
 TEST_CASE( "no route is 404", "[exchange][configuration]" )
 {
     auto f = exchange_fixture{};
--- a/tests/peers/peer_group_test.cpp
+++ b/tests/peers/peer_group_test.cpp
@@ -355,3 +355,22 @@
            ports::store_revision( 0 ) );
     CHECK( peers::decode_update( "garbage" ).has_error() );
 }
+
+TEST_CASE( "an instance that has just started hears of all open work at once",
+           "[peers]" )
+{
+    auto fleet = small_fleet( 3 );
+    auto& first = *fleet.all[0];
+    auto const work = some_work( 1 );
+    first.board.add_work( core::instance_id( "n1" ), work,
+                          fleet.scheduler.now() );
+    first.group.work_began( work );
+    fleet.scheduler.run( 20ms );
+    // A new process in place of the third, before anybody's next beat.
+    auto fresh =
+        instance( fleet.network, fleet.scheduler, 3, { "10.0.0.1" }, 2 );
+    CHECK( fresh.load() == 0 );
+    fresh.group.start();
+    fleet.scheduler.run( 5ms );
+    CHECK( fresh.load() == 1 );
+}
