Wide prompts book busy engines, and are refused at once where they are too late

A prompt was placed only where enough engines were free at one moment. In a wave these read 6 of 14 seconds while 9 to 12 a second arrived: digests wrote at five engines and kept larger parts away, and dossiers took many small parts.

Change: (1) a wide prompt without room after 200 ms gets engines that are still busy, in time with up to 0.7 of them where two seconds of reading leave room, late with up to 0.3 while nobody waits who can be in time; it stands on the board at once and is sent when the engines are free, since an engine reads what came last first. A lost or restarted engine ends the booking. (2) One that cannot be in time any more is refused at once while others wait that can, and one that would be late with what is free yields to these. (3) A division into more parts has to end 15 to 135 ms sooner, the more engines are busy. (4) One engine in fifteen writes long answers.

--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -43,6 +43,17 @@
 /// earns less than one that can still be in time.
 constexpr auto late_penalty = 1'000.0;
 constexpr auto priority_step = 100'000.0;
+/// A wide prompt that has waited this long may book busy engines; before, free
+/// ones may turn up, which serve it sooner and keep nobody waiting.
+constexpr auto booking_after = core::duration( 200ms );
+/// Waits shorter than this are no booking: a pass of writing takes longer.
+constexpr auto least_booking_ms = 15.0;
+/// How much later than expected booked engines are waited for: three passes.
+/// What still reads there then has met some trouble.
+constexpr auto booking_grace = core::duration( 150ms );
+/// Retry-After of a wide prompt in times of the shortest reading that it could
+/// have: the engines are then through with what would have been before it.
+constexpr auto return_per_reading = 2;
 constexpr auto status_unauthorized = 401;
 constexpr auto status_not_found = 404;
 
@@ -231,19 +242,28 @@
     auto const now = shared_.scheduler.now();
     if ( now < not_before_ )
         return false;
+    if ( booking_ )
+        return keep_booking( now );
     demand_.waited = now - request_.received;
     demand_.time_left = deadline_ - now;
     demand_.patience_left = patience_until_ - now;
     demand_.is_alone = shared_.board.wide().others() == 0;
-    demand_.others_in_time =
-        shared_.board.wide().others_in_time( due(), now );
+    demand_.others_in_time = shared_.board.wide().others_in_time( due(), now );
+    demand_.may_book = is_wide_ && demand_.waited > booking_after;
     demand_.draw =
         std::uniform_real_distribution<double>( 0, 1 )( shared_.random );
     if ( !is_own_turn( now ) )
         return false;
     auto result = shared_.chooser.choose( demand_, *service_, now );
+    if ( result.choice && yields( *result.choice ) )
+        result = nothing( no_choice::full );
     if ( result.choice )
     {
+        if ( result.choice->starts_in_ms > least_booking_ms )
+        {
+            hold_booking( std::move( *result.choice ) );
+            return false;
+        }
         stop_waiting();
         begin( std::move( *result.choice ) );
         return true;
@@ -253,6 +273,12 @@
         refuse( status_unavailable, "too_large", std::nullopt );
         return true;
     }
+    if ( is_hopeless() )
+    {
+        auto const keep = shared_from_this();
+        refuse( status_unavailable, "no_room_in_time", predicted_room() );
+        return true;
+    }
     if ( result.reason == no_choice::no_targets &&
          route_->kind != request_kind::stream )
     {
@@ -262,6 +288,27 @@
     return false;
 }
 
+/// True for a wide prompt that cannot be in time any more while others wait
+/// that can: it would be kept waiting until its caller leaves. Told at once,
+/// the caller comes back while there is time. One that may have run is not
+/// refused.
+auto exchange::is_hopeless() const -> bool
+{
+    return is_wide_ && !may_have_run_ && demand_.others_in_time &&
+           shared_.chooser.is_too_late( demand_, *service_ );
+}
+
+/// True where a wide prompt would be late with `choice` while others wait that
+/// can be in time: in a wave engines that serve the oldest first serve all of
+/// them late.
+auto exchange::yields( placement_choice const& choice ) const -> bool
+{
+    auto const first =
+        demand_.waited + core::duration_of( choice.first_event_ms / 1'000 );
+    return is_wide_ && !may_have_run_ && demand_.others_in_time &&
+           first > demand_.latency_objective;
+}
+
 auto exchange::due() const -> core::instant
 {
     return request_.received + route_->latency_objective;
@@ -270,7 +317,21 @@
 auto exchange::stop_waiting() -> void
 {
     patience_call_.reset();
-    if ( !std::exchange( waiting_, false ) || !is_wide_ )
+    if ( std::exchange( waiting_, false ) )
+        leave_wide_queue();
+}
+
+auto exchange::enter_wide_queue() -> void
+{
+    if ( !is_wide_ || std::exchange( in_wide_queue_, true ) )
+        return;
+    shared_.board.wide().enter( due() );
+    shared_.announcer.waiting_changed();
+}
+
+auto exchange::leave_wide_queue() -> void
+{
+    if ( !std::exchange( in_wide_queue_, false ) )
         return;
     shared_.board.wide().leave( due() );
     shared_.announcer.waiting_changed();
@@ -284,11 +345,9 @@
 
 auto exchange::begin_waiting() -> void
 {
-    if ( !std::exchange( waiting_, true ) && is_wide_ )
-    {
-        shared_.board.wide().enter( due() );
-        shared_.announcer.waiting_changed();
-    }
+    waiting_ = true;
+    if ( !booking_ )
+        enter_wide_queue();
     auto const until = std::min( deadline_, patience_until_ ) - refusal_margin;
     patience_call_ =
         shared_.scheduler.call_after( until - shared_.scheduler.now(),
@@ -298,6 +357,55 @@
                                       } );
 }
 
+/// Keeps the targets, which read for others now. An engine reads what came
+/// last first: sent at once, the parts would hold up those that read now.
+auto exchange::hold_booking( placement_choice choice ) -> void
+{
+    auto made = booking{};
+    made.start = shared_.scheduler.now() +
+                 core::duration_of( choice.starts_in_ms / 1'000 );
+    made.serial = add_work( choice );
+    made.choice = std::move( choice );
+    booking_ = std::move( made );
+    leave_wide_queue();
+}
+
+/// True where the request has been sent.
+auto exchange::keep_booking( core::instant now ) -> bool
+{
+    auto const usable = is_current( booking_->choice ) &&
+                        std::all_of( booking_->choice.targets.begin(),
+                                     booking_->choice.targets.end(),
+                                     [now]( auto const& t )
+                                     {
+                                         return t->may_get_work( now );
+                                     } );
+    if ( !usable )
+    {
+        drop_booking();
+        return try_start();
+    }
+    if ( !shared_.board.reads_first( shared_.self, booking_->serial ) &&
+         now < booking_->start + booking_grace )
+        return false;
+    stop_waiting();
+    begin( booking_->choice );
+    return true;
+}
+
+auto exchange::drop_booking() -> void
+{
+    if ( !booking_ )
+        return;
+    shared_.board.end_work( shared_.self, booking_->serial,
+                            shared_.scheduler.now() );
+    shared_.announcer.work_ended( booking_->serial );
+    booking_.reset();
+    if ( waiting_ && is_wide_ )
+        enter_wide_queue();
+    shared_.room.poke();
+}
+
 auto exchange::begin( placement_choice choice ) -> void
 {
     if ( !choice.needs_reservation )
@@ -350,6 +458,7 @@
                         "reservation: " + why.detail, false, "wait" } );
     auto const spread = std::uniform_int_distribution<std::int64_t>(
         0, reservation_pause.count() )( shared_.random );
+    drop_booking();
     not_before_ =
         shared_.scheduler.now() + reservation_pause + core::duration( spread );
     wait_for_room();
@@ -389,7 +498,11 @@
                             static_cast<std::int64_t>( shared_.room.size() ) );
     auto const spread = std::uniform_int_distribution<std::int64_t>(
         0, core::duration( 300ms ).count() )( shared_.random );
-    return queue + core::duration( spread );
+    auto const reading =
+        is_wide_ ? shared_.chooser.shortest_reading( demand_, *service_ ) *
+                       return_per_reading
+                 : core::duration( 0 );
+    return std::max( queue, reading ) + core::duration( spread );
 }
 
 auto exchange::on_caller_gone() -> void
@@ -454,6 +567,7 @@
     finished_ = true;
     deadline_call_.reset();
     stop_waiting();
+    drop_booking();
     watch_call_.reset();
     shared_.room.remove( this );
     shared_.open.erase( this );
--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -47,6 +47,11 @@
         return is_long_;
     }
 
+    [[nodiscard]] auto has_booking() const -> bool override
+    {
+        return booking_.has_value();
+    }
+
 private:
     class attempt;
     friend class attempt;
@@ -67,6 +72,14 @@
         core::instant heard_at;
     };
 
+    /// Targets that are kept for this request until they are free to read.
+    struct booking
+    {
+        std::uint64_t serial{ 0 }; ///< of the work on the board
+        placement_choice choice;
+        core::instant start; ///< expected
+    };
+
     auto wait_for_configuration() -> void;
     auto try_admit() -> bool;
     auto admit() -> void;
@@ -74,6 +87,10 @@
     auto pick_service() -> void;
     auto set_times() -> void;
     auto begin( placement_choice choice ) -> void;
+    auto hold_booking( placement_choice choice ) -> void;
+    auto keep_booking( core::instant now ) -> bool;
+    auto drop_booking() -> void;
+    auto add_work( placement_choice const& choice ) -> std::uint64_t;
     auto send( placement_choice const& choice,
                std::shared_ptr<reservation_group> memory ) -> void;
     auto directions( placement_choice const& choice,
@@ -82,9 +99,13 @@
     [[nodiscard]] auto is_current( placement_choice const& choice ) const
         -> bool;
     auto is_own_turn( core::instant now ) -> bool;
+    auto enter_wide_queue() -> void;
+    auto leave_wide_queue() -> void;
     auto wait_for_room() -> void;
     auto begin_waiting() -> void;
     auto stop_waiting() -> void;
+    [[nodiscard]] auto is_hopeless() const -> bool;
+    [[nodiscard]] auto yields( placement_choice const& choice ) const -> bool;
     [[nodiscard]] auto due() const -> core::instant;
     auto on_no_memory( placement_choice const& choice, core::error const& why )
         -> void;
@@ -141,11 +162,13 @@
     std::unique_ptr<ports::scheduled_call> patience_call_;
     std::unique_ptr<ports::scheduled_call> watch_call_;
 
+    std::optional<booking> booking_;
     std::optional<open_try> current_;
     event_splitter splitter_;
     std::int64_t targets_reached_{ 0 };
     std::int64_t connects_failed_{ 0 };
     bool waiting_{ false };
+    bool in_wide_queue_{ false };
     bool may_have_run_{ false }; ///< a target may have begun on it
     bool streaming_{ false };    ///< the head of a stream has been passed on
     std::optional<std::int64_t> last_event_;
--- a/src/pollenstream/exchange/exchange_attempts.cpp
+++ b/src/pollenstream/exchange/exchange_attempts.cpp
@@ -96,6 +96,20 @@
     return told;
 }
 
+/// Counts the work on the board and tells the other instances of it.
+auto exchange::add_work( placement_choice const& choice ) -> std::uint64_t
+{
+    auto work = open_work{};
+    work.serial = ++shared_.last_serial;
+    work.parts = choice.parts;
+    work.context_tokens = demand_.prompt_tokens;
+    work.tolerated_gap_ms = core::milliseconds_of( demand_.gap_objective );
+    work.reading = route_->kind == request_kind::stream;
+    shared_.board.add_work( shared_.self, work, shared_.scheduler.now() );
+    shared_.announcer.work_began( work );
+    return work.serial;
+}
+
 auto exchange::send( placement_choice const& choice,
                      std::shared_ptr<reservation_group> memory ) -> void
 {
@@ -108,23 +122,17 @@
     core::check_invariant( core::invariant::at_most_once,
                            route_->is_idempotent() || !may_have_run_,
                            "attempt " + request_.id.str() + " sent again" );
-    auto work = open_work{};
-    work.serial = ++shared_.last_serial;
-    work.parts = choice.parts;
-    work.context_tokens = demand_.prompt_tokens;
-    work.tolerated_gap_ms = core::milliseconds_of( demand_.gap_objective );
-    work.reading = route_->kind == request_kind::stream;
+    auto const serial = booking_ ? booking_->serial : add_work( choice );
+    booking_.reset();
     shared_.log.record( request_placed{
         request_.id, route_->id.str(), first.facts.id, choice.parts,
         targets_reached_, now - request_.received, deadline_ - now,
         choice.first_event_ms, demand_.prompt_tokens, first.load.requests,
         first.backlog_ms( now ), configuration_->version } );
-    shared_.board.add_work( shared_.self, work, now );
-    shared_.announcer.work_began( work );
 
     current_ = open_try{};
     auto& opened = *current_;
-    opened.serial = work.serial;
+    opened.serial = serial;
     opened.target = first.ref();
     opened.address = first.facts.address;
     opened.memory = std::move( memory );
@@ -141,7 +149,6 @@
     out.text = std::make_shared<std::string const>( shared_.speller.spell(
         request_, directions( choice, opened.memory ) ) );
     splitter_.reset();
-    auto const serial = work.serial;
     auto call = shared_.targets.send(
         std::move( out ),
         std::make_shared<attempt>( shared_from_this(), serial ) );
--- a/src/pollenstream/exchange/placement_long.cpp
+++ b/src/pollenstream/exchange/placement_long.cpp
@@ -16,28 +16,53 @@
 /// Prompts that make this many parts or more take turns: those below mostly go
 /// to one engine.
 constexpr auto wide_parts = 3.0;
-/// The platform's engines take so many helpers at most beside the first.
-constexpr auto most_helpers = std::size_t{ 16 };
 /// Longest part of a long prompt, in parts of its own pause objective: who
 /// joins the engine meanwhile as a rule comes from such a route.
 constexpr auto part_of_own_gap = 0.55;
 /// Longest part of a prompt that is larger than one engine, in parts of its
 /// latency objective.
 constexpr auto part_of_objective = 0.8;
-/// The writer of a long answer is drawn among this many, if these harm equally
-/// little: dossiers that arrive together else go to one engine.
-constexpr auto equal_writers = std::size_t{ 3 };
+/// The writer of a long answer is drawn among one of so many engines, if these
+/// harm equally little: the more engines, the more prompts arrive before their
+/// instances know of each other. Spread over three of 14, answers that tolerate
+/// 600 ms kept five engines from reading larger parts.
+constexpr auto engines_per_writer = std::size_t{ 15 };
+/// How much sooner in ms a division into one more part has to end: each part
+/// costs its engine a pass. Where all engines are busy a prompt in many parts
+/// keeps others from starting, and finds engines that are free at one moment
+/// the more rarely.
+constexpr auto idle_part_cost_ms = 15.0;
+constexpr auto busy_part_cost_ms = 135.0;
+/// Answers that an engine writes from which it counts as busy.
+constexpr auto busy_requests = std::int64_t{ 5 };
+
+auto part_cost( std::vector<std::shared_ptr<board_target>> const& targets,
+                core::instant now ) -> double
+{
+    auto const busy =
+        std::count_if( targets.begin(), targets.end(),
+                       [now]( auto const& t )
+                       {
+                           return t->backlog_ms( now ) > 0 ||
+                                  t->load.requests >= busy_requests;
+                       } );
+    return idle_part_cost_ms + ( busy_part_cost_ms - idle_part_cost_ms ) *
+                                   static_cast<double>( busy ) /
+                                   static_cast<double>( targets.size() );
+}
 
 /// What placing a prompt of `total_ms` of reading in at most `most_parts` of
-/// `engines` engines may cost others.
+/// the engines may cost others.
 auto limit_for( placement_demand const& demand,
-                std::size_t engines,
+                std::vector<std::shared_ptr<board_target>> const& targets,
                 std::size_t most_parts,
-                double total_ms ) -> harm_limit
+                double total_ms,
+                core::instant now ) -> harm_limit
 {
-    auto limit = harm_allowed( demand, engines );
+    auto limit = harm_allowed( demand, targets.size() );
     limit.most_parts = static_cast<double>( most_parts );
     limit.alone_ms = demand.is_alone ? total_ms : 0.0;
+    limit.part_cost_ms = part_cost( targets, now );
     return limit;
 }
 
@@ -75,7 +100,7 @@
     auto const memory =
         memory_need( demand.prompt_tokens, demand.output_tokens );
     auto const most_parts = std::min( targets.size(), most_helpers + 1 );
-    auto const limit = limit_for( demand, targets.size(), most_parts, total );
+    auto const limit = limit_for( demand, targets, most_parts, total, now );
     // The longer a request waits, the fewer engines it makes do with.
     auto const most_part = ms_of( demand.gap_objective ) * part_of_own_gap *
                            ( 1 + core::seconds_of( demand.waited ) );
@@ -104,7 +129,7 @@
             break;
     }
     if ( !best )
-        return nothing( no_choice::full );
+        return book( demand, speed, targets, now );
     auto choice = make_choice( speed, *best );
     choice.parts.front().memory_tokens = memory;
     return { std::move( choice ), no_choice::full };
@@ -123,18 +148,19 @@
     auto fitting = std::vector<long_reader>{};
     for ( auto const& t : targets )
     {
-        auto const backlog = t->backlog_ms( now );
         if ( !has_slot( speed, *t ) || free_memory( speed, *t ) < memory ||
-             backlog > deepest_backlog_ms )
+             t->backlog_ms( now ) > deepest_backlog_ms )
             continue;
         fitting.push_back( reader_of( speed, t, part_ms, now ) );
     }
     if ( fitting.empty() )
         return std::nullopt;
     std::stable_sort( fitting.begin(), fitting.end(), writes_better );
+    auto const most = std::min(
+        fitting.size(),
+        std::max( std::size_t{ 1 }, targets.size() / engines_per_writer ) );
     auto equal = std::size_t{ 1 };
-    while ( equal < std::min( fitting.size(), equal_writers ) &&
-            fitting[equal].harm == fitting[0].harm &&
+    while ( equal < most && fitting[equal].harm == fitting[0].harm &&
             fitting[equal].tight == fitting[0].tight )
         ++equal;
     auto const drawn =
@@ -156,7 +182,7 @@
                              std::min( service_targets, most_helpers ) ) )
         return nothing( no_choice::too_large );
     auto const most_parts = std::min( targets.size(), most_helpers );
-    auto const limit = limit_for( demand, targets.size(), most_parts, total );
+    auto const limit = limit_for( demand, targets, most_parts, total, now );
     auto const most_part =
         std::max( ms_of( demand.latency_objective ) * part_of_objective,
                   total / static_cast<double>( most_parts ) );
@@ -166,8 +192,8 @@
         auto const part_ms = total / static_cast<double>( parts );
         if ( part_ms > most_part )
             continue;
-        auto const each = memory / static_cast<std::int64_t>( parts ) + 1;
-        auto readers = readers_of( speed, targets, part_ms, each, now );
+        auto readers = readers_of( speed, targets, part_ms,
+                                   part_memory( memory, parts ), now );
         if ( readers.size() < parts )
             continue;
         readers.resize( parts );
@@ -178,12 +204,11 @@
             break;
     }
     if ( !best )
-        return nothing( no_choice::full );
+        return book( demand, speed, targets, now );
     auto choice = make_choice( speed, *best );
     choice.needs_reservation = true;
     for ( auto& part : choice.parts )
-        part.memory_tokens =
-            memory / static_cast<std::int64_t>( choice.parts.size() ) + 1;
+        part.memory_tokens = part_memory( memory, choice.parts.size() );
     return { std::move( choice ), no_choice::full };
 }
 
--- a/src/pollenstream/exchange/prompt_division.cpp
+++ b/src/pollenstream/exchange/prompt_division.cpp
@@ -48,9 +48,9 @@
 /// for this long without a break gets no further part, or under a wave of
 /// audits the earliest part there would never end.
 constexpr auto longest_joining = core::duration( 250'000 );
-/// A division into more parts has to end this much sooner: each part costs
-/// its engine a pass.
-constexpr auto least_gain_ms = 15.0;
+/// Reading that waits at the writer of a long answer before another one is
+/// taken: a third of the shortest objective of a long route, 1.5 s.
+constexpr auto longest_queue_ms = 500.0;
 /// Part of its weight that a prompt which is about to be late may make late of
 /// others: the three quarters that it would lose, for the six of ten that are
 /// then in time indeed.
@@ -138,6 +138,10 @@
         return a.harm < b.harm;
     if ( a.tight != b.tight )
         return a.tight < b.tight;
+    auto const a_waits = a.backlog_ms > longest_queue_ms;
+    auto const b_waits = b.backlog_ms > longest_queue_ms;
+    if ( a_waits != b_waits )
+        return b_waits;
     return a.target->load.requests > b.target->load.requests;
 }
 
@@ -186,7 +190,7 @@
     auto const more_parts =
         best ? static_cast<double>( readers.size() - best->readers.size() )
              : 0.0;
-    if ( !best || finish + least_gain_ms * more_parts < best->finish_ms )
+    if ( !best || finish + limit.part_cost_ms * more_parts < best->finish_ms )
         best = division{ std::move( readers ), part_ms, finish };
 }
 
--- a/src/pollenstream/exchange/prompt_division.hpp
+++ b/src/pollenstream/exchange/prompt_division.hpp
@@ -16,6 +16,16 @@
 /// prompts' objectives are seconds; nobody else is held up there.
 inline constexpr auto deepest_backlog_ms = 1'500.0;
 
+/// The platform's engines take so many helpers at most beside the first.
+inline constexpr auto most_helpers = std::size_t{ 16 };
+
+/// Memory in tokens that each of `parts` engines holds of a prompt.
+constexpr auto part_memory( std::int64_t memory, std::size_t parts )
+    -> std::int64_t
+{
+    return memory / static_cast<std::int64_t>( parts ) + 1;
+}
+
 /// An engine that may read a part of a long prompt.
 struct long_reader
 {
@@ -44,6 +54,8 @@
     /// Reading time of the whole prompt; zero while others wait.
     double alone_ms{ 0 };
     bool is_late{ false }; ///< it is past its objective
+    /// A division into more parts has to end this much sooner for each.
+    double part_cost_ms{ 0 };
 };
 
 /// The reader that `t` would be for a part of `part_ms`, with what that does to
@@ -63,8 +75,9 @@
                  std::int64_t memory,
                  core::instant now ) -> std::vector<long_reader>;
 
-/// Least harm, then away from those who tolerate least, then where most is
-/// written already, so that other engines stay free to read.
+/// Least harm, then away from those who tolerate least, then where little is
+/// read, then where most is written already, so that other engines stay free
+/// to read.
 auto writes_better( long_reader const& a, long_reader const& b ) -> bool;
 
 /// Nothing while the request can wait, and nothing once it is late itself, but
--- a/src/pollenstream/exchange/target_board.cpp
+++ b/src/pollenstream/exchange/target_board.cpp
@@ -29,6 +29,8 @@
 /// Arrivals count for the rate for about this long: short against the waves of
 /// the users' days (ten seconds), long against the pauses between requests.
 constexpr auto rate_seconds = 1.0;
+/// The same for reading: a long prompt takes some seconds.
+constexpr auto reading_seconds = 2.0;
 
 auto ms_of( double ms ) -> core::duration
 {
@@ -169,11 +171,30 @@
     return found->second.per_second * std::exp( -age / rate_seconds );
 }
 
-auto target_board::note_arrival( core::service_id const& id, core::instant now )
-    -> void
+auto target_board::reading_share( core::service_id const& id,
+                                  core::instant now ) const -> double
 {
-    auto const before = arrivals_per_second( id, now );
-    arrivals_[id] = { before + 1 / rate_seconds, now };
+    auto const found = arrivals_.find( id );
+    auto const targets = static_cast<double>( of_service( id ).size() );
+    if ( found == arrivals_.end() || targets == 0 )
+        return 0;
+    auto const age = core::seconds_of( now - found->second.at );
+    return found->second.reading_ms * std::exp( -age / reading_seconds ) /
+           ( reading_seconds * 1'000 * targets );
+}
+
+auto target_board::note_arrival( core::service_id const& id,
+                                 open_work const& work,
+                                 core::instant now ) -> void
+{
+    auto& rate = arrivals_[id];
+    auto const age = core::seconds_of( now - rate.at );
+    rate.per_second =
+        rate.per_second * std::exp( -age / rate_seconds ) + 1 / rate_seconds;
+    rate.reading_ms *= std::exp( -age / reading_seconds );
+    for ( auto const& part : work.parts )
+        rate.reading_ms += part.read_ms;
+    rate.at = now;
 }
 
 auto target_board::count_reading( known_work& known, core::instant now ) -> void
@@ -185,6 +206,7 @@
             continue;
         auto& load = known.at[i]->load;
         ++load.parts_reading;
+        load.reading_order.push_back( known.order );
         load.own_parts_reading += i == 0 ? 1 : 0;
         if ( load.read_until <= now )
             load.reads_since = now;
@@ -204,6 +226,7 @@
             continue;
         auto& load = known.at[i]->load;
         --load.parts_reading;
+        std::erase( load.reading_order, known.order );
         load.own_parts_reading -= i == 0 ? 1 : 0;
         if ( load.parts_reading <= 0 )
             load.read_until = std::min( load.read_until, now );
@@ -233,8 +256,8 @@
                              open_work const& work,
                              core::instant now ) -> void
 {
-    auto const [at, is_new] =
-        works_[owner].try_emplace( work.serial, known_work{ work, {}, false } );
+    auto const [at, is_new] = works_[owner].try_emplace(
+        work.serial, known_work{ work, {}, false, 0 } );
     if ( !is_new )
     {
         if ( !work.reading )
@@ -242,6 +265,7 @@
         return;
     }
     auto& known = at->second;
+    known.order = ++last_order_;
     for ( auto const& part : known.work.parts )
         known.at.push_back( find_lifetime( { part.target, part.lifetime } ) );
     if ( known.work.reading )
@@ -251,7 +275,7 @@
     count_memory( known, 1 );
     if ( known.at.empty() || !known.at.front() )
         return;
-    note_arrival( known.at.front()->facts.service, now );
+    note_arrival( known.at.front()->facts.service, known.work, now );
     auto& load = known.at.front()->load;
     ++load.requests;
     auto& group = load.by_gap[known.work.tolerated_gap_ms];
@@ -303,6 +327,24 @@
     works.erase( found );
 }
 
+auto target_board::reads_first( core::instance_id const& owner,
+                                std::uint64_t serial ) const -> bool
+{
+    auto const works = works_.find( owner );
+    if ( works == works_.end() )
+        return true;
+    auto const found = works->second.find( serial );
+    if ( found == works->second.end() )
+        return true;
+    auto const& known = found->second;
+    return std::all_of( known.at.begin(), known.at.end(),
+                        [&known]( auto const& t )
+                        {
+                            return !t || t->load.reading_order.empty() ||
+                                   t->load.reading_order.front() >= known.order;
+                        } );
+}
+
 auto target_board::end_all_work( core::instance_id const& owner,
                                  core::instant now ) -> void
 {
--- a/src/pollenstream/exchange/target_board.hpp
+++ b/src/pollenstream/exchange/target_board.hpp
@@ -101,6 +101,8 @@
     std::int64_t own_parts_reading{ 0 };
     /// Requests answered here by the pause that they tolerate, in ms.
     std::map<std::int64_t, tolerant_group> by_gap;
+    /// Work that reads here, as it was counted: what was told first is first.
+    std::vector<std::uint64_t> reading_order;
     core::instant read_until;  ///< when all reading is expected to be done
     core::instant reads_since; ///< since when it has read without a break
 };
@@ -199,6 +201,11 @@
     [[nodiscard]] auto arrivals_per_second( core::service_id const& id,
                                             core::instant now ) const -> double;
 
+    /// Share of the time of a service's targets that all instances have lately
+    /// given to reading, over about two seconds; over 1 where it queues.
+    [[nodiscard]] auto reading_share( core::service_id const& id,
+                                      core::instant now ) const -> double;
+
     /// Counts `work` of the instance `owner`.
     auto add_work( core::instance_id const& owner,
                    open_work const& work,
@@ -210,6 +217,10 @@
     auto end_work( core::instance_id const& owner,
                    std::uint64_t serial,
                    core::instant now ) -> void;
+    /// True where no work that was told earlier still reads at the targets of
+    /// this one.
+    [[nodiscard]] auto reads_first( core::instance_id const& owner,
+                                    std::uint64_t serial ) const -> bool;
     /// Forgets all work of `owner`, which has ended, and what waits there.
     auto end_all_work( core::instance_id const& owner, core::instant now )
         -> void;
@@ -234,6 +245,7 @@
         open_work work;
         std::vector<std::shared_ptr<board_target>> at;
         bool reading_counted{ false };
+        std::uint64_t order{ 0 }; ///< rises with each work that is added
     };
     using work_map = std::unordered_map<std::uint64_t, known_work>;
 
@@ -242,9 +254,12 @@
     {
         double per_second{ 0 };
         core::instant at;
+        double reading_ms{ 0 }; ///< of these, losing weight more slowly
     };
 
-    auto note_arrival( core::service_id const& id, core::instant now ) -> void;
+    auto note_arrival( core::service_id const& id,
+                       open_work const& work,
+                       core::instant now ) -> void;
     auto count_reading( known_work& known, core::instant now ) -> void;
     auto uncount_reading( known_work& known, core::instant now ) -> void;
     static auto count_memory( known_work const& known, std::int64_t sign )
@@ -262,6 +277,7 @@
     std::unordered_map<core::instance_id, work_map> works_;
     std::unordered_map<core::service_id, arrival_rate> arrivals_;
     wide_queue wide_;
+    std::uint64_t last_order_{ 0 };
 };
 
 }
--- a/src/pollenstream/exchange/waiting_room.cpp
+++ b/src/pollenstream/exchange/waiting_room.cpp
@@ -72,6 +72,12 @@
     auto no_room = std::map<std::pair<core::service_id, bool>, std::int64_t>{};
     for ( auto const& who : round )
     {
+        if ( who->has_booking() )
+        {
+            if ( who->try_start() )
+                remove( who.get() );
+            continue;
+        }
         auto const kind = std::pair( who->service(), who->is_long() );
         auto const full = no_room.find( kind );
         if ( full != no_room.end() && who->size() >= full->second )
--- a/tests/exchange/placement_test.cpp
+++ b/tests/exchange/placement_test.cpp
@@ -407,3 +407,16 @@
         CHECK( at.size() <= 3 );
     }
 }
+
+TEST_CASE( "a prompt takes fewer engines where most of them are busy",
+           "[placement]" )
+{
+    auto floor = engine_floor{};
+    REQUIRE( floor.place( 100'000, 800ms ) );
+    auto const idle = floor.last.choice->targets.size();
+    auto busy = engine_floor{};
+    for ( auto i = 0; i < 10; ++i )
+        REQUIRE( busy.place( 45'000, 800ms ) );
+    REQUIRE( busy.place( 100'000, 800ms ) );
+    CHECK( busy.last.choice->targets.size() < idle );
+}
--- a/tests/support/exchange_fixture.hpp
+++ b/tests/support/exchange_fixture.hpp
@@ -197,14 +197,19 @@
                   done callback ) -> void override
     {
         reserved.push_back( { place, id, hold, std::move( callback ) } );
+        if ( answers_at_once )
+            reserved.back().callback( core::success() );
     }
     auto release( exchange::reservation_place const& place,
                   core::reservation_id const& id,
                   done callback ) -> void override
     {
         released.push_back( { place, id, {}, std::move( callback ) } );
+        if ( answers_at_once )
+            released.back().callback( core::success() );
     }
 
+    bool answers_at_once{ false }; ///< every order is done at once
     std::vector<order> reserved;
     std::vector<order> released;
 };
--- /dev/null
+++ b/tests/support/played_engines.hpp
@@ -0,0 +1,96 @@
+#ifndef TESTS_SUPPORT_PLAYED_ENGINES_HPP
+#define TESTS_SUPPORT_PLAYED_ENGINES_HPP
+
+#include "support/exchange_fixture.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace tests
+{
+
+/// Writes the size of a prompt and the addresses that read it, for
+/// `played_engines`.
+class sized_speller : public exchange::request_speller
+{
+public:
+    [[nodiscard]] auto
+    spell( exchange::caller_request const& request,
+           exchange::target_directions const& directions ) const
+        -> std::string override;
+};
+
+/// Engines in held time. Each reads one part after the other, first come first,
+/// at the users' speed; the first event comes when all parts are read, and 15
+/// more follow, 50 ms apart.
+class played_engines : public exchange::target_caller
+{
+public:
+    played_engines( held_scheduler& scheduler, exchange::engine_speed speed )
+        : scheduler_( scheduler ), speed_( speed )
+    {
+    }
+
+    auto send( exchange::outgoing_request request,
+               std::shared_ptr<exchange::attempt_listener> listener )
+        -> std::shared_ptr<exchange::open_attempt> override;
+
+    /// Sizes of the prompts that were sent, in order.
+    std::vector<std::int64_t> sent;
+
+private:
+    class answer;
+
+    held_scheduler& scheduler_;
+    exchange::engine_speed speed_;
+    std::map<std::string, core::instant> busy_until_;
+};
+
+/// What became of one caller's request, tries after refusals included.
+struct played_request
+{
+    std::int64_t tokens{ 0 };
+    core::instant came;
+    std::optional<core::duration> first; ///< to the first event
+    bool complete{ false };
+    int refusals{ 0 };
+    core::duration refused_after{ 0 }; ///< longest wait for a refusal
+};
+
+/// One instance before engines that are played, with callers that come back
+/// once after a refusal, as the users' callers do.
+class played_load
+{
+public:
+    played_load( int engines, exchange::engine_speed speed );
+    ~played_load();
+    played_load( played_load const& ) = delete;
+    auto operator=( played_load const& ) -> played_load& = delete;
+
+    /// A caller of `route` comes `after` from now.
+    auto call( core::duration after,
+               std::string const& route,
+               std::int64_t tokens ) -> std::shared_ptr<played_request>;
+    /// Time in which every request has had its last answer.
+    auto play( core::duration time ) -> void;
+
+    exchange_fixture fixture;
+    played_engines engines;
+
+private:
+    class caller_channel;
+
+    auto begin( std::shared_ptr<played_request> const& which,
+                std::string const& route,
+                core::duration time_limit ) -> void;
+
+    sized_speller speller_;
+    exchange::exchange_context context_;
+    std::vector<std::unique_ptr<ports::scheduled_call>> calls_;
+};
+
+}
+
+#endif
