pollenstream losses: what was lost, by cause and size, from many logs

Change: the tool reads logs as a stream in bounded memory and gives each late, refused or failed request one cause of a closed list, weighted by size; table or JSON. The last line of a request tells its objectives and its size. Lines that are none are counted and passed over; 5,000 spoiled ones are a test.

--- a/apps/tool/main.cpp
+++ b/apps/tool/main.cpp
@@ -1,6 +1,7 @@
 #include "commands.hpp"
 #include "exit_status.hpp"
 #include "explain.hpp"
+#include "losses.hpp"
 
 #include <cstdlib>
 #include <iostream>
@@ -22,6 +23,7 @@
   pollenstream call [options] SERVICE PATH
   pollenstream status [options]
   pollenstream explain ID [FILE...]
+  pollenstream losses [--json] [FILE...]
   pollenstream (-h | --help)
   pollenstream --version
 
@@ -62,6 +64,9 @@
         if ( given.at( "explain" ).asBool() )
             return apps::tool::run_explain( given.at( "ID" ).asString(),
                                             given.at( "FILE" ).asStringList() );
+        if ( given.at( "losses" ).asBool() )
+            return apps::tool::run_losses( given.at( "FILE" ).asStringList(),
+                                           given.at( "--json" ).asBool() );
         return apps::tool::run_command( given );
     }
     catch ( std::exception const& failure )
--- a/src/pollenstream/adapters/spdlog/structured_log.cpp
+++ b/src/pollenstream/adapters/spdlog/structured_log.cpp
@@ -148,7 +148,10 @@
         .milliseconds( "first_ms", e.first_event )
         .milliseconds( "gap_ms", e.longest_gap )
         .number( "events", e.events )
-        .number( "targets", e.targets );
+        .number( "targets", e.targets )
+        .number( "prompt", e.prompt_tokens )
+        .milliseconds( "objective_ms", e.latency_objective )
+        .milliseconds( "gap_objective_ms", e.gap_objective );
     return line;
 }
 
--- a/src/pollenstream/exchange/event_log.hpp
+++ b/src/pollenstream/exchange/event_log.hpp
@@ -82,6 +82,9 @@
     core::duration longest_gap{ 0 };
     std::int64_t events{ 0 };
     std::int64_t targets{ 0 };
+    std::int64_t prompt_tokens{ 0 };
+    core::duration latency_objective{ 0 }; ///< zero where no route is known
+    core::duration gap_objective{ 0 };
 };
 
 /// What the process believes of something has changed.
--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -412,7 +412,8 @@
         request_.id, route_ != nullptr ? route_->id.str() : "",
         std::move( outcome ), status, last_target_,
         shared_.scheduler.now() - request_.received, first_event_, longest_gap_,
-        events_, targets_reached_ } );
+        events_, targets_reached_, demand_.prompt_tokens,
+        demand_.latency_objective, demand_.gap_objective } );
 }
 
 }
--- /dev/null
+++ b/tests/observation/losses_test.cpp
@@ -0,0 +1,123 @@
+#include <catch2/catch.hpp>
+
+#include <losses.hpp>
+#include <random>
+#include <string>
+#include <vector>
+
+using apps::tool::loss_account;
+using apps::tool::loss_cause;
+
+namespace
+{
+
+auto placed( std::string const& id, int waited, int predicted ) -> std::string
+{
+    return "time=t event=placed id=" + id +
+           " prompt=100000 waited_ms=" + std::to_string( waited ) +
+           ".0 predicted_ms=" + std::to_string( predicted ) + ".0 asked_ms=3.0";
+}
+
+auto served( std::string const& id, int first, int gap ) -> std::string
+{
+    return "time=t event=ended id=" + id +
+           " outcome=served status=200 total_ms=9000.0 first_ms=" +
+           std::to_string( first ) + ".0 gap_ms=" + std::to_string( gap ) +
+           ".0 prompt=100000 objective_ms=3000.0 gap_objective_ms=800.0";
+}
+
+auto account_of( std::vector<std::string> const& lines ) -> loss_account
+{
+    auto account = loss_account{};
+    for ( auto const& line : lines )
+        account.take( line );
+    account.finish();
+    return account;
+}
+
+/// The only cause that the lines show.
+auto cause_in( std::vector<std::string> const& lines ) -> loss_cause
+{
+    auto const account = account_of( lines );
+    REQUIRE( account.lost().requests == 1 );
+    for ( auto i = 0; i < static_cast<int>( loss_cause::number_of_causes );
+          ++i )
+        if ( account.of( static_cast<loss_cause>( i ) ).requests == 1 )
+            return static_cast<loss_cause>( i );
+    return loss_cause::number_of_causes;
+}
+
+}
+
+TEST_CASE( "a request that is served in time is no loss", "[losses]" )
+{
+    auto const account =
+        account_of( { placed( "a", 3, 500 ), served( "a", 600, 100 ) } );
+    CHECK( account.requests() == 1 );
+    CHECK( account.lost().requests == 0 );
+    CHECK( account.explained_share() == 1 );
+}
+
+TEST_CASE( "a late request is put down to what made it late", "[losses]" )
+{
+    CHECK( cause_in( { placed( "a", 3, 500 ), served( "a", 3'200, 1 ) } ) ==
+           loss_cause::slower_than_told );
+    CHECK( cause_in( { placed( "a", 2'800, 500 ), served( "a", 3'300, 1 ) } ) ==
+           loss_cause::late_by_waiting );
+    CHECK( cause_in( { placed( "a", 3, 3'100 ), served( "a", 3'300, 1 ) } ) ==
+           loss_cause::late_as_predicted );
+    CHECK( cause_in( { placed( "a", 3, 500 ), served( "a", 600, 900 ) } ) ==
+           loss_cause::long_pause );
+    CHECK( cause_in( { placed( "a", 3, 500 ),
+                       "event=attempt_failed id=a error=silent",
+                       placed( "a", 2'900, 500 ), served( "a", 3'400, 1 ) } ) ==
+           loss_cause::target_silent );
+}
+
+TEST_CASE( "a request that is refused or failed has its cause", "[losses]" )
+{
+    auto const ended = std::string( "event=ended id=a outcome=x status=503 "
+                                    "total_ms=1.0 first_ms=0.0 gap_ms=0.0" );
+    CHECK( cause_in( { "event=refused id=a reason=no_room_in_time", ended } ) ==
+           loss_cause::no_room );
+    CHECK( cause_in( { "event=refused id=a reason=no_configuration",
+                       ended } ) == loss_cause::no_configuration );
+    CHECK( cause_in( { "event=attempt_failed id=a error=\"status 500\"",
+                       ended } ) == loss_cause::target_failed );
+    CHECK( cause_in( { ended } ) == loss_cause::unknown );
+    // Nobody ended it: its instance is gone.
+    CHECK( cause_in( { placed( "a", 3, 500 ) } ) == loss_cause::not_finished );
+}
+
+TEST_CASE( "what the caller or the configuration wanted is no loss",
+           "[losses]" )
+{
+    CHECK( account_of( { "event=ended id=a outcome=no_route status=404 "
+                         "total_ms=1.0 first_ms=0.0 gap_ms=0.0",
+                         "event=ended id=b outcome=caller_gone status=0 "
+                         "total_ms=1.0 first_ms=0.0 gap_ms=0.0" } )
+               .requests() == 0 );
+}
+
+TEST_CASE( "spoiled log lines are counted and add nothing", "[losses][input]" )
+{
+    auto random = std::minstd_rand( 7 );
+    auto const good = served( "a", 3'200, 1 );
+    auto account = loss_account{};
+    for ( auto i = 0; i < 5'000; ++i )
+    {
+        auto bytes = good;
+        auto const at = random() % bytes.size();
+        if ( i % 2 == 0 )
+            bytes.resize( at );
+        else
+            bytes[at] = static_cast<char>( random() );
+        account.take( bytes );
+    }
+    account.take( "" );
+    account.take( "time=t event=ended id=b outcome=served status=200" );
+    account.finish();
+    CHECK( account.unreadable() > 0 );
+    CHECK( account.requests() <= 5'000 );
+    CHECK( account.lost().requests <= account.requests() );
+}
