Who places prompts is told: state, status, metrics, explain; calls to the store by kind

Cause: on-call engineers could not see who placed a request's targets, how long the ask took, or which calls the store gets. Change: the state dump and status name the coordinators and the asks that wait; metrics count asks, decisions, own choices, datagrams, bytes and calls to the store by kind, and have a histogram of the time to a grant; explain names who chose the targets.

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -115,11 +115,11 @@
       metrics_handler_(
           [this]
           {
-              return log_.text() + node_metrics( context_, group_, registry_ );
+              return log_.text() + node_metrics( parts() );
           },
           [this]
           {
-              return describe_node( context_, group_, registry_ );
+              return describe_node( parts() );
           } )
 {
 }
@@ -147,6 +147,11 @@
         .random = std::minstd_rand( seed_of( settings_ ) ) };
 }
 
+auto gateway_node::parts() const -> node_parts
+{
+    return { context_, group_, registry_, coordinator_, router_, store_ };
+}
+
 auto gateway_node::make_registry_events() -> registry::registry_events
 {
     auto events = registry::registry_events{};
--- a/apps/gateway/gateway_node.hpp
+++ b/apps/gateway/gateway_node.hpp
@@ -9,6 +9,7 @@
 #include "../../platform/target_calls.hpp"
 #include "caller_handler.hpp"
 #include "metrics_handler.hpp"
+#include "node_state.hpp"
 #include "state_handler.hpp"
 #include <pollenstream/adapters/asio/asio_scheduler.hpp>
 #include <pollenstream/adapters/asio/caller_listener.hpp>
@@ -51,6 +52,7 @@
 private:
     auto make_context() -> exchange::exchange_context;
     auto make_registry_events() -> registry::registry_events;
+    auto parts() const -> node_parts;
     auto is_ready() const -> bool;
     auto update_ready() -> void;
     auto tick() -> void;
--- a/apps/gateway/node_state.cpp
+++ b/apps/gateway/node_state.cpp
@@ -47,6 +47,20 @@
     return list;
 }
 
+auto describe_placing( node_parts const& node ) -> json
+{
+    auto coordinators = json::array();
+    auto here = false;
+    for ( auto const& id : node.group.coordinators() )
+    {
+        coordinators.push_back( id.str() );
+        here = here || id == node.context.self;
+    }
+    return { { "coordinators", std::move( coordinators ) },
+             { "here", here },
+             { "asks_waiting", node.coordinator.waiting() } };
+}
+
 auto invariant_counts() -> json
 {
     auto counts = json::object();
@@ -65,10 +79,9 @@
 
 }
 
-auto describe_node( exchange::exchange_context const& context,
-                    peers::peer_group const& group,
-                    registry::registry_watch const& registry ) -> std::string
+auto describe_node( node_parts const& node ) -> std::string
 {
+    auto const& [context, group, registry, coordinator, router, store] = node;
     auto const version =
         context.configuration ? context.configuration->version.count() : 0;
     auto const state =
@@ -81,16 +94,16 @@
                 { { "serves", registry.store_serves() },
                   { "known_until", registry.known_until().count() },
                   { "reads", group.should_read_store() } } },
+              { "placing", describe_placing( node ) },
               { "targets", describe_targets( context ) },
               { "peers", describe_peers( group, context.scheduler.now() ) },
               { "invariants", invariant_counts() } };
     return state.dump( 2 ) + "\n";
 }
 
-auto node_metrics( exchange::exchange_context const& context,
-                   peers::peer_group const& group,
-                   registry::registry_watch const& registry ) -> std::string
+auto node_metrics( node_parts const& node ) -> std::string
 {
+    auto const& [context, group, registry, coordinator, router, store] = node;
     auto out = std::ostringstream{};
     auto const gauge = [&out]( char const* name, auto value )
     {
@@ -107,6 +120,39 @@
     for ( auto const& [id, t] : context.board.all() )
         usable += t->may_get_work( context.scheduler.now() ) ? 1 : 0;
     gauge( "pollenstream_targets_usable", usable );
+    gauge( "pollenstream_asks_waiting", coordinator.waiting() );
+    auto const count =
+        [&out]( char const* name, std::string const& labels, auto const& value )
+    {
+        out << name << labels << ' ' << value << '\n';
+    };
+    auto const& asked = router.counters();
+    count( "pollenstream_asks_total", "{to=\"others\"}",
+           asked.asked_others.value() );
+    count( "pollenstream_asks_total", "{to=\"self\"}",
+           asked.asked_self.value() );
+    count( "pollenstream_asks_not_answered_total", "",
+           asked.asked_next.value() );
+    count( "pollenstream_own_choices_total", "", asked.own_choice.value() );
+    auto const& decided = coordinator.counters();
+    count( "pollenstream_decisions_total", "{decision=\"granted\"}",
+           decided.granted.value() );
+    count( "pollenstream_decisions_total", "{decision=\"refused\"}",
+           decided.refused.value() );
+    count( "pollenstream_asks_repeated_total", "",
+           decided.asked_again.value() );
+    count( "pollenstream_peer_datagrams_total", "",
+           group.sent().datagrams.value() );
+    count( "pollenstream_peer_bytes_total", "", group.sent().bytes.value() );
+    constexpr auto kinds =
+        static_cast<int>( platform::store_call::number_of_kinds );
+    for ( auto i = 0; i < kinds; ++i )
+    {
+        auto const kind = static_cast<platform::store_call>( i );
+        count( "pollenstream_store_calls_total",
+               std::string( "{kind=\"" ) + name_of( kind ) + "\"}",
+               store.calls( kind ) );
+    }
     return out.str();
 }
 
--- a/apps/tool/explain.cpp
+++ b/apps/tool/explain.cpp
@@ -36,6 +36,20 @@
     return text;
 }
 
+/// Who chose the targets, and how long that took, for the sentence.
+auto decision_in( std::vector<story_line> const& story ) -> std::string
+{
+    auto text = std::string{};
+    for ( auto const& line : story )
+    {
+        auto const by = value_of( line.fields, "decided_by" );
+        if ( !by.empty() )
+            text = "; targets chosen by " + by + " in " +
+                   value_of( line.fields, "asked_ms" ) + " ms";
+    }
+    return text;
+}
+
 auto cause_of( std::vector<story_line> const& story ) -> std::string
 {
     if ( story.empty() )
@@ -125,7 +139,7 @@
     auto result = explanation{};
     for ( auto const& line : story )
         result.lines.push_back( line.text );
-    result.cause = cause_of( story );
+    result.cause = cause_of( story ) + decision_in( story );
     return result;
 }
 
--- a/apps/tool/status.cpp
+++ b/apps/tool/status.cpp
@@ -13,6 +13,15 @@
     return value.as_bool() ? "yes" : "no";
 }
 
+auto print_placing( web::json::value const& placing, std::ostream& out ) -> void
+{
+    out << "prompts are placed by";
+    for ( auto const& id : placing.at( "coordinators" ).as_array() )
+        out << ' ' << id.as_string();
+    out << ", asks waiting here " << placing.at( "asks_waiting" ).serialize()
+        << '\n';
+}
+
 auto print_violations( web::json::value const& invariants, std::ostream& out )
     -> void
 {
@@ -38,6 +47,8 @@
     out << "store serves " << yes_or_no( store.at( "serves" ) )
         << ", read here " << yes_or_no( store.at( "reads" ) )
         << ", known until " << store.at( "known_until" ).serialize() << '\n';
+    if ( state.has_field( "placing" ) )
+        print_placing( state.at( "placing" ), out );
     print_violations( state.at( "invariants" ), out );
     out << '\n';
     print_table( state.at( "targets" ),
--- a/src/pollenstream/observation/event_metrics.cpp
+++ b/src/pollenstream/observation/event_metrics.cpp
@@ -61,6 +61,8 @@
     ++placed_;
     parts_ += e.parts.size();
     queued_[e.route].add( e.waited );
+    if ( e.asked_for > core::duration( 0 ) )
+        asked_[e.route].add( e.asked_for );
 }
 
 auto event_metrics::count( exchange::booking_changed const& e ) -> void
@@ -113,6 +115,7 @@
     write_histograms( out, "pollenstream_longest_gap_seconds", longest_gap_ );
     write_histograms( out, "pollenstream_request_seconds", total_ );
     write_histograms( out, "pollenstream_queue_seconds", queued_ );
+    write_histograms( out, "pollenstream_ask_seconds", asked_ );
     return out.str();
 }
 
--- a/src/pollenstream/observation/event_metrics.hpp
+++ b/src/pollenstream/observation/event_metrics.hpp
@@ -44,6 +44,7 @@
     std::map<std::string, histogram> longest_gap_;
     std::map<std::string, histogram> total_;
     std::map<std::string, histogram> queued_;
+    std::map<std::string, histogram> asked_; ///< ask to grant, by route
     std::uint64_t placed_{ 0 };
     std::uint64_t parts_{ 0 };
 };
--- a/src/pollenstream/peers/placement_router.hpp
+++ b/src/pollenstream/peers/placement_router.hpp
@@ -4,7 +4,6 @@
 #include <pollenstream/core/counter.hpp>
 #include <pollenstream/exchange/placement_coordinator.hpp>
 #include <pollenstream/exchange/placer.hpp>
-#include <pollenstream/observation/histogram.hpp>
 #include <pollenstream/peers/ask_transport.hpp>
 #include <pollenstream/ports/scheduler.hpp>
 
--- a/tests/observation/observation_test.cpp
+++ b/tests/observation/observation_test.cpp
@@ -135,3 +135,29 @@
     CHECK( text.find( "i-1" ) != std::string::npos );
     CHECK( text.find( "front-2" ) != std::string::npos );
 }
+
+TEST_CASE( "a gateway's state tells who places prompts", "[status]" )
+{
+    auto const state = web::json::value::parse( R"({
+        "instance": "front-1", "configuration": 42, "open_requests": 3,
+        "waiting_requests": 1, "stopping": false,
+        "store": { "serves": true, "reads": false, "known_until": 99 },
+        "placing": { "coordinators": [ "front-2", "front-3" ],
+                     "here": false, "asks_waiting": 7 },
+        "invariants": {}, "targets": [], "peers": [] })" );
+    auto out = std::ostringstream{};
+    apps::tool::print_status( state, out );
+    CHECK( out.str().find( "prompts are placed by front-2 front-3, "
+                           "asks waiting here 7\n" ) != std::string::npos );
+}
+
+TEST_CASE( "a request's story tells who chose its targets", "[explain]" )
+{
+    auto log = std::istringstream(
+        "time=1 event=placed id=x target=i-1 decided_by=front-2 asked_ms=3.1\n"
+        "time=2 event=ended id=x outcome=served status=200 total_ms=50.0 "
+        "first_ms=20.0 gap_ms=5.0\n" );
+    auto const told = apps::tool::explain( "x", { &log } );
+    CHECK( told.cause.find( "; targets chosen by front-2 in 3.1 ms" ) !=
+           std::string::npos );
+}
