Coordinators that do not answer are left alone for a second

Change: one that missed two answers in a row is not asked for a second, also where all three are; prompts are then placed by the instance itself.

--- a/src/pollenstream/peers/placement_router.cpp
+++ b/src/pollenstream/peers/placement_router.cpp
@@ -19,8 +19,9 @@
 /// An ask that waits is repeated this often: the answer may have been lost, or
 /// the instance that holds it.
 constexpr auto repeat_time = core::duration( 250ms );
-/// Answers missed in a row from which an instance is asked last for a time.
-/// One may be a lost datagram.
+/// Answers missed in a row from which an instance is not asked for a time. One
+/// may be a lost datagram; more are an instance that is lost, frozen, or has
+/// more to answer than it can, which asking it again would prolong.
 constexpr auto misses_to_suspect = 2;
 constexpr auto suspect_time = core::duration( 1s );
 
@@ -176,17 +177,10 @@
 auto placement_router::next_coordinator( pending const& which ) const
     -> std::optional<core::instance_id>
 {
-    auto suspect = std::optional<core::instance_id>{};
     for ( auto const& id : transport_.coordinators() )
-    {
-        if ( which.tried.contains( id ) )
-            continue;
-        if ( !is_suspect( id ) )
+        if ( !which.tried.contains( id ) && !is_suspect( id ) )
             return id;
-        if ( !suspect )
-            suspect = id;
-    }
-    return suspect;
+    return std::nullopt;
 }
 
 auto placement_router::send( pending_ptr const& which ) -> void
--- a/src/pollenstream/peers/placement_router.hpp
+++ b/src/pollenstream/peers/placement_router.hpp
@@ -76,7 +76,7 @@
     struct silence
     {
         int misses{ 0 };
-        core::instant until; ///< asked last until then
+        core::instant until; ///< not asked until then
     };
 
     auto send( pending_ptr const& which ) -> void;
