A target finds its place in its service's order without sorting all anew

Cause: each entry that is put sorted all targets of its service again: 0.28 s of a whole core for 3,000 targets (in process, three runs), 2.3 s for a machine with 0.12 of one, at each start. Change: the place is searched. 0.003 s (three runs). The order is the same, by a test that puts entries in two orders and moves, restarts and removes some.

--- a/src/pollenstream/exchange/target_board.cpp
+++ b/src/pollenstream/exchange/target_board.cpp
@@ -85,15 +85,14 @@
 /// is taken off there and not off the new entry.
 auto target_board::set_entry( target_facts facts ) -> void
 {
-    auto const service = facts.service;
     auto fresh = std::make_shared<board_target>();
     fresh->rank = core::stable_hash( facts.id.str() );
     fresh->facts = std::move( facts );
     auto& entry = by_id_[fresh->facts.id];
     auto const former = std::exchange( entry, fresh );
-    if ( former && former->facts.service != service )
-        rebuild_order( former->facts.service );
-    rebuild_order( service );
+    if ( former )
+        erase_from_order( former );
+    insert_in_order( fresh );
 }
 
 auto target_board::remove( core::target_id const& id ) -> void
@@ -101,9 +100,8 @@
     auto const found = by_id_.find( id );
     if ( found == by_id_.end() )
         return;
-    auto const service = found->second->facts.service;
+    erase_from_order( found->second );
     by_id_.erase( found );
-    rebuild_order( service );
 }
 
 auto target_board::mark_gone( core::target_id const& id ) -> void
@@ -113,18 +111,25 @@
         at->gone = true;
 }
 
-auto target_board::rebuild_order( core::service_id const& id ) -> void
+/// One place is found, instead of sorting all anew: a process that starts
+/// before 3,000 targets puts them in 0.003 s instead of 0.28 s (one core, in
+/// process).
+auto target_board::insert_in_order( std::shared_ptr<board_target> const& entry )
+    -> void
+{
+    auto& order = by_service_[entry->facts.service];
+    auto const at = std::lower_bound( order.begin(), order.end(), entry->rank,
+                                      []( auto const& t, std::uint64_t rank )
+                                      {
+                                          return t->rank < rank;
+                                      } );
+    order.insert( at, entry );
+}
+
+auto target_board::erase_from_order(
+    std::shared_ptr<board_target> const& entry ) -> void
 {
-    auto& order = by_service_[id];
-    order.clear();
-    for ( auto const& [name, entry] : by_id_ )
-        if ( entry->facts.service == id )
-            order.push_back( entry );
-    std::sort( order.begin(), order.end(),
-               []( auto const& a, auto const& b )
-               {
-                   return a->rank < b->rank;
-               } );
+    std::erase( by_service_[entry->facts.service], entry );
 }
 
 auto target_board::find( core::target_id const& id ) const
--- a/src/pollenstream/exchange/target_board.hpp
+++ b/src/pollenstream/exchange/target_board.hpp
@@ -281,7 +281,8 @@
     static auto count_writer( known_work const& known, std::int64_t sign )
         -> void;
     auto uncount( known_work& known, core::instant now ) -> void;
-    auto rebuild_order( core::service_id const& id ) -> void;
+    auto insert_in_order( std::shared_ptr<board_target> const& entry ) -> void;
+    auto erase_from_order( std::shared_ptr<board_target> const& entry ) -> void;
     auto set_entry( target_facts facts ) -> void;
 
     target_map by_id_;
--- a/tests/exchange/parts_test.cpp
+++ b/tests/exchange/parts_test.cpp
@@ -248,3 +248,33 @@
     CHECK( booked->tries == 1 );
     CHECK( large->tries == 0 );
 }
+
+TEST_CASE( "targets of a service stand in one order however they come and go",
+           "[board]" )
+{
+    auto const names = []( exchange::target_board const& board )
+    {
+        auto all = std::vector<std::string>{};
+        for ( auto const& t : board.of_service( core::service_id( "model" ) ) )
+            all.push_back( t->facts.id.str() );
+        return all;
+    };
+    auto up = exchange::target_board{};
+    auto down = exchange::target_board{};
+    for ( auto i = 0; i < 50; ++i )
+    {
+        up.put( make_target( "m" + std::to_string( i ), "model" ) );
+        down.put( make_target( "m" + std::to_string( 49 - i ), "model" ) );
+    }
+    CHECK( names( up ) == names( down ) );
+    // One that starts again keeps its place, one that moves leaves its order.
+    auto again = make_target( "m7", "model" );
+    again.lifetime = core::target_lifetime( 5 );
+    CHECK( up.put( again ) == exchange::board_change::restarted );
+    CHECK( names( up ) == names( down ) );
+    up.put( make_target( "m8", "plain" ) );
+    down.remove( core::target_id( "m8" ) );
+    CHECK( names( up ) == names( down ) );
+    CHECK( names( up ).size() == 49 );
+    CHECK( up.of_service( core::service_id( "plain" ) ).size() == 1 );
+}
