--- a/tests/exchange/placement_coordinator_test.cpp
+++ b/tests/exchange/placement_coordinator_test.cpp
@@ -11,28 +11,6 @@
 namespace
 {
 
-/// What one asker has heard.
-class recorded_answer : public exchange::placement_listener
-{
-public:
-    auto on_granted( exchange::placement_grant grant ) -> void override
-    {
-        grants.push_back( std::move( grant ) );
-    }
-    auto on_refused( exchange::placement_refusal refusal ) -> void override
-    {
-        refusals.push_back( std::move( refusal ) );
-    }
-    auto on_queued( std::size_t ) -> void override
-    {
-        ++queued;
-    }
-
-    std::vector<exchange::placement_grant> grants;
-    std::vector<exchange::placement_refusal> refusals;
-    int queued{ 0 };
-};
-
 /// A coordinator before `engines` engines and nothing else.
 struct coordinator_fixture : exchange_fixture
 {
@@ -46,7 +24,7 @@
 
     auto ask( std::string const& asker,
               std::uint64_t serial,
-              std::int64_t tokens ) -> std::shared_ptr<recorded_answer>
+              std::int64_t tokens ) -> std::shared_ptr<recorded_placement>
     {
         auto what = exchange::placement_ask{};
         what.asker = core::instance_id( asker );
@@ -60,7 +38,7 @@
         what.demand.tightest_gap = 200ms;
         what.demand.time_left = 15s;
         what.demand.patience_left = 12s;
-        auto const answer = std::make_shared<recorded_answer>();
+        auto const answer = std::make_shared<recorded_placement>();
         coordinator.ask( std::move( what ), answer );
         return answer;
     }
--- a/tests/peers/placement_router_test.cpp
+++ b/tests/peers/placement_router_test.cpp
@@ -2,10 +2,10 @@
 
 #include <catch2/catch.hpp>
 
-#include <algorithm>
-#include <map>
-#include <optional>
-#include <set>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
 
 using namespace tests;
 using namespace std::chrono_literals;
@@ -13,28 +13,6 @@
 namespace
 {
 
-/// What one asker has heard.
-class heard_answers : public exchange::placement_listener
-{
-public:
-    auto on_granted( exchange::placement_grant grant ) -> void override
-    {
-        grants.push_back( std::move( grant ) );
-    }
-    auto on_refused( exchange::placement_refusal ) -> void override
-    {
-        ++refusals;
-    }
-    auto on_queued( std::size_t ) -> void override
-    {
-        ++queued;
-    }
-
-    std::vector<exchange::placement_grant> grants;
-    int refusals{ 0 };
-    int queued{ 0 };
-};
-
 /// Keeps what is sent; a test answers.
 class recorded_transport : public peers::ask_transport
 {
@@ -126,7 +104,8 @@
                                    {
                                        return ++last_serial;
                                    } };
-    std::shared_ptr<heard_answers> heard{ std::make_shared<heard_answers>() };
+    std::shared_ptr<recorded_placement> heard{
+        std::make_shared<recorded_placement>() };
 };
 
 }
--- a/tests/support/exchange_fixture.hpp
+++ b/tests/support/exchange_fixture.hpp
@@ -292,6 +292,28 @@
     std::vector<exchange::event> all;
 };
 
+/// What one asker has heard.
+class recorded_placement : public exchange::placement_listener
+{
+public:
+    auto on_granted( exchange::placement_grant grant ) -> void override
+    {
+        grants.push_back( std::move( grant ) );
+    }
+    auto on_refused( exchange::placement_refusal refusal ) -> void override
+    {
+        refusals.push_back( std::move( refusal ) );
+    }
+    auto on_queued( std::size_t ) -> void override
+    {
+        ++queued;
+    }
+
+    std::vector<exchange::placement_grant> grants;
+    std::vector<exchange::placement_refusal> refusals;
+    int queued{ 0 };
+};
+
 /// Keeps what is asked for; a test answers when it likes.
 class held_asks : public exchange::placer
 {
