Work told before its targets were known is counted once they are

Traced by losses, then by who waits at the coordinator: a coordinator that had started at 26.30 s had heard the others' work at 26.304 and the targets at 26.322. Parts whose targets were not known when the work was told were never counted, so that four engines that read a prompt of 522 thousand tokens for 7 s seemed free, and 16 short prompts each waited there until their callers left after 2 s. Ruled out: calls to the store and the margin for later reading (the same with a copy without these). Change: the next regular message of its instance counts it. The test fails without the change (4 of 7 checks).

--- a/src/pollenstream/exchange/target_board.cpp
+++ b/src/pollenstream/exchange/target_board.cpp
@@ -257,12 +257,31 @@
     load.context_tokens += sign * known.work.context_tokens;
 }
 
+auto target_board::lacks_known_target( known_work const& known ) const -> bool
+{
+    for ( auto i = std::size_t{ 0 }; i < known.at.size(); ++i )
+    {
+        auto const& part = known.work.parts[i];
+        if ( !known.at[i] && find_lifetime( { part.target, part.lifetime } ) )
+            return true;
+    }
+    return false;
+}
+
 auto target_board::add_work( core::instance_id const& owner,
                              open_work const& work,
                              core::instant now ) -> void
 {
     auto const [at, is_new] = works_[owner].try_emplace(
         work.serial, known_work{ work, {}, false, 0 } );
+    if ( !is_new && lacks_known_target( at->second ) )
+    {
+        // Told before the registry's records had come: counted now, or engines
+        // that read for seconds would seem free to a coordinator that has just
+        // started.
+        end_work( owner, work.serial, now );
+        return add_work( owner, work, now );
+    }
     if ( !is_new )
     {
         if ( !work.reading )
--- a/src/pollenstream/exchange/target_board.hpp
+++ b/src/pollenstream/exchange/target_board.hpp
@@ -271,6 +271,9 @@
         double reading_ms{ 0 }; ///< of these, losing weight more slowly
     };
 
+    /// True where a target was not known when the work was told, and is now.
+    [[nodiscard]] auto lacks_known_target( known_work const& known ) const
+        -> bool;
     auto note_arrival( core::service_id const& id,
                        open_work const& work,
                        core::instant now ) -> void;
--- a/tests/exchange/parts_test.cpp
+++ b/tests/exchange/parts_test.cpp
@@ -278,3 +278,31 @@
     CHECK( names( up ).size() == 49 );
     CHECK( up.of_service( core::service_id( "plain" ) ).size() == 1 );
 }
+
+TEST_CASE( "work that was told before its targets were known is counted later",
+           "[board][coordinator]" )
+{
+    auto board = exchange::target_board{};
+    auto const other = core::instance_id( "other" );
+    auto const now = core::instant( 100s );
+    auto work = exchange::open_work{};
+    work.serial = 1;
+    work.parts = { { core::target_id( "m1" ), 20, 6'000 },
+                   { core::target_id( "m2" ), 7'000, 0 } };
+    board.add_work( other, work, now );
+    board.put( make_target( "m1", "model" ) );
+    board.put( make_target( "m2", "model" ) );
+    // The next regular message tells of it again.
+    board.add_work( other, work, now + 200ms );
+    auto const m1 = board.find( core::target_id( "m1" ) );
+    auto const m2 = board.find( core::target_id( "m2" ) );
+    CHECK( m1->load.requests == 1 );
+    CHECK( m1->load.memory_tokens == 6'000 );
+    CHECK( m2->backlog_ms( now + 200ms ) == Approx( 7'000 ) );
+    board.add_work( other, work, now + 400ms );
+    CHECK( m1->load.requests == 1 );
+    board.end_work( other, 1, now + 500ms );
+    CHECK( m1->load.requests == 0 );
+    CHECK( m1->load.memory_tokens == 0 );
+    CHECK( m2->load.parts_reading == 0 );
+}
