--- a/apps/tool/main.cpp
+++ b/apps/tool/main.cpp
@@ -23,7 +23,7 @@
   pollenstream call [options] SERVICE PATH
   pollenstream status [options]
   pollenstream explain ID [FILE...]
-  pollenstream losses [--json] [FILE...]
+  pollenstream losses [options] [FILE...]
   pollenstream (-h | --help)
   pollenstream --version
 
