--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -172,8 +172,9 @@
         tell_store_state();
         // An instance that has just listed all records leaves the rest to those
         // who read the store, and has nothing to tell that these do not know.
-        registry_.set_reader( group_.should_read_store() );
-        if ( !group_.should_read_store() )
+        auto const reads_store = group_.should_read_store();
+        registry_.set_reader( reads_store );
+        if ( !reads_store )
             return;
         auto bytes = peers::encode_update( update );
         if ( bytes.size() <= largest_told_update )
--- a/src/pollenstream/peers/peer_group.cpp
+++ b/src/pollenstream/peers/peer_group.cpp
@@ -579,6 +579,14 @@
     return freed;
 }
 
+auto peer_group::release( core::instance_id const& owner, std::uint64_t serial )
+    -> void
+{
+    board_.end_work( owner, serial, scheduler_.now() );
+    if ( handler_ != nullptr )
+        handler_->on_released( owner, serial );
+}
+
 auto peer_group::take_work( peer_message const& message ) -> void
 {
     auto const now = scheduler_.now();
@@ -589,14 +597,12 @@
     for ( auto const serial : message.reading_ended )
         board_.end_reading( message.sender, serial, now );
     for ( auto const serial : message.served )
+    {
         board_.end_served_work( message.sender, serial, now );
-    for ( auto const& ended : { message.ended, message.served } )
-        for ( auto const serial : ended )
-        {
-            board_.end_work( message.sender, serial, now );
-            if ( handler_ != nullptr )
-                handler_->on_released( message.sender, serial );
-        }
+        release( message.sender, serial );
+    }
+    for ( auto const serial : message.ended )
+        release( message.sender, serial );
     if ( message.complete )
         freed = take_open( message ) || freed;
     for ( auto const& f : message.failed )
--- a/src/pollenstream/peers/peer_group.hpp
+++ b/src/pollenstream/peers/peer_group.hpp
@@ -143,6 +143,8 @@
     auto take_silent( peer_message const& message ) -> void;
     auto take_asks( peer_message& message ) -> void;
     auto take_work( peer_message const& message ) -> void;
+    auto release( core::instance_id const& owner, std::uint64_t serial )
+        -> void;
     auto take_open( peer_message const& message ) -> bool;
     auto some_ips() -> std::vector<std::string>;
     auto addresses() const -> std::vector<std::string>;
--- a/src/pollenstream/peers/placement_router.cpp
+++ b/src/pollenstream/peers/placement_router.cpp
@@ -72,8 +72,7 @@
     }
     auto on_refused( exchange::placement_refusal refusal ) -> void override
     {
-        owner_.pending_.erase( which_->ask.serial );
-        which_->is_open = false;
+        owner_.close( which_ );
         which_->listener->on_refused( std::move( refusal ) );
     }
     auto on_queued( std::size_t waiting ) -> void override
@@ -250,12 +249,19 @@
     send_next( which );
 }
 
-auto placement_router::withdraw( pending_ptr const& which ) -> void
+/// The ask is decided or withdrawn: nothing is awaited for it any more.
+auto placement_router::close( pending_ptr const& which ) -> void
 {
-    if ( !std::exchange( which->is_open, false ) )
-        return;
+    which->is_open = false;
     which->timer.reset();
     pending_.erase( which->ask.serial );
+}
+
+auto placement_router::withdraw( pending_ptr const& which ) -> void
+{
+    if ( !which->is_open )
+        return;
+    close( which );
     if ( which->asked == self_ )
         coordinator_.release( self_, which->ask.serial );
     else
@@ -265,9 +271,7 @@
 auto placement_router::grant( pending_ptr const& which,
                               exchange::placement_grant grant ) -> void
 {
-    which->is_open = false;
-    which->timer.reset();
-    pending_.erase( which->ask.serial );
+    close( which );
     granted_.insert( grant.serial );
     auto const listener = which->listener;
     listener->on_granted( std::move( grant ) );
@@ -322,9 +326,7 @@
     case ask_decision::granted:
         return grant( which, { answer.serial, choice_of( answer ), from } );
     case ask_decision::refused:
-        which->is_open = false;
-        which->timer.reset();
-        pending_.erase( found );
+        close( which );
         return which->listener->on_refused(
             { answer.reason,
               std::chrono::milliseconds( answer.retry_after_ms ) } );
--- a/src/pollenstream/peers/placement_router.hpp
+++ b/src/pollenstream/peers/placement_router.hpp
@@ -88,6 +88,7 @@
     auto note_miss( core::instance_id const& id ) -> void;
     auto arm( pending_ptr const& which, core::duration delay ) -> void;
     auto on_timer( pending_ptr const& which ) -> void;
+    auto close( pending_ptr const& which ) -> void;
     auto withdraw( pending_ptr const& which ) -> void;
     auto grant( pending_ptr const& which, exchange::placement_grant grant )
         -> void;
--- a/tests/peers/peer_group_test.cpp
+++ b/tests/peers/peer_group_test.cpp
@@ -148,6 +148,17 @@
             scheduler.run( 100ms );
         }
     }
+    /// One that does not place prompts.
+    auto other_than_coordinators() const -> instance&
+    {
+        auto const found = std::find_if( all.begin(), all.end(),
+                                         []( auto const& one )
+                                         {
+                                             return !one->places_prompts();
+                                         } );
+        REQUIRE( found != all.end() );
+        return **found;
+    }
     auto readers() const -> int
     {
         return static_cast<int>(
@@ -203,13 +214,7 @@
         return loads;
     };
     auto const work = some_work( 1 );
-    auto const busy = std::find_if( fleet.all.begin(), fleet.all.end(),
-                                    []( auto const& one )
-                                    {
-                                        return !one->places_prompts();
-                                    } );
-    REQUIRE( busy != fleet.all.end() );
-    auto& first = **busy;
+    auto& first = fleet.other_than_coordinators();
     first.board.add_work( core::instance_id( first.name ), work,
                           fleet.scheduler.now() );
     first.group.work_began( work );
@@ -475,16 +480,11 @@
 {
     auto fleet = small_fleet( 9 );
     auto const before = fleet.all[0]->group.coordinators();
-    auto owner = std::find_if( fleet.all.begin(), fleet.all.end(),
-                               []( auto const& one )
-                               {
-                                   return !one->places_prompts();
-                               } );
-    REQUIRE( owner != fleet.all.end() );
+    auto& owner = fleet.other_than_coordinators();
     auto const work = some_work( 1 );
-    ( *owner )->board.add_work( core::instance_id( ( *owner )->name ), work,
-                                fleet.scheduler.now() );
-    ( *owner )->group.work_began( work );
+    owner.board.add_work( core::instance_id( owner.name ), work,
+                          fleet.scheduler.now() );
+    owner.group.work_began( work );
     fleet.scheduler.run( 20ms );
     // Two of the three are lost at once.
     for ( auto const& one : fleet.all )
