losses: first events against what was told; calls that ask for a limit

Change: such a call is no loss when it times out; a table by size of how much later first events came than was predicted (p50, p95, p99). Tests: losses_test, two cases, both fail without the change.

--- a/apps/tool/losses.cpp
+++ b/apps/tool/losses.cpp
@@ -90,13 +90,20 @@
                              : loss_cause::target_lost;
 }
 
-/// Ends that the configuration or the caller asked for; nothing is lost.
-auto is_no_loss( std::string const& outcome, double status ) -> bool
+/// Ends that the configuration or the caller asked for; nothing is lost. A call
+/// whose time limit ends before its objective is one: it asks which limit is in
+/// force, and is not owed an answer.
+auto is_no_loss( std::string const& outcome,
+                 double status,
+                 double total_ms,
+                 double objective_ms ) -> bool
 {
     constexpr auto unauthorized = 401.0;
     constexpr auto not_found = 404.0;
+    constexpr auto timed_out = 504.0;
     return outcome == "caller_gone" || status == unauthorized ||
-           status == not_found;
+           status == not_found ||
+           ( status == timed_out && total_ms < objective_ms );
 }
 
 }
@@ -145,7 +152,11 @@
 loss_account::loss_account()
 {
     for ( auto const& c : size_classes )
-        by_size_.push_back( { c.name, {}, {} } );
+        by_size_.push_back(
+            { c.name,
+              {},
+              {},
+              std::make_shared<pollenstream::metrics::distribution>() } );
 }
 
 auto loss_account::open( std::string const& id ) -> story&
@@ -176,7 +187,7 @@
     auto const line = read_log_line( text );
     auto const event = text_of( line, "event" );
     auto const id = text_of( line, "id" );
-    if ( event == "belief" || event == "booking" )
+    if ( event == "belief" )
         return;
     if ( id.empty() )
     {
@@ -223,12 +234,15 @@
     auto const told = open( id );
     open_.erase( id );
     auto const prompt = number_of( line, "prompt" ).value_or( told.prompt );
-    if ( is_no_loss( outcome, *status ) )
+    if ( is_no_loss( outcome, *status, *total, objective.value_or( 0 ) ) )
         return;
     if ( outcome != "served" || *status >= first_own_failure )
         return count( prompt,
                       told.failure.value_or( cause_of_refusal( outcome ) ) );
     auto const reached = *first > 0 ? *first : *total;
+    if ( prompt > 0 && told.waited_ms && told.predicted_ms && !told.failure )
+        row_of( prompt ).later_than_told->add( reached - *told.waited_ms -
+                                               *told.predicted_ms );
     auto const is_late = objective && *objective > 0 && reached > *objective;
     if ( !is_late )
         return count( prompt, gap_objective && *gap_objective > 0 &&
@@ -252,18 +266,22 @@
                        : loss_cause::late_by_waiting );
 }
 
-auto loss_account::count( double prompt, std::optional<loss_cause> lost )
-    -> void
+auto loss_account::row_of( double prompt ) -> size_row&
 {
-    ++requests_;
-    auto const weight = 1 + prompt / tokens_per_weight;
     auto const at = std::find_if( size_classes.begin(), size_classes.end() - 1,
                                   [prompt]( auto const& c )
                                   {
                                       return prompt < c.below;
                                   } );
-    auto& row =
-        by_size_.at( static_cast<std::size_t>( at - size_classes.begin() ) );
+    return by_size_.at( static_cast<std::size_t>( at - size_classes.begin() ) );
+}
+
+auto loss_account::count( double prompt, std::optional<loss_cause> lost )
+    -> void
+{
+    ++requests_;
+    auto const weight = 1 + prompt / tokens_per_weight;
+    auto& row = row_of( prompt );
     auto const add = [weight]( loss_sum& sum )
     {
         ++sum.requests;
@@ -355,6 +373,26 @@
     return rows;
 }
 
+auto prediction_rows( loss_account const& account ) -> value
+{
+    auto rows = value::array();
+    auto at = std::size_t{ 0 };
+    for ( auto const& one : account.by_size() )
+    {
+        auto const later = one.later_than_told->summary();
+        if ( later.count == 0 )
+            continue;
+        auto row = value::object();
+        row["size"] = value( one.name );
+        row["first_events"] = value( later.count );
+        row["p50_ms"] = rounded( later.p50 );
+        row["p95_ms"] = rounded( later.p95 );
+        row["p99_ms"] = rounded( later.p99 );
+        rows[at++] = row;
+    }
+    return rows;
+}
+
 auto print( loss_account const& account, bool as_json ) -> void
 {
     auto const lost = account.lost();
@@ -368,6 +406,7 @@
         whole["unreadable_lines"] = value( account.unreadable() );
         whole["causes"] = cause_rows( account );
         whole["sizes"] = size_rows( account );
+        whole["later_than_told"] = prediction_rows( account );
         std::cout << whole.serialize() << '\n';
         return;
     }
@@ -380,6 +419,10 @@
     std::cout << '\n';
     print_table( size_rows( account ),
                  { "size", "requests", "lost", "lost_percent" }, std::cout );
+    std::cout << "\nfirst events later than told\n\n";
+    print_table( prediction_rows( account ),
+                 { "size", "first_events", "p50_ms", "p95_ms", "p99_ms" },
+                 std::cout );
 }
 
 auto read_all( std::istream& log,
--- a/apps/tool/losses.hpp
+++ b/apps/tool/losses.hpp
@@ -2,11 +2,13 @@
 #define APPS_TOOL_LOSSES_HPP
 
 #include "explain.hpp"
+#include <pollenstream/metrics/distribution.hpp>
 
 #include <array>
 #include <cstddef>
 #include <cstdint>
 #include <istream>
+#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -69,6 +71,9 @@
         std::string name;
         loss_sum all;
         loss_sum lost;
+        /// Milliseconds by which first events came later than was predicted
+        /// when targets were chosen; below zero where they came sooner.
+        std::shared_ptr<pollenstream::metrics::distribution> later_than_told;
     };
     [[nodiscard]] auto by_size() const -> std::vector<size_row> const&
     {
@@ -104,6 +109,7 @@
     auto open( std::string const& id ) -> story&;
     auto take_end( log_line const& line, std::string const& id ) -> void;
     auto count( double prompt, std::optional<loss_cause> lost ) -> void;
+    auto row_of( double prompt ) -> size_row&;
 
     std::array<loss_sum,
                static_cast<std::size_t>( loss_cause::number_of_causes )>
--- a/tests/observation/losses_test.cpp
+++ b/tests/observation/losses_test.cpp
@@ -99,6 +99,37 @@
                .requests() == 0 );
 }
 
+TEST_CASE( "a call that only asks which time limit is in force is no loss",
+           "[losses]" )
+{
+    auto const call = []( int total )
+    {
+        return "time=t event=ended id=a outcome=deadline status=504 total_ms=" +
+               std::to_string( total ) +
+               ".0 first_ms=0.0 gap_ms=0.0 prompt=0 objective_ms=1000.0";
+    };
+    CHECK( account_of( { call( 400 ) } ).lost().requests == 0 );
+    CHECK( account_of( { call( 1'100 ) } ).lost().requests == 1 );
+}
+
+TEST_CASE( "first events are set against what was told of them", "[losses]" )
+{
+    auto lines = std::vector<std::string>{};
+    for ( auto i = 0; i < 405; ++i )
+    {
+        auto const id = std::to_string( i );
+        lines.push_back( placed( id, 100, 500 ) );
+        lines.push_back( served( id, 600 + i % 81, 100 ) );
+    }
+    auto const account = account_of( lines );
+    for ( auto const& row : account.by_size() )
+        if ( row.name == "75k to 150k" )
+            CHECK( row.later_than_told->summary().p50 ==
+                   Approx( 40 ).margin( 5 ) );
+        else
+            CHECK( row.later_than_told->summary().count == 0 );
+}
+
 TEST_CASE( "spoiled log lines are counted and add nothing", "[losses][input]" )
 {
     auto random = std::minstd_rand( 7 );
