One reckoning of when a request without room may come back

Cause: the instance that asks and the coordinator that refuses each worked out Retry-After by themselves, with the same constants. Change: pause_until_room in own_answers; the figures are the same. Figures: none change; the pause of the queue is still 10 ms for each that waits.

--- a/src/pollenstream/exchange/exchange_waiting.cpp
+++ b/src/pollenstream/exchange/exchange_waiting.cpp
@@ -18,9 +18,6 @@
 /// A request that waits is refused this much before its caller would leave,
 /// so that the caller hears when to come back.
 constexpr auto refusal_margin = core::duration( 150ms );
-/// Retry-After of a prompt that waited in vain in times of the shortest reading
-/// that it could have: engines are then through with what was before it.
-constexpr auto return_per_reading = 2;
 
 }
 
@@ -138,18 +135,12 @@
     refuse( status_unavailable, "no_room", predicted_room() );
 }
 
-/// When there may be room: the longer the queue, the later, spread so that
-/// those who were refused together do not come back together.
 auto exchange::predicted_room() const -> core::duration
 {
-    auto const spread = std::uniform_int_distribution<std::int64_t>(
-        0, return_spread.count() )( shared_.random );
     auto const reading =
-        is_wide_ ? shared_.chooser.shortest_reading( demand_, *service_ ) *
-                       return_per_reading
+        is_wide_ ? shared_.chooser.shortest_reading( demand_, *service_ )
                  : core::duration( 0 );
-    return std::max( pause_for_queue( queued_behind_ ), reading ) +
-           core::duration( spread );
+    return pause_until_room( queued_behind_, reading, shared_.random );
 }
 
 }
--- a/src/pollenstream/exchange/own_answers.hpp
+++ b/src/pollenstream/exchange/own_answers.hpp
@@ -3,10 +3,9 @@
 
 #include <pollenstream/core/units.hpp>
 
-#include <algorithm>
 #include <chrono>
 #include <cstddef>
-#include <cstdint>
+#include <random>
 
 namespace pollenstream::exchange
 {
@@ -21,19 +20,13 @@
 inline constexpr auto status_unavailable = 503;
 inline constexpr auto status_gateway_timeout = 504;
 
-/// Those who are refused together come back spread over this time.
-inline constexpr auto return_spread =
-    core::duration( std::chrono::milliseconds( 300 ) );
-
-/// Retry-After where `waiting` others wait: the longer the queue, the later.
-inline auto pause_for_queue( std::size_t waiting ) -> core::duration
-{
-    constexpr auto for_each_waiting =
-        core::duration( std::chrono::milliseconds( 10 ) );
-    constexpr auto most = core::duration( std::chrono::milliseconds( 1500 ) );
-    return std::min( most,
-                     for_each_waiting * static_cast<std::int64_t>( waiting ) );
-}
+/// Retry-After of a request that found no room, when there may be some: the
+/// later the more others wait, and for a wide prompt not before those that were
+/// before it are read. `shortest_reading` is its own at best, zero for others.
+/// Those who are refused together come back spread.
+auto pause_until_room( std::size_t waiting,
+                       core::duration shortest_reading,
+                       std::minstd_rand& random ) -> core::duration;
 
 }
 
--- a/src/pollenstream/exchange/placement_coordinator.cpp
+++ b/src/pollenstream/exchange/placement_coordinator.cpp
@@ -18,9 +18,6 @@
 /// earns less than one that can still be in time.
 constexpr auto late_penalty = 1'000.0;
 constexpr auto priority_step = 100'000.0;
-/// Retry-After of a wide prompt in times of the shortest reading that it could
-/// have: the engines are then through with what would have been before it.
-constexpr auto return_per_reading = 2;
 
 }
 
@@ -233,13 +230,10 @@
 auto placement_coordinator::queued_prompt::predicted_room(
     service_settings const& settings ) const -> core::duration
 {
-    auto const reading =
-        owner_.chooser_.shortest_reading( ask.demand, settings ) *
-        return_per_reading;
-    auto const spread = std::uniform_int_distribution<std::int64_t>(
-        0, return_spread.count() )( owner_.random_ );
-    return std::max( pause_for_queue( owner_.waiting_.size() ), reading ) +
-           core::duration( spread );
+    return pause_until_room(
+        owner_.waiting_.size(),
+        owner_.chooser_.shortest_reading( ask.demand, settings ),
+        owner_.random_ );
 }
 
 placement_coordinator::placement_coordinator( core::instance_id self,
