scripts/compare ends on SIGTERM as on SIGINT

Cause: a run that a script had started in the background did not stop on SIGINT, which its shell had set to be ignored; a kill left its plays running. Change: SIGTERM ends it with what is done. Tests: compare_test stops a run by either signal; that by SIGTERM fails without the change.

--- a/scripts/bench_runs.py
+++ b/scripts/bench_runs.py
@@ -8,6 +8,7 @@
 import os
 import pathlib
 import shutil
+import signal
 import subprocess
 import sys
 import tempfile
@@ -148,7 +149,9 @@
 
 def play_all(plays, play_one, bench, jobs, on_outcome):
     """Plays all with `jobs` at once; returns those that gave nothing, with the
-    reason. SIGINT ends it with what is done."""
+    reason. SIGINT and SIGTERM end it with what is done; a shell that starts it
+    behind `&` in a script has SIGINT ignored."""
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     failed = {}
     with concurrent.futures.ThreadPoolExecutor(max_workers=jobs) as pool:
         futures = {pool.submit(play_one, play): play for play in plays}
--- a/tests/scripts/compare_test.py
+++ b/tests/scripts/compare_test.py
@@ -150,7 +150,13 @@
         self.assertIn("the day was given up", done.stderr)
         self.assertRegex(done.stdout, r"small +1 ")
 
-    def test_a_stopped_run_keeps_what_it_has(self):
+    def test_a_run_that_is_interrupted_keeps_what_it_has(self):
+        self.stop_with(signal.SIGINT)
+
+    def test_a_run_that_is_terminated_keeps_what_it_has(self):
+        self.stop_with(signal.SIGTERM)
+
+    def stop_with(self, which):
         before = self.trees()
         rows = self.folder / "rows.csv"
         run = subprocess.Popen(
@@ -160,7 +166,7 @@
         # The four plays of seeds 7 and 8 are over when the progress says so.
         while not (line := run.stderr.readline()).startswith("4 of"):
             self.assertNotEqual(line, "")
-        run.send_signal(signal.SIGINT)
+        run.send_signal(which)
         out, _ = run.communicate()
         self.assertRegex(out, r"small +1 ")
         self.assertEqual(len(rows.read_text().splitlines()), 3)
