--- a/tests/scripts/compare_test.py
+++ b/tests/scripts/compare_test.py
@@ -2,6 +2,7 @@
 the bench that plays nothing and writes reports."""
 
 import json
+import os
 import pathlib
 import signal
 import subprocess
@@ -122,21 +123,27 @@
 
     def run_compare(self, *more):
         return subprocess.run(
-            self.words(*more), capture_output=True, text=True, check=False)
+            self.words(*more), capture_output=True, text=True, check=False,
+            env=self.environment())
 
-    def trees(self):
+    def environment(self):
+        """Work trees go into this test's folder, so that it knows its own."""
+        return {**os.environ, "TMPDIR": str(self.folder)}
+
+    def left_behind(self):
+        """Work trees of this test that git lists, and folders that it made."""
         listed = subprocess.run(
             ["git", "-C", str(REPOSITORY), "worktree", "list"],
             capture_output=True, text=True, check=True)
-        return listed.stdout
+        trees = [t for t in listed.stdout.splitlines() if str(self.folder) in t]
+        return trees + [f.name for f in self.folder.glob("compare-*")]
 
     def test_a_version_against_itself_differs_by_nothing(self):
-        before = self.trees()
         done = self.run_compare("HEAD", "HEAD", "--seeds", "2", "--json")
         self.assertEqual(done.returncode, 0, done.stderr)
         row = json.loads(done.stdout)["HEAD again"]["small"]
         self.assertEqual((row["pairs"], row["difference"]), (2, 0))
-        self.assertEqual(self.trees(), before)
+        self.assertEqual(self.left_behind(), [])
 
     def test_the_table_names_broken_rules_and_what_callers_got(self):
         done = self.run_compare("HEAD", "HEAD", "--seeds", "3-3", "--days", "all")
@@ -157,12 +164,12 @@
         self.stop_with(signal.SIGTERM)
 
     def stop_with(self, which):
-        before = self.trees()
         rows = self.folder / "rows.csv"
         run = subprocess.Popen(
             self.words("HEAD", "HEAD", "--seeds", "7-9", "--jobs", "2",
                        "--csv", str(rows)),
-            stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+            stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True,
+            env=self.environment())
         # The four plays of seeds 7 and 8 are over when the progress says so.
         while not (line := run.stderr.readline()).startswith("4 of"):
             self.assertNotEqual(line, "")
@@ -170,7 +177,7 @@
         out, _ = run.communicate()
         self.assertRegex(out, r"small +1 ")
         self.assertEqual(len(rows.read_text().splitlines()), 3)
-        self.assertEqual(self.trees(), before)
+        self.assertEqual(self.left_behind(), [])
 
     def test_bad_input_is_one_clear_line(self):
         cases = [
@@ -189,12 +196,11 @@
                 self.assertIn(text, done.stderr)
 
     def test_a_build_that_fails_leaves_nothing_behind(self):
-        before = self.trees()
         self.bench.write_text("#!/bin/sh\necho broken\nexit 1\n")
         done = self.run_compare("HEAD", "HEAD")
         self.assertEqual(done.returncode, 2)
         self.assertIn("the build of", done.stderr)
-        self.assertEqual(self.trees(), before)
+        self.assertEqual(self.left_behind(), [])
 
 
 if __name__ == "__main__":
