Logs name what was asked for over all tries of it

Cause: a request's log lines carried the id of one try of its caller, which is new with each try. Whether the same request was open at each engine that ended could only be guessed from the prompt's length. Change: content_of names a request by workspace, method, host, path and body; placed, attempt_failed, ended and refused lines carry it as content=. No decision uses it. Ruled out: headers as part of it.

--- a/apps/gateway/caller_handler.cpp
+++ b/apps/gateway/caller_handler.cpp
@@ -48,15 +48,10 @@
                                              shared_.scheduler.now() );
     if ( decoded.has_error() )
     {
-        shared_.log.record( exchange::request_refused{ {},
-                                                       status_bad_request,
-                                                       "",
-                                                       decoded.error().detail,
-                                                       {},
-                                                       {},
-                                                       {},
-                                                       0,
-                                                       0 } );
+        auto refused = exchange::request_refused{};
+        refused.status = status_bad_request;
+        refused.reason = decoded.error().detail;
+        shared_.log.record( refused );
         answer->send_whole( { status_bad_request,
                               { { "Content-Type", "text/plain" } },
                               decoded.error().detail + "\n" } );
--- a/src/pollenstream/adapters/spdlog/structured_log.cpp
+++ b/src/pollenstream/adapters/spdlog/structured_log.cpp
@@ -67,6 +67,7 @@
 {
     auto line = line_builder( "refused" );
     line.text( "id", e.id.str() )
+        .text( "content", exchange::to_string( e.content ) )
         .text( "route", e.route )
         .text( "reason", e.reason )
         .number( "status", e.status )
@@ -91,6 +92,7 @@
 {
     auto line = line_builder( "placed" );
     line.text( "id", e.id.str() )
+        .text( "content", exchange::to_string( e.content ) )
         .text( "route", e.route )
         .text( "target", e.target.str() )
         .number( "parts", static_cast<std::int64_t>( e.parts.size() ) )
@@ -116,6 +118,7 @@
 {
     auto line = line_builder( "attempt_failed" );
     line.text( "id", e.id.str() )
+        .text( "content", exchange::to_string( e.content ) )
         .text( "target", e.target.str() )
         .text( "error", e.error )
         .number( "may_have_run", e.may_have_run ? 1 : 0 )
@@ -127,6 +130,7 @@
 {
     auto line = line_builder( "ended" );
     line.text( "id", e.id.str() )
+        .text( "content", exchange::to_string( e.content ) )
         .text( "route", e.route )
         .text( "outcome", e.outcome )
         .number( "status", e.status )
--- a/src/pollenstream/exchange/event_log.hpp
+++ b/src/pollenstream/exchange/event_log.hpp
@@ -5,6 +5,7 @@
 #include <pollenstream/core/units.hpp>
 #include <pollenstream/exchange/message.hpp>
 #include <pollenstream/exchange/placement.hpp>
+#include <pollenstream/exchange/request_content.hpp>
 #include <pollenstream/exchange/target_board.hpp>
 
 #include <cstdint>
@@ -18,6 +19,7 @@
 struct request_refused
 {
     attempt_id id;
+    content_id content; ///< zero where no route is known
     int status{ 0 };
     std::string route;
     std::string reason;
@@ -32,6 +34,7 @@
 struct request_placed
 {
     attempt_id id;
+    content_id content;
     std::string route;
     core::target_id target;
     std::vector<work_part> parts; ///< the target's own part is the first
@@ -50,6 +53,7 @@
 struct attempt_failed
 {
     attempt_id id;
+    content_id content;
     core::target_id target;
     std::string error;
     bool may_have_run{ false };
@@ -60,6 +64,7 @@
 struct request_ended
 {
     attempt_id id;
+    content_id content; ///< zero where no route is known
     std::string route;
     std::string outcome;
     int status{ 0 };
--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -153,6 +153,7 @@
 {
     if ( !find_route() )
         return;
+    content_ = content_of( request_, workspace_ );
     pick_service();
     if ( service_ == nullptr )
         return refuse( status_unavailable, "unknown_service",
@@ -298,9 +299,9 @@
 auto exchange::on_no_memory( placement_grant const& grant,
                              core::error const& why ) -> void
 {
-    shared_.log.record(
-        attempt_failed{ request_.id, grant.choice.targets.front()->facts.id,
-                        "reservation: " + why.detail, false, "wait" } );
+    shared_.log.record( attempt_failed{
+        request_.id, content_, grant.choice.targets.front()->facts.id,
+        "reservation: " + why.detail, false, "wait" } );
     release( grant.serial, work_outcome::none );
     auto const spread = std::uniform_int_distribution<std::int64_t>(
         0, reservation_pause.count() )( shared_.random );
@@ -378,7 +379,8 @@
         answer.headers.push_back( retry_after_header( *retry_after ) );
     auto const now = shared_.scheduler.now();
     shared_.log.record( request_refused{
-        request_.id, status, route_ != nullptr ? route_->id.str() : "", reason,
+        request_.id, content_, status,
+        route_ != nullptr ? route_->id.str() : "", reason,
         now - request_.received, retry_after.value_or( core::duration( 0 ) ),
         configuration_ ? configuration_->version : core::revision{},
         demand_.prompt_tokens, shared_.room.size() } );
@@ -409,7 +411,7 @@
     shared_.room.remove( this );
     shared_.open.erase( this );
     shared_.log.record( request_ended{
-        request_.id, route_ != nullptr ? route_->id.str() : "",
+        request_.id, content_, route_ != nullptr ? route_->id.str() : "",
         std::move( outcome ), status, last_target_,
         shared_.scheduler.now() - request_.received, first_event_, longest_gap_,
         events_, targets_reached_, demand_.prompt_tokens,
--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -4,6 +4,7 @@
 #include <pollenstream/exchange/context.hpp>
 #include <pollenstream/exchange/event_splitter.hpp>
 #include <pollenstream/exchange/message.hpp>
+#include <pollenstream/exchange/request_content.hpp>
 
 #include <memory>
 #include <optional>
@@ -153,6 +154,7 @@
     configuration_ptr configuration_;
     route const* route_{ nullptr };
     core::workspace_id workspace_;
+    content_id content_;
     int priority_{ 0 };
     placement_demand demand_;
     service_settings const* service_{ nullptr };
--- a/src/pollenstream/exchange/exchange_attempts.cpp
+++ b/src/pollenstream/exchange/exchange_attempts.cpp
@@ -126,7 +126,7 @@
                            "attempt " + request_.id.str() + " sent again" );
     auto const serial = grant.serial;
     shared_.log.record( request_placed{
-        request_.id, route_->id.str(), first.facts.id, choice.parts,
+        request_.id, content_, route_->id.str(), first.facts.id, choice.parts,
         targets_reached_, now - request_.received, deadline_ - now,
         choice.first_event_ms, demand_.prompt_tokens, choice.basis,
         configuration_->version, grant.decided_by, last_ask_time_ } );
@@ -402,8 +402,8 @@
     auto const again =
         may_repeat() && ( targets_reached_ == 0 ||
                           shared_.retries.take( demand_.service, now ) );
-    shared_.log.record( attempt_failed{ request_.id, current_->target.id, why,
-                                        may_have_run,
+    shared_.log.record( attempt_failed{ request_.id, content_,
+                                        current_->target.id, why, may_have_run,
                                         again ? "send_again" : "give_up" } );
     if ( !again )
         return false;
--- /dev/null
+++ b/src/pollenstream/exchange/request_content.cpp
@@ -0,0 +1,32 @@
+#include <pollenstream/core/hash.hpp>
+#include <pollenstream/exchange/request_content.hpp>
+
+#include <array>
+#include <cstdint>
+#include <cstdio>
+
+namespace pollenstream::exchange
+{
+
+auto content_of( caller_request const& request,
+                 core::workspace_id const& workspace ) -> content_id
+{
+    // The hash of each part is the seed of the next, so that text that moves
+    // from one part to its neighbour gives another id.
+    auto hash = std::uint64_t{ 0 };
+    for ( auto const* part : { &workspace.str(), &request.method, &request.host,
+                               &request.target, &request.body } )
+        hash = core::stable_hash( *part, hash );
+    return content_id( static_cast<std::int64_t>( hash ) );
+}
+
+auto to_string( content_id id ) -> std::string
+{
+    constexpr auto digits = std::size_t{ 16 };
+    auto out = std::array<char, digits + 1>{};
+    std::snprintf( out.data(), out.size(), "%016llx",
+                   static_cast<unsigned long long>( id.count() ) );
+    return std::string( out.data(), digits );
+}
+
+}
--- a/tests/exchange/exchange_test.cpp
+++ b/tests/exchange/exchange_test.cpp
@@ -459,3 +459,37 @@
            std::vector<core::target_id>{ core::target_id( "m1" ) } );
     open->on_caller_gone();
 }
+
+TEST_CASE( "the log names what was asked for over all tries of it",
+           "[exchange][log][content]" )
+{
+    auto f = exchange_fixture{};
+    auto const name = [&f]( auto const& what )
+    {
+        auto const id =
+            exchange::content_of( what, core::workspace_id( "ws" ) );
+        return exchange::to_string( id );
+    };
+    auto first = f.request( "/safe/x" );
+    auto const expected = name( first );
+    f.start( std::move( first ) );
+    f.targets.all[0]->lose();
+    f.targets.all[1]->answer( 200, "body" );
+    f.start( f.request( "/safe/x" ) );
+    f.targets.all[2]->answer( 200, "body" );
+
+    auto named = 0;
+    for ( auto const& e : f.log.all )
+        std::visit(
+            [&]( auto const& what )
+            {
+                if constexpr ( requires { what.content; } )
+                {
+                    CHECK( exchange::to_string( what.content ) == expected );
+                    ++named;
+                }
+            },
+            e );
+    // Three placed, one failed, two ended.
+    CHECK( named == 6 );
+}
