--- /dev/null
+++ b/tests/support/exchange_fleet.cpp
@@ -0,0 +1,578 @@
+#include "support/exchange_fleet.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace tests
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr auto datagram_time = core::duration( 1ms );
+constexpr auto events_of_stream = 15;
+constexpr auto callers_tries = 2;
+constexpr auto pause_before_retry = core::duration( 60ms );
+/// Bodies that begin so end each target that runs them.
+constexpr auto fatal = "fatal";
+
+auto event_text( int id ) -> std::string
+{
+    return "id: " + std::to_string( id ) + "\ndata: x\n\n";
+}
+
+auto is_stream( std::string const& path ) -> bool
+{
+    return path.starts_with( "/chat/" ) || path.starts_with( "/audit/" ) ||
+           path.starts_with( "/once/" );
+}
+
+/// Path and body, for `fleet_targets`.
+class body_speller : public exchange::request_speller
+{
+public:
+    [[nodiscard]] auto
+    spell( exchange::caller_request const& request,
+           exchange::target_directions const& directions ) const
+        -> std::string override
+    {
+        auto const last = directions.last_event.value_or( 0 );
+        return request.target + " " + std::to_string( last ) + " " +
+               request.body;
+    }
+};
+
+}
+
+/// One request at one target; keeps itself alive through its timer.
+class fleet_targets::run : public exchange::open_attempt,
+                           public std::enable_shared_from_this<run>
+{
+public:
+    run( fleet_targets& owner,
+         core::target_id target,
+         std::string const& text,
+         std::shared_ptr<exchange::attempt_listener> listener )
+        : owner_( owner ), target_( std::move( target ) ),
+          listener_( std::move( listener ) )
+    {
+        auto const first = text.find( ' ' );
+        auto const second = text.find( ' ', first + 1 );
+        streams_ = is_stream( text.substr( 0, first ) );
+        next_ = std::stoi( text.substr( first + 1, second - first - 1 ) ) + 1;
+        body_ = text.substr( second + 1 );
+    }
+
+    [[nodiscard]] auto body() const -> std::string const&
+    {
+        return body_;
+    }
+    auto begin() -> void
+    {
+        later( owner_.time.reading,
+               [this]
+               {
+                   body_.starts_with( fatal ) ? run_to_crash() : answer();
+               } );
+    }
+    auto lose( bool sent = true ) -> void
+    {
+        timer_.reset();
+        auto const listener = std::exchange( listener_, nullptr );
+        if ( !listener )
+            return;
+        auto end = exchange::attempt_end{};
+        end.error = { sent ? core::error_code::connection_lost
+                           : core::error_code::unreachable,
+                      "lost" };
+        end.sent = sent;
+        listener->on_end( end );
+    }
+    auto cancel() -> void override
+    {
+        timer_.reset();
+        listener_.reset();
+    }
+    [[nodiscard]] auto sent() const -> bool override
+    {
+        return true;
+    }
+
+private:
+    auto later( core::duration delay, std::function<void()> step ) -> void
+    {
+        timer_ = owner_.scheduler_.call_after(
+            delay,
+            [self = shared_from_this(), step = std::move( step )]
+            {
+                auto const done = std::move( self->timer_ );
+                step();
+            } );
+    }
+    auto run_to_crash() -> void
+    {
+        later( owner_.time.until_crash,
+               [this]
+               {
+                   owner_.crash( target_ );
+               } );
+    }
+    auto head() -> void
+    {
+        auto h = exchange::answer_head{};
+        h.status = 200;
+        h.has_seal = true;
+        listener_->on_head( std::move( h ) );
+    }
+    auto answer() -> void
+    {
+        head();
+        if ( streams_ )
+            return tell_event();
+        listener_->on_body( "done" );
+        complete();
+    }
+    auto tell_event() -> void
+    {
+        listener_->on_body( event_text( next_ ) );
+        if ( !listener_ )
+            return;
+        if ( next_++ >= events_of_stream )
+            return complete();
+        later( owner_.time.event_gap,
+               [this]
+               {
+                   tell_event();
+               } );
+    }
+    auto complete() -> void
+    {
+        auto const listener = std::exchange( listener_, nullptr );
+        if ( !listener )
+            return;
+        auto end = exchange::attempt_end{};
+        end.complete = true;
+        end.sent = true;
+        listener->on_end( end );
+    }
+
+    fleet_targets& owner_;
+    core::target_id target_;
+    std::shared_ptr<exchange::attempt_listener> listener_;
+    std::unique_ptr<ports::scheduled_call> timer_;
+    std::string body_;
+    bool streams_{ false };
+    int next_{ 1 };
+};
+
+fleet_targets::fleet_targets( held_scheduler& scheduler,
+                              std::string service,
+                              listed on_listed,
+                              unlisted on_unlisted )
+    : scheduler_( scheduler ), service_( std::move( service ) ),
+      on_listed_( std::move( on_listed ) ),
+      on_unlisted_( std::move( on_unlisted ) )
+{
+}
+
+fleet_targets::~fleet_targets() = default;
+
+auto fleet_targets::after( core::duration delay, std::function<void()> what )
+    -> void
+{
+    calls_.push_back( scheduler_.call_after( delay, std::move( what ) ) );
+}
+
+auto fleet_targets::add() -> void
+{
+    auto const number = ++last_;
+    auto facts =
+        make_target( service_ + "-" + std::to_string( number ), service_ );
+    facts.address.ip = service_;
+    facts.address.port = static_cast<std::uint16_t>( 1'000 + number );
+    listed_.push_back( facts );
+    on_listed_( facts );
+    targets_[facts.id].facts = std::move( facts );
+}
+
+auto fleet_targets::facts() const -> std::vector<exchange::target_facts>
+{
+    return listed_;
+}
+
+auto fleet_targets::send( std::string const& instance,
+                          exchange::outgoing_request request,
+                          std::shared_ptr<exchange::attempt_listener> listener )
+    -> std::shared_ptr<exchange::open_attempt>
+{
+    auto const which = std::make_shared<run>(
+        *this, request.target, *request.text, std::move( listener ) );
+    auto const found = targets_.find( request.target );
+    if ( found == targets_.end() )
+    {
+        // Nobody listens there; told after this call, as a network would.
+        after( 1ms,
+               [which]
+               {
+                   which->lose( false );
+               } );
+        return which;
+    }
+    runs.push_back(
+        { which->body(), request.target, instance, scheduler_.now() } );
+    found->second.open.push_back( which );
+    which->begin();
+    return which;
+}
+
+auto fleet_targets::cut( core::target_id const& id ) -> void
+{
+    auto const open = std::exchange( targets_.at( id ).open, {} );
+    for ( auto const& weak : open )
+        if ( auto const which = weak.lock() )
+            which->lose();
+}
+
+auto fleet_targets::crash( core::target_id const& id ) -> void
+{
+    auto const found = targets_.find( id );
+    if ( found == targets_.end() )
+        return;
+    auto const open = std::move( found->second.open );
+    targets_.erase( found );
+    ++crashes;
+    for ( auto const& weak : open )
+        if ( auto const which = weak.lock() )
+            which->lose();
+    after( time.until_lapse,
+           [this, id]
+           {
+               std::erase_if( listed_,
+                              [&id]( auto const& f )
+                              {
+                                  return f.id == id;
+                              } );
+               on_unlisted_( id );
+           } );
+    after( time.until_start,
+           [this]
+           {
+               add();
+           } );
+}
+
+class fleet_instance::sender : public peers::datagram_sender
+{
+public:
+    sender( exchange_fleet& fleet, std::string from )
+        : fleet_( fleet ), from_( std::move( from ) )
+    {
+    }
+    auto send( std::string const& ip, std::string const& bytes )
+        -> void override
+    {
+        fleet_.deliver( from_, ip, bytes );
+    }
+
+private:
+    exchange_fleet& fleet_;
+    std::string from_;
+};
+
+class fleet_instance::targets : public exchange::target_caller
+{
+public:
+    targets( exchange_fleet& fleet, std::string instance )
+        : fleet_( fleet ), instance_( std::move( instance ) )
+    {
+    }
+    auto send( exchange::outgoing_request request,
+               std::shared_ptr<exchange::attempt_listener> listener )
+        -> std::shared_ptr<exchange::open_attempt> override
+    {
+        auto& where = fleet_.targets_of( request.address );
+        return where.send( instance_, std::move( request ),
+                           std::move( listener ) );
+    }
+
+private:
+    exchange_fleet& fleet_;
+    std::string instance_;
+};
+
+fleet_instance::fleet_instance( exchange_fleet& fleet,
+                                int number,
+                                int incarnation )
+    : name( "n" + std::to_string( number ) ),
+      ip( "10.0.0." + std::to_string( number ) ), fleet_( fleet ),
+      speller_( std::make_unique<body_speller>() ),
+      chooser_( board, core::place_id( "a" ) ),
+      retries_( { 0.2, 100, std::chrono::seconds( 10 ) } ),
+      room_( fleet.scheduler ),
+      sender_( std::make_unique<sender>( fleet, ip ) ),
+      targets_( std::make_unique<targets>( fleet, name ) ),
+      group( { core::instance_id( name ), core::incarnation( incarnation ), ip,
+               core::place_id( "a" ), ip + ":80", 250 },
+             { "10.0.0.1", "10.0.0.2", "10.0.0.3" },
+             fleet.scheduler,
+             *sender_,
+             board,
+             log ),
+      coordinator_( core::instance_id( name ),
+                    fleet.scheduler,
+                    board,
+                    chooser_,
+                    room_,
+                    log ),
+      router_( core::instance_id( name ),
+               fleet.scheduler,
+               group,
+               coordinator_,
+               board,
+               [this]
+               {
+                   return ++context.last_serial;
+               } ),
+      context{ .scheduler = fleet.scheduler,
+               .targets = *targets_,
+               .speller = *speller_,
+               .reservations = reservations_,
+               .board = board,
+               .chooser = chooser_,
+               .asks = router_,
+               .retries = retries_,
+               .room = room_,
+               .log = log,
+               .announcer = group,
+               .self = core::instance_id( name ),
+               .configuration = fleet.configuration,
+               .stop_at = std::nullopt,
+               .last_serial = 0,
+               .open = {},
+               .counters = {},
+               .random = std::minstd_rand(
+                   static_cast<std::uint32_t>( number + 1 ) ) }
+{
+    coordinator_.set_configuration( fleet.configuration );
+    group.set_ask_handler( router_ );
+    group.on_load_changed = [this]
+    {
+        room_.poke();
+    };
+    group.on_size_changed = [this]
+    {
+        retries_.set_instances( group.size() );
+    };
+    group.start();
+    group.set_ready( true );
+}
+
+fleet_instance::~fleet_instance() = default;
+
+auto fleet_instance::start( exchange::caller_request what,
+                            std::shared_ptr<recorded_channel> answer ) -> void
+{
+    std::make_shared<exchange::exchange>( context, std::move( what ),
+                                          std::move( answer ) )
+        ->start();
+}
+
+/// A caller with its tries.
+class exchange_fleet::caller : public recorded_channel
+{
+public:
+    caller( exchange_fleet& fleet, std::shared_ptr<fleet_call> call )
+        : fleet_( fleet ), call_( std::move( call ) ),
+          began_( fleet.scheduler.now() )
+    {
+    }
+    auto send_whole( exchange::whole_answer answer ) -> void override
+    {
+        end( answer.status, answer.status == 503 );
+    }
+    auto end_stream() -> void override
+    {
+        end( 200, false );
+    }
+    auto abort() -> void override
+    {
+        end( 0, false );
+    }
+
+private:
+    auto end( int status, bool has_not_run ) -> void
+    {
+        call_->status = status;
+        call_->served = status == 200;
+        call_->longest_try =
+            std::max( call_->longest_try, fleet_.scheduler.now() - began_ );
+        auto const may_repeat = has_not_run ||
+                                call_->path.starts_with( "/chat/" ) ||
+                                call_->path.starts_with( "/safe/" );
+        if ( call_->served || !may_repeat || call_->tries >= callers_tries )
+            return;
+        auto const next =
+            ( call_->tries + fleet_.last_attempt_ ) % fleet_.size();
+        fleet_.calls_.push_back(
+            fleet_.scheduler.call_after( pause_before_retry,
+                                         [&fleet = fleet_, call = call_, next]
+                                         {
+                                             fleet.begin_try( next, call );
+                                         } ) );
+    }
+
+    exchange_fleet& fleet_;
+    std::shared_ptr<fleet_call> call_;
+    core::instant began_;
+};
+
+exchange_fleet::exchange_fleet( int instances,
+                                int engine_count,
+                                int plain_count )
+    : engines(
+          scheduler,
+          "model",
+          [this]( auto const& facts )
+          {
+              list( facts );
+          },
+          [this]( auto const& id )
+          {
+              unlist( id );
+          } ),
+      plain(
+          scheduler,
+          "plain",
+          [this]( auto const& facts )
+          {
+              list( facts );
+          },
+          [this]( auto const& id )
+          {
+              unlist( id );
+          } ),
+      configuration( sample_configuration( 1 ) )
+{
+    for ( auto i = 0; i < engine_count; ++i )
+        engines.add();
+    for ( auto i = 0; i < plain_count; ++i )
+        plain.add();
+    instances_.resize( static_cast<std::size_t>( instances ) );
+    for ( auto i = 0; i < instances; ++i )
+        restart( i );
+    scheduler.run( 2s );
+}
+
+exchange_fleet::~exchange_fleet()
+{
+    for ( auto i = 0; i < size(); ++i )
+        kill( i );
+}
+
+auto exchange_fleet::list( exchange::target_facts const& facts ) -> void
+{
+    for ( auto const& one : instances_ )
+        if ( one )
+            one->board.put( facts );
+}
+
+auto exchange_fleet::unlist( core::target_id const& id ) -> void
+{
+    for ( auto const& one : instances_ )
+        if ( one )
+            one->board.mark_gone( id );
+}
+
+auto exchange_fleet::restart( int number ) -> void
+{
+    auto& place = instances_.at( static_cast<std::size_t>( number ) );
+    place = std::make_unique<fleet_instance>( *this, number + 1,
+                                              ++last_incarnation_ );
+    silent_.erase( place->ip );
+    for ( auto const* service : { &engines, &plain } )
+        for ( auto const& facts : service->facts() )
+            place->board.put( facts );
+}
+
+auto exchange_fleet::kill( int number ) -> void
+{
+    auto& place = instances_.at( static_cast<std::size_t>( number ) );
+    if ( !place )
+        return;
+    silent_.insert( place->ip );
+    auto const open =
+        std::vector( place->context.open.begin(), place->context.open.end() );
+    for ( auto* const which : open )
+        which->on_caller_gone();
+    place.reset();
+}
+
+auto exchange_fleet::cut( int number, bool is_cut ) -> void
+{
+    auto const& ip = at( number ).ip;
+    if ( is_cut )
+        silent_.insert( ip );
+    else
+        silent_.erase( ip );
+}
+
+auto exchange_fleet::deliver( std::string const& from,
+                              std::string const& to,
+                              std::string bytes ) -> void
+{
+    if ( silent_.contains( from ) || silent_.contains( to ) )
+        return;
+    calls_.push_back( scheduler.call_after(
+        datagram_time,
+        [this, to, bytes = std::move( bytes )]
+        {
+            for ( auto const& one : instances_ )
+                if ( one && one->ip == to && !silent_.contains( to ) )
+                    return one->group.on_datagram( bytes );
+        } ) );
+}
+
+auto exchange_fleet::targets_of( core::address const& address )
+    -> fleet_targets&
+{
+    return address.ip == "model" ? engines : plain;
+}
+
+auto exchange_fleet::call( int number, std::string path, std::string body )
+    -> std::shared_ptr<fleet_call>
+{
+    auto const which = std::make_shared<fleet_call>();
+    which->path = std::move( path );
+    which->body = std::move( body );
+    begin_try( number, which );
+    return which;
+}
+
+auto exchange_fleet::begin_try( int number,
+                                std::shared_ptr<fleet_call> const& which )
+    -> void
+{
+    auto& where = instances_.at( static_cast<std::size_t>( number ) );
+    ++which->tries;
+    if ( !where )
+    {
+        which->status = 0;
+        return;
+    }
+    auto r = exchange::caller_request{};
+    r.id = exchange::attempt_id( std::to_string( ++last_attempt_ ) );
+    r.method = "POST";
+    r.target = which->path;
+    r.host = "host";
+    r.key = "key";
+    r.body = which->body;
+    r.time_limit = 10s;
+    r.received = scheduler.now();
+    if ( is_stream( which->path ) )
+        r.prompt = exchange::prompt_facts{ 5'000, 1'600, 0 };
+    where->start( std::move( r ), std::make_shared<caller>( *this, which ) );
+}
+
+}
