The log tells that an answer says its target leaves

Cause: no line told what answers say of their target, so that it could not be seen whether an instance had been told. Change: the header is decoded; the board keeps that it was said, once a lifetime, and a line of belief is written. No decision uses it.

--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -116,6 +116,7 @@
         -> void;
 
     auto on_head( std::uint64_t serial, answer_head head ) -> void;
+    auto note_told_state( answer_head const& head ) -> void;
     auto on_body( std::uint64_t serial, std::string const& bytes ) -> void;
     auto on_end( std::uint64_t serial, attempt_end const& end ) -> void;
     auto on_complete() -> void;
--- a/src/pollenstream/exchange/exchange_attempts.cpp
+++ b/src/pollenstream/exchange/exchange_attempts.cpp
@@ -176,12 +176,22 @@
         shared_.board.note_told( current_->target, *head.load,
                                  current_->heard_at );
     if ( !head.wrong_target )
-        shared_.crashes.note_answer( current_->target, current_->sent_at );
+        note_told_state( head );
     if ( !head.proves_not_run && !head.wrong_target )
         may_have_run_ = true;
     current_->head = std::move( head );
 }
 
+/// Takes over what the target says of itself beside its answer.
+auto exchange::note_told_state( answer_head const& head ) -> void
+{
+    auto const& target = current_->target;
+    shared_.crashes.note_answer( target, current_->sent_at );
+    if ( head.says_leaving && shared_.board.note_said_leaving( target ) )
+        shared_.log.record( belief_changed{
+            "target", target.id.str(), "leaving", "its own answer", {} } );
+}
+
 auto exchange::on_body( std::uint64_t serial, std::string const& bytes ) -> void
 {
     if ( !current_ || current_->serial != serial )
--- a/src/pollenstream/exchange/message.hpp
+++ b/src/pollenstream/exchange/message.hpp
@@ -92,6 +92,7 @@
     bool wrong_target{ false }; ///< another instance has the address
     bool has_seal{ false };     ///< carries the target's digest
     std::string at_fault;       ///< the target that made the work fail
+    bool says_leaving{ false }; ///< the target takes no new work
     std::optional<told_load> load;
 };
 
--- a/src/pollenstream/exchange/target_board.cpp
+++ b/src/pollenstream/exchange/target_board.cpp
@@ -416,6 +416,12 @@
     at->health.failure_share *= failure_decay;
 }
 
+auto target_board::note_said_leaving( target_ref const& ref ) -> bool
+{
+    auto const at = find_lifetime( ref );
+    return at && !std::exchange( at->said_leaving, true );
+}
+
 auto target_board::shun( target_ref const& ref, core::instant until ) -> void
 {
     auto const at = find_lifetime( ref );
--- a/src/pollenstream/exchange/target_board.hpp
+++ b/src/pollenstream/exchange/target_board.hpp
@@ -134,6 +134,7 @@
     std::optional<told_load> told;
     core::instant told_at;
     bool gone{ false }; ///< not in the registry; its entry may come back
+    bool said_leaving{ false }; ///< in an answer
 
     [[nodiscard]] auto ref() const -> target_ref
     {
@@ -241,6 +242,9 @@
                        core::instant now,
                        target_failure how = target_failure::failed ) -> bool;
     auto note_success( target_ref const& ref ) -> void;
+    /// The target has said in an answer that it leaves; true where that is
+    /// news.
+    auto note_said_leaving( target_ref const& ref ) -> bool;
     auto shun( target_ref const& ref, core::instant until ) -> void;
     auto note_told( target_ref const& ref, told_load load, core::instant now )
         -> void;
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -195,6 +195,11 @@
     CHECK( head.at_fault == "i-9" );
     for ( auto const& h : head.headers )
         CHECK( h.name != "Connection" );
+    auto const leaves =
+        platform::decode_answer( { 200, { { "server-leaving", "1" } } } );
+    CHECK( leaves.says_leaving );
+    CHECK( leaves.headers.size() == 1 );
+    CHECK_FALSE( head.says_leaving );
     auto const moved = platform::decode_answer( { 421, {} } );
     CHECK( moved.wrong_target );
     CHECK( moved.proves_not_run );
