--- a/tests/support/exchange_fleet.cpp
+++ b/tests/support/exchange_fleet.cpp
@@ -124,6 +124,7 @@
         auto h = exchange::answer_head{};
         h.status = 200;
         h.has_seal = true;
+        h.says_leaving = owner_.targets_.at( target_ ).leaving;
         listener_->on_head( std::move( h ) );
     }
     auto answer() -> void
@@ -227,6 +228,11 @@
     return which;
 }
 
+auto fleet_targets::leave( core::target_id const& id ) -> void
+{
+    targets_.at( id ).leaving = true;
+}
+
 auto fleet_targets::cut( core::target_id const& id ) -> void
 {
     auto const open = std::exchange( targets_.at( id ).open, {} );
--- a/tests/support/exchange_fleet.hpp
+++ b/tests/support/exchange_fleet.hpp
@@ -59,6 +59,8 @@
         -> std::shared_ptr<exchange::open_attempt>;
     /// Ends the target, whatever runs there.
     auto crash( core::target_id const& id ) -> void;
+    /// From now on the target's answers say that it leaves.
+    auto leave( core::target_id const& id ) -> void;
     /// Breaks all that is open at the target, which lives on.
     auto cut( core::target_id const& id ) -> void;
 
@@ -78,6 +80,7 @@
     {
         exchange::target_facts facts;
         std::vector<std::weak_ptr<run>> open;
+        bool leaving{ false };
     };
 
     auto after( core::duration delay, std::function<void()> what ) -> void;
