A call that may have run is not refused as not run

What callers saw: 503, which promises that the call has not run, where its first target had broken off and no other one was left. (Safe calls only; others are not sent again.) Cause: the way out for want of targets did not look at whether the call may have run; three other ways out did, each by itself. Ruled out: non-idempotent calls; they do not come this way after a break. Change: one way out for all of them, turn_down.

--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -245,7 +245,8 @@
     }
     if ( route_->kind == request_kind::stream )
         return false;
-    refuse( status_unavailable, "no_targets", retry_after_no_target );
+    // After a try that may have run there may be no other target left.
+    turn_down( "no_targets", retry_after_no_target );
     return true;
 }
 
@@ -378,9 +379,7 @@
     if ( current_ && current_->call && current_->call->sent() )
         may_have_run_ = true;
     close_try( true );
-    if ( may_have_run_ )
-        return fail( status_bad_gateway, std::move( reason ) );
-    refuse( status_unavailable, std::move( reason ), retry_after_stop );
+    turn_down( std::move( reason ), retry_after_stop );
 }
 
 auto exchange::is_quarantined() const -> bool
@@ -391,9 +390,7 @@
 /// Without a time to come back: it would be refused again.
 auto exchange::end_quarantined() -> void
 {
-    if ( may_have_run_ )
-        return fail( status_bad_gateway, quarantined_reason );
-    refuse( status_unavailable, quarantined_reason, std::nullopt );
+    turn_down( quarantined_reason, std::nullopt );
 }
 
 auto exchange::on_quarantined( content_id content ) -> void
@@ -445,6 +442,14 @@
     end( std::move( reason ), status );
 }
 
+auto exchange::turn_down( std::string reason,
+                          std::optional<core::duration> retry_after ) -> void
+{
+    if ( may_have_run_ )
+        return fail( status_bad_gateway, std::move( reason ) );
+    refuse( status_unavailable, std::move( reason ), retry_after );
+}
+
 auto exchange::end( std::string outcome, int status ) -> void
 {
     finished_ = true;
--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -152,6 +152,10 @@
                  std::string reason,
                  std::optional<core::duration> retry_after ) -> void;
     auto fail( int status, std::string reason ) -> void;
+    /// The last word where nothing more can be done: says that it has not run
+    /// only where that is so.
+    auto turn_down( std::string reason,
+                    std::optional<core::duration> retry_after ) -> void;
     auto end( std::string outcome, int status ) -> void;
     auto predicted_room() const -> core::duration;
     [[nodiscard]] auto patience_until() const -> core::instant;
--- a/src/pollenstream/exchange/exchange_waiting.cpp
+++ b/src/pollenstream/exchange/exchange_waiting.cpp
@@ -95,11 +95,10 @@
     if ( finished_ || !ask_ || ask_->serial != serial )
         return;
     stop_waiting();
-    if ( may_have_run_ )
-        return fail( status_bad_gateway, std::move( refusal.reason ) );
     auto const comes_back = refusal.retry_after > core::duration( 0 );
-    refuse( status_unavailable, std::move( refusal.reason ),
-            comes_back ? std::optional( refusal.retry_after ) : std::nullopt );
+    turn_down( std::move( refusal.reason ),
+               comes_back ? std::optional( refusal.retry_after )
+                          : std::nullopt );
 }
 
 auto exchange::stop_waiting() -> void
--- a/tests/exchange/exchange_test.cpp
+++ b/tests/exchange/exchange_test.cpp
@@ -493,3 +493,15 @@
     // Three placed, one failed, two ended.
     CHECK( named == 6 );
 }
+
+TEST_CASE( "a call that may have run is not said to have not, though no other "
+           "target is left",
+           "[exchange][refusal]" )
+{
+    auto f = exchange_fixture{};
+    f.board.mark_gone( core::target_id( "p2" ) );
+    f.start( f.request( "/safe/x" ) );
+    REQUIRE( f.targets.all.size() == 1 );
+    f.targets.all[0]->lose();
+    CHECK( f.answer->whole.status == 502 );
+}
