A target that asks for a pause gets nothing until it is over

Cause: the word was not read; a target that turns requests away was only left alone where it did so twice in a row, and not where all targets did. Change: the answer's Retry-After with 503 is decoded; the board keeps the pause, of this instance only. Such a target is left out of every choice, also where all others are left out, and of what is asked for at a coordinator, which is asked anew when the first pause ends. Where nothing else is left a call waits if it can be in time after the pause, and is refused at once with that time otherwise. An invariant asserts it where a request is sent. Ruled out: telling the others (each is asked for its own pause); the shun, which gives way where all are shunned.

--- a/src/pollenstream/core/invariant.cpp
+++ b/src/pollenstream/core/invariant.cpp
@@ -47,6 +47,8 @@
         return "stop_cuts_nothing";
     case invariant::revision_only_rises:
         return "revision_only_rises";
+    case invariant::pause_holds:
+        return "pause_holds";
     case invariant::quarantine_holds:
         return "quarantine_holds";
     case invariant::number_of_invariants:
--- a/src/pollenstream/core/invariant.hpp
+++ b/src/pollenstream/core/invariant.hpp
@@ -24,6 +24,7 @@
     leaving_gets_no_work, ///< a leaving target is not chosen
     stop_cuts_nothing,    ///< a planned stop ends with no open request
     revision_only_rises,  ///< an adopted configuration is never older
+    pause_holds,          ///< a target that wants nothing now is sent nothing
     quarantine_holds,     ///< what ends its targets is not sent again
     number_of_invariants,
 };
--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -216,6 +216,9 @@
     demand_.time_left = deadline_ - now;
     demand_.patience_left = patience_until() - now;
     demand_.crashes = shared_.crashes.count( content_ );
+    demand_.paused.clear();
+    for ( auto const& p : shared_.board.paused( demand_.service, now ) )
+        demand_.paused.push_back( p.id );
     demand_.draw =
         std::uniform_real_distribution<double>( 0, 1 )( shared_.random );
 }
@@ -243,6 +246,8 @@
                  shared_.self } );
         return true;
     }
+    if ( result.reason == no_choice::paused )
+        return wait_for_pause( now );
     if ( route_->kind == request_kind::stream )
         return false;
     // After a try that may have run there may be no other target left.
@@ -295,19 +300,22 @@
             if ( self->is_current( grant.choice ) )
                 return self->send( grant, memory );
             memory->release();
-            self->on_no_memory(
-                grant, { core::error_code::expired, "target restarted" } );
+            self->on_no_memory( grant, { core::error_code::expired,
+                                         "target restarted or paused" } );
         } );
 }
 
 /// False where a target of the choice has started again since, and holds none
-/// of the memory that was reserved.
+/// of the memory that was reserved, or wants nothing from this instance now.
 auto exchange::is_current( placement_choice const& choice ) const -> bool
 {
+    auto const now = shared_.scheduler.now();
     return std::all_of( choice.targets.begin(), choice.targets.end(),
-                        [this]( auto const& t )
+                        [this, now]( auto const& t )
                         {
-                            return shared_.board.find_lifetime( t->ref() ) == t;
+                            return shared_.board.find_lifetime( t->ref() ) ==
+                                       t &&
+                                   !shared_.board.is_paused( t->ref(), now );
                         } );
 }
 
--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -96,6 +96,9 @@
     [[nodiscard]] auto needs_engine() const -> bool;
     auto refresh_demand( core::instant now ) -> void;
     auto ask_for_targets() -> void;
+    auto arm_end_of_pause() -> void;
+    [[nodiscard]] auto end_of_pause() const -> core::instant;
+    auto wait_for_pause( core::instant now ) -> bool;
     auto on_granted( std::uint64_t serial, placement_grant grant ) -> void;
     auto on_refused( std::uint64_t serial, placement_refusal refusal ) -> void;
     auto begin( placement_grant grant ) -> void;
@@ -110,6 +113,8 @@
     [[nodiscard]] auto is_current( placement_choice const& choice ) const
         -> bool;
     auto wait_for_room() -> void;
+    [[nodiscard]] auto
+    is_usable( std::shared_ptr<board_target> const& target ) const -> bool;
     auto begin_waiting() -> void;
     auto stop_waiting() -> void;
     auto on_no_memory( placement_grant const& grant, core::error const& why )
@@ -179,6 +184,7 @@
     std::unique_ptr<ports::scheduled_call> deadline_call_;
     std::unique_ptr<ports::scheduled_call> patience_call_;
     std::unique_ptr<ports::scheduled_call> watch_call_;
+    std::unique_ptr<ports::scheduled_call> pause_call_;
 
     std::optional<pending_ask> ask_;
     std::size_t queued_behind_{ 0 }; ///< asks that wait where this one does
--- a/src/pollenstream/exchange/exchange_attempts.cpp
+++ b/src/pollenstream/exchange/exchange_attempts.cpp
@@ -121,6 +121,9 @@
     core::check_invariant( core::invariant::leaving_gets_no_work,
                            first.takes_work() || memory,
                            "target " + first.facts.id.str() + " is leaving" );
+    core::check_invariant( core::invariant::pause_holds,
+                           !shared_.board.is_paused( first.ref(), now ),
+                           "target " + first.facts.id.str() + " is paused" );
     core::check_invariant( core::invariant::quarantine_holds, !is_quarantined(),
                            "content " + to_string( content_ ) + " sent" );
     ++targets_reached_;
@@ -187,6 +190,8 @@
 {
     auto const& target = current_->target;
     shared_.crashes.note_answer( target, current_->sent_at );
+    if ( head.wants_pause > core::duration( 0 ) )
+        shared_.board.pause( target, current_->heard_at + head.wants_pause );
     if ( !head.says_leaving || !shared_.board.note_said_leaving( target ) )
         return;
     shared_.log.record( belief_changed{
--- a/src/pollenstream/exchange/exchange_waiting.cpp
+++ b/src/pollenstream/exchange/exchange_waiting.cpp
@@ -67,8 +67,62 @@
     auto open = shared_.asks.ask(
         std::move( what ),
         std::make_shared<answer_to_ask>( shared_from_this(), serial ) );
-    if ( ask_ && ask_->serial == serial )
-        ask_->open = std::move( open );
+    if ( !ask_ || ask_->serial != serial )
+        return;
+    ask_->open = std::move( open );
+    arm_end_of_pause();
+}
+
+/// Who places prompts does not know of this instance's pauses and leaves out
+/// what it was told with the ask: asked anew, it takes the target in again.
+auto exchange::arm_end_of_pause() -> void
+{
+    if ( demand_.paused.empty() )
+        return;
+    pause_call_ =
+        shared_.scheduler.call_after( end_of_pause() - shared_.scheduler.now(),
+                                      [this]
+                                      {
+                                          auto const keep = shared_from_this();
+                                          if ( finished_ || !ask_ )
+                                              return;
+                                          stop_waiting();
+                                          if ( !try_start() )
+                                              wait_for_room();
+                                      } );
+}
+
+/// When the first target that this request has not tried may be sent to again.
+auto exchange::end_of_pause() const -> core::instant
+{
+    auto const& tried = demand_.tried;
+    auto first = core::instant::max();
+    for ( auto const& p :
+          shared_.board.paused( demand_.service, shared_.scheduler.now() ) )
+        if ( std::find( tried.begin(), tried.end(), p.id ) == tried.end() )
+            first = std::min( first, p.until );
+    return first;
+}
+
+/// All targets want nothing from this instance now. Returns false where the
+/// call can still be in time when the first pause is over, and waits for that.
+auto exchange::wait_for_pause( core::instant now ) -> bool
+{
+    auto const until = end_of_pause();
+    if ( until <= request_.received + route_->latency_objective )
+    {
+        not_before_ = until;
+        return false;
+    }
+    turn_down( "targets_paused", until - now );
+    return true;
+}
+
+auto exchange::is_usable( std::shared_ptr<board_target> const& target ) const
+    -> bool
+{
+    return target && target->takes_work() &&
+           !shared_.board.is_paused( target->ref(), shared_.scheduler.now() );
 }
 
 auto exchange::on_granted( std::uint64_t serial, placement_grant grant ) -> void
@@ -79,9 +133,9 @@
     stop_waiting();
     auto const usable =
         std::all_of( grant.choice.targets.begin(), grant.choice.targets.end(),
-                     []( auto const& t )
+                     [this]( auto const& t )
                      {
-                         return t && t->takes_work();
+                         return is_usable( t );
                      } );
     if ( usable )
         begin( std::move( grant ) );
@@ -104,6 +158,7 @@
 auto exchange::stop_waiting() -> void
 {
     patience_call_.reset();
+    pause_call_.reset();
     waiting_ = false;
     // Withdraws what was asked and not answered.
     ask_.reset();
--- a/src/pollenstream/exchange/message.hpp
+++ b/src/pollenstream/exchange/message.hpp
@@ -93,6 +93,8 @@
     bool has_seal{ false };     ///< carries the target's digest
     std::string at_fault;       ///< the target that made the work fail
     bool says_leaving{ false }; ///< the target takes no new work
+    /// For how long the target wants nothing from this instance.
+    core::duration wants_pause{ 0 };
     std::optional<told_load> load;
 };
 
--- a/src/pollenstream/exchange/placement.cpp
+++ b/src/pollenstream/exchange/placement.cpp
@@ -55,11 +55,10 @@
 /// load, in parts of its slots.
 constexpr auto far_place_load = 0.34;
 
-auto was_tried( placement_demand const& demand, core::target_id const& id )
-    -> bool
+auto contains( std::vector<core::target_id> const& all,
+               core::target_id const& id ) -> bool
 {
-    return std::find( demand.tried.begin(), demand.tried.end(), id ) !=
-           demand.tried.end();
+    return std::find( all.begin(), all.end(), id ) != all.end();
 }
 
 /// True where long prompts wait, or take many of the engines.
@@ -174,7 +173,8 @@
     auto shunned = candidates{};
     for ( auto const& t : board_.of_service( demand.service ) )
     {
-        if ( !t->takes_work() || was_tried( demand, t->facts.id ) )
+        if ( !t->takes_work() || contains( demand.tried, t->facts.id ) ||
+             contains( demand.paused, t->facts.id ) )
             continue;
         ( t->may_get_work( now ) ? found : shunned ).push_back( t );
     }
@@ -182,13 +182,26 @@
     return found.empty() ? shunned : found;
 }
 
+/// True where a target is left once pauses are over.
+auto placement::pauses_only( placement_demand const& demand ) const -> bool
+{
+    return std::any_of( demand.paused.begin(), demand.paused.end(),
+                        [&]( auto const& id )
+                        {
+                            auto const at = board_.find( id );
+                            return at && at->takes_work() &&
+                                   !contains( demand.tried, id );
+                        } );
+}
+
 auto placement::choose( placement_demand const& demand,
                         service_settings const& service,
                         core::instant now ) const -> placement_result
 {
     auto const targets = usable( demand, now );
     if ( targets.empty() )
-        return nothing( no_choice::no_targets );
+        return nothing( pauses_only( demand ) ? no_choice::paused
+                                              : no_choice::no_targets );
     auto result = demand.crashes > 0
                       ? choose_apart( targets, demand, service, now )
                       : choose_among( targets, demand, service, now );
--- a/src/pollenstream/exchange/placement.hpp
+++ b/src/pollenstream/exchange/placement.hpp
@@ -27,6 +27,8 @@
     core::duration time_left{ 0 };
     core::duration patience_left{ 0 };  ///< until the caller leaves
     std::vector<core::target_id> tried; ///< not to be chosen again
+    /// Targets that want nothing from the asker now.
+    std::vector<core::target_id> paused;
     /// Targets that may have ended by runs of the same content.
     std::size_t crashes{ 0 };
     /// No other wide prompt waits.
@@ -64,6 +66,7 @@
     no_targets, ///< none that may get work
     full,       ///< none has room now
     too_large,  ///< all memory together does not hold it
+    paused,     ///< all that are left want nothing from the asker now
 };
 
 struct placement_result
@@ -113,6 +116,8 @@
         -> placement_result;
     [[nodiscard]] auto usable( placement_demand const& demand,
                                core::instant now ) const -> candidates;
+    [[nodiscard]] auto pauses_only( placement_demand const& demand ) const
+        -> bool;
     [[nodiscard]] auto choose_apart( candidates const& targets,
                                      placement_demand const& demand,
                                      service_settings const& service,
--- a/src/pollenstream/exchange/target_board.cpp
+++ b/src/pollenstream/exchange/target_board.cpp
@@ -83,6 +83,7 @@
     auto fresh = std::make_shared<board_target>();
     fresh->rank = core::stable_hash( facts.id.str() );
     fresh->facts = std::move( facts );
+    pauses_.erase( fresh->facts.id );
     auto& entry = by_id_[fresh->facts.id];
     auto const former = std::exchange( entry, fresh );
     if ( former )
@@ -429,6 +430,35 @@
         at->health.shunned_until = std::max( at->health.shunned_until, until );
 }
 
+auto target_board::pause( target_ref const& ref, core::instant until ) -> void
+{
+    if ( !find_lifetime( ref ) )
+        return;
+    auto& end = pauses_[ref.id];
+    end = std::max( end, until );
+}
+
+auto target_board::is_paused( target_ref const& ref, core::instant now ) const
+    -> bool
+{
+    auto const found = pauses_.find( ref.id );
+    return found != pauses_.end() && found->second > now;
+}
+
+auto target_board::paused( core::service_id const& service,
+                           core::instant now ) const
+    -> std::vector<paused_target>
+{
+    auto all = std::vector<paused_target>{};
+    for ( auto const& [id, until] : pauses_ )
+    {
+        auto const at = find( id );
+        if ( until > now && at && at->facts.service == service )
+            all.push_back( { id, until } );
+    }
+    return all;
+}
+
 auto target_board::note_told( target_ref const& ref,
                               told_load load,
                               core::instant now ) -> void
--- a/src/pollenstream/exchange/target_board.hpp
+++ b/src/pollenstream/exchange/target_board.hpp
@@ -158,6 +158,13 @@
     [[nodiscard]] auto backlog_ms( core::instant now ) const -> double;
 };
 
+/// A target that wants nothing from this instance for a time.
+struct paused_target
+{
+    core::target_id id;
+    core::instant until;
+};
+
 /// What new facts about a target have changed.
 enum class board_change
 {
@@ -252,6 +259,15 @@
     /// news.
     auto note_said_leaving( target_ref const& ref ) -> bool;
     auto shun( target_ref const& ref, core::instant until ) -> void;
+    /// The target wants nothing from this instance until then. Others may send
+    /// there, so that it is no part of what the target is for all.
+    auto pause( target_ref const& ref, core::instant until ) -> void;
+    [[nodiscard]] auto is_paused( target_ref const& ref,
+                                  core::instant now ) const -> bool;
+    /// Targets of the service that are paused now, with the end of each pause.
+    [[nodiscard]] auto paused( core::service_id const& service,
+                               core::instant now ) const
+        -> std::vector<paused_target>;
     auto note_told( target_ref const& ref, told_load load, core::instant now )
         -> void;
 
@@ -298,6 +314,8 @@
     std::unordered_map<core::instance_id, work_map> works_;
     std::unordered_map<core::service_id, arrival_rate> arrivals_;
     wide_queue wide_;
+    /// Few, and none as a rule: looked at for each request.
+    std::unordered_map<core::target_id, core::instant> pauses_;
 };
 
 }
--- a/src/pollenstream/peers/peer_message.cpp
+++ b/src/pollenstream/peers/peer_message.cpp
@@ -79,6 +79,8 @@
     auto tried = json::array();
     for ( auto const& id : d.tried )
         tried.push_back( id.str() );
+    for ( auto const& id : d.paused )
+        tried.push_back( id.str() );
     auto crashed_at = json::array();
     for ( auto const& target : ask.crashed_at )
         crashed_at.push_back( ref_to_json( target ) );
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -200,6 +200,18 @@
     CHECK( leaves.says_leaving );
     CHECK( leaves.headers.size() == 1 );
     CHECK_FALSE( head.says_leaving );
+    auto const pause_of = []( int status, std::string const& text )
+    {
+        return platform::decode_answer(
+                   { status, { { "Retry-After", text } } } )
+            .wants_pause;
+    };
+    CHECK( pause_of( 503, "2" ) == 2s );
+    CHECK( pause_of( 503, " 0.25 " ) == 250ms );
+    CHECK( pause_of( 429, "2" ) == 0s );
+    for ( auto const* text : { "", "-1", "soon", "nan", "2 s" } )
+        CHECK( pause_of( 503, text ) == 0s );
+    CHECK( pause_of( 503, "1e99" ) == 1h );
     auto const moved = platform::decode_answer( { 421, {} } );
     CHECK( moved.wrong_target );
     CHECK( moved.proves_not_run );
--- a/tests/support/exchange_fleet.cpp
+++ b/tests/support/exchange_fleet.cpp
@@ -77,6 +77,17 @@
                    body_.starts_with( fatal ) ? run_to_crash() : answer();
                } );
     }
+    auto turn_away( core::duration pause ) -> void
+    {
+        if ( !listener_ )
+            return;
+        auto h = exchange::answer_head{};
+        h.status = 503;
+        h.proves_not_run = true;
+        h.wants_pause = pause;
+        listener_->on_head( std::move( h ) );
+        complete();
+    }
     auto lose( bool sent = true ) -> void
     {
         timer_.reset();
@@ -223,6 +234,16 @@
     }
     runs.push_back(
         { which->body(), request.target, instance, scheduler_.now() } );
+    auto const pause = found->second.pauses.extract( instance );
+    if ( !pause.empty() )
+    {
+        after( 1ms,
+               [which, time = pause.mapped()]
+               {
+                   which->turn_away( time );
+               } );
+        return which;
+    }
     found->second.open.push_back( which );
     which->begin();
     return which;
@@ -233,6 +254,13 @@
     targets_.at( id ).leaving = true;
 }
 
+auto fleet_targets::turn_away( core::target_id const& id,
+                               std::string const& instance,
+                               core::duration pause ) -> void
+{
+    targets_.at( id ).pauses[instance] = pause;
+}
+
 auto fleet_targets::cut( core::target_id const& id ) -> void
 {
     auto const open = std::exchange( targets_.at( id ).open, {} );
--- a/tests/support/exchange_fleet.hpp
+++ b/tests/support/exchange_fleet.hpp
@@ -61,6 +61,11 @@
     auto crash( core::target_id const& id ) -> void;
     /// From now on the target's answers say that it leaves.
     auto leave( core::target_id const& id ) -> void;
+    /// The target turns the next request of `instance` away and asks it for a
+    /// pause.
+    auto turn_away( core::target_id const& id,
+                    std::string const& instance,
+                    core::duration pause ) -> void;
     /// Breaks all that is open at the target, which lives on.
     auto cut( core::target_id const& id ) -> void;
 
@@ -81,6 +86,7 @@
         exchange::target_facts facts;
         std::vector<std::weak_ptr<run>> open;
         bool leaving{ false };
+        std::map<std::string, core::duration> pauses; ///< to ask for
     };
 
     auto after( core::duration delay, std::function<void()> what ) -> void;
