Stand-ins, checks and soak learn ends by a request, leaving in answers, pauses

Change: a runner of the platform's stand-in ends under a request whose body says so (all that is open breaks off, its entry lapses, it is back under another id), says in its answers that it leaves, with or without the store being told, and asks for a pause where it turns requests away. The soak draws all three beside kills, stops, pauses of gateways and trouble of the store, and checks: runs after the third end that a living gateway saw, requests to a runner after its word that it leaves, requests within a pause. Ordinary requests have bodies of their own, but for the one that asks for a status again and again.

--- a/scripts/platform_check.py
+++ b/scripts/platform_check.py
@@ -18,6 +18,107 @@
                if address == seen["address"])
 
 
+# What a runner's answer said has to be followed later than this.
+SAID_LEAVING_LIMIT_MS = 2000
+# A gateway that was killed or stopped knows all again after this time.
+TIME_TO_KNOW_MS = 3000
+CRASHES_THAT_PROVE = 3
+RUNS_ALLOWED_LATER = 3
+PAUSE_BEGINS_MS = 500
+REQUESTS_IN_PAUSE = 2
+
+
+def in_trouble(address, at_ms, trouble, margin_ms):
+    """True where the gateway was killed or stopped, or that ended less than
+    `margin_ms` before."""
+    return any(a == address and began <= at_ms <= ended + margin_ms
+               for a, began, ended in trouble)
+
+
+def told_state_violations(callers, record, trouble):
+    """Texts of what runners had said or shown and gateways did not follow.
+    `trouble` lists address, begin and end in ms of what was done to
+    gateways."""
+    sender = {attempt: seen["address"] for attempt, seen in callers.seen.items()}
+    return (crash_violations(record, sender, trouble) +
+            leaving_violations(callers, record, sender, trouble) +
+            pause_violations(record, sender, trouble))
+
+
+def crash_violations(record, sender, trouble):
+    found = []
+    for body in sorted({crash["body"] for crash in record["crashes"]}):
+        # An end that its gateway did not live to see tells nobody anything.
+        seen = [crash["at_ms"] for crash in record["crashes"]
+                if crash["body"] == body and not in_trouble(
+                    sender[crash["attempt"]], crash["at_ms"] + 1000, trouble,
+                    2000)]
+        if len(seen) < CRASHES_THAT_PROVE:
+            continue
+        proved = sorted(seen)[CRASHES_THAT_PROVE - 1] + TIME_TO_KNOW_MS
+        # Where all were killed nobody is left who knows.
+        if all_in_trouble(sender, proved - TIME_TO_KNOW_MS, trouble):
+            continue
+        later = [run for run in record["runs"]
+                 if run["ran"] and run["body"] == body and
+                 run["at_ms"] > proved and not in_trouble(
+                     sender[run["attempt"]], run["at_ms"], trouble,
+                     TIME_TO_KNOW_MS)]
+        if len(later) > RUNS_ALLOWED_LATER:
+            found.append(f"{body!r} ran {len(later)} times after its third end")
+    return found
+
+
+def all_in_trouble(sender, since_ms, trouble):
+    """True where each gateway was killed or stopped since then."""
+    return {a for a, _, ended in trouble if ended >= since_ms} >= \
+        set(sender.values())
+
+
+def leaving_violations(callers, record, sender, trouble):
+    found = []
+    told = {}    # gateway and runner: when a caller first had its word
+    for seen in callers.seen.values():
+        if "told_leaving" in seen:
+            runner, at_ms = seen["told_leaving"]
+            key = (seen["address"], runner)
+            told[key] = min(at_ms, told.get(key, at_ms))
+    for run in record["runs"]:
+        address = sender.get(run["attempt"])
+        since = told.get((address, run["target"]))
+        if since is None or not run["ran"]:
+            continue
+        late_ms = callers.seen[run["attempt"]]["began"] * 1000 - since
+        excused = any(a == address and ended >= since
+                      for a, _, ended in trouble)
+        if late_ms > SAID_LEAVING_LIMIT_MS and not excused:
+            found.append(f"{run['attempt']}: sent to {run['target']} "
+                         f"{late_ms:.0f} ms after its word that it leaves")
+    return found
+
+
+def pause_violations(record, sender, trouble):
+    found = []
+    for asked in record["runs"]:
+        if not asked["pause_s"] or asked["attempt"] not in sender:
+            continue
+        address = sender[asked["attempt"]]
+        begin = asked["at_ms"] + PAUSE_BEGINS_MS
+        end = asked["at_ms"] + asked["pause_s"] * 1000
+        if any(a == address and ended >= asked["at_ms"] and began <= end
+               for a, began, ended in trouble):
+            continue
+        inside = [run for run in record["runs"]
+                  if run["target"] == asked["target"] and
+                  sender.get(run["attempt"]) == address and
+                  begin <= run["at_ms"] <= end]
+        if len(inside) > REQUESTS_IN_PAUSE:
+            found.append(f"{len(inside)} requests of {address} reached "
+                         f"{asked['target']} in a pause of "
+                         f"{asked['pause_s']} s")
+    return found
+
+
 def violations(callers, record, store_disturbed_at=(), calm_only=False,
                pauses=()):
     """Texts of all broken promises. `store_disturbed_at` lists spans of the
--- a/scripts/platform_fleet.py
+++ b/scripts/platform_fleet.py
@@ -345,11 +345,14 @@
             await self.send(address, connection)
             await asyncio.sleep(self.draw.random() * 0.05)
 
-    async def send(self, address, connection):
+    async def send(self, address, connection, path=None, body=None):
         self.serial += 1
         attempt = f"a{self.serial}"
-        path = self.draw.choice(self.KINDS)
-        entry = {"path": path, "status": None, "address": address}
+        path = path or self.draw.choice(self.KINDS)
+        # A status is asked for again and again; all else is asked for once.
+        body = body or ("body" if path == "/safe/x" else f"body {attempt}")
+        entry = {"path": path, "status": None, "address": address,
+                 "body": body}
         self.seen[attempt] = entry
         started = asyncio.get_running_loop().time()
         entry["began"] = started
@@ -358,8 +361,12 @@
             reply = await call(address, "POST", path,
                                {"Attempt-Id": attempt, "Deadline-Ms": 4000,
                                 "Api-Key": KEY, "Tenant": "forged"},
-                               "body", limit=6, connection=connection)
+                               body, limit=6, connection=connection)
             entry["status"] = reply.status
+            if reply.headers.get("server-leaving"):
+                entry["told_leaving"] = (
+                    reply.headers["instance-id"],
+                    asyncio.get_running_loop().time() * 1000)
             self.check(attempt, path, reply)
         except asyncio.TimeoutError:
             entry["status"] = "timeout"
--- a/scripts/soak_processes.py
+++ b/scripts/soak_processes.py
@@ -25,14 +25,23 @@
 class Faults:
     """Draws faults and undoes them; several may be under way at once."""
 
-    def __init__(self, fleet, draw):
+    def __init__(self, fleet, callers, draw, as_first_played):
         self.fleet = fleet
+        self.callers = callers
         self.draw = draw
         self.done = []
         self.disturbed = []      # spans in which the store was not itself
         self.pauses = []         # address, begin and end of stopped instances
         self.loop = asyncio.get_running_loop()
         self.runners_left = 0
+        # A seed that once failed is played with the faults of that time.
+        self.newer_faults = [] if as_first_played else [
+            self.runner_pauses, self.fatal_request, self.fatal_request]
+        self.ways_to_leave = ["says", "silently"]
+        if not as_first_played:
+            self.ways_to_leave.append("answers")
+        self.fatal = 0           # requests that end the runners that run them
+        self.gateway_trouble = []    # address, begin and end
 
     async def run(self, seconds):
         end = self.loop.time() + seconds
@@ -43,7 +52,8 @@
                 self.kill_many, self.reset, self.delay, self.one_way,
                 self.silence_runner, self.runner_fails, self.runner_mute,
                 self.runner_cuts, self.leave, self.store_away, self.store_slow,
-                self.store_loses, self.store_forgets, self.configure])
+                self.store_loses, self.store_forgets, self.configure,
+                *self.newer_faults])
             self.done.append(fault.__name__)
             tasks.append(asyncio.create_task(fault()))
             await asyncio.sleep(0.2 + self.draw.random() * 0.8)
@@ -58,10 +68,16 @@
     def proxy(self):
         return self.draw.choice(list(self.fleet.proxies.values()))
 
+    def note_trouble(self, gateway, began):
+        self.gateway_trouble.append((gateway.addresses["front"],
+                                     int(began * 1000),
+                                     int(self.loop.time() * 1000)))
+
     async def restart(self, gateway):
         await asyncio.sleep(0.2)
         if gateway.child.poll() is not None:
             gateway.start()
+            self.note_trouble(gateway, self.loop.time() - 0.3)
 
     async def kill(self):
         gateway = self.one()
@@ -86,12 +102,14 @@
         gateway.signal(signal.SIGCONT)
         self.pauses.append((gateway.addresses["front"], began,
                             self.loop.time()))
+        self.note_trouble(gateway, began)
 
     async def stop(self):
         gateway = self.one()
         if gateway.stopping:
             return
         gateway.stopping = True
+        began = self.loop.time()
         gateway.signal(signal.SIGTERM)
         for _ in range(60):
             if gateway.child.poll() is not None:
@@ -99,6 +117,7 @@
             await asyncio.sleep(0.1)
         gateway.signal(signal.SIGKILL)
         gateway.child.wait()
+        self.note_trouble(gateway, began)
         await self.restart(gateway)
 
     async def reload(self):
@@ -143,13 +162,27 @@
     async def runner_cuts(self):
         await self.runner_fault(cut=0.5)
 
+    async def runner_pauses(self):
+        await self.runner_fault(shed=0.6, pause_s=self.draw.choice([0.7, 1.5]))
+
+    async def fatal_request(self):
+        """One request that ends each runner that runs it, again and again at
+        any gateway."""
+        self.fatal += 1
+        body = f"fatal {self.fatal}"
+        path = self.draw.choice(["/stream/x", "/once-stream/x"])
+        for _ in range(self.draw.randrange(6, 16)):
+            address = self.one().addresses["front"]
+            await self.callers.send(address, {}, path, body)
+            await asyncio.sleep(self.draw.random() * 0.4)
+
     async def leave(self):
         engines = [n for n in self.fleet.proxies if n.startswith("i-model")]
         if self.runners_left + 2 >= len(engines):
             return
         name = engines[self.runners_left]
         self.runners_left += 1
-        how = self.draw.choice(["says", "silently"])
+        how = self.draw.choice(self.ways_to_leave)
         await self.fleet.control("/runner", {"id": name, "leave": how})
 
     async def store_fault(self, **what):
@@ -184,7 +217,7 @@
             for a, b in faults.disturbed]
 
 
-async def soak_one(build, seed, seconds, gateways):
+async def soak_one(build, seed, seconds, gateways, as_first_played):
     draw = random.Random(seed)
     fleet = PlatformFleet(build, seed, gateways=gateways, engines=6, plain=2)
     found = []
@@ -192,7 +225,7 @@
         await fleet.start()
         callers = Callers(fleet, draw, count=3 * gateways)
         load = asyncio.create_task(callers.run())
-        faults = Faults(fleet, draw)
+        faults = Faults(fleet, callers, draw, as_first_played)
         await faults.run(seconds)
         await fleet.control("/store", {})
         await asyncio.sleep(3)
@@ -205,7 +238,10 @@
         found = platform_check.violations(callers, record,
                                           disturbed_spans(faults),
                                           pauses=faults.pauses)
-        after = list(callers.seen.values())[before:]
+        found += platform_check.told_state_violations(
+            callers, record, faults.gateway_trouble)
+        after = [one for one in list(callers.seen.values())[before:]
+                 if not one["body"].startswith("fatal")]
         served = sum(one["status"] == 200 for one in after)
         if served < 0.5 * len(after):
             found.append(f"only {served} of {len(after)} served after the "
@@ -247,9 +283,11 @@
     parser.add_argument("--gateways", type=int, default=4)
     options = parser.parse_args()
     first, last = (int(x) for x in options.seeds.split("-"))
-    seeds = known_seeds() + list(range(first, last + 1))
+    seeds = [(seed, True) for seed in known_seeds()]
+    seeds += [(seed, False) for seed in range(first, last + 1)]
     good = sum(asyncio.run(soak_one(options.build, seed, options.seconds,
-                                    options.gateways)) for seed in seeds)
+                                    options.gateways, as_first_played))
+               for seed, as_first_played in seeds)
     print(f"soak: {good} of {len(seeds)} seeds held")
     sys.exit(0 if good == len(seeds) else 1)
 
--- a/standins/platform/main.cpp
+++ b/standins/platform/main.cpp
@@ -62,7 +62,7 @@
             s.service = service;
             auto added = listening_runner{};
             added.what = std::make_unique<runner>(
-                s, store_, scheduler_, records_,
+                s, store_, scheduler_, records_, crashes_,
                 seed_ + static_cast<std::uint64_t>( last_ ) );
             added.listener = std::make_unique<asio::caller_listener>(
                 io_, any(), *added.what );
@@ -140,6 +140,13 @@
         f.lost_late = std::chrono::milliseconds( body.value( "late_ms", 0 ) );
         return f;
     }
+    static auto leaving_of( std::string const& text ) -> runner::leaving_told
+    {
+        if ( text == "answers" )
+            return runner::leaving_told::in_answers_only;
+        return text == "says" ? runner::leaving_told::in_store
+                              : runner::leaving_told::entry_removed;
+    }
     auto change_runner( json const& body ) -> void
     {
         auto& r = *runners_.at( body.at( "id" ) ).what;
@@ -148,9 +155,10 @@
         f.fail = body.value( "fail", 0.0 );
         f.shed = body.value( "shed", 0.0 );
         f.cut = body.value( "cut", 0.0 );
+        f.pause_s = body.value( "pause_s", 0.0 );
         r.set_faults( f );
         if ( body.contains( "leave" ) )
-            r.leave( body.at( "leave" ) == "says" );
+            r.leave( leaving_of( body.at( "leave" ) ) );
     }
     [[nodiscard]] auto record() const -> json
     {
@@ -159,12 +167,20 @@
             runs.push_back( { { "attempt", r.attempt },
                               { "target", r.target },
                               { "path", r.path },
+                              { "body", r.body },
+                              { "pause_s", r.pause_s },
                               { "workspace", r.workspace },
                               { "ran", r.ran },
                               { "leaked_key", r.leaked_key },
                               { "at_ms", r.at_ms },
                               { "leaving_ms", r.leaving_ms },
                               { "version", r.version } } );
+        auto crashes = json::array();
+        for ( auto const& c : crashes_ )
+            crashes.push_back( { { "body", c.body },
+                                 { "attempt", c.attempt },
+                                 { "target", c.target },
+                                 { "at_ms", c.at_ms } } );
         auto reserved = std::int64_t{ 0 };
         auto open = std::int64_t{ 0 };
         for ( auto const& [id, r] : runners_ )
@@ -173,6 +189,7 @@
             open += r.what->open_requests();
         }
         return { { "runs", std::move( runs ) },
+                 { "crashes", std::move( crashes ) },
                  { "reserved", reserved },
                  { "open", open } };
     }
@@ -182,6 +199,7 @@
     std::uint64_t seed_;
     store store_;
     run_records records_;
+    crash_records crashes_;
     std::map<std::string, listening_runner> runners_;
     std::unique_ptr<asio::caller_listener> store_listener_;
     std::unique_ptr<asio::caller_listener> control_;
--- a/standins/platform/runner.cpp
+++ b/standins/platform/runner.cpp
@@ -15,6 +15,14 @@
 constexpr auto status_misdirected = 421;
 constexpr auto status_busy = 503;
 constexpr auto status_conflict = 409;
+/// From the begin of a fatal run to the runner's end.
+constexpr auto time_to_crash =
+    core::duration( std::chrono::milliseconds( 40 ) );
+constexpr auto time_to_lapse =
+    core::duration( std::chrono::milliseconds( 1'200 ) );
+constexpr auto time_to_return =
+    core::duration( std::chrono::milliseconds( 1'600 ) );
+constexpr auto fatal = "fatal";
 
 auto field( asio::raw_request const& request, std::string const& name )
     -> std::string
@@ -44,6 +52,7 @@
           answer_( std::move( answer ) )
     {
         ++owner_.open_;
+        owner_.works_.insert( this );
         auto const last = field( request_, "Last-Event-Id" );
         next_ = last.empty() ? 1 : std::stoi( last ) + 1;
     }
@@ -56,6 +65,12 @@
     {
         auto const streams =
             request_.target.find( "stream" ) != std::string::npos;
+        if ( request_.body.starts_with( fatal ) )
+            return later( owner_.settings_.work + time_to_crash,
+                          [this]
+                          {
+                              owner_.crash( request_ );
+                          } );
         later( owner_.settings_.work,
                [this, streams]
                {
@@ -66,13 +81,18 @@
     {
         end();
     }
+    auto break_off() -> void
+    {
+        answer_->abort();
+        end();
+    }
 
 private:
     auto headers( std::string const& seal ) const -> exchange::header_list
     {
-        return { { "Attempt-Id", field( request_, "Attempt-Id" ) },
-                 { "Server-Seal", seal },
-                 { "Instance-Id", owner_.settings_.id } };
+        auto all = owner_.own_headers( request_ );
+        all.push_back( { "Server-Seal", seal } );
+        return all;
     }
     auto later( core::duration time, std::function<void()> step ) -> void
     {
@@ -139,8 +159,10 @@
     auto end() -> void
     {
         call_.reset();
-        if ( !std::exchange( ended_, true ) )
-            --owner_.open_;
+        if ( std::exchange( ended_, true ) )
+            return;
+        --owner_.open_;
+        owner_.works_.erase( this );
     }
 
     runner& owner_;
@@ -156,10 +178,12 @@
                 store& registry,
                 ports::scheduler& scheduler,
                 run_records& records,
+                crash_records& crashes,
                 std::uint64_t seed )
     : settings_( std::move( s ) ), registry_( registry ),
-      scheduler_( scheduler ), records_( records ),
-      random_( static_cast<std::minstd_rand::result_type>( seed + 1 ) )
+      scheduler_( scheduler ), records_( records ), crashes_( crashes ),
+      random_( static_cast<std::minstd_rand::result_type>( seed + 1 ) ),
+      first_id_( settings_.id )
 {
 }
 
@@ -197,16 +221,62 @@
     faults_ = faults;
 }
 
-auto runner::leave( bool says_so ) -> void
+auto runner::leave( leaving_told how ) -> void
 {
     leaving_ = true;
+    if ( how == leaving_told::in_answers_only )
+        return;
     leaving_since_ = scheduler_.now();
-    if ( says_so )
+    if ( how == leaving_told::in_store )
         registry_.put( "servers/" + settings_.id, entry() );
     else
         registry_.remove( "servers/" + settings_.id );
 }
 
+auto runner::own_headers( asio::raw_request const& request ) const
+    -> exchange::header_list
+{
+    auto all =
+        exchange::header_list{ { "Attempt-Id", field( request, "Attempt-Id" ) },
+                               { "Instance-Id", settings_.id } };
+    if ( leaving_ )
+        all.push_back( { "Server-Leaving", "1" } );
+    return all;
+}
+
+auto runner::crash( asio::raw_request const& cause ) -> void
+{
+    down_ = true;
+    crashes_.push_back(
+        { cause.body, field( cause, "Attempt-Id" ), settings_.id,
+          core::milliseconds_of( scheduler_.now().time_since_epoch() ) } );
+    reservations_.clear();
+    // Each takes itself off, and with it perhaps the request that is the cause.
+    auto const open = std::vector( works_.begin(), works_.end() );
+    for ( auto* const one : open )
+        one->break_off();
+    lapse_call_ =
+        scheduler_.call_after( time_to_lapse,
+                               [this, id = settings_.id]
+                               {
+                                   registry_.remove( "servers/" + id );
+                               } );
+    return_call_ = scheduler_.call_after( time_to_return,
+                                          [this]
+                                          {
+                                              come_back();
+                                          } );
+}
+
+auto runner::come_back() -> void
+{
+    down_ = false;
+    leaving_ = false;
+    leaving_since_.reset();
+    settings_.id = first_id_ + "." + std::to_string( ++lives_ );
+    registry_.put( "servers/" + settings_.id, entry() );
+}
+
 auto runner::set_version( std::int64_t version ) -> void
 {
     version_ = version;
@@ -227,12 +297,13 @@
     r.target = settings_.id;
     r.path = request.target;
     r.workspace = field( request, "Tenant" );
+    r.body = request.body;
     r.ran = ran;
     r.leaked_key = !field( request, "Api-Key" ).empty();
     r.at_ms = core::milliseconds_of( scheduler_.now().time_since_epoch() );
-    if ( leaving_ )
+    if ( leaving_since_ )
         r.leaving_ms =
-            core::milliseconds_of( scheduler_.now() - leaving_since_ );
+            core::milliseconds_of( scheduler_.now() - *leaving_since_ );
     r.version = version_;
     records_.push_back( std::move( r ) );
 }
@@ -262,10 +333,30 @@
     answer.send_whole( { status_ok, {}, R"({"free_slots":1})" } );
 }
 
+auto runner::turn_away( asio::raw_request const& request,
+                        exchange::answer_channel& answer ) -> void
+{
+    note( request, false );
+    auto headers = own_headers( request );
+    headers.push_back( { "Not-Executed", "1" } );
+    if ( faults_.pause_s > 0 )
+    {
+        records_.back().pause_s = faults_.pause_s;
+        headers.push_back(
+            { "Retry-After", std::to_string( faults_.pause_s ) } );
+    }
+    answer.send_whole( { status_busy, std::move( headers ), "" } );
+}
+
 auto runner::handle( asio::raw_request request,
                      std::shared_ptr<exchange::answer_channel> answer )
     -> std::shared_ptr<asio::request_in_progress>
 {
+    if ( down_ )
+    {
+        answer->abort();
+        return nullptr;
+    }
     auto const expected = field( request, "Expect-Instance" );
     if ( !expected.empty() && expected != settings_.id )
     {
@@ -280,12 +371,7 @@
     }
     if ( open_ >= settings_.slots || drawn( faults_.shed ) )
     {
-        note( request, false );
-        answer->send_whole(
-            { status_busy,
-              { { "Not-Executed", "1" },
-                { "Attempt-Id", field( request, "Attempt-Id" ) } },
-              "" } );
+        turn_away( request, *answer );
         return nullptr;
     }
     note( request, true );
--- a/standins/platform/runner.hpp
+++ b/standins/platform/runner.hpp
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -14,10 +15,11 @@
 /// What a runner does wrong at the moment.
 struct runner_faults
 {
-    bool mute{ false }; ///< takes requests and answers nothing
-    double fail{ 0 };   ///< share of requests answered with 500
-    double shed{ 0 };   ///< share of requests turned away
-    double cut{ 0 };    ///< share of answers that break off
+    bool mute{ false };  ///< takes requests and answers nothing
+    double fail{ 0 };    ///< share of requests answered with 500
+    double shed{ 0 };    ///< share of requests turned away
+    double cut{ 0 };     ///< share of answers that break off
+    double pause_s{ 0 }; ///< asked for by those that are turned away; 0: none
 };
 
 /// One request as it came to a runner; the truth that tests check against.
@@ -27,6 +29,7 @@
     std::string target; ///< the runner
     std::string path;
     std::string workspace;
+    std::string body;
     bool ran{ false };
     bool leaked_key{ false };
     std::int64_t at_ms{ 0 };
@@ -34,13 +37,27 @@
     /// leave.
     std::int64_t leaving_ms{ -1 };
     std::int64_t version{ 0 }; ///< of the configuration in the store
+    double pause_s{ 0 };       ///< that the answer asked for
+};
+
+/// An end of a runner under a request that ends each runner that runs it.
+struct crash_record
+{
+    std::string body;
+    std::string attempt;
+    std::string target;
+    std::int64_t at_ms{ 0 };
 };
 
 using run_records = std::vector<run_record>;
+using crash_records = std::vector<crash_record>;
 
 /// A stand-in for a model runner or plain service of the platform. Paths with
 /// `stream` answer with events, others with one body. Reads and writes take
-/// fixed times; memory is counted for requests and reservations.
+/// fixed times; memory is counted for requests and reservations. A request
+/// whose body begins with `fatal` ends the runner a moment after it has begun
+/// to run: all that is open breaks off, the entry lapses, and after some
+/// seconds the runner is back under another id.
 class runner : public asio::request_handler
 {
 public:
@@ -59,6 +76,7 @@
             store& registry,
             ports::scheduler& scheduler,
             run_records& records,
+            crash_records& crashes,
             std::uint64_t seed );
 
     [[nodiscard]] auto limits() const -> exchange::caller_limits override;
@@ -69,8 +87,14 @@
     /// Writes the entry into the store, now and again.
     auto register_at( std::string const& address ) -> void;
     auto set_faults( runner_faults faults ) -> void;
-    /// Says that it leaves, or has its entry removed.
-    auto leave( bool says_so ) -> void;
+    /// Leaves; its answers say so, and the store where it is told.
+    enum class leaving_told
+    {
+        in_store,
+        entry_removed,
+        in_answers_only,
+    };
+    auto leave( leaving_told how ) -> void;
     auto set_version( std::int64_t version ) -> void;
 
     [[nodiscard]] auto id() const -> std::string const&
@@ -97,19 +121,33 @@
                 exchange::answer_channel& answer ) -> void;
     auto drawn( double share ) -> bool;
     auto note( asio::raw_request const& request, bool ran ) -> void;
+    auto turn_away( asio::raw_request const& request,
+                    exchange::answer_channel& answer ) -> void;
+    [[nodiscard]] auto own_headers( asio::raw_request const& request ) const
+        -> exchange::header_list;
+    auto crash( asio::raw_request const& cause ) -> void;
+    auto come_back() -> void;
 
     settings settings_;
     store& registry_;
     ports::scheduler& scheduler_;
     run_records& records_;
+    crash_records& crashes_;
     std::minstd_rand random_;
     runner_faults faults_;
     std::string address_;
     bool leaving_{ false };
-    core::instant leaving_since_;
+    /// Since when the store knows of it.
+    std::optional<core::instant> leaving_since_;
     std::int64_t version_{ 0 };
     std::int64_t open_{ 0 };
     std::map<std::string, reservation> reservations_;
+    std::set<work*> works_;
+    bool down_{ false };
+    int lives_{ 1 };
+    std::string first_id_;
+    std::unique_ptr<ports::scheduled_call> lapse_call_;
+    std::unique_ptr<ports::scheduled_call> return_call_;
 };
 
 }
