What is quarantined stands in the store, for when all instances are lost

Change: a coordinator writes a quarantine under a lease of ten minutes, two calls; the next ones write where it has not. Instances take the record with all others, at their start too. Where a quarantine turns out to be a mistake the record is emptied. What broke at targets that are still listed is not taken up again from others who have not looked yet. Ruled out: counting a record's crashes as old, which an instance would drop while the ended targets are still listed; one duty for the first coordinator only, which may be the one that is lost. The record is written once, also where the store is away at first.

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -116,6 +116,14 @@
                    {
                        return registry_is_current();
                    } ),
+      quarantine_records_( store_,
+                           scheduler_,
+                           crashes_,
+                           records_,
+                           [this]
+                           {
+                               return group_.own_duty();
+                           } ),
       caller_handler_( context_ ), state_handler_( registry_ ),
       directory_handler_(
           [this]
@@ -181,6 +189,10 @@
         room_.poke();
     };
     events.on_target_left = []( auto const& ) {};
+    events.on_quarantine = [this]( auto const& key, auto const& value )
+    {
+        quarantine_records_.take( key, value );
+    };
     events.others_served_for = [this]
     {
         return group_.others_served_for();
@@ -243,6 +255,10 @@
     group_.start();
     registry_.start_following();
     registration_.start();
+    quarantine_.on_changed = [this]( auto content )
+    {
+        quarantine_records_.on_changed( content );
+    };
     quarantine_.start();
     tick();
     record_process( "started", "incarnation" );
--- a/apps/gateway/gateway_node.hpp
+++ b/apps/gateway/gateway_node.hpp
@@ -22,6 +22,7 @@
 #include <pollenstream/peers/peer_group.hpp>
 #include <pollenstream/peers/placement_router.hpp>
 #include <pollenstream/peers/quarantine.hpp>
+#include <pollenstream/registry/quarantine_records.hpp>
 #include <pollenstream/registry/registration.hpp>
 #include <pollenstream/registry/registry_watch.hpp>
 
@@ -89,6 +90,7 @@
     registry::registry_watch registry_;
     registry::registration registration_;
     peers::quarantine quarantine_;
+    registry::quarantine_records quarantine_records_;
 
     caller_handler caller_handler_;
     state_handler state_handler_;
--- a/src/pollenstream/exchange/crash_history.cpp
+++ b/src/pollenstream/exchange/crash_history.cpp
@@ -106,8 +106,11 @@
         [&]( auto const& run )
         {
             auto const age = now - run.at;
-            return age > kept_time ||
-                   ( age > lapse_time_ && listed( run.target ) );
+            if ( age <= lapse_time_ || !listed( run.target ) )
+                return age > kept_time;
+            // Others may still tell of the break.
+            alive_until_[run.target.id] = now - lapse_time_;
+            return true;
         } );
     for ( auto* const times : { &broken_at_, &alive_until_ } )
         std::erase_if( *times,
--- a/src/pollenstream/peers/peer_group.cpp
+++ b/src/pollenstream/peers/peer_group.cpp
@@ -264,6 +264,14 @@
     return table_.coordinators( scheduler_.now() );
 }
 
+auto peer_group::own_duty() const -> std::optional<int>
+{
+    auto const now = scheduler_.now();
+    if ( !table_.is_coordinator( now ) )
+        return std::nullopt;
+    return table_.number_before( now );
+}
+
 auto peer_group::send_ask( core::instance_id const& to,
                            exchange::placement_ask const& ask ) -> void
 {
--- a/src/pollenstream/peers/peer_group.hpp
+++ b/src/pollenstream/peers/peer_group.hpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -129,6 +130,9 @@
     auto send_release( core::instance_id const& to, std::uint64_t serial )
         -> void override;
 
+    /// This instance's place among the coordinators, from 0.
+    [[nodiscard]] auto own_duty() const -> std::optional<int>;
+
     /// Datagrams and bytes that this instance has sent to others.
     [[nodiscard]] auto sent() const -> sent_counters const&
     {
--- a/src/pollenstream/peers/quarantine.cpp
+++ b/src/pollenstream/peers/quarantine.cpp
@@ -55,6 +55,8 @@
     note( content, "quarantined", "broke at " + targets );
     held_.insert( content );
     group_.tell_quarantined( content );
+    if ( on_changed )
+        on_changed( content );
     auto const open = std::vector( context_.open.begin(), context_.open.end() );
     for ( auto* const which : open )
         if ( context_.open.contains( which ) )
@@ -63,14 +65,19 @@
 
 auto quarantine::lift_cleared() -> void
 {
-    std::erase_if( held_,
-                   [this]( auto content )
-                   {
-                       if ( context_.crashes.is_quarantined( content ) )
-                           return false;
-                       note( content, "lifted", "served, or its targets live" );
-                       return true;
-                   } );
+    for ( auto at = held_.begin(); at != held_.end(); )
+    {
+        auto const content = *at;
+        if ( context_.crashes.is_quarantined( content ) )
+        {
+            ++at;
+            continue;
+        }
+        at = held_.erase( at );
+        note( content, "lifted", "served, or its targets live" );
+        if ( on_changed )
+            on_changed( content );
+    }
 }
 
 auto quarantine::review() -> void
--- a/src/pollenstream/peers/quarantine.hpp
+++ b/src/pollenstream/peers/quarantine.hpp
@@ -29,6 +29,9 @@
 
     auto start() -> void;
 
+    /// Called with each content whose quarantine begins or ends here.
+    std::function<void( exchange::content_id )> on_changed;
+
 private:
     auto review() -> void;
     auto take_new() -> void;
--- a/src/pollenstream/registry/registry_codec.hpp
+++ b/src/pollenstream/registry/registry_codec.hpp
@@ -2,10 +2,12 @@
 #define POLLENSTREAM_REGISTRY_REGISTRY_CODEC_HPP
 
 #include <pollenstream/core/error.hpp>
+#include <pollenstream/exchange/crash_history.hpp>
 #include <pollenstream/exchange/routes.hpp>
 #include <pollenstream/exchange/target_board.hpp>
 
 #include <string>
+#include <vector>
 
 namespace pollenstream::registry
 {
@@ -16,6 +18,7 @@
     configuration,
     target,
     instance,
+    quarantine,
     other,
 };
 
@@ -37,6 +40,21 @@
     /// Key under which an instance of this system registers.
     [[nodiscard]] virtual auto instance_key( core::instance_id const& id ) const
         -> std::string = 0;
+    /// Key under which a content's quarantine stands.
+    [[nodiscard]] virtual auto quarantine_key( exchange::content_id id ) const
+        -> std::string = 0;
+    /// Zero for a key that names none.
+    [[nodiscard]] virtual auto content_of( std::string const& key ) const
+        -> exchange::content_id = 0;
+    /// Empty: the content is not quarantined any more.
+    [[nodiscard]] virtual auto
+    write_quarantine( std::vector<exchange::crashed_run> const& runs ) const
+        -> std::string = 0;
+    /// The runs are said to have broken off at `at`.
+    [[nodiscard]] virtual auto read_quarantine( std::string const& key,
+                                                std::string const& value,
+                                                core::instant at ) const
+        -> core::result<std::vector<exchange::crashed_run>> = 0;
 };
 
 }
--- a/src/pollenstream/registry/registry_watch.cpp
+++ b/src/pollenstream/registry/registry_watch.cpp
@@ -293,6 +293,8 @@
         return take_target( r, from );
     case record_kind::instance:
         return events_.on_instance( r.key, *r.value );
+    case record_kind::quarantine:
+        return events_.on_quarantine( r.key, *r.value );
     case record_kind::other:
         return;
     }
--- a/src/pollenstream/registry/registry_watch.hpp
+++ b/src/pollenstream/registry/registry_watch.hpp
@@ -34,6 +34,8 @@
     std::function<void()> on_targets_changed;
     std::function<void( std::string const& key, std::string const& value )>
         on_instance;
+    std::function<void( std::string const& key, std::string const& value )>
+        on_quarantine;
     /// The store told of changes; other instances may not have heard.
     std::function<void( record_update const& )> on_update;
     /// Longest time for which another instance has been served without a
--- a/tests/exchange/crashing_request_test.cpp
+++ b/tests/exchange/crashing_request_test.cpp
@@ -187,7 +187,7 @@
     auto draw = std::minstd_rand( 5 );
     auto const path = GENERATE( as<std::string>{}, "/chat/o", "/safe/o" );
     auto calls = std::vector<std::shared_ptr<fleet_call>>{};
-    for ( auto i = 0; i < 400; ++i )
+    for ( auto i = 0; i < 560; ++i )
     {
         calls.push_back( fleet.call( i % fleet.size(), path, "same" ) );
         if ( i < 200 && i % 2 == 1 )
@@ -199,8 +199,9 @@
         fleet.scheduler.run( 25ms );
     }
     fleet.scheduler.run( 12s );
-    // Held back within the first second, it is served once the entries of what
-    // broke would have lapsed (6 s) and were looked at again.
+    // The last break was after 5 s. What is held back by then is served once
+    // the entries of its targets would have lapsed (6 s) and were looked at
+    // again.
     auto const late = std::vector( calls.end() - 60, calls.end() );
     CHECK( not_served( late ) == 0 );
 }
@@ -226,3 +227,66 @@
     CHECK( fleet.engines.crashes <= 4 * crashes_that_prove );
     CHECK( not_served( first.ordinary ) == 0 );
 }
+
+TEST_CASE( "what ends its engines stays known where all instances are lost",
+           "[exchange][crash]" )
+{
+    // What callers saw: nothing; the first incident asked what is left of the
+    // knowledge when all who have it are lost at one moment. Nothing was: five
+    // instances that were sent the request at once, seconds later, ended five
+    // engines.
+    auto fleet = exchange_fleet( 5, 12, 2 );
+    auto const store_is_away_first = GENERATE( false, true );
+    fleet.store.is_away = store_is_away_first;
+    auto load = mixed_load( fleet, "/chat/", 400ms );
+    load.play( 5s );
+    fleet.store.is_away = false;
+    fleet.scheduler.run( 2s );
+    auto const before = runs_of( fleet.engines, "fatal" ).size();
+    CHECK( before >= crashes_that_prove );
+    CHECK( fleet.store.writes == 1 );
+    for ( auto i = 0; i < fleet.size(); ++i )
+        fleet.kill( i );
+    fleet.scheduler.run( 300ms );
+    for ( auto i = 0; i < fleet.size(); ++i )
+        fleet.restart( i );
+    fleet.scheduler.run( 4s );
+    for ( auto i = 0; i < fleet.size(); ++i )
+        fleet.call( i, "/chat/f", "fatal" );
+    fleet.scheduler.run( 12s );
+    CHECK( runs_of( fleet.engines, "fatal" ).size() == before );
+}
+
+TEST_CASE( "the record of a quarantine that was a mistake is taken back",
+           "[exchange][crash]" )
+{
+    auto fleet = exchange_fleet( 4, 6, 2 );
+    auto const held = [&]
+    {
+        auto request = exchange::caller_request{};
+        request.method = "POST";
+        request.host = "host";
+        request.target = "/chat/o";
+        request.body = "beside";
+        auto const content =
+            exchange::content_of( request, core::workspace_id( "ws" ) );
+        for ( auto const& facts : fleet.engines.facts() )
+            fleet.at( 1 ).crashes.note_crash(
+                { content, facts.id, fleet.scheduler.now() } );
+        return content;
+    }();
+    fleet.at( 1 ).group.tell_quarantined( held );
+    fleet.scheduler.run( 3s );
+    CHECK( fleet.at( 1 ).crashes.is_quarantined( held ) );
+    CHECK( fleet.store.writes == 1 );
+    // Its engines are still listed when their entries would have lapsed.
+    fleet.scheduler.run( 8s );
+    CHECK( fleet.store.writes == 2 );
+    fleet.restart( 2 );
+    fleet.scheduler.run( 1s );
+    for ( auto i = 0; i < fleet.size(); ++i )
+        CHECK_FALSE( fleet.at( i ).crashes.is_quarantined( held ) );
+    auto const call = fleet.call( 2, "/chat/o", "beside" );
+    fleet.scheduler.run( 3s );
+    CHECK( call->served );
+}
--- a/tests/registry/registry_watch_test.cpp
+++ b/tests/registry/registry_watch_test.cpp
@@ -52,6 +52,29 @@
     {
         return "i/" + id.str();
     }
+    [[nodiscard]] auto quarantine_key( exchange::content_id id ) const
+        -> std::string override
+    {
+        return "q/" + exchange::to_string( id );
+    }
+    [[nodiscard]] auto content_of( std::string const& ) const
+        -> exchange::content_id override
+    {
+        return {};
+    }
+    [[nodiscard]] auto
+    write_quarantine( std::vector<exchange::crashed_run> const& ) const
+        -> std::string override
+    {
+        return {};
+    }
+    [[nodiscard]] auto read_quarantine( std::string const&,
+                                        std::string const&,
+                                        core::instant ) const
+        -> core::result<std::vector<exchange::crashed_run>> override
+    {
+        return std::vector<exchange::crashed_run>{};
+    }
 };
 
 auto rec( std::string key, std::string value, int revision ) -> ports::record
--- a/tests/support/exchange_fleet.cpp
+++ b/tests/support/exchange_fleet.cpp
@@ -1,5 +1,7 @@
 #include "support/exchange_fleet.hpp"
 
+#include "../../platform/registry_records.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -29,6 +31,12 @@
            path.starts_with( "/once/" );
 }
 
+auto codec() -> pollenstream::registry::registry_codec const&
+{
+    static auto const records = pollenstream::platform::registry_records();
+    return records;
+}
+
 /// Path and body, for `fleet_targets`.
 class body_speller : public exchange::request_speller
 {
@@ -297,6 +305,49 @@
            } );
 }
 
+auto fleet_store::list( std::string const&, batch_done callback ) -> void
+{
+    callback( core::error{ core::error_code::failed, "not played" } );
+}
+
+auto fleet_store::watch( std::string const&,
+                         ports::store_revision,
+                         core::duration,
+                         batch_done callback ) -> void
+{
+    callback( core::error{ core::error_code::failed, "not played" } );
+}
+
+auto fleet_store::put( std::string const& key,
+                       std::string const& value,
+                       ports::lease_id,
+                       done callback ) -> void
+{
+    if ( is_away )
+        return callback( core::error{ core::error_code::timed_out, "away" } );
+    ++writes;
+    records[key] = value;
+    fleet_.tell_record( key, value );
+    callback( core::success() );
+}
+
+auto fleet_store::grant_lease( core::duration, lease_done callback ) -> void
+{
+    if ( is_away )
+        return callback( core::error{ core::error_code::timed_out, "away" } );
+    callback( ports::lease_id( 1 ) );
+}
+
+auto fleet_store::renew_lease( ports::lease_id, done callback ) -> void
+{
+    callback( core::success() );
+}
+
+auto fleet_store::end_lease( ports::lease_id, done callback ) -> void
+{
+    callback( core::success() );
+}
+
 class fleet_instance::sender : public peers::datagram_sender
 {
 public:
@@ -396,7 +447,15 @@
                    []
                    {
                        return true;
-                   } )
+                   } ),
+      records( fleet.store,
+               fleet.scheduler,
+               crashes,
+               codec(),
+               [this]
+               {
+                   return group.own_duty();
+               } )
 {
     coordinator_.set_configuration( fleet.configuration );
     group.set_ask_handler( router_ );
@@ -408,6 +467,10 @@
     {
         retries_.set_instances( group.size() );
     };
+    quarantine_.on_changed = [this]( auto content )
+    {
+        records.on_changed( content );
+    };
     group.start();
     quarantine_.start();
     group.set_ready( true );
@@ -538,6 +601,21 @@
     for ( auto const* service : { &engines, &plain } )
         for ( auto const& facts : service->facts() )
             place->board.put( facts );
+    for ( auto const& [key, value] : store.records )
+        place->records.take( key, value );
+}
+
+auto exchange_fleet::tell_record( std::string const& key,
+                                  std::string const& value ) -> void
+{
+    calls_.push_back(
+        scheduler.call_after( datagram_time,
+                              [this, key, value]
+                              {
+                                  for ( auto const& one : instances_ )
+                                      if ( one && !silent_.contains( one->ip ) )
+                                          one->records.take( key, value );
+                              } ) );
 }
 
 auto exchange_fleet::kill( int number ) -> void
--- a/tests/support/exchange_fleet.hpp
+++ b/tests/support/exchange_fleet.hpp
@@ -4,6 +4,7 @@
 #include "support/exchange_fixture.hpp"
 #include <pollenstream/peers/peer_group.hpp>
 #include <pollenstream/peers/quarantine.hpp>
+#include <pollenstream/registry/quarantine_records.hpp>
 
 #include <functional>
 #include <map>
@@ -103,6 +104,35 @@
 
 class exchange_fleet;
 
+/// The platform's store, as far as instances write to it; may be away.
+class fleet_store : public ports::record_store
+{
+public:
+    explicit fleet_store( exchange_fleet& fleet ) : fleet_( fleet ) {}
+
+    auto list( std::string const& prefix, batch_done callback )
+        -> void override;
+    auto watch( std::string const& prefix,
+                ports::store_revision known,
+                core::duration limit,
+                batch_done callback ) -> void override;
+    auto put( std::string const& key,
+              std::string const& value,
+              ports::lease_id lease,
+              done callback ) -> void override;
+    auto grant_lease( core::duration time, lease_done callback )
+        -> void override;
+    auto renew_lease( ports::lease_id lease, done callback ) -> void override;
+    auto end_lease( ports::lease_id lease, done callback ) -> void override;
+
+    bool is_away{ false };
+    int writes{ 0 };
+    std::map<std::string, std::string> records;
+
+private:
+    exchange_fleet& fleet_;
+};
+
 /// One instance of a fleet: all that places and sends, before stand-ins.
 class fleet_instance
 {
@@ -146,6 +176,9 @@
 
 private:
     peers::quarantine quarantine_;
+
+public:
+    pollenstream::registry::quarantine_records records;
 };
 
 /// What became of one request over all tries of its caller.
@@ -193,7 +226,12 @@
                   std::string bytes ) -> void;
     auto targets_of( core::address const& address ) -> fleet_targets&;
 
+    /// All instances hear of a record that was written.
+    auto tell_record( std::string const& key, std::string const& value )
+        -> void;
+
     held_scheduler scheduler;
+    fleet_store store{ *this };
     fleet_targets engines;
     fleet_targets plain;
     exchange::configuration_ptr configuration;
