Target news and evidence have files of their own; a look at the registry once a review

Cause: the mends had made peer_group and exchange_attempts grow; each look at a broken run asked all peers whether the registry is up to date.

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -29,9 +29,6 @@
 /// Requests a second that are logged whole whatever becomes of them; about
 /// four times an instance's part of the first deployments' peak.
 constexpr auto logged_requests = std::size_t{ 100 };
-/// A target's entry is gone this many heartbeats after its end: it lapses after
-/// three that are missed, and the news has to come here.
-constexpr auto heartbeats_to_lapse = 5;
 /// For the last answers and orders of a process that ends.
 constexpr auto last_words_time = core::duration( 150ms );
 constexpr auto tick_period = core::duration( 100ms );
@@ -45,6 +42,14 @@
 constexpr auto largest_told_update = std::size_t{ 2'000 };
 constexpr auto fetch_time = core::duration( 2500ms );
 
+/// After this time a target that has ended is out of the registry: its entry
+/// lapses after three missed heartbeats, and the news has to come here.
+auto lapse_time( platform::gateway_settings const& s ) -> core::duration
+{
+    constexpr auto heartbeats = 5;
+    return s.target_heartbeat * heartbeats;
+}
+
 auto own_state_of( platform::gateway_settings const& s ) -> peers::own_state
 {
     // The wall clock tells restarts apart; it may jump, but a restart within
@@ -73,8 +78,7 @@
     : io_( io ), settings_( std::move( settings ) ), scheduler_( io ),
       bounded_log_( log, scheduler_, logged_requests ), log_( bounded_log_ ),
       http_( io ), store_( http_, settings_.store ), target_calls_( http_ ),
-      memory_orders_( http_ ),
-      crashes_( settings_.target_heartbeat * heartbeats_to_lapse ),
+      memory_orders_( http_ ), crashes_( lapse_time( settings_ ) ),
       placement_( board_, settings_.place ),
       retries_( { settings_.retry_ratio, settings_.retry_constant,
                   settings_.retry_window } ),
@@ -281,8 +285,7 @@
 {
     auto const served =
         std::max( registry_.served_for(), group_.others_served_for() );
-    return !registry_.may_be_lapsed() &&
-           served > settings_.target_heartbeat * heartbeats_to_lapse;
+    return !registry_.may_be_lapsed() && served > lapse_time( settings_ );
 }
 
 auto gateway_node::update_ready() -> void
--- a/src/pollenstream/exchange/crash_history.cpp
+++ b/src/pollenstream/exchange/crash_history.cpp
@@ -109,7 +109,8 @@
             if ( age <= lapse_time_ || !listed( run.target ) )
                 return age > kept_time;
             // Others may still tell of the break.
-            alive_until_[run.target.id] = now - lapse_time_;
+            auto& alive = alive_until_[run.target.id];
+            alive = std::max( alive, now - lapse_time_ );
             return true;
         } );
     for ( auto* const times : { &broken_at_, &alive_until_ } )
--- a/src/pollenstream/exchange/exchange_attempts.cpp
+++ b/src/pollenstream/exchange/exchange_attempts.cpp
@@ -35,9 +35,6 @@
 /// its objective. Calls of the first deployments take 220 ms at most.
 constexpr auto shortest_call_silence = core::duration( 250ms );
 constexpr auto call_silence_per_latency = 2;
-/// How long a target that another one blames is left alone, here and at the
-/// other instances; a helper that is gone leaves the registry within seconds.
-constexpr auto blamed_time = core::duration( 1500ms );
 /// Time that has to be left for another try to be worth it.
 constexpr auto least_time_for_try = core::duration( 40ms );
 /// Bytes that may wait for a slow caller before the stream is given up.
@@ -185,20 +182,6 @@
     current_->head = std::move( head );
 }
 
-/// Takes over what the target says of itself beside its answer.
-auto exchange::note_told_state( answer_head const& head ) -> void
-{
-    auto const& target = current_->target;
-    shared_.crashes.note_answer( target, current_->sent_at );
-    if ( head.wants_pause > core::duration( 0 ) )
-        shared_.board.pause( target, current_->heard_at + head.wants_pause );
-    if ( !head.says_leaving || !shared_.board.note_said_leaving( target ) )
-        return;
-    shared_.log.record( belief_changed{
-        "target", target.id.str(), "leaving", "its own answer", {} } );
-    shared_.announcer.target_leaves( target );
-}
-
 auto exchange::on_body( std::uint64_t serial, std::string const& bytes ) -> void
 {
     if ( !current_ || current_->serial != serial )
@@ -327,15 +310,6 @@
     end( "served", status );
 }
 
-/// What has been served is no suspect any more, here and at the others.
-auto exchange::note_served() -> void
-{
-    auto const was_suspect =
-        shared_.crashes.note_served( content_, shared_.scheduler.now() );
-    if ( was_suspect || is_suspect_ )
-        shared_.announcer.suspect_served( content_ );
-}
-
 auto exchange::on_own_failure() -> void
 {
     note_failure( current_->target );
@@ -352,33 +326,6 @@
     end( "target_failed", status );
 }
 
-/// A target has proved that it did not run the request. Returns the target to
-/// blame: the answering one, or a helper that it names.
-auto exchange::blame( answer_head const& head ) -> target_ref
-{
-    auto const now = shared_.scheduler.now();
-    auto const named = head.at_fault.empty()
-                           ? nullptr
-                           : shared_.board.find_named( head.at_fault );
-    auto to_blame = named ? named->ref() : current_->target;
-    if ( head.wrong_target || to_blame != current_->target )
-    {
-        // Gone, or of no use to others: certain at once, and for all.
-        shared_.board.shun( to_blame, now + blamed_time );
-        shared_.announcer.target_shunned( to_blame, blamed_time );
-    }
-    else
-    {
-        if ( needs_engine() )
-            shared_.announcer.target_failed( to_blame,
-                                             target_failure::turned_away );
-        else if ( shared_.board.note_failure( to_blame, now,
-                                              target_failure::turned_away ) )
-            shared_.announcer.target_shunned( to_blame, blamed_time );
-    }
-    return to_blame;
-}
-
 auto exchange::on_not_run() -> void
 {
     auto const head = std::move( *current_->head );
@@ -515,27 +462,6 @@
     on_broken( silent );
 }
 
-/// Takes a failure over on the board, and tells those who place prompts.
-auto exchange::note_failure( target_ref const& target ) -> void
-{
-    shared_.board.note_failure( target, shared_.scheduler.now() );
-    if ( needs_engine() )
-        shared_.announcer.target_failed( target, target_failure::failed );
-}
-
-/// A connection that ends before its answer may mean that the target has ended,
-/// and by this request. Silence does not: what has ended closes its
-/// connections.
-auto exchange::note_crash( target_ref const& target, core::error const& why )
-    -> void
-{
-    if ( why.code != core::error_code::connection_lost )
-        return;
-    auto const what = crashed_run{ content_, target, shared_.scheduler.now() };
-    shared_.crashes.note_crash( what );
-    shared_.announcer.run_crashed( what );
-}
-
 auto exchange::close_try( bool cancel, work_outcome outcome ) -> void
 {
     if ( !current_ )
--- /dev/null
+++ b/src/pollenstream/exchange/exchange_evidence.cpp
@@ -0,0 +1,91 @@
+#include <pollenstream/exchange/exchange.hpp>
+
+// The part of an exchange that draws conclusions about targets and contents:
+// what an answer says beside itself, and what a failure or a break may mean.
+
+namespace pollenstream::exchange
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// How long a target that another one blames is left alone, here and at the
+/// other instances; a helper that is gone leaves the registry within seconds.
+constexpr auto blamed_time = core::duration( 1500ms );
+
+}
+
+/// Takes over what the target says of itself beside its answer.
+auto exchange::note_told_state( answer_head const& head ) -> void
+{
+    auto const& target = current_->target;
+    shared_.crashes.note_answer( target, current_->sent_at );
+    if ( head.wants_pause > core::duration( 0 ) )
+        shared_.board.pause( target, current_->heard_at + head.wants_pause );
+    if ( !head.says_leaving || !shared_.board.note_said_leaving( target ) )
+        return;
+    shared_.log.record( belief_changed{
+        "target", target.id.str(), "leaving", "its own answer", {} } );
+    shared_.announcer.target_leaves( target );
+}
+
+/// What has been served is no suspect any more, here and at the others.
+auto exchange::note_served() -> void
+{
+    auto const was_suspect =
+        shared_.crashes.note_served( content_, shared_.scheduler.now() );
+    if ( was_suspect || is_suspect_ )
+        shared_.announcer.suspect_served( content_ );
+}
+
+/// A target has proved that it did not run the request. Returns the target to
+/// blame: the answering one, or a helper that it names.
+auto exchange::blame( answer_head const& head ) -> target_ref
+{
+    auto const now = shared_.scheduler.now();
+    auto const named = head.at_fault.empty()
+                           ? nullptr
+                           : shared_.board.find_named( head.at_fault );
+    auto to_blame = named ? named->ref() : current_->target;
+    if ( head.wrong_target || to_blame != current_->target )
+    {
+        // Gone, or of no use to others: certain at once, and for all.
+        shared_.board.shun( to_blame, now + blamed_time );
+        shared_.announcer.target_shunned( to_blame, blamed_time );
+    }
+    else
+    {
+        if ( needs_engine() )
+            shared_.announcer.target_failed( to_blame,
+                                             target_failure::turned_away );
+        else if ( shared_.board.note_failure( to_blame, now,
+                                              target_failure::turned_away ) )
+            shared_.announcer.target_shunned( to_blame, blamed_time );
+    }
+    return to_blame;
+}
+
+/// Takes a failure over on the board, and tells those who place prompts.
+auto exchange::note_failure( target_ref const& target ) -> void
+{
+    shared_.board.note_failure( target, shared_.scheduler.now() );
+    if ( needs_engine() )
+        shared_.announcer.target_failed( target, target_failure::failed );
+}
+
+/// A connection that ends before its answer may mean that the target has ended,
+/// and by this request. Silence does not: what has ended closes its
+/// connections.
+auto exchange::note_crash( target_ref const& target, core::error const& why )
+    -> void
+{
+    if ( why.code != core::error_code::connection_lost )
+        return;
+    auto const what = crashed_run{ content_, target, shared_.scheduler.now() };
+    shared_.crashes.note_crash( what );
+    shared_.announcer.run_crashed( what );
+}
+
+}
--- a/src/pollenstream/peers/peer_group.cpp
+++ b/src/pollenstream/peers/peer_group.cpp
@@ -49,9 +49,6 @@
 constexpr auto passed_on_ips = std::size_t{ 8 };
 /// An address that never answered is tried this long.
 constexpr auto try_time = core::duration( 20s );
-/// What was seen here of a target's end or leaving stands in all complete
-/// messages for this long.
-constexpr auto told_time = core::duration( 3s );
 
 }
 
@@ -316,82 +313,6 @@
     arm_flush();
 }
 
-auto peer_group::target_failed( exchange::target_ref const& ref,
-                                exchange::target_failure how ) -> void
-{
-    // This instance may place prompts too, and is told by nobody else.
-    if ( how == exchange::target_failure::turned_away )
-        board_.note_failure( ref, scheduler_.now(), how );
-    pending_.failed.push_back( { ref, how } );
-    arm_flush();
-}
-
-auto peer_group::target_shunned( exchange::target_ref const& ref,
-                                 core::duration time ) -> void
-{
-    pending_.shunned.push_back( { ref, core::milliseconds_of( time ) } );
-    tell_all_ = true;
-    arm_flush();
-}
-
-auto peer_group::target_leaves( exchange::target_ref const& ref ) -> void
-{
-    own_leaving_.push_back( { ref, scheduler_.now() } );
-    pending_.leaving_targets.push_back( ref );
-    tell_all_ = true;
-    arm_flush();
-}
-
-auto peer_group::run_crashed( exchange::crashed_run const& what ) -> void
-{
-    own_crashes_.push_back( what );
-    pending_.crashes.push_back( told( what ) );
-    arm_flush();
-}
-
-auto peer_group::suspect_served( exchange::content_id content ) -> void
-{
-    std::erase_if( own_crashes_,
-                   [content]( auto const& run )
-                   {
-                       return run.content == content;
-                   } );
-    pending_.cleared.push_back( content );
-    arm_flush();
-}
-
-auto peer_group::told( exchange::crashed_run const& what ) const -> told_crash
-{
-    return { what.content, what.target,
-             core::milliseconds_of( scheduler_.now() - what.at ) };
-}
-
-auto peer_group::tell_quarantined( exchange::content_id content ) -> void
-{
-    if ( !table_.is_coordinator( scheduler_.now() ) )
-        return;
-    auto message = base_message();
-    for ( auto const& run : crashes_.crashes_of( content ) )
-        message.crashes.push_back( told( run ) );
-    send_to_all( message );
-}
-
-/// What ends its targets, for those that have missed it or have just started;
-/// besides what was seen here lately, for the coordinators.
-auto peer_group::crashes_to_tell() -> std::vector<exchange::crashed_run>
-{
-    auto const now = scheduler_.now();
-    std::erase_if( own_crashes_,
-                   [now]( auto const& run )
-                   {
-                       return now - run.at > told_time;
-                   } );
-    auto all = crashes_.quarantined();
-    if ( !table_.is_coordinator( now ) )
-        all.insert( all.end(), own_crashes_.begin(), own_crashes_.end() );
-    return all;
-}
-
 auto peer_group::arm_flush() -> void
 {
     if ( !flush_call_ )
@@ -458,16 +379,7 @@
     if ( handler_ != nullptr )
         message.undecided = handler_->undecided();
     message.known_ips = some_ips();
-    for ( auto const& run : crashes_to_tell() )
-        message.crashes.push_back( told( run ) );
-    auto const now = scheduler_.now();
-    std::erase_if( own_leaving_,
-                   [now]( auto const& one )
-                   {
-                       return now - one.at > told_time;
-                   } );
-    for ( auto const& one : own_leaving_ )
-        message.leaving_targets.push_back( one.target );
+    add_target_news( message );
     return message;
 }
 
@@ -642,35 +554,6 @@
     }
 }
 
-auto peer_group::take_crashes( peer_message const& message ) -> void
-{
-    auto const now = scheduler_.now();
-    for ( auto const& c : message.crashes )
-        crashes_.note_crash( { c.content, c.target,
-                               now - std::chrono::milliseconds( c.age_ms ) } );
-    auto to_all = base_message();
-    for ( auto const content : message.cleared )
-    {
-        if ( crashes_.is_quarantined( content ) )
-            to_all.cleared.push_back( content );
-        crashes_.note_served( content, now );
-    }
-    if ( !to_all.cleared.empty() && table_.is_coordinator( now ) )
-        send_to_all( to_all );
-}
-
-auto peer_group::take_leaving( peer_message const& message ) -> void
-{
-    for ( auto const& ref : message.leaving_targets )
-        if ( board_.note_said_leaving( ref ) )
-            log_.record( exchange::belief_changed{ "target",
-                                                   ref.id.str(),
-                                                   "leaving",
-                                                   "its answer to " +
-                                                       message.sender.str(),
-                                                   {} } );
-}
-
 auto peer_group::take_asks( peer_message& message ) -> void
 {
     if ( handler_ == nullptr )
--- a/src/pollenstream/peers/peer_group.hpp
+++ b/src/pollenstream/peers/peer_group.hpp
@@ -164,7 +164,7 @@
     auto take_leaving( peer_message const& message ) -> void;
     [[nodiscard]] auto told( exchange::crashed_run const& what ) const
         -> told_crash;
-    auto crashes_to_tell() -> std::vector<exchange::crashed_run>;
+    auto add_target_news( peer_message& message ) -> void;
     auto take_asks( peer_message& message ) -> void;
     auto take_work( peer_message const& message ) -> void;
     auto release( core::instance_id const& owner, std::uint64_t serial )
--- a/src/pollenstream/peers/quarantine.cpp
+++ b/src/pollenstream/peers/quarantine.cpp
@@ -87,10 +87,11 @@
                                                   {
                                                       review();
                                                   } );
-    auto const is_listed = [this]( auto const& target )
+    auto const is_listed =
+        [this, is_current = is_current_()]( auto const& target )
     {
         auto const at = context_.board.find_lifetime( target );
-        return at && !at->gone && is_current_();
+        return is_current && at && !at->gone;
     };
     context_.crashes.review( context_.scheduler.now(), is_listed );
     lift_cleared();
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -282,3 +282,33 @@
                              R"({"service":"s","address":"nowhere"})" )
                .has_error() );
 }
+
+TEST_CASE( "the record of a quarantine is read as it was written",
+           "[platform][crash]" )
+{
+    auto const records = platform::registry_records();
+    auto const at = core::instant( 5s );
+    auto const content = exchange::content_id( -3 );
+    auto const runs = std::vector<exchange::crashed_run>{
+        { content, core::target_id( "i-1" ), at },
+        { content,
+          { core::target_id( "i-2" ), core::target_lifetime( 9 ) },
+          at } };
+    auto const key = records.quarantine_key( content );
+    CHECK( records.kind_of( key ) ==
+           pollenstream::registry::record_kind::quarantine );
+    CHECK( records.content_of( key ) == content );
+    auto const read =
+        records.read_quarantine( key, records.write_quarantine( runs ), at );
+    REQUIRE( read.has_value() );
+    REQUIRE( read.value().size() == 2 );
+    CHECK( read.value()[1].target == runs[1].target );
+    CHECK( read.value()[1].at == at );
+    CHECK( records.read_quarantine( key, records.write_quarantine( {} ), at )
+               .value()
+               .empty() );
+    for ( auto const* text : { "", "7", "[[]]", "[7]", "{", "[[1,2]]" } )
+        CHECK( records.read_quarantine( key, text, at ).has_error() );
+    CHECK( records.content_of( "pollenstream/quarantine/xyz" ).count() == 0 );
+    CHECK( records.read_quarantine( "other", "[]", at ).has_error() );
+}
