A content is quarantined only where its last target is seen to have ended

Cause: three breaks in a row were taken for proof. Targets that live and reset their connections give them as well. Ruled out: waiting for the registry, which tells of an end after seconds; the answers of others at those targets, which come as late; other connections to the target, of which an instance may have none. Change: at the third target the instance looks whether anybody listens there: a process that has ended refuses connections until it is back, which takes seconds. Where somebody does, the break counts for nothing; where it cannot be told the breaks are believed. Until then, some ms, the content waits at its coordinator. What is proven is told as such, so that nobody looks later, when another target may have the address. One connection a suspicion.

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -116,6 +116,7 @@
                      log ),
       quarantine_( context_,
                    group_,
+                   target_calls_,
                    [this]
                    {
                        return registry_is_current();
--- a/src/pollenstream/adapters/asio/http_client.cpp
+++ b/src/pollenstream/adapters/asio/http_client.cpp
@@ -506,6 +506,71 @@
     return std::make_shared<open_call>( connection, connection->call_number() );
 }
 
+namespace
+{
+
+/// One connection that is made to see whether anybody listens.
+class connection_probe : public std::enable_shared_from_this<connection_probe>
+{
+public:
+    using done = std::function<void( std::optional<bool> )>;
+
+    connection_probe( net::io_context& io, done callback )
+        : socket_( io ), timer_( io ), callback_( std::move( callback ) )
+    {
+    }
+    auto start( core::address const& address, core::duration limit ) -> void
+    {
+        timer_.expires_after( limit );
+        timer_.async_wait(
+            [self = shared_from_this()]( error_code ec )
+            {
+                if ( !ec )
+                    self->finish( std::nullopt );
+            } );
+        socket_.async_connect( endpoint_of( address ),
+                               [self = shared_from_this()]( error_code ec )
+                               {
+                                   self->on_connected( ec );
+                               } );
+    }
+
+private:
+    auto on_connected( error_code ec ) -> void
+    {
+        auto const refused = ec == net::error::connection_refused ||
+                             ec == net::error::connection_reset;
+        if ( !ec )
+            finish( true );
+        else
+            finish( refused ? std::optional( false ) : std::nullopt );
+    }
+    auto finish( std::optional<bool> listens ) -> void
+    {
+        auto const callback = std::exchange( callback_, nullptr );
+        timer_.cancel();
+        auto ec = error_code{};
+        socket_.close( ec );
+        if ( callback )
+            callback( listens );
+    }
+
+    tcp::socket socket_;
+    net::steady_timer timer_;
+    done callback_;
+};
+
+}
+
+auto http_client::probe( core::address const& address,
+                         core::duration limit,
+                         std::function<void( std::optional<bool> )> callback )
+    -> void
+{
+    std::make_shared<connection_probe>( io_, std::move( callback ) )
+        ->start( address, limit );
+}
+
 auto http_client::fetch( http_call call,
                          core::duration limit,
                          fetched callback )
--- a/src/pollenstream/adapters/asio/http_client.hpp
+++ b/src/pollenstream/adapters/asio/http_client.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -72,6 +73,11 @@
 
     using fetched = std::function<void( core::result<http_reply> )>;
     /// Makes a call and gives its whole answer, within `limit`.
+    /// Connects and closes again; nothing where no answer comes in time.
+    auto probe( core::address const& address,
+                core::duration limit,
+                std::function<void( std::optional<bool> )> callback ) -> void;
+
     auto fetch( http_call call, core::duration limit, fetched callback )
         -> std::shared_ptr<exchange::open_attempt>;
 
--- a/src/pollenstream/exchange/crash_history.cpp
+++ b/src/pollenstream/exchange/crash_history.cpp
@@ -40,6 +40,7 @@
                                          {
                                              return worth( a ) < worth( b );
                                          } );
+    proven_.erase( least->first );
     runs_.erase( least );
 }
 
@@ -49,36 +50,57 @@
     for ( auto at = runs_.begin(); at != runs_.end(); )
     {
         std::erase_if( at->second, which );
+        if ( at->second.size() < crashes_to_quarantine )
+            proven_.erase( at->first );
         at = at->second.empty() ? runs_.erase( at ) : std::next( at );
     }
 }
 
-auto crash_history::note_crash( crashed_run const& what ) -> bool
+auto crash_history::note_crash( crashed_run const& what ) -> void
 {
     auto const served = served_.find( what.content );
     if ( served != served_.end() && what.at <= served->second )
-        return false;
+        return;
     auto const alive = alive_until_.find( what.target.id );
     if ( alive != alive_until_.end() && what.at < alive->second )
-        return false;
+        return;
     if ( !runs_.contains( what.content ) )
         make_room();
     auto& runs = runs_[what.content];
     for ( auto const& known : runs )
         if ( known.target == what.target )
-            return false;
+            return;
     runs.push_back( what );
     auto& broken = broken_at_[what.target.id];
     broken = std::max( broken, what.at );
-    if ( runs.size() != crashes_to_quarantine )
-        return false;
+    if ( awaits_proof( what.content ) && on_suspected )
+        on_suspected( what );
+}
+
+auto crash_history::prove( content_id content ) -> void
+{
+    if ( !awaits_proof( content ) )
+        return;
+    proven_.insert( content );
     if ( on_quarantined )
-        on_quarantined( what.content );
-    return true;
+        on_quarantined( content );
+}
+
+auto crash_history::note_alive( target_ref const& target, core::instant at )
+    -> void
+{
+    auto& alive = alive_until_[target.id];
+    alive = std::max( alive, at );
+    erase_runs(
+        [&]( auto const& run )
+        {
+            return run.target == target && run.at <= at;
+        } );
 }
 
 auto crash_history::note_served( content_id content, core::instant at ) -> bool
 {
+    proven_.erase( content );
     if ( runs_.erase( content ) == 0 )
         return false;
     served_[content] = at;
@@ -92,12 +114,7 @@
     if ( broken == broken_at_.end() || broken->second >= sent )
         return;
     broken_at_.erase( broken );
-    alive_until_[target.id] = sent;
-    erase_runs(
-        [&]( auto const& run )
-        {
-            return run.target == target && run.at < sent;
-        } );
+    note_alive( target, sent );
 }
 
 auto crash_history::review( core::instant now, is_listed const& listed ) -> void
@@ -142,20 +159,17 @@
 auto crash_history::quarantined() const -> std::vector<crashed_run>
 {
     auto found = std::vector<crashed_run>{};
-    for ( auto const& [content, runs] : runs_ )
-        if ( runs.size() >= crashes_to_quarantine )
-            found.insert( found.end(), runs.begin(), runs.end() );
+    for ( auto const content : proven_ )
+    {
+        auto const& runs = runs_.at( content );
+        found.insert( found.end(), runs.begin(), runs.end() );
+    }
     return found;
 }
 
 auto crash_history::quarantined_contents() const -> std::size_t
 {
-    return static_cast<std::size_t>(
-        std::count_if( runs_.begin(), runs_.end(),
-                       []( auto const& entry )
-                       {
-                           return entry.second.size() >= crashes_to_quarantine;
-                       } ) );
+    return proven_.size();
 }
 
 auto crash_history::all() const -> std::vector<crashed_run>
--- a/src/pollenstream/exchange/crash_history.hpp
+++ b/src/pollenstream/exchange/crash_history.hpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <functional>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace pollenstream::exchange
@@ -26,9 +27,11 @@
 ///
 /// When a target ends, everything that is open there breaks, and nobody sees
 /// which request it was. All of them are suspects until their next run: what is
-/// served is none, and what breaks at one target after the other, with none of
-/// these heard of since, is quarantined. It is not sent again, or it would end
-/// every target of its service and break what runs beside it.
+/// served is none. What breaks at one target after the other, with none of
+/// these heard of since and the last one seen to have ended, is quarantined. It
+/// is not sent again, or it would end every target of its service and break
+/// what runs beside it. That the last one is looked at guards what meets
+/// several targets in a row that live and reset their connections.
 class crash_history
 {
 public:
@@ -43,9 +46,13 @@
     /// `lapse_time` is how long after its end a target may still be listed.
     explicit crash_history( core::duration lapse_time );
 
-    /// Returns true where the content is quarantined from now on and was not
-    /// before. A second break at the same target is the same end.
-    auto note_crash( crashed_run const& what ) -> bool;
+    /// A second break at the same target is the same end.
+    auto note_crash( crashed_run const& what ) -> void;
+    /// The last of the targets at which the content broke has been seen to have
+    /// ended, here or by another instance: it is quarantined.
+    auto prove( content_id content ) -> void;
+    /// The target was seen to live.
+    auto note_alive( target_ref const& target, core::instant at ) -> void;
     /// The content was served, which no request can be that ends its targets.
     /// Returns true where it was under suspicion.
     auto note_served( content_id content, core::instant at ) -> bool;
@@ -61,13 +68,21 @@
     [[nodiscard]] auto count( content_id content ) const -> std::size_t;
     [[nodiscard]] auto is_quarantined( content_id content ) const -> bool
     {
-        return count( content ) >= crashes_to_quarantine;
+        return proven_.contains( content );
+    }
+    /// It broke at enough targets, of which the last is still to be looked at.
+    [[nodiscard]] auto awaits_proof( content_id content ) const -> bool
+    {
+        return !is_quarantined( content ) &&
+               count( content ) >= crashes_to_quarantine;
     }
     [[nodiscard]] auto quarantined() const -> std::vector<crashed_run>;
     [[nodiscard]] auto quarantined_contents() const -> std::size_t;
     /// Of the quarantined contents and of all others under suspicion.
     [[nodiscard]] auto all() const -> std::vector<crashed_run>;
 
+    /// Called where a content awaits proof, with the target to look at.
+    std::function<void( crashed_run const& )> on_suspected;
     /// Called with each content that is quarantined from now on.
     std::function<void( content_id )> on_quarantined;
 
@@ -81,6 +96,7 @@
 
     core::duration lapse_time_;
     run_map runs_;
+    std::unordered_set<content_id> proven_;
     /// Targets at which a run broke, with the last time.
     std::unordered_map<core::target_id, core::instant> broken_at_;
     /// Of these the ones that have answered since, with the time until which
--- a/src/pollenstream/exchange/message.hpp
+++ b/src/pollenstream/exchange/message.hpp
@@ -7,6 +7,7 @@
 #include <pollenstream/core/units.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -150,6 +151,18 @@
         -> std::shared_ptr<open_attempt> = 0;
 };
 
+/// Finds out whether a process takes connections at an address.
+class target_probe
+{
+public:
+    /// Nothing where it cannot be told.
+    using done = std::function<void( std::optional<bool> listens )>;
+
+    virtual ~target_probe() = default;
+    virtual auto probe( core::address const& address, done callback )
+        -> void = 0;
+};
+
 /// A target that reads a part of the prompt, with the memory held there.
 struct helper_place
 {
--- a/src/pollenstream/exchange/placement_coordinator.cpp
+++ b/src/pollenstream/exchange/placement_coordinator.cpp
@@ -156,8 +156,9 @@
     refresh_demand( now );
     // Its next run tells whether it ends its targets: one at a time.
     is_held_back_ =
-        ask.demand.crashes + 1 >= crash_history::crashes_to_quarantine &&
-        owner_.runs_now( ask.content );
+        owner_.crashes_.awaits_proof( ask.content ) ||
+        ( ask.demand.crashes + 1 >= crash_history::crashes_to_quarantine &&
+          owner_.runs_now( ask.content ) );
     if ( is_held_back_ )
         return false;
     auto result = owner_.chooser_.choose( ask.demand, *settings, now );
--- a/src/pollenstream/peers/peer_group_targets.cpp
+++ b/src/pollenstream/peers/peer_group_targets.cpp
@@ -77,6 +77,7 @@
     auto message = base_message();
     for ( auto const& run : crashes_.crashes_of( content ) )
         message.crashes.push_back( told( run ) );
+    message.quarantined.push_back( content );
     send_to_all( message );
 }
 
@@ -86,6 +87,8 @@
     for ( auto const& c : message.crashes )
         crashes_.note_crash( { c.content, c.target,
                                now - std::chrono::milliseconds( c.age_ms ) } );
+    for ( auto const content : message.quarantined )
+        crashes_.prove( content );
     auto to_all = base_message();
     for ( auto const content : message.cleared )
     {
@@ -120,7 +123,12 @@
     std::erase_if( own_crashes_, is_old );
     std::erase_if( own_leaving_, is_old );
     for ( auto const& run : crashes_.quarantined() )
+    {
         message.crashes.push_back( told( run ) );
+        auto const& last = message.quarantined;
+        if ( last.empty() || last.back() != run.content )
+            message.quarantined.push_back( run.content );
+    }
     // Coordinators tell their messages to all, who need no more than that.
     if ( !table_.is_coordinator( scheduler_.now() ) )
         for ( auto const& run : own_crashes_ )
--- a/src/pollenstream/peers/peer_message.cpp
+++ b/src/pollenstream/peers/peer_message.cpp
@@ -244,6 +244,7 @@
     list_crashes,
     list_cleared,
     list_leaving_targets,
+    list_quarantined,
 };
 
 auto lists_to_json( peer_message const& m ) -> json
@@ -266,6 +267,7 @@
     add( list_silent, list_to_json( m.silent, silent_to_json ) );
     add( list_known_ips, m.known_ips );
     add( list_crashes, list_to_json( m.crashes, crash_to_json ) );
+    add( list_quarantined, list_to_json( m.quarantined, content_to_json ) );
     add( list_leaving_targets, list_to_json( m.leaving_targets, ref_to_json ) );
     add( list_cleared, list_to_json( m.cleared, content_to_json ) );
     return lists;
@@ -305,6 +307,8 @@
         return;
     case list_crashes:
         return list_from_json( list, m.crashes, crash_from_json );
+    case list_quarantined:
+        return list_from_json( list, m.quarantined, content_from_json );
     case list_leaving_targets:
         return list_from_json( list, m.leaving_targets, ref_from_json );
     case list_cleared:
--- a/src/pollenstream/peers/peer_message.hpp
+++ b/src/pollenstream/peers/peer_message.hpp
@@ -97,6 +97,8 @@
     /// Targets that have said in answers that they leave.
     std::vector<exchange::target_ref> leaving_targets;
     std::vector<told_crash> crashes;
+    /// Contents that end their targets; `crashes` has their runs.
+    std::vector<exchange::content_id> quarantined;
     /// Contents that were under suspicion and have been served.
     std::vector<exchange::content_id> cleared;
     std::vector<silent_instance> silent;
--- a/src/pollenstream/peers/quarantine.cpp
+++ b/src/pollenstream/peers/quarantine.cpp
@@ -18,14 +18,19 @@
 
 quarantine::quarantine( exchange::exchange_context& context,
                         peer_group& group,
+                        exchange::target_probe& probe,
                         registry_state is_current )
-    : context_( context ), group_( group ),
+    : context_( context ), group_( group ), probe_( probe ),
       is_current_( std::move( is_current ) )
 {
 }
 
 auto quarantine::start() -> void
 {
+    context_.crashes.on_suspected = [this]( auto const& last )
+    {
+        look_at( last );
+    };
     context_.crashes.on_quarantined = [this]( auto content )
     {
         new_.push_back( content );
@@ -40,6 +45,27 @@
     review();
 }
 
+/// A target that has ended refuses connections until it starts again, which
+/// takes seconds. Where it cannot be told the breaks are believed.
+auto quarantine::look_at( exchange::crashed_run const& last ) -> void
+{
+    auto const at = context_.board.find_lifetime( last.target );
+    if ( !at || at->gone )
+        return context_.crashes.prove( last.content );
+    probe_.probe( at->facts.address,
+                  [this, last, lives = std::weak_ptr( lives_ )]( auto listens )
+                  {
+                      if ( lives.expired() )
+                          return;
+                      if ( listens.value_or( false ) )
+                          context_.crashes.note_alive(
+                              last.target, context_.scheduler.now() );
+                      else
+                          context_.crashes.prove( last.content );
+                      context_.room.poke();
+                  } );
+}
+
 auto quarantine::take_new() -> void
 {
     auto const done = std::move( take_call_ );
--- a/src/pollenstream/peers/quarantine.hpp
+++ b/src/pollenstream/peers/quarantine.hpp
@@ -25,6 +25,7 @@
 
     quarantine( exchange::exchange_context& context,
                 peer_group& group,
+                exchange::target_probe& probe,
                 registry_state is_current );
 
     auto start() -> void;
@@ -35,6 +36,7 @@
 private:
     auto review() -> void;
     auto take_new() -> void;
+    auto look_at( exchange::crashed_run const& last ) -> void;
     auto hold( exchange::content_id content ) -> void;
     auto lift_cleared() -> void;
     auto note( exchange::content_id content,
@@ -43,8 +45,11 @@
 
     exchange::exchange_context& context_;
     peer_group& group_;
+    exchange::target_probe& probe_;
     registry_state is_current_;
     std::vector<exchange::content_id> new_;
+    /// Gone with this, which a probe that is under way may outlive.
+    std::shared_ptr<bool> lives_{ std::make_shared<bool>( true ) };
     std::set<exchange::content_id> held_;
     std::unique_ptr<ports::scheduled_call> take_call_;
     std::unique_ptr<ports::scheduled_call> review_call_;
--- a/tests/exchange/crashing_request_test.cpp
+++ b/tests/exchange/crashing_request_test.cpp
@@ -261,6 +261,7 @@
            "[exchange][crash]" )
 {
     auto fleet = exchange_fleet( 4, 6, 2 );
+    fleet.engines.answers_probes = false;
     auto const held = [&]
     {
         auto request = exchange::caller_request{};
@@ -275,13 +276,13 @@
                 { content, facts.id, fleet.scheduler.now() } );
         return content;
     }();
-    fleet.at( 1 ).group.tell_quarantined( held );
     fleet.scheduler.run( 3s );
     CHECK( fleet.at( 1 ).crashes.is_quarantined( held ) );
     CHECK( fleet.store.writes == 1 );
     // Its engines are still listed when their entries would have lapsed.
     fleet.scheduler.run( 8s );
     CHECK( fleet.store.writes == 2 );
+    fleet.kill( 2 );
     fleet.restart( 2 );
     fleet.scheduler.run( 1s );
     for ( auto i = 0; i < fleet.size(); ++i )
@@ -290,3 +291,33 @@
     fleet.scheduler.run( 3s );
     CHECK( call->served );
 }
+
+TEST_CASE( "what meets targets in a row that live is not held back",
+           "[exchange][crash]" )
+{
+    // What callers saw: requests refused as if they ended their targets, on a
+    // day on which engines reset four answers in ten.
+    auto fleet = exchange_fleet( 4, 8, 6 );
+    auto const path = GENERATE( as<std::string>{}, "/chat/o", "/safe/o" );
+    auto& service = path == "/chat/o" ? fleet.engines : fleet.plain;
+    auto calls = std::vector<std::shared_ptr<fleet_call>>{};
+    for ( auto i = 0; i < 40; ++i )
+    {
+        auto const body = std::to_string( i );
+        // Its runs break at three targets and more, one after the other.
+        for ( auto tries = 0; tries < 3; ++tries )
+        {
+            fleet.call( ( i + tries ) % fleet.size(), path, body );
+            for ( auto cuts = 0; cuts < 2; ++cuts )
+            {
+                fleet.scheduler.run( 10ms );
+                for ( auto const& facts : service.facts() )
+                    service.cut( facts.id );
+            }
+        }
+        calls.push_back( fleet.call( i % fleet.size(), path, body ) );
+        fleet.scheduler.run( 1s );
+    }
+    fleet.scheduler.run( 12s );
+    CHECK( not_served( calls ) == 0 );
+}
--- a/tests/exchange/placement_coordinator_test.cpp
+++ b/tests/exchange/placement_coordinator_test.cpp
@@ -218,6 +218,12 @@
     SECTION( "its run ends its engine" )
     {
         crash( "x3" );
+        f.coordinator.release( core::instance_id( "a" ), 1 );
+        f.scheduler.run( 30ms );
+        // It is still to be seen whether the third target has ended.
+        CHECK( second->grants.empty() );
+        CHECK( second->refusals.empty() );
+        f.crashes.prove( content );
         f.scheduler.run( 30ms );
         REQUIRE( second->refusals.size() == 1 );
         CHECK( second->refusals[0].retry_after == 0ms );
--- a/tests/peers/peer_group_test.cpp
+++ b/tests/peers/peer_group_test.cpp
@@ -627,6 +627,11 @@
                                   return one->crashes.is_quarantined( content );
                               } );
     };
+    for ( auto const& one : fleet.all )
+        one->crashes.on_suspected = [&one]( auto const& last )
+        {
+            one->crashes.prove( last.content );
+        };
     // Each of three instances has seen one end; none of them all three.
     for ( auto i = std::size_t{ 0 }; i < 3; ++i )
     {
--- a/tests/support/exchange_fleet.cpp
+++ b/tests/support/exchange_fleet.cpp
@@ -257,6 +257,22 @@
     return which;
 }
 
+auto fleet_targets::probe( core::address const& address, done callback ) -> void
+{
+    auto const listens =
+        std::any_of( targets_.begin(), targets_.end(),
+                     [&address]( auto const& entry )
+                     {
+                         return entry.second.facts.address == address;
+                     } );
+    auto const told = answers_probes ? std::optional( listens ) : std::nullopt;
+    after( 1ms,
+           [told, callback = std::move( callback )]
+           {
+               callback( told );
+           } );
+}
+
 auto fleet_targets::leave( core::target_id const& id ) -> void
 {
     targets_.at( id ).leaving = true;
@@ -366,7 +382,8 @@
     std::string from_;
 };
 
-class fleet_instance::targets : public exchange::target_caller
+class fleet_instance::targets : public exchange::target_caller,
+                                public exchange::target_probe
 {
 public:
     targets( exchange_fleet& fleet, std::string instance )
@@ -382,6 +399,11 @@
                            std::move( listener ) );
     }
 
+    auto probe( core::address const& address, done callback ) -> void override
+    {
+        fleet_.targets_of( address ).probe( address, std::move( callback ) );
+    }
+
 private:
     exchange_fleet& fleet_;
     std::string instance_;
@@ -444,6 +466,7 @@
                    static_cast<std::uint32_t>( number + 1 ) ) },
       quarantine_( context,
                    group,
+                   *targets_,
                    []
                    {
                        return true;
--- a/tests/support/exchange_fleet.hpp
+++ b/tests/support/exchange_fleet.hpp
@@ -29,7 +29,7 @@
 /// request begins to run some time after it has come and ends its target when
 /// it has run for a moment, if its body says so. The connections of a target
 /// that ends are closed, its entry lapses later, and another one starts.
-class fleet_targets
+class fleet_targets : public exchange::target_probe
 {
 public:
     struct times
@@ -49,7 +49,7 @@
                    std::string service,
                    listed on_listed,
                    unlisted on_unlisted );
-    ~fleet_targets();
+    ~fleet_targets() override;
     fleet_targets( fleet_targets const& ) = delete;
     auto operator=( fleet_targets const& ) -> fleet_targets& = delete;
 
@@ -58,6 +58,7 @@
                exchange::outgoing_request request,
                std::shared_ptr<exchange::attempt_listener> listener )
         -> std::shared_ptr<exchange::open_attempt>;
+    auto probe( core::address const& address, done callback ) -> void override;
     /// Ends the target, whatever runs there.
     auto crash( core::target_id const& id ) -> void;
     /// From now on the target's answers say that it leaves.
@@ -79,6 +80,7 @@
     std::vector<fleet_run> runs;
     int crashes{ 0 };
     times time;
+    bool answers_probes{ true };
 
 private:
     class run;
