The look at a target waits whether it keeps the connection

Cause: the look at the last target took any connection that was made for a target that lives; a proxy accepts for one that has ended. Change: the connection has to stay open for 40 ms; closed before, nobody listens. The stand-in's runner does not listen while it is down, as an ended process does not.

--- a/src/pollenstream/adapters/asio/http_client.cpp
+++ b/src/pollenstream/adapters/asio/http_client.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <limits>
 #include <optional>
@@ -509,6 +510,10 @@
 namespace
 {
 
+/// A process that listens keeps a fresh connection this long. Something that
+/// accepts in the place of one that has ended closes it at once.
+constexpr auto kept_open = core::duration( std::chrono::milliseconds( 40 ) );
+
 /// One connection that is made to see whether anybody listens.
 class connection_probe : public std::enable_shared_from_this<connection_probe>
 {
@@ -540,10 +545,21 @@
     {
         auto const refused = ec == net::error::connection_refused ||
                              ec == net::error::connection_reset;
-        if ( !ec )
-            finish( true );
-        else
-            finish( refused ? std::optional( false ) : std::nullopt );
+        if ( ec )
+            return finish( refused ? std::optional( false ) : std::nullopt );
+        timer_.expires_after( kept_open );
+        timer_.async_wait(
+            [self = shared_from_this()]( error_code e )
+            {
+                if ( !e )
+                    self->finish( true );
+            } );
+        socket_.async_read_some(
+            net::buffer( unasked_ ),
+            [self = shared_from_this()]( error_code e, std::size_t )
+            {
+                self->finish( !e );
+            } );
     }
     auto finish( std::optional<bool> listens ) -> void
     {
@@ -558,6 +574,7 @@
     tcp::socket socket_;
     net::steady_timer timer_;
     done callback_;
+    std::array<char, 1> unasked_{}; ///< nothing is sent, nothing should come
 };
 
 }
--- a/standins/platform/main.cpp
+++ b/standins/platform/main.cpp
@@ -66,6 +66,17 @@
                 seed_ + static_cast<std::uint64_t>( last_ ) );
             added.listener = std::make_unique<asio::caller_listener>(
                 io_, any(), *added.what );
+            added.what->on_listening =
+                [this, id = s.id,
+                 address = added.listener->address()]( bool is_up )
+            {
+                // Not within a call of the listener itself.
+                asio::net::post( io_,
+                                 [this, id, address, is_up]
+                                 {
+                                     listen( id, address, is_up );
+                                 } );
+            };
             runners_[s.id] = std::move( added );
         }
     }
@@ -103,6 +114,19 @@
         return { "127.0.0.1", 0 };
     }
 
+    auto listen( std::string const& id,
+                 core::address const& address,
+                 bool is_up ) -> void
+    {
+        auto& r = runners_.at( id );
+        if ( !is_up )
+            return r.listener->stop_accepting();
+        // Connections of the former one may still be open.
+        former_.push_back( std::move( r.listener ) );
+        r.listener =
+            std::make_unique<asio::caller_listener>( io_, address, *r.what );
+    }
+
     auto control( asio::raw_request const& request,
                   json const& body,
                   json& reply ) -> bool
@@ -201,6 +225,7 @@
     run_records records_;
     crash_records crashes_;
     std::map<std::string, listening_runner> runners_;
+    std::vector<std::unique_ptr<asio::caller_listener>> former_;
     std::unique_ptr<asio::caller_listener> store_listener_;
     std::unique_ptr<asio::caller_listener> control_;
     int last_{ 0 };
--- a/standins/platform/runner.cpp
+++ b/standins/platform/runner.cpp
@@ -251,6 +251,8 @@
         { cause.body, field( cause, "Attempt-Id" ), settings_.id,
           core::milliseconds_of( scheduler_.now().time_since_epoch() ) } );
     reservations_.clear();
+    if ( on_listening )
+        on_listening( false );
     // Each takes itself off, and with it perhaps the request that is the cause.
     auto const open = std::vector( works_.begin(), works_.end() );
     for ( auto* const one : open )
@@ -271,6 +273,8 @@
 auto runner::come_back() -> void
 {
     down_ = false;
+    if ( on_listening )
+        on_listening( true );
     leaving_ = false;
     leaving_since_.reset();
     settings_.id = first_id_ + "." + std::to_string( ++lives_ );
--- a/standins/platform/runner.hpp
+++ b/standins/platform/runner.hpp
@@ -3,6 +3,7 @@
 
 #include "store.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -84,6 +85,9 @@
                  std::shared_ptr<exchange::answer_channel> answer )
         -> std::shared_ptr<asio::request_in_progress> override;
 
+    /// Called when the runner ends and when it is back: it listens or not.
+    std::function<void( bool is_up )> on_listening;
+
     /// Writes the entry into the store, now and again.
     auto register_at( std::string const& address ) -> void;
     auto set_faults( runner_faults faults ) -> void;
