Logs tell how long a target was silent and how late the look at it was

The record of cut answers has four explanations that the logs could not tell apart. attempt_failed now says how long the target had been silent, how many events the caller has already, and by how much this instance's own timer was late; ended says which configuration the request was taken in under and which is in force at its end. No decision changes.

--- a/src/pollenstream/adapters/spdlog/structured_log.cpp
+++ b/src/pollenstream/adapters/spdlog/structured_log.cpp
@@ -122,7 +122,10 @@
         .text( "target", e.target.str() )
         .text( "error", e.error )
         .number( "may_have_run", e.may_have_run ? 1 : 0 )
-        .text( "decision", e.decision );
+        .text( "decision", e.decision )
+        .milliseconds( "silent_ms", e.silent_for )
+        .number( "events", e.events )
+        .milliseconds( "timer_late_ms", e.timer_late );
     return line;
 }
 
@@ -142,7 +145,9 @@
         .number( "targets", e.targets )
         .number( "prompt", e.prompt_tokens )
         .milliseconds( "objective_ms", e.latency_objective )
-        .milliseconds( "gap_objective_ms", e.gap_objective );
+        .milliseconds( "gap_objective_ms", e.gap_objective )
+        .number( "configuration", e.configuration.count() )
+        .number( "configuration_now", e.configuration_now.count() );
     return line;
 }
 
--- a/src/pollenstream/exchange/event_log.hpp
+++ b/src/pollenstream/exchange/event_log.hpp
@@ -58,6 +58,11 @@
     std::string error;
     bool may_have_run{ false };
     std::string decision;
+    core::duration silent_for{ 0 }; ///< since the target was last heard
+    std::int64_t events{ 0 };       ///< passed on to the caller before
+    /// By how much this instance's own timer was late, where silence is the
+    /// error: what the target sent meanwhile has not been read.
+    core::duration timer_late{ 0 };
 };
 
 /// A request has its last word.
@@ -77,6 +82,8 @@
     std::int64_t prompt_tokens{ 0 };
     core::duration latency_objective{ 0 }; ///< zero where no route is known
     core::duration gap_objective{ 0 };
+    core::revision configuration;     ///< that it was taken in under
+    core::revision configuration_now; ///< in force at its end
 };
 
 /// What the process believes of something has changed.
--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -326,7 +326,8 @@
 {
     shared_.log.record( attempt_failed{
         request_.id, content_, grant.choice.targets.front()->facts.id,
-        "reservation: " + why.detail, false, "wait" } );
+        "reservation: " + why.detail, false, "wait", core::duration( 0 ),
+        events_, core::duration( 0 ) } );
     release( grant.serial, work_outcome::none );
     auto const spread = std::uniform_int_distribution<std::int64_t>(
         0, reservation_pause.count() )( shared_.random );
@@ -471,7 +472,10 @@
         std::move( outcome ), status, last_target_,
         shared_.scheduler.now() - request_.received, first_event_, longest_gap_,
         events_, targets_reached_, demand_.prompt_tokens,
-        demand_.latency_objective, demand_.gap_objective } );
+        demand_.latency_objective, demand_.gap_objective,
+        configuration_ ? configuration_->version : core::revision{},
+        shared_.configuration ? shared_.configuration->version
+                              : core::revision{} } );
 }
 
 }
--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -202,6 +202,8 @@
     core::duration longest_gap_{ 0 };
     core::instant last_event_at_;
     core::target_id last_target_;
+    core::instant watch_due_; ///< when silence was to be looked at
+    core::duration watch_late_{ 0 };
     bool finished_{ false };
 };
 
--- a/src/pollenstream/exchange/exchange_attempts.cpp
+++ b/src/pollenstream/exchange/exchange_attempts.cpp
@@ -387,9 +387,10 @@
     auto const again =
         may_repeat() && ( targets_reached_ == 0 ||
                           shared_.retries.take( demand_.service, now ) );
-    shared_.log.record( attempt_failed{ request_.id, content_,
-                                        current_->target.id, why, may_have_run,
-                                        again ? "send_again" : "give_up" } );
+    shared_.log.record( attempt_failed{
+        request_.id, content_, current_->target.id, why, may_have_run,
+        again ? "send_again" : "give_up", now - current_->heard_at, events_,
+        std::exchange( watch_late_, {} ) } );
     if ( !again )
         return false;
     shared_.counters.repeats.add();
@@ -431,13 +432,14 @@
 {
     if ( !current_ || route_->kind == request_kind::unsafe )
         return;
-    auto const due = current_->heard_at + tolerated_silence();
-    watch_call_ = shared_.scheduler.call_after(
-        std::max( core::duration( 1ms ), due - shared_.scheduler.now() ),
-        [this]
-        {
-            on_watch();
-        } );
+    auto const now = shared_.scheduler.now();
+    watch_due_ = std::max( now + core::duration( 1ms ),
+                           current_->heard_at + tolerated_silence() );
+    watch_call_ = shared_.scheduler.call_after( watch_due_ - now,
+                                                [this]
+                                                {
+                                                    on_watch();
+                                                } );
 }
 
 auto exchange::on_watch() -> void
@@ -448,6 +450,7 @@
     auto const keep = shared_from_this();
     auto const now = shared_.scheduler.now();
     auto const since = now - current_->heard_at;
+    watch_late_ = now - watch_due_;
     if ( route_->kind == request_kind::stream && since < tolerated_silence() )
         return arm_watch();
     if ( !route_->is_idempotent() )
