Failing tests: a living target's silence ends an answer

Reproduces hypothesis 1 of docs/incidents/ona-cut-answers in held time: a stream with two events whose engine then says nothing for 1.1 s is aborted where no other engine has room, no repeat is left in the budget, the ask is refused, or its content has been quarantined meanwhile; a safe call gets 502 for the same; a stream whose engine broke waits for room for 1.85 s only, though its caller has a part of the answer.

--- /dev/null
+++ b/tests/exchange/silent_target_test.cpp
@@ -0,0 +1,147 @@
+#include "support/exchange_fixture.hpp"
+
+#include <catch2/catch.hpp>
+
+// A target that says nothing for a while may live. What callers must not see
+// of its silence is the end of their answer.
+
+using namespace tests;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Silence behind an event after which another place is looked for, on the
+/// routes of the fixture.
+constexpr auto longer_than_tolerated = core::duration( 1'100ms );
+/// With the above, more than callers wait for a first event.
+constexpr auto rest_of_patience = core::duration( 1'200ms );
+
+/// One stream whose places a test hands out.
+struct held_stream
+{
+    explicit held_stream( std::string const& path = "/chat/x" )
+        : f( asks ), open( f.start( f.request( path ) ) )
+    {
+        grant( "m1" );
+    }
+    ~held_stream()
+    {
+        open->on_caller_gone();
+    }
+    held_stream( held_stream const& ) = delete;
+    auto operator=( held_stream const& ) -> held_stream& = delete;
+
+    /// Answers the last ask.
+    auto grant( char const* target ) -> void
+    {
+        auto const& last = asks.all.back();
+        auto granted = exchange::placement_grant{};
+        granted.serial = last.ask.serial;
+        granted.choice.targets = { f.board.find( core::target_id( target ) ) };
+        granted.choice.parts = { { core::target_id( target ), 20, 6'000 } };
+        last.listener->on_granted( granted );
+    }
+    auto first() -> sent_request&
+    {
+        return *f.targets.all.at( 0 );
+    }
+    /// The first target has sent two events and then nothing.
+    auto fall_silent() -> void
+    {
+        first().head( 200 );
+        first().event( 1 );
+        first().event( 2 );
+        f.scheduler.run( longer_than_tolerated );
+    }
+
+    held_asks asks;
+    exchange_fixture f;
+    std::shared_ptr<exchange::exchange> open;
+};
+
+constexpr auto three_events =
+    "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n";
+
+}
+
+TEST_CASE( "an answer that has begun is not ended by its target's silence",
+           "[exchange][silence]" )
+{
+    auto s = held_stream{};
+    SECTION( "where no other has room" )
+    {
+        s.fall_silent();
+        s.f.scheduler.run( rest_of_patience );
+    }
+    SECTION( "where no repeat is left in the budget" )
+    {
+        s.f.retries.set_allowance( { 0, 0, 10s } );
+        s.fall_silent();
+    }
+    SECTION( "where another place is refused" )
+    {
+        s.fall_silent();
+        REQUIRE( s.asks.all.size() == 2 );
+        s.asks.all[1].listener->on_refused( { "too_large", 0ms } );
+    }
+    SECTION( "where its content is quarantined" )
+    {
+        auto const content = s.asks.all[0].ask.content;
+        for ( auto const* id : { "e1", "e2", "e3" } )
+            s.f.crashes.note_crash( { content,
+                                      { core::target_id( id ), {} },
+                                      s.f.scheduler.now() } );
+        s.f.crashes.prove( content );
+        s.fall_silent();
+    }
+    CHECK_FALSE( s.f.answer->aborted );
+    CHECK_FALSE( s.first().cancelled );
+    s.first().event( 3 );
+    s.first().complete();
+    CHECK( s.f.answer->stream == three_events );
+    CHECK( s.f.answer->ended );
+    CHECK( s.f.log.last_outcome() == "served" );
+}
+
+TEST_CASE(
+    "a call is not ended by its target's silence where there is no other",
+    "[exchange][silence]" )
+{
+    auto f = exchange_fixture{};
+    SECTION( "no other target" )
+    {
+        f.board.mark_gone( core::target_id( "p2" ) );
+    }
+    SECTION( "no repeat left in the budget" )
+    {
+        f.retries.set_allowance( { 0, 0, 10s } );
+    }
+    f.start( f.request( "/safe/x" ) );
+    REQUIRE( f.targets.all.size() == 1 );
+    f.scheduler.run( 3s );
+    CHECK_FALSE( f.targets.all[0]->cancelled );
+    f.targets.all[0]->answer( 200, "yes" );
+    CHECK( f.answer->whole.status == 200 );
+}
+
+TEST_CASE( "an answer that has begun waits for room until its time is over",
+           "[exchange][silence]" )
+{
+    auto s = held_stream{};
+    s.first().head( 200 );
+    s.first().event( 1 );
+    s.first().lose();
+    REQUIRE( s.asks.all.size() == 2 );
+    s.f.scheduler.run( 4s );
+    CHECK_FALSE( s.f.answer->aborted );
+    s.grant( "m2" );
+    REQUIRE( s.f.targets.all.size() == 2 );
+    auto& second = *s.f.targets.all[1];
+    second.head( 200 );
+    second.event( 2 );
+    second.event( 3 );
+    second.complete();
+    CHECK( s.f.answer->stream == three_events );
+    CHECK( s.f.answer->ended );
+}
