A silent target stays open until another one speaks

What callers saw: answers that had begun were closed in the middle, up to eight seconds before their time was over, though the engine lived and would have gone on. Calls got 502 for the same.

Cause: silence was taken for the target's end. The try was closed first, then another place was asked for; where none was to be had (no room, no budget, a refusal, a quarantine, a failure of the next one) nothing was left to go back to. A second limit, the patience of callers that have heard nothing, ended answers of which the caller had a part. The class: what one has is given up before what replaces it is had.

Why it works: the silent try stays open beside the one that is sought or made, and the first of the two to speak goes on; where nothing else is had, or what was had fails, the silent one is listened to until the caller's time is over. A repeat is taken from the budget as before and given back where it was not sent. A request that has been answered in part waits for room until its deadline; its coordinator keeps it as long.

Ruled out: a longer silence alone, which only moves the end; asking before letting go but switching at the grant, where the next engine's failure would still end the answer.

The case "the target is silent" of exchange_test asked that the silent call be cancelled as soon as it is sent elsewhere. It now asks that it is not, that it is once the other one has answered, and that no work stays open.

--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -19,6 +19,9 @@
 constexpr auto shortest_patience = core::duration( 2s );
 constexpr auto patience_per_latency = 4;
 constexpr auto patience_per_gap = 8;
+/// A request that waits is refused this much before its caller would leave,
+/// so that the caller hears when to come back.
+constexpr auto refusal_margin = core::duration( 150ms );
 /// Retry-After where no target is known, no configuration, or the process is
 /// about to end and callers find another instance at once.
 constexpr auto retry_after_no_target = core::duration( 400ms );
@@ -63,7 +66,7 @@
     core::check_invariant( core::invariant::ends_in_time, finished_,
                            "exchange " + request_.id.str() + " dropped open" );
     core::check_invariant( core::invariant::memory_is_returned,
-                           !current_ && !ask_,
+                           !current_ && !silent_ && !ask_,
                            "exchange " + request_.id.str() + " kept work" );
 }
 
@@ -205,6 +208,11 @@
     return std::min( deadline_, silent_since + patience_ );
 }
 
+auto exchange::refused_at() const -> core::instant
+{
+    return patience_until() - refusal_margin;
+}
+
 auto exchange::needs_engine() const -> bool
 {
     return service_->engine && demand_.prompt_tokens > 0;
@@ -229,6 +237,8 @@
         return true;
     if ( !configuration_ )
         return try_admit();
+    if ( current_ )
+        return true;
     auto const now = shared_.scheduler.now();
     if ( now < not_before_ )
         return false;
@@ -280,31 +290,41 @@
     auto memory = std::make_shared<reservation_group>(
         shared_.reservations, shared_.scheduler, id, std::move( places ),
         longest );
+    reserving_ = grant.serial;
     memory->start(
         [self = shared_from_this(), memory,
          grant = std::move( grant )]( auto status )
         {
-            if ( self->finished_ )
-            {
-                self->release( grant.serial, work_outcome::none );
-                return memory->release();
-            }
-            if ( self->is_quarantined() )
-            {
-                self->release( grant.serial, work_outcome::none );
-                memory->release();
-                return self->end_quarantined();
-            }
-            if ( status.has_error() )
-                return self->on_no_memory( grant, status.error() );
-            if ( self->is_current( grant.choice ) )
-                return self->send( grant, memory );
-            memory->release();
-            self->on_no_memory( grant, { core::error_code::expired,
-                                         "target restarted or paused" } );
+            self->on_memory( grant, memory, status );
         } );
 }
 
+auto exchange::on_memory( placement_grant const& grant,
+                          std::shared_ptr<reservation_group> const& memory,
+                          core::result<void> const& status ) -> void
+{
+    if ( reserving_ != grant.serial )
+    {
+        // It has ended since, or its silent target has spoken.
+        release( grant.serial, work_outcome::none );
+        return memory->release();
+    }
+    reserving_.reset();
+    if ( is_quarantined() )
+    {
+        release( grant.serial, work_outcome::none );
+        memory->release();
+        return end_quarantined();
+    }
+    if ( status.has_error() )
+        return on_no_memory( grant, status.error() );
+    if ( is_current( grant.choice ) )
+        return send( grant, memory );
+    memory->release();
+    on_no_memory( grant,
+                  { core::error_code::expired, "target restarted or paused" } );
+}
+
 /// False where a target of the choice has started again since, and holds none
 /// of the memory that was reserved, or wants nothing from this instance now.
 auto exchange::is_current( placement_choice const& choice ) const -> bool
@@ -364,7 +384,7 @@
         return;
     if ( current_ && current_->call && current_->call->sent() )
         may_have_run_ = true;
-    close_try( true );
+    close_all();
     if ( may_have_run_ )
         return fail( status_gateway_timeout, "deadline" );
     refuse( status_unavailable, "deadline", retry_after_turned_away );
@@ -375,7 +395,7 @@
     auto const keep = shared_from_this();
     if ( finished_ )
         return;
-    close_try( true );
+    close_all();
     shared_.counters.abandoned.add();
     end( "caller_gone", 0 );
 }
@@ -387,7 +407,7 @@
         return;
     if ( current_ && current_->call && current_->call->sent() )
         may_have_run_ = true;
-    close_try( true );
+    close_all();
     turn_down( std::move( reason ), retry_after_stop );
 }
 
@@ -407,12 +427,13 @@
     auto const keep = shared_from_this();
     if ( finished_ || route_ == nullptr || content != content_ )
         return;
-    auto const runs = current_ && !current_->reading;
+    auto const runs =
+        ( current_ && !current_->reading ) || ( silent_ && !silent_->reading );
     if ( runs )
         return;
     if ( current_ && current_->call && current_->call->sent() )
         may_have_run_ = true;
-    close_try( true );
+    close_all();
     end_quarantined();
 }
 
@@ -433,7 +454,7 @@
         now - request_.received, retry_after.value_or( core::duration( 0 ) ),
         configuration_ ? configuration_->version : core::revision{},
         demand_.prompt_tokens, shared_.room.size() } );
-    close_try( true );
+    close_all();
     answer_->send_whole( std::move( answer ) );
     shared_.counters.refused.add();
     end( std::move( reason ), status );
@@ -441,7 +462,7 @@
 
 auto exchange::fail( int status, std::string reason ) -> void
 {
-    close_try( true );
+    close_all();
     if ( streaming_ )
         answer_->abort();
     else
@@ -454,6 +475,8 @@
 auto exchange::turn_down( std::string reason,
                           std::optional<core::duration> retry_after ) -> void
 {
+    if ( go_back( reason ) )
+        return;
     if ( may_have_run_ )
         return fail( status_bad_gateway, std::move( reason ) );
     refuse( status_unavailable, std::move( reason ), retry_after );
@@ -463,9 +486,8 @@
 {
     finished_ = true;
     deadline_call_.reset();
-    stop_waiting();
+    stop_looking();
     watch_call_.reset();
-    shared_.room.remove( this );
     shared_.open.erase( this );
     shared_.log.record( request_ended{
         request_.id, content_, route_ != nullptr ? route_->id.str() : "",
--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -73,10 +73,12 @@
         std::shared_ptr<reservation_group> memory;
         std::optional<answer_head> head;
         std::string body; ///< of an answer that is passed on as a whole
+        event_splitter splitter;
         bool reading{ true };
         double predicted_ms{ 0 };
         core::instant sent_at;
         core::instant heard_at;
+        core::instant watched_from; ///< silence counts from here
     };
 
     /// An ask for targets that has not been answered.
@@ -103,6 +105,9 @@
     auto on_refused( std::uint64_t serial, placement_refusal refusal ) -> void;
     auto begin( placement_grant grant ) -> void;
     auto on_unusable( placement_grant const& grant ) -> void;
+    auto on_memory( placement_grant const& grant,
+                    std::shared_ptr<reservation_group> const& memory,
+                    core::result<void> const& status ) -> void;
     auto add_work( placement_grant const& grant ) -> void;
     auto release( std::uint64_t serial, work_outcome outcome ) -> void;
     auto send( placement_grant const& grant,
@@ -121,7 +126,8 @@
         -> void;
 
     auto on_head( std::uint64_t serial, answer_head head ) -> void;
-    auto note_told_state( answer_head const& head ) -> void;
+    auto note_told_state( open_try const& from, answer_head const& head )
+        -> void;
     auto on_body( std::uint64_t serial, std::string const& bytes ) -> void;
     auto on_end( std::uint64_t serial, attempt_end const& end ) -> void;
     auto on_complete() -> void;
@@ -132,14 +138,30 @@
     auto relay( std::string const& bytes ) -> void;
     auto relay_event( stream_event& event ) -> bool;
     auto note_event() -> void;
-    auto streams() const -> bool;
+    [[nodiscard]] static auto is_answer( open_try const& from,
+                                         attempt_end const& end ) -> bool;
+    [[nodiscard]] auto streams( open_try const& which ) const -> bool;
+    [[nodiscard]] auto find_try( std::uint64_t serial ) -> open_try*;
+    [[nodiscard]] auto is_silent_one( open_try const* which ) const -> bool
+    {
+        return silent_ && which == &*silent_;
+    }
 
     auto may_repeat() -> bool;
-    /// Sends the request again, not to `avoid`; false where it may not be.
+    auto take_repeat() -> bool;
+    auto note_repeat() -> void;
+    auto avoid( core::target_id const& target ) -> void;
+    /// Sends the request again, not to `avoided`; false where it may not be.
     auto try_again( std::string const& why,
                     bool may_have_run,
-                    core::target_id const& avoid ) -> bool;
-    auto blame( answer_head const& head ) -> target_ref;
+                    core::target_id const& avoided ) -> bool;
+    /// Looks for another place for what the current target is silent about.
+    auto look_elsewhere() -> void;
+    /// Goes on with the silent target; false where there is none.
+    auto go_back( std::string const& why ) -> bool;
+    auto stop_looking() -> void;
+    auto on_silent_lost( attempt_end const& end ) -> void;
+    auto blame( open_try const& from ) -> target_ref;
     auto tolerated_silence() const -> core::duration;
     auto idle_silence() const -> core::duration;
     auto arm_watch() -> void;
@@ -148,22 +170,33 @@
     auto on_out_of_patience() -> void;
 
     auto note_failure( target_ref const& target ) -> void;
+    auto note_break( open_try const& which, attempt_end const& end ) -> void;
+    auto record_failure( open_try const& which,
+                         std::string why,
+                         bool may_have_run,
+                         std::string decision ) -> void;
     auto note_crash( target_ref const& target, core::error const& why ) -> void;
     [[nodiscard]] auto is_quarantined() const -> bool;
     auto end_quarantined() -> void;
     auto close_try( bool cancel, work_outcome outcome = work_outcome::none )
         -> void;
+    auto close_silent() -> void;
+    auto close_all() -> void;
+    auto close( std::optional<open_try>& which,
+                bool cancel,
+                work_outcome outcome ) -> void;
     auto refuse( int status,
                  std::string reason,
                  std::optional<core::duration> retry_after ) -> void;
     auto fail( int status, std::string reason ) -> void;
-    /// The last word where nothing more can be done: says that it has not run
-    /// only where that is so.
+    /// Nothing more can be had. Goes back to a silent target, or is the last
+    /// word, which says that it has not run only where that is so.
     auto turn_down( std::string reason,
                     std::optional<core::duration> retry_after ) -> void;
     auto end( std::string outcome, int status ) -> void;
     auto predicted_room() const -> core::duration;
     [[nodiscard]] auto patience_until() const -> core::instant;
+    [[nodiscard]] auto refused_at() const -> core::instant;
 
     exchange_context& shared_;
     caller_request request_;
@@ -189,8 +222,13 @@
     std::optional<pending_ask> ask_;
     std::size_t queued_behind_{ 0 }; ///< asks that wait where this one does
     core::duration last_ask_time_{ 0 };
-    std::optional<open_try> current_;
-    event_splitter splitter_;
+    std::optional<open_try> current_; ///< whose answer is passed on
+    /// It was the current one and has fallen silent. It may live: it stays open
+    /// until another one speaks, and is the current one again where it speaks
+    /// first or no other place is to be had.
+    std::optional<open_try> silent_;
+    std::optional<std::uint64_t> reserving_; ///< grant that waits for memory
+    bool holds_repeat_{ false }; ///< taken from the budget and not sent yet
     std::int64_t targets_reached_{ 0 };
     std::int64_t connects_failed_{ 0 };
     bool waiting_{ false };
--- a/src/pollenstream/exchange/exchange_attempts.cpp
+++ b/src/pollenstream/exchange/exchange_attempts.cpp
@@ -59,11 +59,13 @@
     }
     auto on_head( answer_head head ) -> void override
     {
-        owner_->on_head( serial_, std::move( head ) );
+        auto const keep = owner_;
+        keep->on_head( serial_, std::move( head ) );
     }
     auto on_body( std::string bytes ) -> void override
     {
-        owner_->on_body( serial_, bytes );
+        auto const keep = owner_;
+        keep->on_body( serial_, bytes );
     }
     auto on_end( attempt_end end ) -> void override
     {
@@ -124,6 +126,9 @@
     core::check_invariant( core::invariant::quarantine_holds, !is_quarantined(),
                            "content " + to_string( content_ ) + " sent" );
     ++targets_reached_;
+    holds_repeat_ = false;
+    if ( silent_ )
+        note_repeat();
     core::check_invariant( core::invariant::at_most_once,
                            route_->is_idempotent() || !may_have_run_,
                            "attempt " + request_.id.str() + " sent again" );
@@ -143,6 +148,7 @@
     opened.predicted_ms = choice.first_event_ms;
     opened.sent_at = now;
     opened.heard_at = now;
+    opened.watched_from = now;
     last_target_ = first.facts.id;
     auto out = outgoing_request{};
     out.id = request_.id;
@@ -152,7 +158,6 @@
     out.is_get = request_.method == "GET";
     out.text = std::make_shared<std::string const>( shared_.speller.spell(
         request_, directions( choice, opened.memory ) ) );
-    splitter_.reset();
     auto call = shared_.targets.send(
         std::move( out ),
         std::make_shared<attempt>( shared_from_this(), serial ) );
@@ -161,41 +166,63 @@
     arm_watch();
 }
 
-auto exchange::streams() const -> bool
+auto exchange::streams( open_try const& which ) const -> bool
+{
+    return route_->kind == request_kind::stream && which.head &&
+           is_success( which.head->status );
+}
+
+/// True where the target has given an answer that can be passed on.
+auto exchange::is_answer( open_try const& from, attempt_end const& end ) -> bool
 {
-    return route_->kind == request_kind::stream && current_->head &&
-           is_success( current_->head->status );
+    auto const& head = from.head;
+    return end.complete && head && !head->wrong_target &&
+           !head->proves_not_run && head->status < first_failure_status;
+}
+
+auto exchange::find_try( std::uint64_t serial ) -> open_try*
+{
+    for ( auto* const which : { &current_, &silent_ } )
+        if ( *which && ( *which )->serial == serial )
+            return &**which;
+    return nullptr;
 }
 
 auto exchange::on_head( std::uint64_t serial, answer_head head ) -> void
 {
-    if ( !current_ || current_->serial != serial )
+    auto* const from = find_try( serial );
+    if ( from == nullptr )
         return;
-    current_->heard_at = shared_.scheduler.now();
+    from->heard_at = shared_.scheduler.now();
+    from->watched_from = from->heard_at;
     if ( head.load )
-        shared_.board.note_told( current_->target, *head.load,
-                                 current_->heard_at );
+        shared_.board.note_told( from->target, *head.load, from->heard_at );
     if ( !head.wrong_target )
-        note_told_state( head );
+        note_told_state( *from, head );
     if ( !head.proves_not_run && !head.wrong_target )
         may_have_run_ = true;
-    current_->head = std::move( head );
+    from->head = std::move( head );
 }
 
 auto exchange::on_body( std::uint64_t serial, std::string const& bytes ) -> void
 {
-    if ( !current_ || current_->serial != serial )
+    auto* const from = find_try( serial );
+    if ( from == nullptr )
         return;
-    if ( streams() )
-        relay( bytes );
-    else
-        current_->body += bytes;
+    if ( !streams( *from ) )
+    {
+        from->body += bytes;
+        return;
+    }
+    if ( is_silent_one( from ) )
+        go_back( "it speaks again" );
+    relay( bytes );
 }
 
 auto exchange::relay( std::string const& bytes ) -> void
 {
     auto out = std::string{};
-    for ( auto& event : splitter_.take( bytes ) )
+    for ( auto& event : current_->splitter.take( bytes ) )
     {
         if ( !relay_event( event ) )
         {
@@ -211,6 +238,7 @@
     }
     if ( out.empty() )
         return;
+    close_silent();
     if ( !streaming_ )
     {
         streaming_ = true;
@@ -244,6 +272,7 @@
 {
     auto const now = shared_.scheduler.now();
     current_->heard_at = now;
+    current_->watched_from = now;
     if ( current_->reading )
     {
         current_->reading = false;
@@ -261,10 +290,17 @@
 
 auto exchange::on_end( std::uint64_t serial, attempt_end const& end ) -> void
 {
-    if ( !current_ || current_->serial != serial )
+    auto* const from = find_try( serial );
+    if ( from == nullptr )
         return;
-    if ( end.sent && !( current_->head && current_->head->proves_not_run ) )
+    if ( end.sent && !( from->head && from->head->proves_not_run ) )
         may_have_run_ = may_have_run_ || !end.complete;
+    if ( is_silent_one( from ) )
+    {
+        if ( !is_answer( *from, end ) )
+            return on_silent_lost( end );
+        go_back( "it answers" );
+    }
     if ( !end.complete || !current_->head )
         return on_broken( end );
     auto const& head = *current_->head;
@@ -279,7 +315,8 @@
 {
     auto const& head = *current_->head;
     if ( is_success( head.status ) &&
-         ( !head.has_seal || ( streams() && splitter_.pending() > 0 ) ) )
+         ( !head.has_seal ||
+           ( streams( *current_ ) && current_->splitter.pending() > 0 ) ) )
     {
         auto lost = attempt_end{};
         lost.error = { core::error_code::malformed, "answer not whole" };
@@ -290,7 +327,7 @@
     if ( is_success( head.status ) )
         note_served();
     auto const status = head.status;
-    if ( streams() )
+    if ( streams( *current_ ) )
     {
         if ( !streaming_ )
             answer_->start_stream( status, head.headers );
@@ -298,7 +335,9 @@
     }
     else if ( streaming_ )
     {
-        return fail( status_bad_gateway, "resumption_refused" );
+        if ( !go_back( "resumption_refused" ) )
+            fail( status_bad_gateway, "resumption_refused" );
+        return;
     }
     else
     {
@@ -306,6 +345,7 @@
             { status, head.headers, std::move( current_->body ) } );
     }
     close_try( false, work_outcome::served );
+    close_silent();
     shared_.counters.served.add();
     end( "served", status );
 }
@@ -315,7 +355,8 @@
     note_failure( current_->target );
     auto const status = current_->head->status;
     if ( try_again( "status " + std::to_string( status ), true,
-                    current_->target.id ) )
+                    current_->target.id ) ||
+         go_back( "status " + std::to_string( status ) ) )
         return;
     if ( streaming_ )
         return fail( status, "target_failed" );
@@ -328,11 +369,11 @@
 
 auto exchange::on_not_run() -> void
 {
-    auto const head = std::move( *current_->head );
-    auto const blamed = blame( head );
-    if ( try_again( "not run, status " + std::to_string( head.status ) +
-                        ", blames " + blamed.id.str(),
-                    false, blamed.id ) )
+    auto const blamed = blame( *current_ );
+    auto const why = "not run, status " +
+                     std::to_string( current_->head->status ) + ", blames " +
+                     blamed.id.str();
+    if ( try_again( why, false, blamed.id ) || go_back( why ) )
         return;
     if ( streaming_ )
         return fail( status_bad_gateway, "resumption_refused" );
@@ -344,21 +385,10 @@
 
 auto exchange::on_broken( attempt_end const& end ) -> void
 {
-    auto const now = shared_.scheduler.now();
     auto const target = current_->target;
-    note_failure( target );
-    auto const was_made = end.sent;
-    if ( was_made )
-        note_crash( target, end.error );
-    if ( !was_made )
-    {
-        // Nobody listens there: stronger evidence than a broken answer.
-        if ( shared_.board.note_failure( target, now ) )
-            shared_.announcer.target_shunned( target, 1s );
-        --targets_reached_;
-        ++connects_failed_;
-    }
-    if ( try_again( end.error.detail, was_made, target.id ) )
+    note_break( *current_, end );
+    if ( try_again( end.error.detail, end.sent, target.id ) ||
+         go_back( end.error.detail ) )
         return;
     close_try( true );
     if ( may_have_run_ || streaming_ )
@@ -379,30 +409,109 @@
            deadline_ - now > least_time_for_try;
 }
 
+/// A repeat counts once a target has been reached. One that has been taken and
+/// not sent serves for the next try.
+auto exchange::take_repeat() -> bool
+{
+    if ( targets_reached_ == 0 || holds_repeat_ )
+        return true;
+    holds_repeat_ =
+        shared_.retries.take( demand_.service, shared_.scheduler.now() );
+    return holds_repeat_;
+}
+
+auto exchange::note_repeat() -> void
+{
+    shared_.counters.repeats.add();
+    if ( streaming_ )
+        shared_.counters.resumed.add();
+}
+
+auto exchange::avoid( core::target_id const& target ) -> void
+{
+    auto& tried = demand_.tried;
+    if ( std::find( tried.begin(), tried.end(), target ) == tried.end() )
+        tried.push_back( target );
+}
+
+auto exchange::record_failure( open_try const& which,
+                               std::string why,
+                               bool may_have_run,
+                               std::string decision ) -> void
+{
+    shared_.log.record( attempt_failed{
+        request_.id, content_, which.target.id, std::move( why ), may_have_run,
+        std::move( decision ), shared_.scheduler.now() - which.heard_at,
+        events_, std::exchange( watch_late_, {} ) } );
+}
+
 auto exchange::try_again( std::string const& why,
                           bool may_have_run,
-                          core::target_id const& avoid ) -> bool
+                          core::target_id const& avoided ) -> bool
 {
-    auto const now = shared_.scheduler.now();
-    auto const again =
-        may_repeat() && ( targets_reached_ == 0 ||
-                          shared_.retries.take( demand_.service, now ) );
-    shared_.log.record( attempt_failed{
-        request_.id, content_, current_->target.id, why, may_have_run,
-        again ? "send_again" : "give_up", now - current_->heard_at, events_,
-        std::exchange( watch_late_, {} ) } );
+    auto const again = may_repeat() && take_repeat();
+    record_failure( *current_, why, may_have_run,
+                    again ? "send_again" : "give_up" );
     if ( !again )
         return false;
-    shared_.counters.repeats.add();
-    if ( streaming_ )
-        shared_.counters.resumed.add();
-    demand_.tried.push_back( avoid );
+    note_repeat();
+    avoid( avoided );
     close_try( true );
     if ( !try_start() )
         wait_for_room();
     return true;
 }
 
+auto exchange::look_elsewhere() -> void
+{
+    may_have_run_ = true;
+    note_failure( current_->target );
+    auto const again = may_repeat() && take_repeat();
+    record_failure( *current_, "silent", true,
+                    again ? "look_elsewhere" : "wait" );
+    if ( !again )
+    {
+        current_->watched_from = shared_.scheduler.now();
+        return arm_watch();
+    }
+    avoid( current_->target.id );
+    silent_ = std::exchange( current_, std::nullopt );
+    if ( !try_start() )
+        wait_for_room();
+}
+
+auto exchange::go_back( std::string const& why ) -> bool
+{
+    if ( !silent_ )
+        return false;
+    record_failure( *silent_, why, true, "go_back" );
+    close_try( true );
+    stop_looking();
+    current_ = std::exchange( silent_, std::nullopt );
+    current_->watched_from = shared_.scheduler.now();
+    arm_watch();
+    return true;
+}
+
+/// The silent target has ended or failed after all. What is looked for or has
+/// been found meanwhile goes on without it.
+auto exchange::on_silent_lost( attempt_end const& end ) -> void
+{
+    auto const& head = silent_->head;
+    if ( !end.complete || !head )
+        note_break( *silent_, end );
+    else if ( head->wrong_target || head->proves_not_run )
+        blame( *silent_ );
+    else
+        note_failure( silent_->target );
+    record_failure( *silent_,
+                    end.complete ? "failed while silent" : end.error.detail,
+                    true, "goes_on_elsewhere" );
+    close_silent();
+    if ( shared_.scheduler.now() >= refused_at() )
+        on_out_of_patience();
+}
+
 /// Silence that is not put down to the target yet. An engine is silent while it
 /// reads what the board knows of: that is no failure, and the request would
 /// only be read a second time elsewhere.
@@ -410,7 +519,7 @@
 {
     auto const at = shared_.board.find_lifetime( current_->target );
     auto const reads_until = at ? at->load.read_until : core::instant{};
-    auto const reading = std::clamp( reads_until - current_->heard_at,
+    auto const reading = std::clamp( reads_until - current_->watched_from,
                                      core::duration( 0 ), longest_reading );
     return idle_silence() + reading;
 }
@@ -434,7 +543,7 @@
         return;
     auto const now = shared_.scheduler.now();
     watch_due_ = std::max( now + core::duration( 1ms ),
-                           current_->heard_at + tolerated_silence() );
+                           current_->watched_from + tolerated_silence() );
     watch_call_ = shared_.scheduler.call_after( watch_due_ - now,
                                                 [this]
                                                 {
@@ -449,29 +558,41 @@
         return;
     auto const keep = shared_from_this();
     auto const now = shared_.scheduler.now();
-    auto const since = now - current_->heard_at;
+    auto const since = now - current_->watched_from;
     watch_late_ = now - watch_due_;
     if ( route_->kind == request_kind::stream && since < tolerated_silence() )
         return arm_watch();
-    if ( !route_->is_idempotent() )
-        return;
-    // Only worth a try where another target may be reached.
-    if ( targets_reached_ >= route_->max_targets )
-        return;
-    auto silent = attempt_end{};
-    silent.error = { core::error_code::timed_out, "silent" };
-    silent.sent = true;
-    may_have_run_ = true;
-    on_broken( silent );
+    // Only worth a look where another target may be reached.
+    if ( route_->is_idempotent() && targets_reached_ < route_->max_targets )
+        look_elsewhere();
 }
 
 auto exchange::close_try( bool cancel, work_outcome outcome ) -> void
 {
-    if ( !current_ )
+    if ( current_ )
+        watch_call_.reset();
+    close( current_, cancel, outcome );
+}
+
+auto exchange::close_silent() -> void
+{
+    close( silent_, true, work_outcome::none );
+}
+
+auto exchange::close_all() -> void
+{
+    close_try( true );
+    close_silent();
+}
+
+auto exchange::close( std::optional<open_try>& which,
+                      bool cancel,
+                      work_outcome outcome ) -> void
+{
+    if ( !which )
         return;
-    auto gone = std::move( *current_ );
-    current_.reset();
-    watch_call_.reset();
+    auto gone = std::move( *which );
+    which.reset();
     if ( cancel && gone.call )
         gone.call->cancel();
     if ( gone.memory )
--- a/src/pollenstream/exchange/exchange_evidence.cpp
+++ b/src/pollenstream/exchange/exchange_evidence.cpp
@@ -14,16 +14,19 @@
 /// How long a target that another one blames is left alone, here and at the
 /// other instances; a helper that is gone leaves the registry within seconds.
 constexpr auto blamed_time = core::duration( 1500ms );
+/// The same for one that took no connection.
+constexpr auto unreachable_time = core::duration( 1s );
 
 }
 
 /// Takes over what the target says of itself beside its answer.
-auto exchange::note_told_state( answer_head const& head ) -> void
+auto exchange::note_told_state( open_try const& from, answer_head const& head )
+    -> void
 {
-    auto const& target = current_->target;
-    shared_.crashes.note_answer( target, current_->sent_at );
+    auto const& target = from.target;
+    shared_.crashes.note_answer( target, from.sent_at );
     if ( head.wants_pause > core::duration( 0 ) )
-        shared_.board.pause( target, current_->heard_at + head.wants_pause );
+        shared_.board.pause( target, from.heard_at + head.wants_pause );
     if ( !head.says_leaving || !shared_.board.note_said_leaving( target ) )
         return;
     shared_.log.record( belief_changed{
@@ -42,14 +45,15 @@
 
 /// A target has proved that it did not run the request. Returns the target to
 /// blame: the answering one, or a helper that it names.
-auto exchange::blame( answer_head const& head ) -> target_ref
+auto exchange::blame( open_try const& from ) -> target_ref
 {
+    auto const& head = *from.head;
     auto const now = shared_.scheduler.now();
     auto const named = head.at_fault.empty()
                            ? nullptr
                            : shared_.board.find_named( head.at_fault );
-    auto to_blame = named ? named->ref() : current_->target;
-    if ( head.wrong_target || to_blame != current_->target )
+    auto to_blame = named ? named->ref() : from.target;
+    if ( head.wrong_target || to_blame != from.target )
     {
         // Gone, or of no use to others: certain at once, and for all.
         shared_.board.shun( to_blame, now + blamed_time );
@@ -75,6 +79,20 @@
         shared_.announcer.target_failed( target, target_failure::failed );
 }
 
+/// Takes over that the answer has not come to its end.
+auto exchange::note_break( open_try const& which, attempt_end const& end )
+    -> void
+{
+    note_failure( which.target );
+    if ( end.sent )
+        return note_crash( which.target, end.error );
+    // Nobody listens there: stronger evidence than a broken answer.
+    if ( shared_.board.note_failure( which.target, shared_.scheduler.now() ) )
+        shared_.announcer.target_shunned( which.target, unreachable_time );
+    --targets_reached_;
+    ++connects_failed_;
+}
+
 /// A connection that ends before its answer may mean that the target has ended,
 /// and by this request. Silence does not: what has ended closes its
 /// connections.
--- a/src/pollenstream/exchange/exchange_waiting.cpp
+++ b/src/pollenstream/exchange/exchange_waiting.cpp
@@ -15,10 +15,6 @@
 
 using namespace std::chrono_literals;
 
-/// A request that waits is refused this much before its caller would leave,
-/// so that the caller hears when to come back.
-constexpr auto refusal_margin = core::duration( 150ms );
-
 }
 
 /// Passes on what becomes of one ask, and keeps the exchange alive meanwhile.
@@ -164,6 +160,16 @@
     ask_.reset();
 }
 
+/// Gives back what was asked for or found and is not needed any more.
+auto exchange::stop_looking() -> void
+{
+    stop_waiting();
+    shared_.room.remove( this );
+    reserving_.reset();
+    if ( std::exchange( holds_repeat_, false ) )
+        shared_.retries.give_back( demand_.service );
+}
+
 auto exchange::wait_for_room() -> void
 {
     shared_.room.add( shared_from_this() );
@@ -173,7 +179,7 @@
 auto exchange::begin_waiting() -> void
 {
     waiting_ = true;
-    auto const until = patience_until() - refusal_margin;
+    auto const until = refused_at();
     patience_call_ =
         shared_.scheduler.call_after( until - shared_.scheduler.now(),
                                       [this]
@@ -185,7 +191,9 @@
 auto exchange::on_out_of_patience() -> void
 {
     auto const keep = shared_from_this();
-    if ( finished_ || !waiting_ )
+    // The caller who has a part of the answer, or whose target may still speak,
+    // loses nothing by waiting on.
+    if ( finished_ || !waiting_ || streaming_ || silent_ )
         return;
     if ( may_have_run_ )
         return fail( status_bad_gateway, "no_room_for_repeat" );
--- a/src/pollenstream/exchange/placement_coordinator.cpp
+++ b/src/pollenstream/exchange/placement_coordinator.cpp
@@ -79,6 +79,13 @@
     {
         return received_ + ask.demand.latency_objective;
     }
+    /// Where a caller has a part of the answer already, or a silent target that
+    /// may speak, its patience is not known: behind it, its time counts.
+    [[nodiscard]] auto waits_until( core::instant now ) const -> core::instant
+    {
+        auto const is_past = now > patience_until_;
+        return is_past && !ask.may_be_refused ? deadline_ : patience_until_;
+    }
     auto refresh_demand( core::instant now ) -> void;
     auto try_choose( core::instant now ) -> bool;
     [[nodiscard]] auto is_hopeless( service_settings const& settings ) const
@@ -118,7 +125,7 @@
     auto const& wide = owner_.board_.wide();
     demand.waited = now - received_;
     demand.time_left = deadline_ - now;
-    demand.patience_left = patience_until_ - now;
+    demand.patience_left = waits_until( now ) - now;
     demand.crashes = owner_.crashes_.count( ask.content );
     demand.is_alone =
         ( in_wide_queue_ ? wide.others( due() ) : wide.size() ) == 0;
@@ -131,10 +138,9 @@
 auto placement_coordinator::queued_prompt::try_start() -> bool
 {
     auto const now = owner_.scheduler_.now();
-    // Its asker has withdrawn it, which has not been heard, or has ended. A
-    // stream that is to go on may be past the patience for a first event: it
-    // gets one try.
-    auto const is_over = now > patience_until_ || now > deadline_;
+    // Its asker has withdrawn it, which has not been heard, or has ended. One
+    // that may be past its time when it comes gets one try.
+    auto const is_over = now > waits_until( now ) || now > deadline_;
     if ( std::exchange( was_tried_, true ) && is_over )
     {
         close();
--- a/src/pollenstream/exchange/shared_retry_budget.cpp
+++ b/src/pollenstream/exchange/shared_retry_budget.cpp
@@ -61,4 +61,11 @@
     return true;
 }
 
+auto shared_retry_budget::give_back( core::service_id const& service ) -> void
+{
+    auto& repeats = windows_[service].repeats;
+    if ( !repeats.empty() )
+        repeats.pop_back();
+}
+
 }
--- a/src/pollenstream/exchange/shared_retry_budget.hpp
+++ b/src/pollenstream/exchange/shared_retry_budget.hpp
@@ -35,6 +35,8 @@
         -> void;
     /// Takes one repeat; false where this instance's part is used up.
     auto take( core::service_id const& service, core::instant now ) -> bool;
+    /// The last repeat that was taken has not been sent.
+    auto give_back( core::service_id const& service ) -> void;
 
 private:
     struct window
--- a/tests/exchange/exchange_test.cpp
+++ b/tests/exchange/exchange_test.cpp
@@ -124,7 +124,8 @@
     SECTION( "the target is silent" )
     {
         f.scheduler.run( 700ms );
-        CHECK( f.targets.all[0]->cancelled );
+        // It may still answer first.
+        CHECK_FALSE( f.targets.all[0]->cancelled );
     }
     SECTION( "a success has no digest" )
     {
@@ -136,6 +137,8 @@
            f.targets.all[1]->request.target );
     f.targets.all[1]->answer( 200, "yes" );
     CHECK( f.answer->whole.status == 200 );
+    CHECK( f.targets.all[0]->cancelled );
+    CHECK( f.announcer.open == 0 );
 }
 
 TEST_CASE( "an unsafe call is never sent again once it may have run",
--- a/tests/exchange/silent_target_test.cpp
+++ b/tests/exchange/silent_target_test.cpp
@@ -145,3 +145,201 @@
     CHECK( s.f.answer->stream == three_events );
     CHECK( s.f.answer->ended );
 }
+
+TEST_CASE( "of a silent target and the place found instead, the first to speak "
+           "goes on",
+           "[exchange][silence]" )
+{
+    auto s = held_stream{};
+    s.fall_silent();
+    s.grant( "m2" );
+    REQUIRE( s.f.targets.all.size() == 2 );
+    auto& second = *s.f.targets.all[1];
+    CHECK( second.request.text->find( "after 2" ) != std::string::npos );
+    CHECK_FALSE( s.first().cancelled );
+    SECTION( "the silent one" )
+    {
+        s.first().event( 3 );
+        CHECK( second.cancelled );
+        s.first().complete();
+    }
+    SECTION( "the other one" )
+    {
+        second.head( 200 );
+        CHECK_FALSE( s.first().cancelled );
+        second.event( 3 );
+        CHECK( s.first().cancelled );
+        second.complete();
+    }
+    CHECK( s.f.answer->stream == three_events );
+    CHECK( s.f.answer->ended );
+    CHECK( s.f.announcer.open == 0 );
+}
+
+TEST_CASE( "where the place found instead fails, the silent target may go on",
+           "[exchange][silence]" )
+{
+    auto s = held_stream{};
+    s.fall_silent();
+    s.grant( "m2" );
+    REQUIRE( s.f.targets.all.size() == 2 );
+    auto& second = *s.f.targets.all[1];
+    SECTION( "it breaks off" )
+    {
+        second.lose();
+    }
+    SECTION( "it turns the request away" )
+    {
+        second.turn_away();
+    }
+    SECTION( "it answers with a failure" )
+    {
+        second.answer( 500, "no" );
+    }
+    SECTION( "it does not resume the stream" )
+    {
+        second.answer( 404, "no" );
+    }
+    SECTION( "its events leave some out" )
+    {
+        second.head( 200 );
+        second.event( 4 );
+    }
+    CHECK_FALSE( s.first().cancelled );
+    CHECK_FALSE( s.f.answer->aborted );
+    s.first().event( 3 );
+    s.first().complete();
+    CHECK( s.f.answer->stream == three_events );
+    CHECK( s.f.answer->ended );
+    CHECK( s.f.announcer.open == 0 );
+}
+
+TEST_CASE( "a place that is found after the silent target has spoken is given "
+           "back",
+           "[exchange][silence]" )
+{
+    auto s = held_stream{};
+    s.fall_silent();
+    REQUIRE( s.asks.all.size() == 2 );
+    s.first().event( 3 );
+    s.grant( "m2" );
+    CHECK( s.f.targets.all.size() == 1 );
+    CHECK( s.asks.released.size() == 1 );
+    s.first().complete();
+    CHECK( s.f.answer->ended );
+}
+
+TEST_CASE( "memory that is found after the silent target has spoken is given "
+           "back",
+           "[exchange][silence][reservation]" )
+{
+    auto s = held_stream{};
+    s.fall_silent();
+    REQUIRE( s.asks.all.size() == 2 );
+    auto granted = exchange::placement_grant{};
+    granted.serial = s.asks.all[1].ask.serial;
+    granted.choice.targets = { s.f.board.find( core::target_id( "m2" ) ) };
+    granted.choice.parts = { { core::target_id( "m2" ), 20, 6'000 } };
+    granted.choice.needs_reservation = true;
+    s.asks.all[1].listener->on_granted( granted );
+    REQUIRE( s.f.reservations.reserved.size() == 1 );
+    s.first().event( 3 );
+    s.f.reservations.reserved[0].callback( core::success() );
+    CHECK( s.f.reservations.released.size() == 1 );
+    CHECK( s.f.targets.all.size() == 1 );
+    s.first().complete();
+    CHECK( s.f.answer->ended );
+    CHECK( s.f.announcer.open == 0 );
+}
+
+TEST_CASE( "a silent target that breaks after all leaves what is looked for",
+           "[exchange][silence]" )
+{
+    auto s = held_stream{};
+    s.fall_silent();
+    SECTION( "before a place is found" )
+    {
+        s.first().lose();
+        s.f.scheduler.run( rest_of_patience );
+        s.grant( "m2" );
+    }
+    SECTION( "after it" )
+    {
+        s.grant( "m2" );
+        s.first().lose();
+    }
+    REQUIRE( s.f.targets.all.size() == 2 );
+    CHECK_FALSE( s.f.answer->aborted );
+    auto& second = *s.f.targets.all[1];
+    second.head( 200 );
+    second.event( 3 );
+    second.complete();
+    CHECK( s.f.answer->stream == three_events );
+    CHECK( s.f.answer->ended );
+    CHECK( s.f.announcer.crashed.size() == 1 );
+}
+
+TEST_CASE( "a request that has heard nothing is told before its caller leaves, "
+           "once its silent target is lost",
+           "[exchange][silence]" )
+{
+    auto s = held_stream{};
+    s.f.scheduler.run( 1'500ms );
+    REQUIRE( s.asks.all.size() == 2 );
+    SECTION( "at the end of its patience" )
+    {
+        s.first().lose();
+        s.f.scheduler.run( 340ms );
+        CHECK_FALSE( s.f.answer->ended );
+        s.f.scheduler.run( 20ms );
+    }
+    SECTION( "or at once behind it" )
+    {
+        s.f.scheduler.run( 450ms );
+        CHECK_FALSE( s.f.answer->ended );
+        s.first().lose();
+    }
+    CHECK( s.f.answer->whole.status == 502 );
+}
+
+TEST_CASE( "a repeat that was not needed is left to others",
+           "[exchange][silence][budget]" )
+{
+    auto s = held_stream{};
+    // One repeat for this instance, whatever is asked for.
+    s.f.retries.set_allowance( { 0, 1.4, 10s } );
+    s.fall_silent();
+    REQUIRE( s.asks.all.size() == 2 );
+    s.first().event( 3 );
+    s.f.scheduler.run( longer_than_tolerated );
+    REQUIRE( s.asks.all.size() == 3 );
+    s.grant( "m2" );
+    CHECK( s.f.targets.all.size() == 2 );
+    CHECK_FALSE(
+        s.f.retries.take( core::service_id( "model" ), s.f.scheduler.now() ) );
+}
+
+TEST_CASE( "the end of a request ends its silent target's work too",
+           "[exchange][silence][caller]" )
+{
+    auto s = held_stream{};
+    s.fall_silent();
+    s.grant( "m2" );
+    REQUIRE( s.f.targets.all.size() == 2 );
+    SECTION( "its caller leaves" )
+    {
+        s.open->on_caller_gone();
+    }
+    SECTION( "its time is over" )
+    {
+        s.f.scheduler.run( 10s );
+    }
+    SECTION( "the process ends" )
+    {
+        s.open->abandon( "process_ends" );
+    }
+    CHECK( s.first().cancelled );
+    CHECK( s.f.targets.all[1]->cancelled );
+    CHECK( s.f.announcer.open == 0 );
+    CHECK( s.f.context.open.empty() );
+}
