A stopping instance takes in late only what cannot be cut

Cause: an instance that has been told to end takes in streams that usually fit into what is left of its grace period. One that comes 3 to 4.85 s after the signal and lasts longer than usual is cut at its end, though its caller had other instances to go to by then and the users' pages excuse only what was sent before. Found while looking for the class of the cut answers elsewhere: a guess of the usual case stands where a limit is known.

Change: the context knows the time from which callers know of a stop (three times the directory's answer). Behind it a request is taken in only where its own time limit ends before the process has to; the rest is refused at once, Retry-After 0. Before it, as it was.

Evidence: the new test fails with the old rule (stream placed, no refusal).

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -171,7 +171,7 @@
         .announcer = group_,
         .self = settings_.instance,
         .configuration = nullptr,
-        .stop_at = std::nullopt,
+        .stop = std::nullopt,
         .last_serial = 0,
         .open = {},
         .counters = {},
@@ -392,11 +392,13 @@
         return;
     record_process( "stopping", "signal" );
     auto const now = scheduler_.now();
-    context_.stop_at = now + settings_.grace_period - stop_margin;
+    auto const callers_know_at = now + directory_time * directory_patience;
+    context_.stop = exchange::planned_stop{
+        callers_know_at, now + settings_.grace_period - stop_margin };
     group_.announce_leaving();
     registration_.stop();
     callers_->begin_drain();
-    stopped_taking_at_ = now + directory_time * directory_patience + 500ms;
+    stopped_taking_at_ = callers_know_at + 500ms;
     check_stopped();
 }
 
@@ -410,7 +412,7 @@
     auto const is_idle = context_.open.empty() && callers_->connections() == 0;
     if ( now >= stopped_taking_at_ && is_idle )
         return end_process( "idle" );
-    if ( now >= *context_.stop_at )
+    if ( now >= context_.stop->ends_at )
         return abandon_open();
     stop_call_ = scheduler_.call_after( tick_period,
                                         [this]
--- a/apps/gateway/node_state.cpp
+++ b/apps/gateway/node_state.cpp
@@ -87,7 +87,7 @@
     auto const state =
         json{ { "instance", context.self.str() },
               { "configuration", version },
-              { "stopping", context.stop_at.has_value() },
+              { "stopping", context.stop.has_value() },
               { "open_requests", context.open.size() },
               { "waiting_requests", context.room.size() },
               { "store",
--- a/src/pollenstream/exchange/context.hpp
+++ b/src/pollenstream/exchange/context.hpp
@@ -66,6 +66,13 @@
     core::counter resumed;
 };
 
+/// The process has been told to end.
+struct planned_stop
+{
+    core::instant callers_know_at; ///< all have heard of it
+    core::instant ends_at;         ///< the process has to have ended
+};
+
 /// What all exchanges of one instance share. Lives as long as the process;
 /// used by the thread that runs the requests.
 struct exchange_context
@@ -84,8 +91,7 @@
     work_announcer& announcer;
     core::instance_id self;
     configuration_ptr configuration; ///< null until one is known
-    /// When the process has to have ended; set by a planned stop.
-    std::optional<core::instant> stop_at;
+    std::optional<planned_stop> stop;
     std::uint64_t last_serial{ 0 };
     /// All exchanges without a last word; each takes itself off.
     std::unordered_set<exchange*> open;
--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -113,9 +113,7 @@
 
 auto exchange::set_times() -> void
 {
-    auto const limit = std::min(
-        request_.time_limit.value_or( route_->timeout ), route_->timeout );
-    deadline_ = request_.received + limit;
+    deadline_ = request_.received + time_limit();
     patience_ = std::max( { shortest_patience,
                             route_->latency_objective * patience_per_latency,
                             route_->gap_objective * patience_per_gap } );
@@ -151,6 +149,26 @@
         } );
 }
 
+auto exchange::time_limit() const -> core::duration
+{
+    return std::min( request_.time_limit.value_or( route_->timeout ),
+                     route_->timeout );
+}
+
+/// What comes while callers hear of the stop is taken in where it usually fits
+/// in; what comes later has other instances to go to and must not be cut.
+auto exchange::may_outlast_stop( core::instant now ) const -> bool
+{
+    if ( !shared_.stop )
+        return false;
+    auto const usual = route_->kind == request_kind::stream ? usual_stream_time
+                                                            : usual_call_time;
+    auto const callers_know = now >= shared_.stop->callers_know_at;
+    auto const needed =
+        callers_know ? time_limit() : std::min( usual, time_limit() );
+    return now + needed > shared_.stop->ends_at;
+}
+
 /// Finds what the configuration says of the request, or refuses it.
 auto exchange::admit() -> void
 {
@@ -164,9 +182,7 @@
         return refuse( status_unavailable, "unknown_service",
                        retry_after_no_target );
     auto const now = shared_.scheduler.now();
-    auto const usual = route_->kind == request_kind::stream ? usual_stream_time
-                                                            : usual_call_time;
-    if ( shared_.stop_at && now + usual > *shared_.stop_at )
+    if ( may_outlast_stop( now ) )
         return refuse( status_unavailable, "stopping", retry_after_stop );
     set_times();
     demand_.latency_objective = route_->latency_objective;
--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -95,6 +95,8 @@
     auto find_route() -> bool;
     auto pick_service() -> void;
     auto set_times() -> void;
+    [[nodiscard]] auto time_limit() const -> core::duration;
+    [[nodiscard]] auto may_outlast_stop( core::instant now ) const -> bool;
     [[nodiscard]] auto needs_engine() const -> bool;
     auto refresh_demand( core::instant now ) -> void;
     auto ask_for_targets() -> void;
--- a/tests/exchange/exchange_test.cpp
+++ b/tests/exchange/exchange_test.cpp
@@ -298,7 +298,8 @@
            "[exchange][stop]" )
 {
     auto f = exchange_fixture{};
-    f.context.stop_at = f.scheduler.now() + 1s;
+    auto const ends_at = f.scheduler.now() + 1s;
+    f.context.stop = exchange::planned_stop{ ends_at, ends_at };
     f.start( f.request( "/chat/x" ) );
     CHECK( f.answer->whole.status == 503 );
     f.answer = std::make_shared<recorded_channel>();
@@ -308,6 +309,30 @@
     CHECK( f.answer->whole.status == 502 );
 }
 
+TEST_CASE( "a stop cuts nothing that came once callers knew of it",
+           "[exchange][stop]" )
+{
+    auto f = exchange_fixture{};
+    auto const now = f.scheduler.now();
+    f.context.stop = exchange::planned_stop{ now, now + 4s };
+    SECTION( "a stream that may outlast it is refused" )
+    {
+        f.start( f.request( "/chat/x" ) );
+        CHECK( f.targets.all.empty() );
+        CHECK( f.answer->whole.status == 503 );
+        CHECK( f.answer->header( "Retry-After" ) == "0.000" );
+    }
+    SECTION( "a call that cannot is served" )
+    {
+        auto r = f.request( "/safe/x" );
+        r.time_limit = 1s;
+        f.start( r );
+        REQUIRE( f.targets.all.size() == 1 );
+        f.targets.all[0]->answer( 200, "yes" );
+        CHECK( f.answer->whole.status == 200 );
+    }
+}
+
 TEST_CASE( "a leaving target gets nothing new", "[exchange][leaving]" )
 {
     auto f = exchange_fixture{};
--- a/tests/support/exchange_fixture.cpp
+++ b/tests/support/exchange_fixture.cpp
@@ -106,7 +106,7 @@
                .announcer = announcer,
                .self = core::instance_id( "self" ),
                .configuration = sample_configuration( 1 ),
-               .stop_at = std::nullopt,
+               .stop = std::nullopt,
                .last_serial = 0,
                .open = {},
                .counters = {},
--- a/tests/support/played_engines.cpp
+++ b/tests/support/played_engines.cpp
@@ -251,7 +251,7 @@
                                                .self =
                                                    core::instance_id( "self" ),
                                                .configuration = nullptr,
-                                               .stop_at = std::nullopt,
+                                               .stop = std::nullopt,
                                                .last_serial = 0,
                                                .open = {},
                                                .counters = {},
