A waiter that begins to wait again while it is tried is not forgotten

Cause: a round of the waiting room tried each waiter of a copy and then took out all its entries. One that is granted a place at once, finds it unusable and begins to wait again lost its new entry with the old one and was never tried again; one that something within the round had taken out was tried all the same. Found by reading, while looking for other ways in which a request that has been read is left without an end: since an answer that has begun waits for room until its deadline, a forgotten one would wait that long.

Change: a round takes out the entry that it tried, and skips what was taken out since it began.

Evidence: both new tests fail before (tries 1 instead of 2, 1 instead of 0). Not seen in play.

--- a/src/pollenstream/exchange/waiting_room.cpp
+++ b/src/pollenstream/exchange/waiting_room.cpp
@@ -38,6 +38,13 @@
                    {
                        return w.get() == who;
                    } );
+    if ( in_round_ )
+        removed_.push_back( who );
+}
+
+auto waiting_room::was_removed( waiter const* who ) const -> bool
+{
+    return std::find( removed_.begin(), removed_.end(), who ) != removed_.end();
 }
 
 auto waiting_room::poke() -> void
@@ -60,9 +67,21 @@
                                     } );
 }
 
+/// Takes it out where it does not wait any more. It may have begun to wait
+/// again meanwhile, with an entry of its own.
+auto waiting_room::try_one( std::shared_ptr<waiter> const& who ) -> bool
+{
+    if ( !who->try_start() )
+        return false;
+    if ( !was_removed( who.get() ) )
+        waiting_.erase( std::find( waiting_.begin(), waiting_.end(), who ) );
+    return true;
+}
+
 auto waiting_room::run_round() -> void
 {
     auto round = waiting_;
+    in_round_ = true;
     std::stable_sort( round.begin(), round.end(),
                       []( auto const& a, auto const& b )
                       {
@@ -72,21 +91,22 @@
     auto no_room = std::map<std::pair<core::service_id, bool>, std::int64_t>{};
     for ( auto const& who : round )
     {
+        if ( was_removed( who.get() ) )
+            continue;
         if ( who->is_always_tried() )
         {
-            if ( who->try_start() )
-                remove( who.get() );
+            try_one( who );
             continue;
         }
         auto const kind = std::pair( who->service(), who->is_long() );
         auto const full = no_room.find( kind );
         if ( full != no_room.end() && who->size() >= full->second )
             continue;
-        if ( who->try_start() )
-            remove( who.get() );
-        else
+        if ( !try_one( who ) )
             no_room[kind] = who->size();
     }
+    in_round_ = false;
+    removed_.clear();
     if ( !waiting_.empty() )
         arm( idle_round );
 }
--- a/src/pollenstream/exchange/waiting_room.hpp
+++ b/src/pollenstream/exchange/waiting_room.hpp
@@ -49,10 +49,15 @@
 
 private:
     auto run_round() -> void;
+    auto try_one( std::shared_ptr<waiter> const& who ) -> bool;
+    [[nodiscard]] auto was_removed( waiter const* who ) const -> bool;
     auto arm( core::duration delay ) -> void;
 
     ports::scheduler& scheduler_;
     std::vector<std::shared_ptr<waiter>> waiting_;
+    /// Taken out since the present round began, by what the round has started.
+    std::vector<waiter const*> removed_;
+    bool in_round_{ false };
     std::unique_ptr<ports::scheduled_call> round_;
     core::instant round_at_;
 };
--- /dev/null
+++ b/tests/exchange/waiting_room_test.cpp
@@ -0,0 +1,93 @@
+#include "support/held_scheduler.hpp"
+#include <pollenstream/exchange/waiting_room.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+
+using namespace tests;
+using namespace std::chrono_literals;
+
+namespace exchange = pollenstream::exchange;
+
+namespace
+{
+
+class scripted_waiter : public exchange::waiter
+{
+public:
+    explicit scripted_waiter( double order ) : order_( order ) {}
+
+    auto try_start() -> bool override
+    {
+        ++tries;
+        return on_try ? on_try() : false;
+    }
+    [[nodiscard]] auto order() const -> double override
+    {
+        return order_;
+    }
+    [[nodiscard]] auto service() const -> core::service_id const& override
+    {
+        return service_;
+    }
+    [[nodiscard]] auto size() const -> std::int64_t override
+    {
+        return 1;
+    }
+    [[nodiscard]] auto is_long() const -> bool override
+    {
+        return false;
+    }
+    [[nodiscard]] auto is_always_tried() const -> bool override
+    {
+        return true;
+    }
+
+    int tries{ 0 };
+    std::function<bool()> on_try;
+
+private:
+    double order_;
+    core::service_id service_{ "model" };
+};
+
+}
+
+TEST_CASE( "one that begins to wait again while it is tried is not forgotten",
+           "[waiting_room]" )
+{
+    auto scheduler = held_scheduler{};
+    auto room = exchange::waiting_room( scheduler );
+    auto const who = std::make_shared<scripted_waiter>( 1 );
+    // The place that it gets at once turns out to be of no use.
+    who->on_try = [&]
+    {
+        if ( who->tries == 1 )
+            room.add( who );
+        return true;
+    };
+    room.add( who );
+    scheduler.run( 100ms );
+    CHECK( who->tries == 2 );
+    CHECK( room.size() == 0 );
+}
+
+TEST_CASE( "one that has been taken out within a round is not tried in it",
+           "[waiting_room]" )
+{
+    auto scheduler = held_scheduler{};
+    auto room = exchange::waiting_room( scheduler );
+    auto const first = std::make_shared<scripted_waiter>( 1 );
+    auto const second = std::make_shared<scripted_waiter>( 2 );
+    first->on_try = [&]
+    {
+        room.remove( second.get() );
+        return true;
+    };
+    room.add( first );
+    room.add( second );
+    scheduler.run( 100ms );
+    CHECK( first->tries == 1 );
+    CHECK( second->tries == 0 );
+}
