A signal to reload does not end a process that is starting

Cause: the gateway takes SIGHUP once its node stands, and the daemon not at all; until then, or ever, the system's default ends the process. An operator who stops, starts and tells to reload in series ends the instance that has just started. Found while looking for planned work that may cut requests.

Change: both ignore the signal from the first line of main; the gateway takes it over where its settings are watched, and its watch looks at the file by itself besides.

What is left is the time of the dynamic linker, before any line of ours.

--- a/apps/daemon/main.cpp
+++ b/apps/daemon/main.cpp
@@ -84,6 +84,8 @@
 
 auto main( int argc, char** argv ) -> int
 {
+    // Settings are read once; by default a signal to reload ends the process.
+    std::signal( SIGHUP, SIG_IGN );
     auto const arguments = docopt::docopt( usage, { argv + 1, argv + argc },
                                            true, "pollenstreamd 0.1.0" );
     google::InitGoogleLogging( argv[0] );
--- a/apps/gateway/main.cpp
+++ b/apps/gateway/main.cpp
@@ -4,6 +4,7 @@
 
 #include <docopt/docopt.h>
 
+#include <csignal>
 #include <fstream>
 #include <iostream>
 #include <optional>
@@ -107,6 +108,8 @@
 auto main( int argc, char** argv ) -> int
 {
     std::signal( SIGPIPE, SIG_IGN );
+    // Until the settings are watched: by default the signal ends the process.
+    std::signal( SIGHUP, SIG_IGN );
     auto args = docopt::docopt( usage, { argv + 1, argv + argc }, true );
     auto const path = args["--settings"] ? args["--settings"].asString()
                                          : platform::settings_path();
