--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -30,11 +30,6 @@
 /// store answers within 25 ms of a start, and within 200 ms where it is slow.
 constexpr auto longest_wait_for_configuration = core::duration( 400ms );
 constexpr auto retry_after_stop = core::duration( 0ms );
-/// Shortest pause after memory could not be reserved.
-constexpr auto reservation_pause = core::duration( 150ms );
-/// Pause where a target that was granted is not usable here: the two instances
-/// hear of a change of the registry some tens of ms apart.
-constexpr auto registry_pause = core::duration( 40ms );
 /// What a call and a stream take as a rule; a process that is about to end
 /// admits only what fits in.
 constexpr auto usual_call_time = core::duration( 400ms );
@@ -281,109 +276,6 @@
     return true;
 }
 
-auto exchange::begin( placement_grant grant ) -> void
-{
-    // It may have been quarantined since it was asked for.
-    if ( is_quarantined() )
-    {
-        release( grant.serial, work_outcome::none );
-        return end_quarantined();
-    }
-    is_suspect_ = grant.is_suspect || demand_.crashes > 0;
-    // At once, so that what is told of all open work has it.
-    add_work( grant );
-    if ( !grant.choice.needs_reservation )
-        return send( grant, nullptr );
-    auto const& choice = grant.choice;
-    auto places = std::vector<reservation_place>{};
-    for ( auto i = std::size_t{ 0 }; i < choice.targets.size(); ++i )
-        places.push_back( { choice.targets[i]->facts.id,
-                            choice.targets[i]->facts.address,
-                            choice.parts[i].memory_tokens } );
-    auto const id = core::reservation_id(
-        shared_.self.str() + "." + std::to_string( ++shared_.last_serial ) );
-    auto const longest = deadline_ - shared_.scheduler.now() + 500ms;
-    auto memory = std::make_shared<reservation_group>(
-        shared_.reservations, shared_.scheduler, id, std::move( places ),
-        longest );
-    reserving_ = grant.serial;
-    memory->start(
-        [self = shared_from_this(), memory,
-         grant = std::move( grant )]( auto status )
-        {
-            self->on_memory( grant, memory, status );
-        } );
-}
-
-auto exchange::on_memory( placement_grant const& grant,
-                          std::shared_ptr<reservation_group> const& memory,
-                          core::result<void> const& status ) -> void
-{
-    if ( reserving_ != grant.serial )
-    {
-        // It has ended since, or its silent target has spoken.
-        release( grant.serial, work_outcome::none );
-        return memory->release();
-    }
-    reserving_.reset();
-    if ( is_quarantined() )
-    {
-        release( grant.serial, work_outcome::none );
-        memory->release();
-        return end_quarantined();
-    }
-    if ( status.has_error() )
-        return on_no_memory( grant, status.error() );
-    if ( is_current( grant.choice ) )
-        return send( grant, memory );
-    memory->release();
-    on_no_memory( grant,
-                  { core::error_code::expired, "target restarted or paused" } );
-}
-
-/// False where a target of the choice has started again since, and holds none
-/// of the memory that was reserved, or wants nothing from this instance now.
-auto exchange::is_current( placement_choice const& choice ) const -> bool
-{
-    auto const now = shared_.scheduler.now();
-    return std::all_of( choice.targets.begin(), choice.targets.end(),
-                        [this, now]( auto const& t )
-                        {
-                            return shared_.board.find_lifetime( t->ref() ) ==
-                                       t &&
-                                   !shared_.board.is_paused( t->ref(), now );
-                        } );
-}
-
-/// The targets hold less than the board says; others may have reserved at the
-/// same time. A pause that is spread keeps them from meeting again.
-auto exchange::on_no_memory( placement_grant const& grant,
-                             core::error const& why ) -> void
-{
-    shared_.log.record( attempt_failed{
-        request_.id, content_, grant.choice.targets.front()->facts.id,
-        "reservation: " + why.detail, false, "wait", core::duration( 0 ),
-        events_, core::duration( 0 ) } );
-    release( grant.serial, work_outcome::none );
-    auto const spread = std::uniform_int_distribution<std::int64_t>(
-        0, reservation_pause.count() )( shared_.random );
-    not_before_ =
-        shared_.scheduler.now() + reservation_pause + core::duration( spread );
-    wait_for_room();
-}
-
-/// A target that was granted may have begun to leave, or its entry may not be
-/// known here yet.
-auto exchange::on_unusable( placement_grant const& grant ) -> void
-{
-    for ( auto i = std::size_t{ 0 }; i < grant.choice.targets.size(); ++i )
-        if ( auto const& t = grant.choice.targets[i]; !t || !t->takes_work() )
-            demand_.tried.push_back( grant.choice.parts[i].target );
-    release( grant.serial, work_outcome::none );
-    not_before_ = shared_.scheduler.now() + registry_pause;
-    wait_for_room();
-}
-
 auto exchange::release( std::uint64_t serial, work_outcome outcome ) -> void
 {
     shared_.board.end_work( shared_.self, serial, shared_.scheduler.now() );
--- a/src/pollenstream/exchange/exchange_waiting.cpp
+++ b/src/pollenstream/exchange/exchange_waiting.cpp
@@ -5,7 +5,8 @@
 #include <utility>
 
 // The part of an exchange's life in which it waits for targets: what it asks,
-// what it hears, and when it is told that it waits in vain.
+// what it hears, how memory is set aside for it, and when it is told that it
+// waits in vain.
 
 namespace pollenstream::exchange
 {
@@ -15,6 +16,12 @@
 
 using namespace std::chrono_literals;
 
+/// Shortest pause after memory could not be reserved.
+constexpr auto reservation_pause = core::duration( 150ms );
+/// Pause where a target that was granted is not usable here: the two instances
+/// hear of a change of the registry some tens of ms apart.
+constexpr auto registry_pause = core::duration( 40ms );
+
 }
 
 /// Passes on what becomes of one ask, and keeps the exchange alive meanwhile.
@@ -139,6 +146,109 @@
         on_unusable( grant );
 }
 
+auto exchange::begin( placement_grant grant ) -> void
+{
+    // It may have been quarantined since it was asked for.
+    if ( is_quarantined() )
+    {
+        release( grant.serial, work_outcome::none );
+        return end_quarantined();
+    }
+    is_suspect_ = grant.is_suspect || demand_.crashes > 0;
+    // At once, so that what is told of all open work has it.
+    add_work( grant );
+    if ( !grant.choice.needs_reservation )
+        return send( grant, nullptr );
+    auto const& choice = grant.choice;
+    auto places = std::vector<reservation_place>{};
+    for ( auto i = std::size_t{ 0 }; i < choice.targets.size(); ++i )
+        places.push_back( { choice.targets[i]->facts.id,
+                            choice.targets[i]->facts.address,
+                            choice.parts[i].memory_tokens } );
+    auto const id = core::reservation_id(
+        shared_.self.str() + "." + std::to_string( ++shared_.last_serial ) );
+    auto const longest = deadline_ - shared_.scheduler.now() + 500ms;
+    auto memory = std::make_shared<reservation_group>(
+        shared_.reservations, shared_.scheduler, id, std::move( places ),
+        longest );
+    reserving_ = grant.serial;
+    memory->start(
+        [self = shared_from_this(), memory,
+         grant = std::move( grant )]( auto status )
+        {
+            self->on_memory( grant, memory, status );
+        } );
+}
+
+auto exchange::on_memory( placement_grant const& grant,
+                          std::shared_ptr<reservation_group> const& memory,
+                          core::result<void> const& status ) -> void
+{
+    if ( reserving_ != grant.serial )
+    {
+        // It has ended since, or its silent target has spoken.
+        release( grant.serial, work_outcome::none );
+        return memory->release();
+    }
+    reserving_.reset();
+    if ( is_quarantined() )
+    {
+        release( grant.serial, work_outcome::none );
+        memory->release();
+        return end_quarantined();
+    }
+    if ( status.has_error() )
+        return on_no_memory( grant, status.error() );
+    if ( is_current( grant.choice ) )
+        return send( grant, memory );
+    memory->release();
+    on_no_memory( grant,
+                  { core::error_code::expired, "target restarted or paused" } );
+}
+
+/// False where a target of the choice has started again since, and holds none
+/// of the memory that was reserved, or wants nothing from this instance now.
+auto exchange::is_current( placement_choice const& choice ) const -> bool
+{
+    auto const now = shared_.scheduler.now();
+    return std::all_of( choice.targets.begin(), choice.targets.end(),
+                        [this, now]( auto const& t )
+                        {
+                            return shared_.board.find_lifetime( t->ref() ) ==
+                                       t &&
+                                   !shared_.board.is_paused( t->ref(), now );
+                        } );
+}
+
+/// The targets hold less than the board says; others may have reserved at the
+/// same time. A pause that is spread keeps them from meeting again.
+auto exchange::on_no_memory( placement_grant const& grant,
+                             core::error const& why ) -> void
+{
+    shared_.log.record( attempt_failed{
+        request_.id, content_, grant.choice.targets.front()->facts.id,
+        "reservation: " + why.detail, false, "wait", core::duration( 0 ),
+        events_, core::duration( 0 ) } );
+    release( grant.serial, work_outcome::none );
+    auto const spread = std::uniform_int_distribution<std::int64_t>(
+        0, reservation_pause.count() )( shared_.random );
+    not_before_ =
+        shared_.scheduler.now() + reservation_pause + core::duration( spread );
+    wait_for_room();
+}
+
+/// A target that was granted may have begun to leave, or its entry may not be
+/// known here yet.
+auto exchange::on_unusable( placement_grant const& grant ) -> void
+{
+    for ( auto i = std::size_t{ 0 }; i < grant.choice.targets.size(); ++i )
+        if ( auto const& t = grant.choice.targets[i]; !t || !t->takes_work() )
+            demand_.tried.push_back( grant.choice.parts[i].target );
+    release( grant.serial, work_outcome::none );
+    not_before_ = shared_.scheduler.now() + registry_pause;
+    wait_for_room();
+}
+
 auto exchange::on_refused( std::uint64_t serial, placement_refusal refusal )
     -> void
 {
