Two silent targets stay open both, and no third is looked for beside them

What a caller would see on routes that allow three targets: the first silent target's answer was dropped without a word, its call neither cancelled nor given back, so that its place at the engine stayed counted for good.

Cause: a look elsewhere for the second silent target overwrote the first one, which was still open.

Change: while a silent one is open, the current one's silence leads to no look; once one of them is lost, it does.

--- a/src/pollenstream/exchange/exchange_silence.cpp
+++ b/src/pollenstream/exchange/exchange_silence.cpp
@@ -134,8 +134,13 @@
     if ( route_->kind == request_kind::stream && since < tolerated_silence() )
         return arm_watch();
     // Only worth a look where another target may be reached.
-    if ( route_->is_idempotent() && targets_reached_ < route_->max_targets )
-        look_elsewhere();
+    if ( !route_->is_idempotent() || targets_reached_ >= route_->max_targets )
+        return;
+    if ( !silent_ )
+        return look_elsewhere();
+    // Two are open and say nothing. A third would take the place of one.
+    current_->watched_from = now;
+    arm_watch();
 }
 
 }
--- a/tests/exchange/silent_target_test.cpp
+++ b/tests/exchange/silent_target_test.cpp
@@ -1,4 +1,4 @@
-#include "support/exchange_fixture.hpp"
+#include "support/held_stream.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -11,55 +11,9 @@
 namespace
 {
 
-/// Silence behind an event after which another place is looked for, on the
-/// routes of the fixture.
-constexpr auto longer_than_tolerated = core::duration( 1'100ms );
 /// With the above, more than callers wait for a first event.
 constexpr auto rest_of_patience = core::duration( 1'200ms );
 
-/// One stream whose places a test hands out.
-struct held_stream
-{
-    explicit held_stream( std::string const& path = "/chat/x" )
-        : f( asks ), open( f.start( f.request( path ) ) )
-    {
-        grant( "m1" );
-    }
-    ~held_stream()
-    {
-        open->on_caller_gone();
-    }
-    held_stream( held_stream const& ) = delete;
-    auto operator=( held_stream const& ) -> held_stream& = delete;
-
-    /// Answers the last ask.
-    auto grant( char const* target ) -> void
-    {
-        auto const& last = asks.all.back();
-        auto granted = exchange::placement_grant{};
-        granted.serial = last.ask.serial;
-        granted.choice.targets = { f.board.find( core::target_id( target ) ) };
-        granted.choice.parts = { { core::target_id( target ), 20, 6'000 } };
-        last.listener->on_granted( granted );
-    }
-    auto first() -> sent_request&
-    {
-        return *f.targets.all.at( 0 );
-    }
-    /// The first target has sent two events and then nothing.
-    auto fall_silent() -> void
-    {
-        first().head( 200 );
-        first().event( 1 );
-        first().event( 2 );
-        f.scheduler.run( longer_than_tolerated );
-    }
-
-    held_asks asks;
-    exchange_fixture f;
-    std::shared_ptr<exchange::exchange> open;
-};
-
 constexpr auto three_events =
     "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n";
 
@@ -319,6 +273,43 @@
         s.f.retries.take( core::service_id( "model" ), s.f.scheduler.now() ) );
 }
 
+TEST_CASE( "two targets that are silent stay open both", "[exchange][silence]" )
+{
+    auto s = held_stream{ 3 };
+    s.fall_silent();
+    s.grant( "m2" );
+    REQUIRE( s.f.targets.all.size() == 2 );
+    s.f.scheduler.run( 3s );
+    CHECK( s.asks.all.size() == 2 );
+    SECTION( "the first one speaks" )
+    {
+        s.first().event( 3 );
+        s.first().complete();
+    }
+    SECTION( "the second one speaks" )
+    {
+        s.at( 1 ).head( 200 );
+        s.at( 1 ).event( 3 );
+        s.at( 1 ).complete();
+    }
+    SECTION( "the first one is lost, and a third one is tried" )
+    {
+        s.first().lose();
+        s.f.scheduler.run( longer_than_tolerated );
+        REQUIRE( s.asks.all.size() == 3 );
+        s.grant( "m3" );
+        REQUIRE( s.f.targets.all.size() == 3 );
+        s.at( 2 ).head( 200 );
+        s.at( 2 ).event( 3 );
+        s.at( 2 ).complete();
+    }
+    CHECK( s.f.answer->stream == three_events );
+    CHECK( s.f.answer->ended );
+    CHECK( s.f.announcer.open == 0 );
+    for ( auto const* id : { "m1", "m2", "m3" } )
+        CHECK( s.f.board.find( core::target_id( id ) )->load.requests == 0 );
+}
+
 TEST_CASE( "the end of a request ends its silent target's work too",
            "[exchange][silence][caller]" )
 {
--- /dev/null
+++ b/tests/support/held_stream.hpp
@@ -0,0 +1,71 @@
+#ifndef TESTS_SUPPORT_HELD_STREAM_HPP
+#define TESTS_SUPPORT_HELD_STREAM_HPP
+
+#include "exchange_fixture.hpp"
+
+#include <memory>
+
+namespace tests
+{
+
+/// Silence behind an event after which another place is looked for, on the
+/// routes of the fixture.
+constexpr auto longer_than_tolerated =
+    core::duration( std::chrono::milliseconds( 1'100 ) );
+
+/// One stream whose places a test hands out.
+struct held_stream
+{
+    /// `max_targets`: what the route allows.
+    explicit held_stream( std::int64_t max_targets = 2 ) : f( asks )
+    {
+        auto changed = std::make_shared<exchange::route_configuration>(
+            *f.context.configuration );
+        for ( auto& route : changed->routes )
+            route.max_targets = max_targets;
+        f.context.configuration = changed;
+        open = f.start( f.request( "/chat/x" ) );
+        grant( "m1" );
+    }
+    ~held_stream()
+    {
+        open->on_caller_gone();
+    }
+    held_stream( held_stream const& ) = delete;
+    auto operator=( held_stream const& ) -> held_stream& = delete;
+
+    /// Answers the last ask.
+    auto grant( char const* target ) -> void
+    {
+        auto const& last = asks.all.back();
+        auto granted = exchange::placement_grant{};
+        granted.serial = last.ask.serial;
+        granted.choice.targets = { f.board.find( core::target_id( target ) ) };
+        granted.choice.parts = { { core::target_id( target ), 20, 6'000 } };
+        last.listener->on_granted( granted );
+    }
+    auto at( std::size_t which ) -> sent_request&
+    {
+        return *f.targets.all.at( which );
+    }
+    auto first() -> sent_request&
+    {
+        return at( 0 );
+    }
+    /// The first target has sent two events and then nothing.
+    auto fall_silent() -> void
+    {
+        first().head( 200 );
+        first().event( 1 );
+        first().event( 2 );
+        f.scheduler.run( longer_than_tolerated );
+    }
+
+    held_asks asks;
+    exchange_fixture f;
+    std::shared_ptr<exchange::exchange> open;
+};
+
+}
+
+#endif
