A silent target ends the other place only where it really goes on

What a caller would see: its answer ends in the middle though a second engine was at work on it. Cause, the class of the incident once more: any bytes of the silent target, half an event or a gap among them, and an answer without its digest, counted as its return and cancelled the second place; what followed then broke off.

Change: bytes of the silent target go through its own splitter, and only a whole event that continues what the caller has, or an answer that could be passed on whole, ends the other place. A gap counts as the silent target's loss.

--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -137,11 +137,13 @@
     auto on_broken( attempt_end const& end ) -> void;
     auto note_served() -> void;
     auto on_own_failure() -> void;
-    auto relay( std::string const& bytes ) -> void;
+    auto relay( std::vector<stream_event> events ) -> void;
     auto relay_event( stream_event& event ) -> bool;
     auto note_event() -> void;
-    [[nodiscard]] static auto is_answer( open_try const& from,
-                                         attempt_end const& end ) -> bool;
+    [[nodiscard]] auto is_whole( open_try const& from ) const -> bool;
+    [[nodiscard]] auto is_answer( open_try const& from,
+                                  attempt_end const& end ) const -> bool;
+    auto speaks_again( std::vector<stream_event> const& events ) -> bool;
     [[nodiscard]] auto streams( open_try const& which ) const -> bool;
     [[nodiscard]] auto find_try( std::uint64_t serial ) -> open_try*;
     [[nodiscard]] auto is_silent_one( open_try const* which ) const -> bool
--- a/src/pollenstream/exchange/exchange_answers.cpp
+++ b/src/pollenstream/exchange/exchange_answers.cpp
@@ -22,6 +22,14 @@
     return status >= 200 && status < 300;
 }
 
+auto out_of_order() -> attempt_end
+{
+    auto lost = attempt_end{};
+    lost.error = { core::error_code::failed, "event out of order" };
+    lost.sent = true;
+    return lost;
+}
+
 }
 
 auto exchange::streams( open_try const& which ) const -> bool
@@ -30,12 +38,22 @@
            is_success( which.head->status );
 }
 
+/// True where a success has its digest and no half event at its end.
+auto exchange::is_whole( open_try const& from ) const -> bool
+{
+    return !is_success( from.head->status ) ||
+           ( from.head->has_seal &&
+             !( streams( from ) && from.splitter.pending() > 0 ) );
+}
+
 /// True where the target has given an answer that can be passed on.
-auto exchange::is_answer( open_try const& from, attempt_end const& end ) -> bool
+auto exchange::is_answer( open_try const& from, attempt_end const& end ) const
+    -> bool
 {
     auto const& head = from.head;
     return end.complete && head && !head->wrong_target &&
-           !head->proves_not_run && head->status < first_failure_status;
+           !head->proves_not_run && head->status < first_failure_status &&
+           is_whole( from ) && ( !streaming_ || streams( from ) );
 }
 
 auto exchange::find_try( std::uint64_t serial ) -> open_try*
@@ -72,25 +90,36 @@
         from->body += bytes;
         return;
     }
-    if ( is_silent_one( from ) )
-        go_back( "it speaks again" );
-    relay( bytes );
+    auto events = from->splitter.take( bytes );
+    if ( is_silent_one( from ) && !speaks_again( events ) )
+        return;
+    relay( std::move( events ) );
+}
+
+/// True where the silent target goes on behind what the caller has. Half an
+/// event may be its last word, and costs the other place nothing yet.
+auto exchange::speaks_again( std::vector<stream_event> const& events ) -> bool
+{
+    if ( events.empty() )
+        return false;
+    auto const& id = events.front().id;
+    if ( !id || !last_event_ || *id <= *last_event_ + 1 )
+        return go_back( "it speaks again" );
+    on_silent_lost( out_of_order() );
+    return false;
 }
 
-auto exchange::relay( std::string const& bytes ) -> void
+auto exchange::relay( std::vector<stream_event> events ) -> void
 {
     auto out = std::string{};
-    for ( auto& event : current_->splitter.take( bytes ) )
+    for ( auto& event : events )
     {
         if ( !relay_event( event ) )
         {
             // A gap in the numbers: what follows cannot be joined.
             if ( !out.empty() )
                 answer_->send_piece( std::move( out ) );
-            auto lost = attempt_end{};
-            lost.error = { core::error_code::failed, "event out of order" };
-            lost.sent = true;
-            return on_broken( lost );
+            return on_broken( out_of_order() );
         }
         out += event.bytes;
     }
@@ -172,9 +201,7 @@
 auto exchange::on_complete() -> void
 {
     auto const& head = *current_->head;
-    if ( is_success( head.status ) &&
-         ( !head.has_seal ||
-           ( streams( *current_ ) && current_->splitter.pending() > 0 ) ) )
+    if ( !is_whole( *current_ ) )
     {
         auto lost = attempt_end{};
         lost.error = { core::error_code::malformed, "answer not whole" };
--- a/tests/exchange/silent_target_test.cpp
+++ b/tests/exchange/silent_target_test.cpp
@@ -130,6 +130,52 @@
     CHECK( s.f.announcer.open == 0 );
 }
 
+TEST_CASE( "a silent target that does not go on ends no other place",
+           "[exchange][silence]" )
+{
+    auto s = held_stream{};
+    s.fall_silent();
+    s.grant( "m2" );
+    REQUIRE( s.f.targets.all.size() == 2 );
+    SECTION( "it breaks off in the middle of an event" )
+    {
+        s.first().listener->on_body( "id: 3\nda" );
+        CHECK_FALSE( s.at( 1 ).cancelled );
+        s.first().lose();
+    }
+    SECTION( "it ends in the middle of an event" )
+    {
+        s.first().listener->on_body( "id: 3\nda" );
+        s.first().complete();
+    }
+    SECTION( "it leaves events out" )
+    {
+        s.first().event( 4 );
+        CHECK( s.first().cancelled );
+    }
+    CHECK_FALSE( s.at( 1 ).cancelled );
+    s.at( 1 ).head( 200 );
+    s.at( 1 ).event( 3 );
+    s.at( 1 ).complete();
+    CHECK( s.f.answer->stream == three_events );
+    CHECK( s.f.answer->ended );
+    CHECK( s.f.announcer.open == 0 );
+}
+
+TEST_CASE( "a silent call that ends without its digest ends no other one",
+           "[exchange][silence]" )
+{
+    auto f = exchange_fixture{};
+    f.start( f.request( "/safe/x" ) );
+    f.targets.all[0]->head( 200, false );
+    f.scheduler.run( 700ms );
+    REQUIRE( f.targets.all.size() == 2 );
+    f.targets.all[0]->complete();
+    CHECK_FALSE( f.targets.all[1]->cancelled );
+    f.targets.all[1]->answer( 200, "yes" );
+    CHECK( f.answer->whole.status == 200 );
+}
+
 TEST_CASE( "where the place found instead fails, the silent target may go on",
            "[exchange][silence]" )
 {
