--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -79,6 +79,7 @@
         core::instant sent_at;
         core::instant heard_at;
         core::instant watched_from; ///< silence counts from here
+        bool is_blamed{ false };    ///< for the present silence
     };
 
     /// An ask for targets that has not been answered.
--- a/src/pollenstream/exchange/exchange_answers.cpp
+++ b/src/pollenstream/exchange/exchange_answers.cpp
@@ -160,6 +160,7 @@
     auto const now = shared_.scheduler.now();
     current_->heard_at = now;
     current_->watched_from = now;
+    current_->is_blamed = false;
     if ( current_->reading )
     {
         current_->reading = false;
--- a/src/pollenstream/exchange/exchange_silence.cpp
+++ b/src/pollenstream/exchange/exchange_silence.cpp
@@ -36,7 +36,8 @@
 auto exchange::look_elsewhere() -> void
 {
     may_have_run_ = true;
-    note_failure( current_->target );
+    if ( !std::exchange( current_->is_blamed, true ) )
+        note_failure( current_->target );
     auto const again = may_repeat() && take_repeat();
     record_failure( *current_, "silent", true,
                     again ? "look_elsewhere" : "wait" );
--- a/tests/exchange/silent_target_test.cpp
+++ b/tests/exchange/silent_target_test.cpp
@@ -319,6 +319,19 @@
         s.f.retries.take( core::service_id( "model" ), s.f.scheduler.now() ) );
 }
 
+TEST_CASE( "one silence counts as one failure of its target",
+           "[exchange][silence]" )
+{
+    auto s = held_stream{};
+    s.f.retries.set_allowance( { 0, 0, 10s } );
+    s.fall_silent();
+    s.f.scheduler.run( 6s );
+    CHECK( s.f.announcer.failed.size() == 1 );
+    s.first().event( 3 );
+    s.f.scheduler.run( longer_than_tolerated );
+    CHECK( s.f.announcer.failed.size() == 2 );
+}
+
 TEST_CASE( "two targets that are silent stay open both", "[exchange][silence]" )
 {
     auto s = held_stream{ 3 };
