A repeat is taken from the budget when it is sent

Cause: a repeat was taken when its place was asked for, which may be seconds before it is sent or may never happen.

Change: asking needs a repeat that is left; sending takes it, together with the other conditions of a repeat. Where it is gone by then the place is given back, and a silent target is gone back to. Nothing has to be given back to the budget.

--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -153,8 +153,9 @@
     }
 
     auto may_repeat() -> bool;
+    auto has_repeat() -> bool;
     auto take_repeat() -> bool;
-    auto note_repeat() -> void;
+    auto on_no_repeat( placement_grant const& grant ) -> void;
     auto avoid( core::target_id const& target ) -> void;
     /// Sends the request again, not to `avoided`; false where it may not be.
     auto try_again( std::string const& why,
@@ -233,7 +234,6 @@
     /// first or no other place is to be had.
     std::optional<open_try> silent_;
     std::optional<std::uint64_t> reserving_; ///< grant that waits for memory
-    bool holds_repeat_{ false }; ///< taken from the budget and not sent yet
     std::int64_t targets_reached_{ 0 };
     std::int64_t connects_failed_{ 0 };
     bool waiting_{ false };
--- a/src/pollenstream/exchange/exchange_attempts.cpp
+++ b/src/pollenstream/exchange/exchange_attempts.cpp
@@ -19,6 +19,8 @@
 /// Connections that could not be made do not count as targets reached, but a
 /// request does not try for ever.
 constexpr auto most_failed_connects = std::int64_t{ 4 };
+/// Retry-After where no repeat is left for what has not run.
+constexpr auto retry_after_no_repeat = core::duration( 400ms );
 /// Time that has to be left for another try to be worth it.
 constexpr auto least_time_for_try = core::duration( 40ms );
 
@@ -90,6 +92,12 @@
 auto exchange::send( placement_grant const& grant,
                      std::shared_ptr<reservation_group> memory ) -> void
 {
+    if ( !take_repeat() )
+    {
+        if ( memory )
+            memory->release();
+        return on_no_repeat( grant );
+    }
     auto const now = shared_.scheduler.now();
     auto const& choice = grant.choice;
     auto const& first = *choice.targets.front();
@@ -102,9 +110,6 @@
     core::check_invariant( core::invariant::quarantine_holds, !is_quarantined(),
                            "content " + to_string( content_ ) + " sent" );
     ++targets_reached_;
-    holds_repeat_ = false;
-    if ( silent_ )
-        note_repeat();
     core::check_invariant( core::invariant::at_most_once,
                            route_->is_idempotent() || !may_have_run_,
                            "attempt " + request_.id.str() + " sent again" );
@@ -154,22 +159,32 @@
            deadline_ - now > least_time_for_try;
 }
 
-/// A repeat counts once a target has been reached. One that has been taken and
-/// not sent serves for the next try.
-auto exchange::take_repeat() -> bool
+/// True where a repeat is left for now. It is taken when it is sent: what waits
+/// for room takes nothing from others.
+auto exchange::has_repeat() -> bool
 {
-    if ( targets_reached_ == 0 || holds_repeat_ )
-        return true;
-    holds_repeat_ =
-        shared_.retries.take( demand_.service, shared_.scheduler.now() );
-    return holds_repeat_;
+    return targets_reached_ == 0 ||
+           shared_.retries.has( demand_.service, shared_.scheduler.now() );
 }
 
-auto exchange::note_repeat() -> void
+auto exchange::take_repeat() -> bool
 {
+    if ( targets_reached_ == 0 )
+        return true;
+    if ( !may_repeat() ||
+         !shared_.retries.take( demand_.service, shared_.scheduler.now() ) )
+        return false;
     shared_.counters.repeats.add();
     if ( streaming_ )
         shared_.counters.resumed.add();
+    return true;
+}
+
+/// The place came too late, or others have used up the budget meanwhile.
+auto exchange::on_no_repeat( placement_grant const& grant ) -> void
+{
+    release( grant.serial, work_outcome::none );
+    turn_down( "no_repeat_left", retry_after_no_repeat );
 }
 
 auto exchange::avoid( core::target_id const& target ) -> void
@@ -194,12 +209,11 @@
                           bool may_have_run,
                           core::target_id const& avoided ) -> bool
 {
-    auto const again = may_repeat() && take_repeat();
+    auto const again = may_repeat() && has_repeat();
     record_failure( *current_, why, may_have_run,
                     again ? "send_again" : "give_up" );
     if ( !again )
         return false;
-    note_repeat();
     avoid( avoided );
     close_try( true );
     if ( !try_start() )
--- a/src/pollenstream/exchange/exchange_silence.cpp
+++ b/src/pollenstream/exchange/exchange_silence.cpp
@@ -38,7 +38,7 @@
     may_have_run_ = true;
     if ( !std::exchange( current_->is_blamed, true ) )
         note_failure( current_->target );
-    auto const again = may_repeat() && take_repeat();
+    auto const again = may_repeat() && has_repeat();
     record_failure( *current_, "silent", true,
                     again ? "look_elsewhere" : "wait" );
     if ( !again )
--- a/src/pollenstream/exchange/exchange_waiting.cpp
+++ b/src/pollenstream/exchange/exchange_waiting.cpp
@@ -276,8 +276,6 @@
     stop_waiting();
     shared_.room.remove( this );
     reserving_.reset();
-    if ( std::exchange( holds_repeat_, false ) )
-        shared_.retries.give_back( demand_.service );
 }
 
 auto exchange::wait_for_room() -> void
--- a/src/pollenstream/exchange/shared_retry_budget.cpp
+++ b/src/pollenstream/exchange/shared_retry_budget.cpp
@@ -47,25 +47,31 @@
     w.requests.push_back( now );
 }
 
+auto shared_retry_budget::has_room( window const& w ) const -> bool
+{
+    auto const allowed =
+        allowance_.ratio * static_cast<double>( w.requests.size() ) +
+        allowance_.constant * handed_out / static_cast<double>( instances_ );
+    return static_cast<double>( w.repeats.size() + 1 ) <= allowed;
+}
+
+auto shared_retry_budget::has( core::service_id const& service,
+                               core::instant now ) -> bool
+{
+    auto& w = windows_[service];
+    forget_old( w, now );
+    return has_room( w );
+}
+
 auto shared_retry_budget::take( core::service_id const& service,
                                 core::instant now ) -> bool
 {
     auto& w = windows_[service];
     forget_old( w, now );
-    auto const allowed =
-        allowance_.ratio * static_cast<double>( w.requests.size() ) +
-        allowance_.constant * handed_out / static_cast<double>( instances_ );
-    if ( static_cast<double>( w.repeats.size() + 1 ) > allowed )
+    if ( !has_room( w ) )
         return false;
     w.repeats.push_back( now );
     return true;
 }
 
-auto shared_retry_budget::give_back( core::service_id const& service ) -> void
-{
-    auto& repeats = windows_[service].repeats;
-    if ( !repeats.empty() )
-        repeats.pop_back();
-}
-
 }
--- a/src/pollenstream/exchange/shared_retry_budget.hpp
+++ b/src/pollenstream/exchange/shared_retry_budget.hpp
@@ -35,8 +35,9 @@
         -> void;
     /// Takes one repeat; false where this instance's part is used up.
     auto take( core::service_id const& service, core::instant now ) -> bool;
-    /// The last repeat that was taken has not been sent.
-    auto give_back( core::service_id const& service ) -> void;
+    /// True where a repeat could be taken now.
+    [[nodiscard]] auto has( core::service_id const& service, core::instant now )
+        -> bool;
 
 private:
     struct window
@@ -45,6 +46,7 @@
         std::deque<core::instant> repeats;
     };
     auto forget_old( window& w, core::instant now ) const -> void;
+    [[nodiscard]] auto has_room( window const& w ) const -> bool;
 
     retry_allowance allowance_;
     std::size_t instances_{ 1 };
--- a/tests/exchange/silent_target_test.cpp
+++ b/tests/exchange/silent_target_test.cpp
@@ -302,21 +302,60 @@
     CHECK( s.f.answer->whole.status == 502 );
 }
 
-TEST_CASE( "a repeat that was not needed is left to others",
+TEST_CASE( "a repeat is taken from the budget when it is sent",
            "[exchange][silence][budget]" )
 {
     auto s = held_stream{};
+    auto const model = core::service_id( "model" );
     // One repeat for this instance, whatever is asked for.
     s.f.retries.set_allowance( { 0, 1.4, 10s } );
     s.fall_silent();
     REQUIRE( s.asks.all.size() == 2 );
-    s.first().event( 3 );
-    s.f.scheduler.run( longer_than_tolerated );
-    REQUIRE( s.asks.all.size() == 3 );
+    SECTION( "not before, so that others may use it" )
+    {
+        CHECK( s.f.retries.take( model, s.f.scheduler.now() ) );
+        s.grant( "m2" );
+        CHECK( s.f.targets.all.size() == 1 );
+        CHECK( s.asks.released.size() == 1 );
+        CHECK_FALSE( s.first().cancelled );
+    }
+    SECTION( "not where it was not needed" )
+    {
+        s.first().event( 3 );
+        CHECK( s.f.retries.take( model, s.f.scheduler.now() ) );
+    }
+    SECTION( "and counts from then on" )
+    {
+        s.f.scheduler.run( 8s );
+        s.grant( "m2" );
+        CHECK( s.f.targets.all.size() == 2 );
+        s.open->on_caller_gone();
+        s.f.scheduler.run( 2'500ms );
+        CHECK_FALSE( s.f.retries.has( model, s.f.scheduler.now() ) );
+    }
+}
+
+TEST_CASE( "a place that is had as the time ends is given back",
+           "[exchange][silence]" )
+{
+    auto s = held_stream{};
+    s.fall_silent();
+    s.f.scheduler.run( 8'880ms );
+    s.grant( "m2" );
+    CHECK( s.f.targets.all.size() == 1 );
+    CHECK( s.asks.released.size() == 1 );
+}
+
+TEST_CASE( "each target reached beyond the first counts as one repeat",
+           "[exchange][silence][metrics]" )
+{
+    auto s = held_stream{};
+    s.fall_silent();
     s.grant( "m2" );
-    CHECK( s.f.targets.all.size() == 2 );
-    CHECK_FALSE(
-        s.f.retries.take( core::service_id( "model" ), s.f.scheduler.now() ) );
+    s.at( 1 ).lose( false );
+    s.grant( "m3" );
+    REQUIRE( s.f.targets.all.size() == 3 );
+    CHECK( s.f.context.counters.repeats.value() == 2 );
 }
 
 TEST_CASE( "one silence counts as one failure of its target",
