A target's own failure is not held back for a silent one

Change: where nothing has been passed on yet, the failure is passed on at once. An answer that has begun still goes back: its end could not be told otherwise.

--- a/src/pollenstream/exchange/exchange_answers.cpp
+++ b/src/pollenstream/exchange/exchange_answers.cpp
@@ -241,14 +241,19 @@
     note_failure( current_->target );
     auto const status = current_->head->status;
     if ( try_again( "status " + std::to_string( status ), true,
-                    current_->target.id ) ||
-         go_back( "status " + std::to_string( status ) ) )
+                    current_->target.id ) )
         return;
     if ( streaming_ )
-        return fail( status, "target_failed" );
+    {
+        if ( !go_back( "status " + std::to_string( status ) ) )
+            fail( status, "target_failed" );
+        return;
+    }
+    // Sooner, and worth more to a caller, than what a silent target may say.
     answer_->send_whole(
         { status, current_->head->headers, std::move( current_->body ) } );
     close_try( false );
+    close_silent();
     shared_.counters.failed.add();
     end( "target_failed", status );
 }
--- a/tests/exchange/silent_target_test.cpp
+++ b/tests/exchange/silent_target_test.cpp
@@ -371,6 +371,20 @@
     CHECK( s.f.announcer.failed.size() == 2 );
 }
 
+TEST_CASE( "a call's failure at the second target is passed on at once",
+           "[exchange][silence]" )
+{
+    auto f = exchange_fixture{};
+    f.start( f.request( "/safe/x" ) );
+    f.scheduler.run( 700ms );
+    REQUIRE( f.targets.all.size() == 2 );
+    f.targets.all[1]->answer( 500, "own" );
+    CHECK( f.answer->whole.status == 500 );
+    CHECK( f.answer->whole.body == "own" );
+    CHECK( f.targets.all[0]->cancelled );
+    CHECK( f.announcer.open == 0 );
+}
+
 TEST_CASE( "two targets that are silent stay open both", "[exchange][silence]" )
 {
     auto s = held_stream{ 3 };
