An answer that has begun outlasts targets that take no connection

Change: such an answer goes on trying until its time is over, from the fourth failure on with a pause of 250 ms. Others end as before, with a true 503.

--- a/src/pollenstream/exchange/exchange_attempts.cpp
+++ b/src/pollenstream/exchange/exchange_attempts.cpp
@@ -17,8 +17,10 @@
 using namespace std::chrono_literals;
 
 /// Connections that could not be made do not count as targets reached, but a
-/// request does not try for ever.
+/// request does not try for ever. An answer that has begun goes on trying until
+/// its time is over, at this pause.
 constexpr auto most_failed_connects = std::int64_t{ 4 };
+constexpr auto connect_pause = core::duration( 250ms );
 /// Retry-After where no repeat is left for what has not run.
 constexpr auto retry_after_no_repeat = core::duration( 400ms );
 /// Time that has to be left for another try to be worth it.
@@ -154,8 +156,9 @@
     if ( is_quarantined() )
         return false;
     auto const now = shared_.scheduler.now();
-    return targets_reached_ < route_->max_targets &&
-           connects_failed_ < most_failed_connects &&
+    auto const connects_left =
+        streaming_ || connects_failed_ < most_failed_connects;
+    return targets_reached_ < route_->max_targets && connects_left &&
            deadline_ - now > least_time_for_try;
 }
 
@@ -216,6 +219,8 @@
         return false;
     avoid( avoided );
     close_try( true );
+    if ( connects_failed_ >= most_failed_connects )
+        not_before_ = shared_.scheduler.now() + connect_pause;
     if ( !try_start() )
         wait_for_room();
     return true;
--- a/tests/exchange/silent_target_test.cpp
+++ b/tests/exchange/silent_target_test.cpp
@@ -385,6 +385,31 @@
     CHECK( f.announcer.open == 0 );
 }
 
+TEST_CASE( "an answer that has begun outlasts targets that take no connection",
+           "[exchange][silence]" )
+{
+    auto s = held_stream{};
+    s.first().head( 200 );
+    s.first().event( 1 );
+    s.first().event( 2 );
+    s.first().lose();
+    for ( auto i = std::size_t{ 1 }; i <= 6; ++i )
+    {
+        REQUIRE( s.asks.all.size() == i + 1 );
+        s.grant( i % 2 == 0 ? "m2" : "m3" );
+        REQUIRE( s.f.targets.all.size() == i + 1 );
+        s.at( i ).lose( false );
+        s.f.scheduler.run( 300ms );
+    }
+    CHECK_FALSE( s.f.answer->aborted );
+    s.grant( "m2" );
+    s.at( 7 ).head( 200 );
+    s.at( 7 ).event( 3 );
+    s.at( 7 ).complete();
+    CHECK( s.f.answer->stream == three_events );
+    CHECK( s.f.answer->ended );
+}
+
 TEST_CASE( "two targets that are silent stay open both", "[exchange][silence]" )
 {
     auto s = held_stream{ 3 };
