A quarantine ends what is sought beside a silent run

Cause: a second try that was still reading stayed open when its content was quarantined, because the silent one beside it ran; it might have ended one more engine.

Change: the request goes back to the silent run.

--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -335,10 +335,15 @@
     auto const keep = shared_from_this();
     if ( finished_ || route_ == nullptr || content != content_ )
         return;
-    auto const runs =
-        ( current_ && !current_->reading ) || ( silent_ && !silent_->reading );
+    auto const runs = current_ && !current_->reading;
     if ( runs )
         return;
+    // The silent run is past its beginning; what is sought beside it is not.
+    if ( silent_ && !silent_->reading )
+    {
+        go_back( quarantined_reason );
+        return;
+    }
     if ( current_ && current_->call && current_->call->sent() )
         may_have_run_ = true;
     close_all();
--- a/tests/exchange/silent_target_test.cpp
+++ b/tests/exchange/silent_target_test.cpp
@@ -410,6 +410,33 @@
     CHECK( s.f.answer->ended );
 }
 
+TEST_CASE( "a content that is quarantined starts at no other place, and its "
+           "silent run may go on",
+           "[exchange][silence][content]" )
+{
+    auto s = held_stream{};
+    s.fall_silent();
+    auto const content = s.asks.all[0].ask.content;
+    SECTION( "while the other place reads" )
+    {
+        s.grant( "m2" );
+        REQUIRE( s.f.targets.all.size() == 2 );
+        s.open->on_quarantined( content );
+        CHECK( s.at( 1 ).cancelled );
+        CHECK( s.f.announcer.open == 1 );
+    }
+    SECTION( "while a place is asked for" )
+    {
+        s.open->on_quarantined( content );
+        s.grant( "m2" );
+        CHECK( s.f.targets.all.size() == 1 );
+    }
+    CHECK_FALSE( s.first().cancelled );
+    s.first().event( 3 );
+    s.first().complete();
+    CHECK( s.f.answer->ended );
+}
+
 TEST_CASE( "two targets that are silent stay open both", "[exchange][silence]" )
 {
     auto s = held_stream{ 3 };
