A prompt that may not go to the only room holds up no other

Cause: a prompt that found no room counted as a sign that there was none for its size or larger ones, also where it was kept from the room by its own exclusions: a target that it had been sent to, or one that wants a pause from its asker. Others waited beside a free engine until it left.

Change: such a prompt is tried in each round and says nothing of the room for others. The new case fails before in both sections (0 grants instead of 1).

--- a/src/pollenstream/exchange/placement_coordinator.cpp
+++ b/src/pollenstream/exchange/placement_coordinator.cpp
@@ -53,10 +53,12 @@
     {
         return is_long_;
     }
-    /// Held back for its own sake it says nothing of the room for others.
+    /// Held back for its own sake, or kept from some of the targets, it says
+    /// nothing of the room for others.
     [[nodiscard]] auto is_always_tried() const -> bool override
     {
-        return is_held_back_;
+        return is_held_back_ || !ask.demand.tried.empty() ||
+               !ask.demand.paused.empty();
     }
 
     /// Takes over where the same ask comes again.
--- a/tests/exchange/placement_coordinator_test.cpp
+++ b/tests/exchange/placement_coordinator_test.cpp
@@ -192,6 +192,46 @@
     CHECK( answer->refusals[0].reason == "unknown_service" );
 }
 
+TEST_CASE( "a prompt that may not go to the only room holds up no other",
+           "[coordinator]" )
+{
+    auto f = coordinator_fixture( 1 );
+    auto serial = std::uint64_t{ 0 };
+    while ( f.ask( "a", ++serial, 5'000 )->grants.size() == 1 )
+    {
+    }
+    f.coordinator.release( core::instance_id( "a" ), serial );
+    auto repeat = exchange::placement_ask{};
+    repeat.asker = core::instance_id( "b" );
+    repeat.serial = 1;
+    repeat.demand.service = core::service_id( "model" );
+    repeat.demand.prompt_tokens = 1'000;
+    repeat.demand.output_tokens = 1'000;
+    repeat.demand.latency_objective = 200ms;
+    repeat.demand.gap_objective = 200ms;
+    repeat.demand.tightest_gap = 200ms;
+    repeat.demand.time_left = 15s;
+    repeat.demand.patience_left = 12s;
+    repeat.may_be_refused = false;
+    SECTION( "it has been tried" )
+    {
+        repeat.demand.tried.push_back( core::target_id( "e0" ) );
+    }
+    SECTION( "it wants a pause from the asker" )
+    {
+        repeat.demand.paused.push_back( core::target_id( "e0" ) );
+    }
+    auto const kept_away = std::make_shared<recorded_placement>();
+    f.coordinator.ask( repeat, kept_away );
+    auto const other = f.ask( "c", 1, 5'000 );
+    REQUIRE( other->grants.empty() );
+    f.coordinator.release( core::instance_id( "a" ), 1 );
+    f.room.poke();
+    f.scheduler.run( 30ms );
+    CHECK( other->grants.size() == 1 );
+    CHECK( kept_away->grants.empty() );
+}
+
 TEST_CASE( "what ends its engines gets none", "[coordinator][crash]" )
 {
     auto f = coordinator_fixture( 4 );
