A call that is due at the end of time is not made at once

It burns the processor of an instance and datagrams to its coordinators, and no remote coordinator can answer. Held time hides it.

Change: delays end at a year.

--- a/src/pollenstream/adapters/asio/asio_scheduler.cpp
+++ b/src/pollenstream/adapters/asio/asio_scheduler.cpp
@@ -9,6 +9,11 @@
 namespace
 {
 
+using namespace std::chrono_literals;
+
+/// The timer's clock counts in a finer unit and would begin again behind it.
+constexpr auto longest_delay = core::duration( 24h * 365 );
+
 /// A timer whose callback does not run once this object is gone.
 class timer_call : public ports::scheduled_call
 {
@@ -18,7 +23,8 @@
                 std::function<void()> callback )
         : timer_( io ), live_( std::make_shared<bool>( true ) )
     {
-        timer_.expires_after( std::max( delay, core::duration( 0 ) ) );
+        timer_.expires_after(
+            std::clamp( delay, core::duration( 0 ), longest_delay ) );
         timer_.async_wait(
             [live = live_, call = std::move( callback )]( error_code ec )
             {
