A renewal of memory that fails is made again before the hold ends

Cause: what became of a renewal was not looked at. Two lost answers in a row, 3 s apart from a hold of 3.5 s, ended the memory of a prompt that was being served, and with it the answer.

Change: a failed renewal is repeated after 300 ms, three tries in its period. The new case fails before (two orders instead of three). Giving back uses the same delayed call.

--- a/src/pollenstream/exchange/reservation.cpp
+++ b/src/pollenstream/exchange/reservation.cpp
@@ -17,6 +17,9 @@
 constexpr auto hold_time = core::duration( 3500ms );
 /// A hold in use is renewed after this, so that one renewal may be lost.
 constexpr auto renewal_period = core::duration( 1500ms );
+/// Tries of a renewal that fails, within its period.
+constexpr auto renewal_tries = 3;
+constexpr auto renewal_pause = core::duration( 300ms );
 /// Tries to give memory back before its hold has to do it.
 constexpr auto release_tries = 3;
 constexpr auto release_pause = core::duration( 300ms );
@@ -71,9 +74,8 @@
 
 auto reservation_group::renew() -> void
 {
-    // A renewal that fails shows as a stream that is cut when the hold ends.
-    for ( auto const& place : places_ )
-        caller_.reserve( place, id_, hold_, []( auto ) {} );
+    for ( auto i = std::size_t{ 0 }; i < places_.size(); ++i )
+        renew_at( i, renewal_tries );
     renewal_ = scheduler_.call_after( renewal_period,
                                       [this]
                                       {
@@ -81,6 +83,38 @@
                                       } );
 }
 
+/// A hold that ends cuts the request that uses it.
+auto reservation_group::renew_at( std::size_t index, int tries ) -> void
+{
+    if ( released_ )
+        return;
+    auto self = shared_from_this();
+    caller_.reserve( places_[index], id_, hold_,
+                     [self, index, tries]( auto status )
+                     {
+                         if ( !status.has_error() || tries <= 1 )
+                             return;
+                         self->call_later( renewal_pause,
+                                           [self, index, tries]
+                                           {
+                                               self->renew_at( index,
+                                                               tries - 1 );
+                                           } );
+                     } );
+}
+
+auto reservation_group::call_later( core::duration pause,
+                                    std::function<void()> callback ) -> void
+{
+    auto holder = std::make_shared<std::unique_ptr<ports::scheduled_call>>();
+    *holder = scheduler_.call_after( pause,
+                                     [holder, callback = std::move( callback )]
+                                     {
+                                         auto const call = std::move( *holder );
+                                         callback();
+                                     } );
+}
+
 auto reservation_group::release() -> void
 {
     if ( std::exchange( released_, true ) )
@@ -94,22 +128,18 @@
 auto reservation_group::release_at( std::size_t index, int tries ) -> void
 {
     auto self = shared_from_this();
-    caller_.release(
-        places_[index], id_,
-        [self, index, tries]( auto status )
-        {
-            if ( !status.has_error() || tries <= 1 )
-                return;
-            auto holder =
-                std::make_shared<std::unique_ptr<ports::scheduled_call>>();
-            *holder = self->scheduler_.call_after(
-                release_pause,
-                [self, index, tries, holder]
-                {
-                    auto const call = std::move( *holder );
-                    self->release_at( index, tries - 1 );
-                } );
-        } );
+    caller_.release( places_[index], id_,
+                     [self, index, tries]( auto status )
+                     {
+                         if ( !status.has_error() || tries <= 1 )
+                             return;
+                         self->call_later( release_pause,
+                                           [self, index, tries]
+                                           {
+                                               self->release_at( index,
+                                                                 tries - 1 );
+                                           } );
+                     } );
 }
 
 }
--- a/src/pollenstream/exchange/reservation.hpp
+++ b/src/pollenstream/exchange/reservation.hpp
@@ -68,6 +68,10 @@
 private:
     auto on_reserved( core::result<void> const& status ) -> void;
     auto renew() -> void;
+    auto renew_at( std::size_t index, int tries ) -> void;
+    /// Calls after `pause`; the call keeps the group.
+    auto call_later( core::duration pause, std::function<void()> callback )
+        -> void;
     auto release_at( std::size_t index, int tries ) -> void;
 
     reservation_caller& caller_;
--- a/tests/exchange/reservation_test.cpp
+++ b/tests/exchange/reservation_test.cpp
@@ -121,6 +121,48 @@
     CHECK( caller.reserved.size() == 5 );
 }
 
+TEST_CASE( "a renewal that fails is made again before the hold ends",
+           "[reservation]" )
+{
+    auto scheduler = held_scheduler{};
+    auto caller = recorded_reservations{};
+    auto const places = std::vector<exchange::reservation_place>{
+        { core::target_id( "m1" ), {}, 100 } };
+    auto const group = std::make_shared<exchange::reservation_group>(
+        caller, scheduler, core::reservation_id( "r" ), places, 10s );
+    group->start( []( auto ) {} );
+    caller.reserved[0].callback( core::success() );
+    scheduler.run( 1'600ms );
+    REQUIRE( caller.reserved.size() == 2 );
+    auto const lost = core::error{ core::error_code::timed_out, "no answer" };
+    caller.reserved[1].callback( lost );
+    scheduler.run( 400ms );
+    REQUIRE( caller.reserved.size() == 3 );
+    SECTION( "until it is done" )
+    {
+        caller.reserved[2].callback( core::success() );
+        scheduler.run( 500ms );
+        CHECK( caller.reserved.size() == 3 );
+    }
+    SECTION( "three times in a period at most" )
+    {
+        caller.reserved[2].callback( lost );
+        scheduler.run( 400ms );
+        REQUIRE( caller.reserved.size() == 4 );
+        caller.reserved[3].callback( lost );
+        scheduler.run( 400ms );
+        CHECK( caller.reserved.size() == 4 );
+    }
+    SECTION( "unless the memory has been given back" )
+    {
+        caller.reserved[2].callback( lost );
+        group->release();
+        scheduler.run( 400ms );
+        CHECK( caller.reserved.size() == 3 );
+    }
+    group->release();
+}
+
 TEST_CASE( "memory that could not be given back is released again",
            "[reservation]" )
 {
