A stopping instance allows for its own lateness

Callers are taken to know of a stop 250 ms earlier than before, 2.75 s after the instance has seen the signal: on a small machine the signal may be seen, and a request read, later than it was sent, and what was sent 3 s after the signal must not be cut.

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -23,6 +23,8 @@
 constexpr auto directory_time = core::duration( 1s );
 /// Some callers keep an answer three times as long.
 constexpr auto directory_patience = 3;
+/// The signal to stop may be seen, and a request read, this late.
+constexpr auto stop_lateness = core::duration( 250ms );
 /// Part of the grace period that is left unused: the process has to be gone
 /// before it is killed.
 constexpr auto stop_margin = core::duration( 650ms );
@@ -393,8 +395,9 @@
     record_process( "stopping", "signal" );
     auto const now = scheduler_.now();
     auto const callers_know_at = now + directory_time * directory_patience;
-    context_.stop = exchange::planned_stop{
-        callers_know_at, now + settings_.grace_period - stop_margin };
+    context_.stop =
+        exchange::planned_stop{ callers_know_at - stop_lateness,
+                                now + settings_.grace_period - stop_margin };
     group_.announce_leaving();
     registration_.stop();
     callers_->begin_drain();
