A silent connection stays open until the new one speaks

What callers saw: an answer that had begun was ended as target-failed (or, where another engine was free, begun anew there) after 6 s of silence, though its engine lived and went on.

Cause: the daemon judged a stream that was silent for 5 s by a new connection, and let go of the old one first. Where the new one could not be made (refused, unreachable, no such stream, broken) nothing was left to listen to. The class: what one has is given up before what replaces it is had.

Why it works: both connections carry the same run under the same number of attempt, and the assembly takes a token only at its position, so that nothing is taken twice. The one that speaks is kept and the other is detached. An end of either leaves the other; an engine that closes the old one as it serves the new one changes nothing.

Ruled out: to detach at the new connection's head. The client hands over no head, and a head is no event.

--- a/src/pollenstream/sessions/session.cpp
+++ b/src/pollenstream/sessions/session.cpp
@@ -77,27 +77,34 @@
 {
 public:
     attempt_listener( std::shared_ptr<session> owner,
-                      core::attempt_number number )
-        : owner_( std::move( owner ) ), number_( number )
+                      core::attempt_number number,
+                      std::int64_t over )
+        : owner_( std::move( owner ) ), number_( number ), over_( over )
     {
     }
 
     auto on_events( std::vector<ports::engine_event> const& events )
         -> void override
     {
-        owner_->on_events( number_, events );
+        owner_->on_events( number_, over_, events );
     }
 
     auto on_end( core::result<void> status ) -> void override
     {
-        owner_->on_stream_end( number_, std::move( status ) );
+        owner_->on_stream_end( number_, over_, std::move( status ) );
     }
 
 private:
     std::shared_ptr<session> owner_;
     core::attempt_number number_;
+    std::int64_t over_;
 };
 
+auto session::attempt::hears( std::int64_t over ) const -> bool
+{
+    return over == latest.number || ( former && over == former->number );
+}
+
 session::session( context& shared,
                   request wanted,
                   profiles::profile profile,
@@ -355,18 +362,33 @@
     auto const endpoint = choice.chosen->endpoint();
     current_ = attempt{ number, std::move( choice ), work, now, ran_ };
     ran_ = true;
+    auto const over = current_->latest.number;
     auto listener =
-        std::make_shared<attempt_listener>( shared_from_this(), number );
-    auto stream = shared_.engines.open( endpoint, make_engine_request( number ),
-                                        std::move( listener ) );
-    if ( current_ && current_->number == number )
-        current_->stream = std::move( stream );
-    else
-        stream->cancel();
+        std::make_shared<attempt_listener>( shared_from_this(), number, over );
+    add_stream( number, over,
+                shared_.engines.open( endpoint, make_engine_request( number ),
+                                      std::move( listener ) ) );
     if ( current_ && !in_group )
         arm_stall_check();
 }
 
+/// Keeps a stream that was opened, unless it has ended meanwhile.
+auto session::add_stream( core::attempt_number to,
+                          std::int64_t over,
+                          std::shared_ptr<ports::engine_stream> stream ) -> void
+{
+    auto* const which = find_attempt( to );
+    if ( !which )
+        stream->cancel();
+    else if ( which->latest.number == over )
+        which->latest.stream = std::move( stream );
+}
+
+auto session::find_attempt( core::attempt_number number ) -> attempt*
+{
+    return current_ && current_->number == number ? &*current_ : nullptr;
+}
+
 auto session::arm_stall_check() -> void
 {
     auto const is_small = routing::size_of( prompt_tokens_.count() ) ==
@@ -400,28 +422,55 @@
 }
 
 auto session::on_events( core::attempt_number from,
+                         std::int64_t over,
                          std::vector<ports::engine_event> const& events )
     -> void
 {
     auto const lock = std::scoped_lock( mutex_ );
-    if ( finished_ || !current_ || current_->number != from )
+    auto* const which = finished_ ? nullptr : find_attempt( from );
+    if ( !which || !which->hears( over ) )
     {
         shared_.metrics.stray_events.add( events.size() );
         return;
     }
-    current_->heard = shared_.clock.now();
+    which->heard = shared_.clock.now();
+    if ( take_events( *which, events ) )
+        go_on_over( *which, over );
+    flush();
+}
+
+/// True where a part of the answer was among the events.
+auto session::take_events( attempt& from,
+                           std::vector<ports::engine_event> const& events )
+    -> bool
+{
+    auto has_spoken = false;
     for ( auto const& event : events )
     {
         if ( event.load )
         {
-            auto const& at = current_->choice.chosen;
+            auto const& at = from.choice.chosen;
             at->take_report( *event.load, shared_.clock.now() );
             shared_.policy.note_cached( at->identity().id, event.load->cached );
         }
-        if ( !answer_.take( event, current_->number ) )
+        if ( answer_.take( event, from.number ) )
+            has_spoken = true;
+        else
             shared_.metrics.stray_events.add();
     }
-    flush();
+    return has_spoken;
+}
+
+/// The connection that has spoken is kept, and no other.
+auto session::go_on_over( attempt& spoken, std::int64_t over ) -> void
+{
+    if ( !spoken.former )
+        return;
+    if ( spoken.latest.number != over )
+        std::swap( spoken.latest, *spoken.former );
+    if ( spoken.former->stream )
+        spoken.former->stream->detach();
+    spoken.former.reset();
 }
 
 auto session::flush() -> void
@@ -463,10 +512,12 @@
 }
 
 auto session::on_stream_end( core::attempt_number from,
+                             std::int64_t over,
                              core::result<void> status ) -> void
 {
     auto const lock = std::scoped_lock( mutex_ );
-    if ( finished_ || !current_ || current_->number != from )
+    auto* const which = finished_ ? nullptr : find_attempt( from );
+    if ( !which || !which->hears( over ) )
         return;
     if ( answer_.has_ended() )
     {
@@ -476,32 +527,50 @@
         finish( end );
         return;
     }
+    if ( keeps_other_connection( *which, over ) )
+        return;
     auto why = core::error{ core::error_code::connection_lost,
                             "the stream ended before its last event" };
     if ( !status )
         why = status.error();
     auto const may_still_run = !core::proves_not_run( why.code ) &&
                                why.code != core::error_code::failed;
-    if ( may_still_run && resume_same_engine() )
+    if ( may_still_run && resume( *which, false ) )
         return;
     retry_elsewhere( why );
 }
 
-auto session::resume_same_engine() -> bool
+/// True where the engine may still speak over another connection than the one
+/// that ended: a new one that cannot be made proves nothing of the old one.
+auto session::keeps_other_connection( attempt& of, std::int64_t ended ) -> bool
+{
+    if ( !of.former )
+        return false;
+    if ( of.latest.number == ended )
+        of.latest = *of.former;
+    of.former.reset();
+    return true;
+}
+
+/// Reads on over a new connection, once. The one so far may stay beside it
+/// until one of them speaks: they carry the same run's events.
+auto session::resume( attempt& which, bool keeps_former ) -> bool
 {
-    if ( current_->resumed )
+    if ( which.resumed )
         return false;
-    current_->resumed = true;
-    current_->heard = shared_.clock.now();
+    which.resumed = true;
+    which.heard = shared_.clock.now();
     shared_.metrics.resumes.add();
-    auto const number = current_->number;
-    auto const endpoint = current_->choice.chosen->endpoint();
+    if ( keeps_former )
+        which.former = which.latest;
+    auto const number = which.number;
+    auto const over = ++which.latest.number;
+    auto const endpoint = which.choice.chosen->endpoint();
     auto listener =
-        std::make_shared<attempt_listener>( shared_from_this(), number );
-    auto stream = shared_.engines.resume(
-        endpoint, make_engine_request( number ), std::move( listener ) );
-    if ( current_ && current_->number == number )
-        current_->stream = std::move( stream );
+        std::make_shared<attempt_listener>( shared_from_this(), number, over );
+    add_stream( number, over,
+                shared_.engines.resume( endpoint, make_engine_request( number ),
+                                        std::move( listener ) ) );
     return true;
 }
 
@@ -592,9 +661,7 @@
 {
     // The connection may have been forgotten by something between the two
     // ends while the engine is well: a new one shows which.
-    if ( current_->stream )
-        current_->stream->detach();
-    if ( resume_same_engine() )
+    if ( resume( *current_, true ) )
         return;
     retry_elsewhere( core::error{ core::error_code::timed_out,
                                   "the stream went silent twice" } );
@@ -617,10 +684,12 @@
     if ( ended.prefill_counted )
         chosen.end_prefill( ended.work );
     chosen.end_dispatch( ended.work );
-    if ( !cancel || !ended.stream )
+    if ( ended.former && ended.former->stream )
+        ended.former->stream->detach();
+    if ( !cancel || !ended.latest.stream )
         return;
     shared_.metrics.cancels.add();
-    ended.stream->cancel();
+    ended.latest.stream->cancel();
 }
 
 auto session::failure( std::string reason, std::string detail ) const
--- a/src/pollenstream/sessions/session.hpp
+++ b/src/pollenstream/sessions/session.hpp
@@ -52,6 +52,12 @@
     class attempt_listener;
     friend class attempt_listener;
 
+    /// One way over which an attempt's events come.
+    struct connection
+    {
+        std::int64_t number{ 1 };
+        std::shared_ptr<ports::engine_stream> stream;
+    };
     struct attempt
     {
         core::attempt_number number;
@@ -61,7 +67,11 @@
         bool ran_before{ false }; ///< the request may have run before it
         bool prefill_counted{ true };
         bool resumed{ false };
-        std::shared_ptr<ports::engine_stream> stream;
+        connection latest;
+        /// Went silent, and is listened to until the latest has spoken.
+        std::optional<connection> former;
+
+        [[nodiscard]] auto hears( std::int64_t over ) const -> bool;
     };
 
     auto admit() -> std::optional<ports::answer_end>;
@@ -81,13 +91,23 @@
     auto make_engine_request( core::attempt_number number ) const
         -> ports::engine_request;
 
+    auto find_attempt( core::attempt_number number ) -> attempt*;
+    auto add_stream( core::attempt_number to,
+                     std::int64_t over,
+                     std::shared_ptr<ports::engine_stream> stream ) -> void;
     auto on_events( core::attempt_number from,
+                    std::int64_t over,
                     std::vector<ports::engine_event> const& events ) -> void;
+    auto take_events( attempt& from,
+                      std::vector<ports::engine_event> const& events ) -> bool;
+    auto go_on_over( attempt& spoken, std::int64_t over ) -> void;
     auto flush() -> void;
     auto note_first_token() -> void;
-    auto on_stream_end( core::attempt_number from, core::result<void> status )
-        -> void;
-    auto resume_same_engine() -> bool;
+    auto on_stream_end( core::attempt_number from,
+                        std::int64_t over,
+                        core::result<void> status ) -> void;
+    auto keeps_other_connection( attempt& of, std::int64_t ended ) -> bool;
+    auto resume( attempt& which, bool keeps_former ) -> bool;
     auto retry_elsewhere( core::error const& why ) -> void;
 
     auto arm_deadline() -> void;
