Groups of one request hold memory under names of their own

What callers saw: nothing that is on record. A long prompt whose group was given up and made anew could lose the new memory at an engine of both groups, and with it the answer once more.

Cause: each group counted its rounds from one, so that the second group of a request reserved under the names of the first. An engine takes a reserve call for a name that it has for done, and the release of the first group, which may arrive later, frees what the second holds.

Evidence: "groups of one request hold memory under names of their own" fails on the code before: all three names are the same. That a late release does harm was read from the stand-in engine and not played.

Why it works: the session numbers its groups, and the number is part of the name. It is needed before two groups of one request may be open at once.

--- a/src/pollenstream/sessions/session.cpp
+++ b/src/pollenstream/sessions/session.cpp
@@ -6,6 +6,7 @@
 #include <pollenstream/sessions/span_group.hpp>
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace pollenstream::sessions
@@ -279,7 +280,8 @@
 auto session::open_group() -> void
 {
     group_ = std::make_shared<span_group>(
-        shared_, id_, prompt_tokens_ + core::token_count( answer_.position() ),
+        shared_, id_.str() + "/" + std::to_string( ++groups_ ),
+        prompt_tokens_ + core::token_count( answer_.position() ),
         max_output_ - core::token_count( answer_.position() ), deadline_ );
     auto const self = shared_from_this();
     auto const group = group_;
--- a/src/pollenstream/sessions/session.hpp
+++ b/src/pollenstream/sessions/session.hpp
@@ -143,6 +143,7 @@
     std::shared_ptr<span_group> group_;
     std::vector<core::target_id> tried_;
     std::int64_t attempts_{ 0 };
+    std::int64_t groups_{ 0 };
     std::int64_t moves_{ 0 };
     std::optional<core::instant> last_token_;
     bool ran_{ false }; ///< an engine may have started on it
--- a/src/pollenstream/sessions/span_group.cpp
+++ b/src/pollenstream/sessions/span_group.cpp
@@ -27,8 +27,8 @@
 constexpr auto least_free = 0.15;
 
 /// A pause before round `round`, which doubles and is spread by a hash of the
-/// request, so that two instances do not meet again and again.
-auto pause_before( core::request_id const& request, std::int64_t round )
+/// name, so that two instances do not meet again and again.
+auto pause_before( std::string const& name, std::int64_t round )
     -> core::duration
 {
     constexpr auto most_doublings = std::int64_t{ 6 };
@@ -36,7 +36,7 @@
     auto const width =
         std::min( longest_pause, shortest_pause * ( 1 << doublings ) );
     auto const seed = static_cast<std::uint64_t>( round );
-    auto const spread = core::stable_hash( request.str(), seed ) %
+    auto const spread = core::stable_hash( name, seed ) %
                         static_cast<std::uint64_t>( width.count() );
     return width / 2 +
            core::duration( static_cast<std::int64_t>( spread / 2 ) );
@@ -45,11 +45,11 @@
 }
 
 span_group::span_group( context& shared,
-                        core::request_id request,
+                        std::string name,
                         core::token_count prompt_tokens,
                         core::token_count output_tokens,
                         core::instant deadline )
-    : shared_( shared ), request_( std::move( request ) ),
+    : shared_( shared ), name_( std::move( name ) ),
       prompt_tokens_( prompt_tokens.count() ),
       output_tokens_( output_tokens.count() ), deadline_( deadline )
 {
@@ -58,7 +58,7 @@
 span_group::~span_group()
 {
     core::check_invariant( core::invariant::memory_is_returned, spans_.empty(),
-                           "a group of " + request_.str() + " was dropped" );
+                           "a group of " + name_ + " was dropped" );
     release();
 }
 
@@ -169,7 +169,7 @@
             for ( auto i = std::size_t{ 0 }; i < spans_.size(); ++i )
             {
                 spans_[i].id = core::reservation_id(
-                    request_.str() + "/" + std::to_string( round ) + "/" +
+                    name_ + "/" + std::to_string( round ) + "/" +
                     std::to_string( i ) );
             }
             to_ask = spans_;
@@ -239,7 +239,7 @@
 auto span_group::try_later( std::string const& why ) -> void
 {
     auto const now = shared_.clock.now();
-    auto const when = now + pause_before( request_, round_ );
+    auto const when = now + pause_before( name_, round_ );
     // Reading still has to fit in behind the pause.
     if ( when >= deadline_ - ( deadline_ - now ) / 2 )
     {
--- a/src/pollenstream/sessions/span_group.hpp
+++ b/src/pollenstream/sessions/span_group.hpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace pollenstream::sessions
@@ -29,8 +30,9 @@
 public:
     using ready = std::function<void( core::result<void> )>;
 
+    /// `name` is this group's own: groups of one request may meet at engines.
     span_group( context& shared,
-                core::request_id request,
+                std::string name,
                 core::token_count prompt_tokens,
                 core::token_count output_tokens,
                 core::instant deadline );
@@ -78,7 +80,7 @@
     auto give_back( span_list const& spans ) -> void;
 
     context& shared_;
-    core::request_id request_;
+    std::string name_;
     std::int64_t prompt_tokens_;
     std::int64_t output_tokens_;
     core::instant deadline_;
--- a/tests/sessions/span_group_test.cpp
+++ b/tests/sessions/span_group_test.cpp
@@ -1,4 +1,4 @@
-#include "support/test_fleet.hpp"
+#include "support/scripted_fleet.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -120,3 +120,20 @@
     CHECK( answer->is_complete() );
     CHECK( answer->text() == expected_answer( prompt, 32 ) );
 }
+
+TEST_CASE( "groups of one request hold memory under names of their own",
+           "[spans]" )
+{
+    // A release of the first group that comes late must not free the second.
+    auto s = scripted_fleet( 4, 100'000 );
+    s.engines.holds_fills = true;
+    s.send( 250'000, patient_profile() );
+    auto const first = s.engines.reserved;
+    REQUIRE_FALSE( first.empty() );
+    for ( auto const& each : std::exchange( s.engines.fills, {} ) )
+        each( core::error{ core::error_code::failed, "scripted" } );
+    auto const second = s.engines.reserved;
+    REQUIRE_FALSE( second.empty() );
+    for ( auto const& each : first )
+        CHECK_FALSE( second.contains( each ) );
+}
