A silent engine stays open until another one speaks

What callers saw: an answer that had begun was ended as target-failed or no-target some 12 s after its engine had last spoken, with minutes of the caller's time left, though the engine lived and went on. The same where the engine that was found instead could not be reached or refused.

Cause: silence was taken for the engine's end. `recover_silent_stream` handed a stream that was silent twice to `retry_elsewhere`, which cancelled it and then asked whether there was a repeat, budget, target and memory to go on with. A group of engines gave its memory back before another could have it. The class: what one has is given up before what replaces it is had.

Why it works: the silent attempt stays open beside at most one other. The first to send a token that fits is kept and the other cancelled, under one lock, so that no token of the other can follow; the assembly checks number and position as before. An attempt that fails leaves the other. A target is chosen, with memory, before a repeat is taken; a group that has begun no reading gives the repeat back. Targets with an open attempt are never chosen again, since an engine has one run of a request. "Not run" holds: what is cancelled may have run, and what is open is not told about. A session that waits on one engine reads on over a further connection each 5 s, since a connection may be forgotten more than once.

Ruled out: to leave the silent engine at the choice of another. The next engine's failure would still end the answer.

--- a/src/pollenstream/admission/retry_budget.hpp
+++ b/src/pollenstream/admission/retry_budget.hpp
@@ -15,8 +15,12 @@
     auto note_request() -> void;
     /// Takes one retry; false where the budget is empty.
     auto take() -> bool;
+    /// A retry that was taken has not been sent.
+    auto give_back() -> void;
 
 private:
+    auto add( std::int64_t credit ) -> void;
+
     static constexpr auto cost = std::int64_t{ 10 };
     static constexpr auto most = std::int64_t{ 100 } * cost;
 
--- a/src/pollenstream/sessions/session.cpp
+++ b/src/pollenstream/sessions/session.cpp
@@ -126,7 +126,7 @@
     core::check_invariant( core::invariant::ends_in_time, finished_,
                            "session of " + id_.str() + " dropped open" );
     core::check_invariant( core::invariant::memory_is_returned,
-                           !current_ && !group_,
+                           !current_ && !silent_ && !preparing_,
                            "session of " + id_.str() + " holds an attempt" );
     shared_.open_sessions.fetch_sub( 1 );
 }
@@ -192,6 +192,28 @@
                                  } );
 }
 
+/// A choice out of all targets where each has been tried: one that failed may
+/// work again. Where an attempt is open no other is made.
+auto session::choose_again() -> std::optional<routing::target_choice>
+{
+    auto choice = choose_target();
+    if ( choice )
+        return choice;
+    tried_ = open_ids();
+    return choose_target();
+}
+
+auto session::open_ids() const -> std::vector<core::target_id>
+{
+    auto ids = std::vector<core::target_id>{};
+    for ( auto const* const each : { &current_, &silent_ } )
+    {
+        if ( *each )
+            ids.push_back( ( *each )->choice.chosen->identity().id );
+    }
+    return ids;
+}
+
 auto session::admit() -> std::optional<ports::answer_end>
 {
     auto const time_left = deadline_ - shared_.clock.now();
@@ -226,13 +248,7 @@
 
 auto session::open_single() -> void
 {
-    auto choice = choose_target();
-    if ( !choice && !tried_.empty() )
-    {
-        // Every target has been tried: one that failed may work again.
-        tried_.clear();
-        choice = choose_target();
-    }
+    auto choice = choose_again();
     if ( !choice )
     {
         finish( ran_ ? failure( "no-target", "no target is left to go on" )
@@ -245,7 +261,48 @@
         park( *choice );
         return;
     }
-    send_attempt( std::move( *choice ) );
+    send_attempt( std::move( *choice ), nullptr );
+}
+
+/// Looks for a target to answer instead of a silent engine, which stays open:
+/// it may live, and the target that is found may be no better.
+auto session::open_beside() -> void
+{
+    if ( preparing_ || !may_retry() )
+        return;
+    if ( needs_span_group() )
+    {
+        // A third group would hold memory beside the two.
+        if ( !silent_ && shared_.retries.take() )
+            open_group();
+        return;
+    }
+    auto choice = choose_again();
+    auto const can_take = choice && choice->has_memory;
+    if ( !can_take || !shared_.retries.take() )
+        return;
+    shared_.metrics.retries.add();
+    set_aside();
+    send_attempt( std::move( *choice ), nullptr );
+}
+
+/// Makes room for one more attempt. Of two silent ones the first, which has
+/// had more time, is kept.
+auto session::set_aside() -> void
+{
+    if ( silent_ )
+        end_attempt( current_, true );
+    else
+        silent_ = std::exchange( current_, std::nullopt );
+}
+
+/// True where a silent engine is still open, which may go on.
+auto session::go_back() -> bool
+{
+    if ( !silent_ )
+        return false;
+    current_ = std::exchange( silent_, std::nullopt );
+    return true;
 }
 
 auto session::park( routing::target_choice const& best ) -> void
@@ -279,17 +336,29 @@
 
 auto session::open_group() -> void
 {
-    group_ = std::make_shared<span_group>(
+    auto const group = std::make_shared<span_group>(
         shared_, id_.str() + "/" + std::to_string( ++groups_ ),
         prompt_tokens_ + core::token_count( answer_.position() ),
         max_output_ - core::token_count( answer_.position() ), deadline_ );
+    preparing_ = group;
     auto const self = shared_from_this();
-    auto const group = group_;
-    group_->prepare( profile_.service,
-                     [self, group]( core::result<void> status )
-                     {
-                         self->on_group_ready( group, std::move( status ) );
-                     } );
+    // An engine runs one attempt of a request: a second would end the first.
+    group->prepare( profile_.service, open_ids(),
+                    [self, group]( core::result<void> status )
+                    {
+                        self->on_group_ready( group, std::move( status ) );
+                    } );
+}
+
+/// Gives a group up that is not needed any more.
+auto session::drop_preparing() -> void
+{
+    auto const group = std::exchange( preparing_, nullptr );
+    if ( !group )
+        return;
+    if ( ( current_ || silent_ ) && !group->started() )
+        shared_.retries.give_back();
+    group->release();
 }
 
 auto session::on_group_ready( std::shared_ptr<span_group> const& group,
@@ -297,34 +366,51 @@
 {
     auto const lock = std::scoped_lock( mutex_ );
     ran_ = ran_ || group->started();
-    if ( finished_ || group != group_ )
+    if ( finished_ || group != preparing_ )
     {
         group->release();
         return;
     }
+    preparing_.reset();
     if ( !status )
     {
-        group_.reset();
-        if ( group->started() )
-            retry_elsewhere( status.error() );
-        else
-            finish( ran_ ? failure( "no-memory", status.error().detail )
-                         : refusal( "no-memory", status.error().detail,
-                                    core::duration( 10s ) ) );
+        on_group_failed( group->started(), status.error() );
         return;
     }
+    if ( current_ )
+    {
+        shared_.metrics.retries.add();
+        set_aside();
+    }
     auto choice = routing::target_choice{};
     choice.chosen = group->lead();
     choice.cached_tokens = prompt_tokens_.count() + answer_.position();
-    send_attempt( std::move( choice ) );
+    send_attempt( std::move( choice ), group );
 }
 
-auto session::make_engine_request( core::attempt_number number ) const
+auto session::on_group_failed( bool started, core::error const& why ) -> void
+{
+    if ( current_ )
+    {
+        // The silent engine may still speak.
+        if ( !started )
+            shared_.retries.give_back();
+        return;
+    }
+    if ( started )
+        retry_elsewhere( why );
+    else
+        finish(
+            ran_ ? failure( "no-memory", why.detail )
+                 : refusal( "no-memory", why.detail, core::duration( 10s ) ) );
+}
+
+auto session::make_engine_request( attempt const& of ) const
     -> ports::engine_request
 {
     auto r = ports::engine_request{};
     r.request = id_;
-    r.attempt = number;
+    r.attempt = of.number;
     r.owner = shared_.self;
     r.priority = profile_.order;
     r.prompt = wanted_.prompt;
@@ -334,16 +420,17 @@
     r.from_position = answer_.position();
     r.max_tokens = max_output_;
     r.time_left = deadline_ - shared_.clock.now();
-    if ( group_ )
-        r.spans = group_->reservations();
+    if ( of.group )
+        r.spans = of.group->reservations();
     return r;
 }
 
-auto session::send_attempt( routing::target_choice choice ) -> void
+auto session::send_attempt( routing::target_choice choice,
+                            std::shared_ptr<span_group> group ) -> void
 {
     auto const now = shared_.clock.now();
     auto const number = core::attempt_number( ++attempts_ );
-    auto const in_group = group_ != nullptr;
+    auto const in_group = group != nullptr;
     if ( attempts_ == 1 )
         shared_.metrics.queue_time.add( core::seconds_of( now - admitted_ ) );
     auto work = routing::dispatched_work{};
@@ -362,13 +449,14 @@
         shared_.policy.note_dispatch( choice, shape(), now );
     tried_.push_back( choice.chosen->identity().id );
     auto const endpoint = choice.chosen->endpoint();
-    current_ = attempt{ number, std::move( choice ), work, now, ran_ };
-    ran_ = true;
+    current_ =
+        attempt{ number, std::move( choice ), work, now, std::move( group ) };
     auto const over = current_->latest.number;
     auto listener =
         std::make_shared<attempt_listener>( shared_from_this(), number, over );
     add_stream( number, over,
-                shared_.engines.open( endpoint, make_engine_request( number ),
+                shared_.engines.open( endpoint,
+                                      make_engine_request( *current_ ),
                                       std::move( listener ) ) );
     if ( current_ && !in_group )
         arm_stall_check();
@@ -388,7 +476,12 @@
 
 auto session::find_attempt( core::attempt_number number ) -> attempt*
 {
-    return current_ && current_->number == number ? &*current_ : nullptr;
+    for ( auto* const each : { &current_, &silent_ } )
+    {
+        if ( *each && ( *each )->number == number )
+            return &**each;
+    }
+    return nullptr;
 }
 
 auto session::arm_stall_check() -> void
@@ -419,7 +512,7 @@
     // it said. The little that it has read there is worth less than the wait.
     ++moves_;
     shared_.metrics.moves.add();
-    end_attempt( true );
+    end_attempt( current_, true );
     open_next();
 }
 
@@ -437,7 +530,10 @@
     }
     which->heard = shared_.clock.now();
     if ( take_events( *which, events ) )
+    {
         go_on_over( *which, over );
+        go_on_with( *which );
+    }
     flush();
 }
 
@@ -475,6 +571,18 @@
     spoken.former.reset();
 }
 
+/// The attempt that has spoken is kept, and no other.
+auto session::go_on_with( attempt& spoken ) -> void
+{
+    if ( silent_ )
+    {
+        if ( spoken.number == silent_->number )
+            std::swap( current_, silent_ );
+        end_attempt( silent_, true );
+    }
+    drop_preparing();
+}
+
 auto session::flush() -> void
 {
     if ( !answer_.has_ready() )
@@ -529,17 +637,24 @@
         finish( end );
         return;
     }
-    if ( keeps_other_connection( *which, over ) )
-        return;
     auto why = core::error{ core::error_code::connection_lost,
                             "the stream ended before its last event" };
     if ( !status )
         why = status.error();
+    auto const is_new = which->latest.number == over;
+    if ( keeps_other_connection( *which, over ) )
+    {
+        // A new connection that ends has not shown the engine to be well.
+        if ( is_new )
+            on_twice_silent( *which, why.code );
+        return;
+    }
     auto const may_still_run = !core::proves_not_run( why.code ) &&
                                why.code != core::error_code::failed;
-    if ( may_still_run && resume( *which, false ) )
-        return;
-    retry_elsewhere( why );
+    if ( may_still_run && !which->resumed_at )
+        resume( *which, false );
+    else
+        lose( *which, why );
 }
 
 /// True where the engine may still speak over another connection than the one
@@ -554,42 +669,50 @@
     return true;
 }
 
-/// Reads on over a new connection, once. The one so far may stay beside it
-/// until one of them speaks: they carry the same run's events.
-auto session::resume( attempt& which, bool keeps_former ) -> bool
+/// Reads on over a new connection. The first one, where it has not ended, stays
+/// beside it until one of them speaks: they carry the same run's events.
+auto session::resume( attempt& which, bool keeps_former ) -> void
 {
-    if ( which.resumed )
-        return false;
-    which.resumed = true;
-    which.heard = shared_.clock.now();
+    auto const now = shared_.clock.now();
+    if ( !which.resumed_at )
+        which.heard = now;
+    which.resumed_at = now;
     shared_.metrics.resumes.add();
-    if ( keeps_former )
+    if ( keeps_former && !which.former )
         which.former = which.latest;
+    else if ( which.latest.stream )
+        which.latest.stream->detach();
     auto const number = which.number;
-    auto const over = ++which.latest.number;
+    auto const over = ++which.connections;
+    which.latest.number = over;
     auto const endpoint = which.choice.chosen->endpoint();
     auto listener =
         std::make_shared<attempt_listener>( shared_from_this(), number, over );
     add_stream( number, over,
-                shared_.engines.resume( endpoint, make_engine_request( number ),
+                shared_.engines.resume( endpoint, make_engine_request( which ),
                                         std::move( listener ) ) );
-    return true;
 }
 
-auto session::retry_elsewhere( core::error const& why ) -> void
+/// Ends an attempt whose engine will not go on with it.
+auto session::lose( attempt const& which, core::error const& why ) -> void
 {
     auto const not_run = core::proves_not_run( why.code );
-    if ( current_ )
-    {
-        suspect( *current_->choice.chosen, why.code, shared_.clock.now() );
-        ran_ = current_->ran_before || !not_run;
-    }
-    end_attempt( !not_run );
-    if ( group_ )
-        group_->release();
-    group_.reset();
-    auto const may_retry = attempts_ - moves_ <= profile_.retries;
-    if ( !may_retry || !shared_.retries.take() )
+    suspect( *which.choice.chosen, why.code, shared_.clock.now() );
+    auto const is_silent_one = silent_ && which.number == silent_->number;
+    end_attempt( is_silent_one ? silent_ : current_, !not_run );
+    auto const goes_on = current_ || go_back() || preparing_;
+    if ( !goes_on )
+        retry_elsewhere( why );
+}
+
+auto session::may_retry() const -> bool
+{
+    return attempts_ - moves_ <= profile_.retries;
+}
+
+auto session::retry_elsewhere( core::error const& why ) -> void
+{
+    if ( !may_retry() || !shared_.retries.take() )
     {
         finish( ran_ ? failure( "target-failed", why.detail )
                      : refusal( "no-target", why.detail,
@@ -663,10 +786,27 @@
 {
     // The connection may have been forgotten by something between the two
     // ends while the engine is well: a new one shows which.
-    if ( resume( *current_, true ) )
+    if ( !current_->resumed_at )
+    {
+        resume( *current_, true );
         return;
-    retry_elsewhere( core::error{ core::error_code::timed_out,
-                                  "the stream went silent twice" } );
+    }
+    auto const number = current_->number;
+    on_twice_silent( *current_, core::error_code::timed_out );
+    auto const is_left_alone = current_ && current_->number == number;
+    auto const now = shared_.clock.now();
+    if ( is_left_alone && now - *current_->resumed_at > silence_limit )
+        resume( *current_, true );
+}
+
+/// Takes the engine out of choice until it answers a probe, and looks for
+/// another to answer before it.
+auto session::on_twice_silent( attempt& which, core::error_code why ) -> void
+{
+    if ( !std::exchange( which.suspected, true ) )
+        suspect( *which.choice.chosen, why, shared_.clock.now() );
+    if ( which.number == current_->number )
+        open_beside();
 }
 
 auto session::abandon( std::string const& reason ) -> void
@@ -676,22 +816,26 @@
         finish( failure( reason, "the request was ended: " + reason ) );
 }
 
-auto session::end_attempt( bool cancel ) -> void
+auto session::end_attempt( std::optional<attempt>& which, bool cancel ) -> void
 {
-    if ( !current_ )
-        return;
-    auto ended = std::move( *current_ );
-    current_.reset();
-    auto& chosen = *ended.choice.chosen;
-    if ( ended.prefill_counted )
-        chosen.end_prefill( ended.work );
-    chosen.end_dispatch( ended.work );
-    if ( ended.former && ended.former->stream )
-        ended.former->stream->detach();
-    if ( !cancel || !ended.latest.stream )
+    if ( !which )
         return;
-    shared_.metrics.cancels.add();
-    ended.latest.stream->cancel();
+    auto const ended = std::exchange( which, std::nullopt );
+    // What has to be cancelled may have run.
+    ran_ = ran_ || cancel;
+    auto& chosen = *ended->choice.chosen;
+    if ( ended->prefill_counted )
+        chosen.end_prefill( ended->work );
+    chosen.end_dispatch( ended->work );
+    if ( ended->former && ended->former->stream )
+        ended->former->stream->detach();
+    if ( cancel && ended->latest.stream )
+    {
+        shared_.metrics.cancels.add();
+        ended->latest.stream->cancel();
+    }
+    if ( ended->group )
+        ended->group->release();
 }
 
 auto session::failure( std::string reason, std::string detail ) const
@@ -730,10 +874,9 @@
                            id_.str() );
     core::check_invariant( core::invariant::answer_is_whole,
                            !complete || answer_.is_whole(), id_.str() );
-    end_attempt( !complete );
-    if ( group_ )
-        group_->release();
-    group_.reset();
+    drop_preparing();
+    end_attempt( current_, !complete );
+    end_attempt( silent_, !complete );
     if ( complete )
         shared_.metrics.completed.add();
     else if ( not_run )
--- a/src/pollenstream/sessions/session.hpp
+++ b/src/pollenstream/sessions/session.hpp
@@ -63,10 +63,12 @@
         core::attempt_number number;
         routing::target_choice choice;
         routing::dispatched_work work;
-        core::instant heard;      ///< opened, resumed, or last event
-        bool ran_before{ false }; ///< the request may have run before it
+        core::instant heard; ///< opened, first resumed, or last event
+        std::shared_ptr<span_group> group; ///< holds its prompt, if any
         bool prefill_counted{ true };
-        bool resumed{ false };
+        std::optional<core::instant> resumed_at; ///< over a new connection
+        bool suspected{ false };       ///< taken out of choice for its silence
+        std::int64_t connections{ 1 }; ///< made so far
         connection latest;
         /// Went silent, and is listened to until the latest has spoken.
         std::optional<connection> former;
@@ -76,19 +78,27 @@
 
     auto admit() -> std::optional<ports::answer_end>;
     auto choose_target() -> std::optional<routing::target_choice>;
+    auto choose_again() -> std::optional<routing::target_choice>;
     auto shape() const -> routing::work_shape;
     auto needs_span_group() const -> bool;
     auto open_next() -> void;
     auto open_single() -> void;
     auto park( routing::target_choice const& best ) -> void;
     auto open_again() -> void;
+    auto open_beside() -> void;
+    auto set_aside() -> void;
+    auto go_back() -> bool;
+    auto open_ids() const -> std::vector<core::target_id>;
     auto open_group() -> void;
+    auto drop_preparing() -> void;
     auto on_group_ready( std::shared_ptr<span_group> const& group,
                          core::result<void> status ) -> void;
-    auto send_attempt( routing::target_choice choice ) -> void;
+    auto on_group_failed( bool started, core::error const& why ) -> void;
+    auto send_attempt( routing::target_choice choice,
+                       std::shared_ptr<span_group> group ) -> void;
     auto arm_stall_check() -> void;
     auto on_stall_check( core::attempt_number number ) -> void;
-    auto make_engine_request( core::attempt_number number ) const
+    auto make_engine_request( attempt const& of ) const
         -> ports::engine_request;
 
     auto find_attempt( core::attempt_number number ) -> attempt*;
@@ -101,13 +111,16 @@
     auto take_events( attempt& from,
                       std::vector<ports::engine_event> const& events ) -> bool;
     auto go_on_over( attempt& spoken, std::int64_t over ) -> void;
+    auto go_on_with( attempt& spoken ) -> void;
     auto flush() -> void;
     auto note_first_token() -> void;
     auto on_stream_end( core::attempt_number from,
                         std::int64_t over,
                         core::result<void> status ) -> void;
     auto keeps_other_connection( attempt& of, std::int64_t ended ) -> bool;
-    auto resume( attempt& which, bool keeps_former ) -> bool;
+    auto resume( attempt& which, bool keeps_former ) -> void;
+    auto lose( attempt const& which, core::error const& why ) -> void;
+    auto may_retry() const -> bool;
     auto retry_elsewhere( core::error const& why ) -> void;
 
     auto arm_deadline() -> void;
@@ -115,8 +128,9 @@
     auto on_keep_alive() -> void;
     auto is_silent( core::instant now ) const -> bool;
     auto recover_silent_stream() -> void;
+    auto on_twice_silent( attempt& which, core::error_code why ) -> void;
 
-    auto end_attempt( bool cancel ) -> void;
+    auto end_attempt( std::optional<attempt>& which, bool cancel ) -> void;
     auto finish( ports::answer_end const& end ) -> void;
     auto failure( std::string reason, std::string detail ) const
         -> ports::answer_end;
@@ -140,13 +154,15 @@
     core::instant admitted_;
     core::instant deadline_;
     std::optional<attempt> current_;
-    std::shared_ptr<span_group> group_;
+    /// Was silent for too long; goes on if it speaks before `current_` does.
+    std::optional<attempt> silent_;
+    std::shared_ptr<span_group> preparing_; ///< reserving or reading
     std::vector<core::target_id> tried_;
     std::int64_t attempts_{ 0 };
     std::int64_t groups_{ 0 };
     std::int64_t moves_{ 0 };
     std::optional<core::instant> last_token_;
-    bool ran_{ false }; ///< an engine may have started on it
+    bool ran_{ false }; ///< an engine that was left may have started on it
     bool finished_{ false };
 };
 
--- a/src/pollenstream/sessions/span_group.cpp
+++ b/src/pollenstream/sessions/span_group.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
@@ -62,38 +63,43 @@
     release();
 }
 
-auto span_group::prepare( core::service_id const& service, ready callback )
-    -> void
+auto span_group::prepare( core::service_id const& service,
+                          std::vector<core::target_id> avoided,
+                          ready callback ) -> void
 {
     {
         auto const lock = std::scoped_lock( mutex_ );
         service_ = service;
+        avoided_ = std::move( avoided );
         callback_ = std::move( callback );
     }
     try_reserve();
 }
 
-auto span_group::alive_targets( core::service_id const& service ) const
+auto span_group::usable_targets( core::service_id const& service ) const
     -> routing::target_list
 {
+    auto const is_usable = [this]( std::shared_ptr<routing::target> const& t )
+    {
+        return t->phase() == routing::target_phase::alive &&
+               std::find( avoided_.begin(), avoided_.end(),
+                          t->identity().id ) == avoided_.end();
+    };
     return shared_.targets.read( service,
-                                 []( routing::target_list const& all )
+                                 [&]( routing::target_list const& all )
                                  {
-                                     auto alive = routing::target_list{};
-                                     for ( auto const& each : all )
-                                     {
-                                         if ( each->phase() ==
-                                              routing::target_phase::alive )
-                                             alive.push_back( each );
-                                     }
-                                     return alive;
+                                     auto usable = routing::target_list{};
+                                     std::copy_if( all.begin(), all.end(),
+                                                   std::back_inserter( usable ),
+                                                   is_usable );
+                                     return usable;
                                  } );
 }
 
 auto span_group::plan( core::service_id const& service ) -> bool
 {
     auto const now = shared_.clock.now();
-    auto candidates = alive_targets( service );
+    auto candidates = usable_targets( service );
     // Away from the targets that are kept clear, as far as the others reach;
     // then the least busy first, and the emptiest of these.
     auto const order = [&]( std::shared_ptr<routing::target> const& t )
--- a/src/pollenstream/sessions/span_group.hpp
+++ b/src/pollenstream/sessions/span_group.hpp
@@ -43,7 +43,10 @@
     /// Reserves, then reads the prompt at all engines at once. Calls back once
     /// with success, or with why it was given up. `none_started` tells whether
     /// any engine was asked to read.
-    auto prepare( core::service_id const& service, ready callback ) -> void;
+    /// No span is placed at an engine of `avoided`.
+    auto prepare( core::service_id const& service,
+                  std::vector<core::target_id> avoided,
+                  ready callback ) -> void;
 
     /// Gives all memory back. May be called twice, and at any time.
     auto release() -> void;
@@ -65,7 +68,7 @@
     };
     using span_list = std::vector<span>;
 
-    auto alive_targets( core::service_id const& service ) const
+    auto usable_targets( core::service_id const& service ) const
         -> routing::target_list;
     auto plan( core::service_id const& service ) -> bool;
     auto place_spans( routing::target_list const& candidates, double part )
@@ -85,6 +88,7 @@
     std::int64_t output_tokens_;
     core::instant deadline_;
     core::service_id service_;
+    std::vector<core::target_id> avoided_;
 
     mutable std::mutex mutex_;
     span_list spans_;
--- a/tests/sessions/silent_engine_test.cpp
+++ b/tests/sessions/silent_engine_test.cpp
@@ -48,6 +48,19 @@
         return *found;
     }
 
+    /// The connections of one attempt, in order.
+    auto attempt( std::int64_t number )
+        -> std::vector<std::shared_ptr<scripted_stream>>
+    {
+        auto found = std::vector<std::shared_ptr<scripted_stream>>{};
+        for ( auto const& each : engines.all )
+        {
+            if ( each->request.attempt == core::attempt_number( number ) )
+                found.push_back( each );
+        }
+        return found;
+    }
+
     /// The first engine goes on and ends the answer.
     auto first_goes_on() -> void
     {
@@ -75,7 +88,7 @@
     REQUIRE( s.engines.all.size() == 2 );
     REQUIRE( s.stream( 1 ).resumed );
     CHECK_FALSE( s.stream( 0 ).detached );
-    auto speaks = std::size_t{ 0 };
+    auto is_kept = true;
 
     SECTION( "the new one cannot be made" )
     {
@@ -95,7 +108,7 @@
     SECTION( "the old one ends" )
     {
         s.stream( 0 ).lose( error_code::connection_lost );
-        speaks = 1;
+        is_kept = false;
     }
     SECTION( "the new one speaks" )
     {
@@ -108,10 +121,268 @@
         return;
     }
     REQUIRE_FALSE( s.answer->end() );
-    s.stream( speaks ).write( 1 );
-    s.stream( speaks ).write( 2 );
-    s.stream( speaks ).complete( 3 );
+    s.time.advance( one_silence );
+    REQUIRE_FALSE( s.answer->end() );
+    auto& speaks = is_kept ? s.stream( 0 ) : s.last_of( "a" );
+    speaks.write( 1 );
+    speaks.write( 2 );
+    speaks.complete( 3 );
+    CHECK( s.answer->is_complete() );
+    CHECK( s.counted_work() == 0 );
+    CHECK( s.engines.open_attempts() == 0 );
+}
+
+TEST_CASE( "an answer that has begun is not ended by its engine's silence",
+           "[sessions][silence]" )
+{
+    auto const lack = GENERATE( as<std::string>(), "no repeat", "no budget",
+                                "no other engine", "no memory" );
+    INFO( lack );
+    auto profile = patient_profile();
+    if ( lack == "no repeat" )
+        profile.retries = 0;
+    auto s = begun_answer( lack == "no other engine" ? 1 : 2, profile );
+    auto const silent = s.stream( 0 ).engine;
+    if ( lack == "no budget" )
+        s.use_retries_up();
+    if ( lack == "no memory" )
+        s.say_memory( silent == "a" ? "b" : "a", 400'000 );
+    s.time.advance( two_silences );
+    CHECK_FALSE( s.answer->end() );
+    CHECK( s.engines.open_attempts() == 1 );
+    SECTION( "and it goes on" )
+    {
+        s.time.advance( 1min );
+        s.first_goes_on();
+        CHECK( s.answer->is_complete() );
+        CHECK( s.answer->text() == s.text_of( silent, silent ) );
+    }
+    SECTION( "and its time is over" )
+    {
+        s.time.advance( 11min );
+        REQUIRE( s.answer->end() );
+        CHECK( s.answer->end()->reason == "deadline" );
+        CHECK( s.last_of( silent ).cancelled );
+    }
+    CHECK( s.counted_work() == 0 );
+    CHECK( s.engines.open_attempts() == 0 );
+}
+
+TEST_CASE( "a silent engine with nothing beside it is asked again and again",
+           "[sessions][silence]" )
+{
+    auto s = begun_answer( 1 );
+    s.time.advance( 31s );
+    // Each new one takes the place of the last; the first is kept.
+    CHECK( s.engines.all.size() == 6 );
+    CHECK( s.stream( 0 ).is_open() );
+    CHECK_FALSE( s.stream( 4 ).is_open() );
+    CHECK( s.metrics.resumes.value() == 5 );
+    s.stream( 5 ).write( 1 );
+    CHECK_FALSE( s.stream( 0 ).is_open() );
+    s.stream( 5 ).write( 2 );
+    s.stream( 5 ).complete( 3 );
+    CHECK( s.answer->is_complete() );
+    CHECK( s.counted_work() == 0 );
+}
+
+TEST_CASE( "of a silent engine and the one found instead, the first to speak "
+           "goes on",
+           "[sessions][silence]" )
+{
+    auto s = begun_answer( 2 );
+    s.time.advance( two_silences );
+    REQUIRE( s.attempt( 2 ).size() == 1 );
+    auto& second = *s.attempt( 2 ).front();
+    auto const silent = s.stream( 0 ).engine;
+    CHECK( second.engine != silent );
+    CHECK( second.request.from_position == 1 );
+    CHECK( second.request.attempt == core::attempt_number( 2 ) );
+    CHECK_FALSE( s.last_of( silent ).cancelled );
+    CHECK( s.engines.open_attempts() == 2 );
+    CHECK( s.counted_work() == 2 );
+
+    SECTION( "the silent one" )
+    {
+        s.first_goes_on();
+        CHECK( second.cancelled );
+        CHECK( s.answer->text() == s.text_of( silent, silent ) );
+    }
+    SECTION( "the other one" )
+    {
+        second.write( 1 );
+        CHECK( s.last_of( silent ).cancelled );
+        s.last_of( silent ).write( 1 );
+        second.write( 2 );
+        second.complete( 3 );
+        CHECK( s.answer->text() == s.text_of( silent, second.engine ) );
+    }
+    SECTION( "neither before the time is over" )
+    {
+        s.time.advance( 11min );
+        CHECK( s.answer->end()->reason == "deadline" );
+        CHECK( s.last_of( silent ).cancelled );
+        CHECK( s.last_of( second.engine ).cancelled );
+        CHECK( s.counted_work() == 0 );
+        return;
+    }
+    CHECK( s.answer->is_complete() );
+    CHECK( s.counted_work() == 0 );
+    CHECK( s.engines.open_attempts() == 0 );
+}
+
+TEST_CASE( "where the engine found instead fails, the silent one may go on",
+           "[sessions][silence]" )
+{
+    auto profile = patient_profile();
+    profile.retries = 1;
+    auto s = begun_answer( 2, profile );
+    s.time.advance( two_silences );
+    REQUIRE( s.attempt( 2 ).size() == 1 );
+    auto const silent = s.stream( 0 ).engine;
+    s.attempt( 2 ).front()->lose( GENERATE(
+        error_code::unreachable, error_code::refused, error_code::failed,
+        error_code::not_found, error_code::connection_lost ) );
+    if ( s.attempt( 2 ).size() == 2 )
+        s.attempt( 2 ).back()->lose( error_code::unreachable );
+    s.time.advance( 1min );
+    REQUIRE_FALSE( s.answer->end() );
+    s.first_goes_on();
+    CHECK( s.answer->is_complete() );
+    CHECK( s.answer->text() == s.text_of( silent, silent ) );
+    CHECK( s.counted_work() == 0 );
+}
+
+TEST_CASE( "a silent engine that breaks after all leaves the one found instead",
+           "[sessions][silence]" )
+{
+    auto s = begun_answer( 2 );
+    s.time.advance( two_silences );
+    REQUIRE( s.attempt( 2 ).size() == 1 );
+    for ( auto const& each : s.attempt( 1 ) )
+        each->lose( error_code::connection_lost );
+    CHECK( s.counted_work() == 1 );
+    auto& second = *s.attempt( 2 ).front();
+    second.write( 1 );
+    second.write( 2 );
+    second.complete( 3 );
+    CHECK( s.answer->is_complete() );
+    CHECK( s.counted_work() == 0 );
+}
+
+TEST_CASE( "one attempt at most is open beside a silent engine",
+           "[sessions][silence]" )
+{
+    auto s = begun_answer( 4 );
+    auto const silent = s.stream( 0 ).engine;
+    for ( auto passed = 0s; passed < 2min; passed += 1s )
+    {
+        s.time.advance( 1s );
+        CHECK( s.engines.open_attempts() <= 2 );
+    }
+    // Three repeats, each at another engine.
+    CHECK( s.metrics.retries.value() == 3 );
+    CHECK_FALSE( s.answer->end() );
+    s.first_goes_on();
+    CHECK( s.answer->is_complete() );
+    CHECK( s.answer->text() == s.text_of( silent, silent ) );
+    CHECK( s.counted_work() == 0 );
+}
+
+TEST_CASE( "a group of engines is not ended by the silence of the one that "
+           "writes",
+           "[sessions][silence][spans]" )
+{
+    constexpr auto engine_memory = 100'000;
+    auto profile = patient_profile();
+    auto engines = 4;
+    SECTION( "with no repeat left" )
+    {
+        profile.retries = 0;
+    }
+    SECTION( "with no memory for another group" ) {}
+    auto s = begun_answer( engines, profile, long_prompt, engine_memory );
+    auto const held = s.engines.reserved;
+    REQUIRE( held.size() > 1 );
+    if ( profile.retries > 0 )
+        s.engines.refuses_memory = true;
+    s.time.advance( two_silences );
+    REQUIRE_FALSE( s.answer->end() );
+    CHECK( s.engines.reserved == held );
+    s.time.advance( 1min );
+    s.first_goes_on();
+    CHECK( s.answer->is_complete() );
+    s.time.advance( 1min );
+    CHECK( s.engines.reserved.empty() );
+    CHECK( s.counted_work() == 0 );
+}
+
+TEST_CASE( "of a silent group and the one found instead, the first to speak "
+           "goes on",
+           "[sessions][silence][spans]" )
+{
+    constexpr auto engine_memory = 100'000;
+    auto s = begun_answer( 8, patient_profile(), long_prompt, engine_memory );
+    auto const first_group = s.engines.reserved;
+    auto const silent = s.stream( 0 ).engine;
+    s.engines.holds_fills = true;
+    s.time.advance( two_silences );
+    REQUIRE( s.engines.reserved.size() > first_group.size() );
+    REQUIRE_FALSE( s.engines.fills.empty() );
+    auto const read_all = [&]( core::result<void> const& status )
+    {
+        for ( auto const& each : std::vector( s.engines.fills ) )
+            each( status );
+        s.engines.fills.clear();
+    };
+
+    SECTION( "the silent one, while the other reads" )
+    {
+        s.first_goes_on();
+        read_all( core::success() );
+        CHECK( s.attempt( 2 ).empty() );
+    }
+    SECTION( "the silent one, since the other cannot read" )
+    {
+        read_all( core::error{ error_code::connection_lost, "scripted" } );
+        CHECK_FALSE( s.answer->end() );
+        CHECK( s.engines.reserved == first_group );
+        s.first_goes_on();
+    }
+    SECTION( "the silent one, after the other has read" )
+    {
+        read_all( core::success() );
+        REQUIRE( s.attempt( 2 ).size() == 1 );
+        CHECK( s.attempt( 2 ).front()->engine != silent );
+        s.first_goes_on();
+        CHECK( s.attempt( 2 ).front()->cancelled );
+    }
+    SECTION( "the other one" )
+    {
+        read_all( core::success() );
+        REQUIRE( s.attempt( 2 ).size() == 1 );
+        CHECK( s.engines.open_attempts() == 2 );
+        auto& second = *s.attempt( 2 ).front();
+        second.write( 1 );
+        CHECK( s.attempt( 1 ).back()->cancelled );
+        for ( auto const& each : first_group )
+            CHECK_FALSE( s.engines.reserved.contains( each ) );
+        second.write( 2 );
+        second.complete( 3 );
+    }
+    SECTION( "the other one, after the silent one has broken" )
+    {
+        for ( auto const& each : std::vector( s.engines.all ) )
+            each->lose( error_code::connection_lost );
+        CHECK_FALSE( s.answer->end() );
+        read_all( core::success() );
+        REQUIRE( s.attempt( 2 ).size() == 1 );
+        auto& second = *s.attempt( 2 ).front();
+        second.write( 1 );
+        second.write( 2 );
+        second.complete( 3 );
+    }
     CHECK( s.answer->is_complete() );
+    CHECK( s.engines.reserved.empty() );
     CHECK( s.counted_work() == 0 );
-    CHECK( s.engines.all.size() == 2 );
 }
