An answer that goes on elsewhere is not moved while it is written

What callers saw: a gap of some hundred milliseconds in an answer to a small prompt, up to three times, after its first engine had failed.

Cause: an attempt counts as reading until its first token, and only the first token of the whole answer ended that. An engine that took a begun answer over was therefore stalled for the check of stalled prompts, however fast it wrote: it was cancelled and the answer sent to yet another. Its prompt also stayed in the count of unread tokens until the answer's end, and it was allowed the silence of an engine that has not begun.

Why it works: the first token that is taken from an attempt ends its reading.

--- a/src/pollenstream/sessions/session.cpp
+++ b/src/pollenstream/sessions/session.cpp
@@ -581,6 +581,9 @@
         end_attempt( silent_, true );
     }
     drop_preparing();
+    // The first token of an attempt, not only of the answer: it has read.
+    if ( std::exchange( current_->prefill_counted, false ) )
+        current_->choice.chosen->end_prefill( current_->work );
 }
 
 auto session::flush() -> void
@@ -605,9 +608,7 @@
 {
     auto const took = shared_.clock.now() - admitted_;
     shared_.metrics.add_first_token( prompt_tokens_, took );
-    auto& chosen = *current_->choice.chosen;
-    if ( std::exchange( current_->prefill_counted, false ) )
-        chosen.end_prefill( current_->work );
+    auto const& chosen = *current_->choice.chosen;
     shared_.policy.note_first_token( current_->choice, shape(), took );
     auto const predicted = core::seconds_of( current_->choice.first_token );
     if ( predicted > 0 )
--- a/tests/sessions/silent_engine_test.cpp
+++ b/tests/sessions/silent_engine_test.cpp
@@ -289,6 +289,28 @@
     CHECK( s.counted_work() == 0 );
 }
 
+TEST_CASE( "a small prompt whose answer goes on elsewhere stays where it is "
+           "written",
+           "[sessions][silence]" )
+{
+    auto s = begun_answer( 3, patient_profile(), small_prompt );
+    s.stream( 0 ).lose( error_code::failed );
+    REQUIRE( s.attempt( 2 ).size() == 1 );
+    auto& second = *s.attempt( 2 ).front();
+    second.write( 1 );
+    // Longer than reading it takes, so that only what is counted as unread is.
+    s.time.advance( 200ms );
+    CHECK( s.target( second.engine )->backlog( s.time.now() ) == 0 );
+    s.time.advance( stalled );
+    CHECK( s.metrics.moves.value() == 0 );
+    CHECK( s.engines.all.size() == 2 );
+    REQUIRE( second.is_open() );
+    second.write( 2 );
+    second.complete( 3 );
+    CHECK( s.answer->is_complete() );
+    CHECK( s.counted_work() == 0 );
+}
+
 TEST_CASE( "a group of engines is not ended by the silence of the one that "
            "writes",
            "[sessions][silence][spans]" )
