A stalled small prompt stays where it is until another engine speaks

What callers saw: a small prompt without a first token after half a second was ended as target-failed or no-memory, or lost its place in its engine's queue, though that engine would have answered.

Cause: `on_stall_check` cancelled the attempt before it asked for another target. Where none had the memory free the request waited with nothing open, or was failed; where all had been tried it was sent to the same engine again, last in the queue; where the next one could not be reached it was failed if the profile had no repeat left. The class: what one has is given up before what replaces it is had.

Why it works: the target is chosen first, and only one that has the memory free is sent to; the stalled attempt stays open beside it as a silent one does, and the first to send a token is kept. Where there is none it is looked again after as long. After an attempt that was found fails, the stalled one is watched again.

Ruled out: to cancel the stalled one as the other is sent. A found engine that cannot be reached would still end the request.

--- a/src/pollenstream/metrics/request_metrics.hpp
+++ b/src/pollenstream/metrics/request_metrics.hpp
@@ -64,7 +64,7 @@
     core::counter completed;
     core::counter failed;
     core::counter retries;
-    core::counter moves; ///< small prompts taken from a slow target
+    core::counter moves; ///< small prompts sent on beside a slow target
     core::counter parks; ///< waits for memory at any target
     core::counter resumes;
     core::counter cancels;
--- a/src/pollenstream/sessions/session.cpp
+++ b/src/pollenstream/sessions/session.cpp
@@ -302,6 +302,8 @@
     if ( !silent_ )
         return false;
     current_ = std::exchange( silent_, std::nullopt );
+    if ( current_->prefill_counted && !current_->group )
+        arm_stall_check();
     return true;
 }
 
@@ -509,11 +511,17 @@
     if ( !is_waiting )
         return;
     // What it was sent by was wrong: the engine has no room, or is slower than
-    // it said. The little that it has read there is worth less than the wait.
+    // it said. It may still be the first to answer.
+    auto choice = choose_again();
+    if ( !choice || !choice->has_memory )
+    {
+        arm_stall_check();
+        return;
+    }
     ++moves_;
     shared_.metrics.moves.add();
-    end_attempt( current_, true );
-    open_next();
+    set_aside();
+    send_attempt( std::move( *choice ), nullptr );
 }
 
 auto session::on_events( core::attempt_number from,
--- a/tests/sessions/silent_engine_test.cpp
+++ b/tests/sessions/silent_engine_test.cpp
@@ -311,6 +311,101 @@
     CHECK( s.counted_work() == 0 );
 }
 
+TEST_CASE( "a stalled small prompt stays where it is as long as no other can "
+           "take it",
+           "[sessions][silence]" )
+{
+    auto engines = GENERATE( 1, 2 );
+    auto s = scripted_fleet( engines );
+    auto profile = patient_profile();
+    profile.retries = 0;
+    s.send( small_prompt, profile );
+    REQUIRE( s.engines.all.size() == 1 );
+    for ( auto const* const id : { "a", "b" } )
+    {
+        if ( s.target( id ) )
+            s.say_memory( id, s.memory_tokens );
+    }
+    s.time.advance( 3 * stalled );
+    CHECK( s.engines.all.size() == 1 );
+    CHECK_FALSE( s.stream( 0 ).cancelled );
+    CHECK( s.metrics.moves.value() == 0 );
+
+    SECTION( "and it answers" )
+    {
+        s.stream( 0 ).write( 0 );
+        s.stream( 0 ).complete( 1 );
+        CHECK( s.answer->is_complete() );
+    }
+    SECTION( "and moves once another can" )
+    {
+        if ( engines == 1 )
+            return;
+        auto const other = s.stream( 0 ).engine == "a" ? "b" : "a";
+        s.say_memory( other, 0 );
+        s.time.advance( stalled );
+        REQUIRE( s.engines.all.size() == 2 );
+        CHECK( s.stream( 1 ).engine == other );
+        CHECK( s.metrics.moves.value() == 1 );
+        s.stream( 1 ).write( 0 );
+        CHECK( s.stream( 0 ).cancelled );
+        s.stream( 1 ).complete( 1 );
+        CHECK( s.answer->is_complete() );
+    }
+    CHECK( s.counted_work() == 0 );
+}
+
+TEST_CASE( "a stalled small prompt that is sent elsewhere is answered by the "
+           "first to speak",
+           "[sessions][silence]" )
+{
+    auto s = scripted_fleet( 2 );
+    auto profile = patient_profile();
+    profile.retries = 0;
+    s.send( small_prompt, profile );
+    s.time.advance( stalled );
+    REQUIRE( s.engines.all.size() == 2 );
+    CHECK_FALSE( s.stream( 0 ).cancelled );
+
+    SECTION( "the other fails" )
+    {
+        s.stream( 1 ).lose(
+            GENERATE( error_code::unreachable, error_code::refused ) );
+    }
+    SECTION( "the other is slower" ) {}
+    REQUIRE_FALSE( s.answer->end() );
+    s.stream( 0 ).write( 0 );
+    CHECK_FALSE( s.stream( 1 ).is_open() );
+    s.stream( 0 ).complete( 1 );
+    CHECK( s.answer->is_complete() );
+    CHECK( s.counted_work() == 0 );
+}
+
+TEST_CASE( "a stalled prompt that both engines refuse is told as not run",
+           "[sessions][silence]" )
+{
+    auto s = scripted_fleet( 2 );
+    auto profile = patient_profile();
+    profile.retries = 0;
+    s.send( small_prompt, profile );
+    s.time.advance( stalled );
+    REQUIRE( s.engines.all.size() == 2 );
+
+    SECTION( "the one found instead first" )
+    {
+        s.stream( 1 ).lose( error_code::unreachable );
+        s.stream( 0 ).lose( error_code::refused );
+    }
+    SECTION( "the stalled one first" )
+    {
+        s.stream( 0 ).lose( error_code::refused );
+        s.stream( 1 ).lose( error_code::unreachable );
+    }
+    REQUIRE( s.answer->end() );
+    CHECK( s.answer->end()->status == answer_status::not_run );
+    CHECK( s.counted_work() == 0 );
+}
+
 TEST_CASE( "a group of engines is not ended by the silence of the one that "
            "writes",
            "[sessions][silence][spans]" )
