A resume that is turned away does not prove that nothing ran

What callers saw: an answer of which they had a part ended as "not run", where its connection broke and the engine could not be reached again (or refused the new connection), and no repeat was left. What an engine had begun was not cancelled there.

Cause: an error that proves that a call did not start was taken for the whole attempt, also where the call was only the reading on over a new connection. The invariant `not_run_is_true` asks the same flag and saw nothing.

Evidence: "a request that an engine has begun is not told as not run" fails on the code before for both errors (status "not run" for "failed") and passes now, with the 31 other cases of tests/sessions that were built.

Why it works: after a resume no error of that kind counts as a proof; the attempt is cancelled and may have run.

--- a/src/pollenstream/sessions/session.cpp
+++ b/src/pollenstream/sessions/session.cpp
@@ -705,7 +705,8 @@
 /// Ends an attempt whose engine will not go on with it.
 auto session::lose( attempt const& which, core::error const& why ) -> void
 {
-    auto const not_run = core::proves_not_run( why.code );
+    // A resume that is turned away proves nothing of the run itself.
+    auto const not_run = !which.resumed_at && core::proves_not_run( why.code );
     suspect( *which.choice.chosen, why.code, shared_.clock.now() );
     auto const is_silent_one = silent_ && which.number == silent_->number;
     end_attempt( is_silent_one ? silent_ : current_, !not_run );
--- a/tests/sessions/silent_engine_test.cpp
+++ b/tests/sessions/silent_engine_test.cpp
@@ -503,3 +503,19 @@
     CHECK( s.engines.reserved.empty() );
     CHECK( s.counted_work() == 0 );
 }
+
+TEST_CASE( "a request that an engine has begun is not told as not run",
+           "[sessions][silence]" )
+{
+    auto profile = patient_profile();
+    profile.retries = 0;
+    auto s = begun_answer( 1, profile );
+    s.stream( 0 ).lose( error_code::connection_lost );
+    REQUIRE( s.engines.all.size() == 2 );
+    REQUIRE( s.stream( 1 ).resumed );
+    s.stream( 1 ).lose(
+        GENERATE( error_code::unreachable, error_code::refused ) );
+    REQUIRE( s.answer->end() );
+    CHECK( s.answer->end()->status == answer_status::failed );
+    CHECK( s.counted_work() == 0 );
+}
