An answer that has begun waits for memory until its deadline

What callers saw: an answer of which they had a part was ended as no-memory, with up to the predicted length of an answer left to go, where its engine had failed and no other had the memory free.

Cause: a request waits for memory only as long as the answer is predicted to come in time. That is right for callers that have heard nothing, who hear early when to come back; it was applied to answers that have begun, by a prediction of the target that has no room.

Why it works: the wait of a begun answer ends with the deadline, or before it when memory comes free.

--- a/src/pollenstream/sessions/session.cpp
+++ b/src/pollenstream/sessions/session.cpp
@@ -312,7 +312,9 @@
     // In an engine's queue it would wait for one engine's memory; here it
     // waits for the first that comes free at any of them.
     auto const now = shared_.clock.now();
-    auto const latest = deadline_ - best.finish;
+    // The caller who has a part of the answer loses nothing by waiting on.
+    auto const has_begun = answer_.position() > 0;
+    auto const latest = has_begun ? deadline_ : deadline_ - best.finish;
     auto const when = now + park_period;
     if ( when > latest )
     {
--- a/tests/sessions/silent_engine_test.cpp
+++ b/tests/sessions/silent_engine_test.cpp
@@ -504,6 +504,39 @@
     CHECK( s.counted_work() == 0 );
 }
 
+TEST_CASE( "an answer that has begun waits for memory until its time is over",
+           "[sessions][silence]" )
+{
+    auto profile = patient_profile();
+    profile.time_base = 2s;
+    profile.time_per_1k_tokens = 0ms;
+    profile.max_output = core::token_count( 100 );
+    auto s = begun_answer( 2, profile );
+    auto const first = s.stream( 0 ).engine;
+    auto const other = first == "a" ? "b" : "a";
+    s.say_memory( other, s.memory_tokens );
+    s.stream( 0 ).lose( error_code::failed );
+    REQUIRE( s.engines.all.size() == 1 );
+    // Less than the rest of the answer was predicted to take is left.
+    s.time.advance( 1'900ms );
+    REQUIRE_FALSE( s.answer->end() );
+
+    SECTION( "which comes free" )
+    {
+        s.say_memory( other, 0 );
+        s.time.advance( 50ms );
+        REQUIRE( s.engines.all.size() == 2 );
+        s.stream( 1 ).write( 1 );
+        s.stream( 1 ).complete( 2 );
+        CHECK( s.answer->is_complete() );
+    }
+    SECTION( "which does not" )
+    {
+        s.time.advance( 200ms );
+        CHECK( s.answer->end()->reason == "deadline" );
+    }
+}
+
 TEST_CASE( "a request that an engine has begun is not told as not run",
            "[sessions][silence]" )
 {
