A guard: a silent service call is waited for until its time is over

The plain calls were looked at for the fault of the model sessions (a living target is given up for its silence) and do not have it: a call that may be repeated is repeated only where its target refused it or its connection broke. The case passes on the code before too; it holds that so.

--- a/tests/sessions/service_session_test.cpp
+++ b/tests/sessions/service_session_test.cpp
@@ -80,6 +80,34 @@
     }
 }
 
+TEST_CASE( "a call that may be repeated waits for its silent target until its "
+           "time is over",
+           "[services][silence]" )
+{
+    auto one = plain_instance();
+    one.call( "often" );
+    REQUIRE( one.services.held.size() == 1 );
+    one.time.advance( 29s );
+    CHECK( one.outcomes.empty() );
+    CHECK( one.services.held.size() == 1 );
+
+    SECTION( "which answers" )
+    {
+        one.services.held.front()( reply( "fine" ) );
+        REQUIRE( one.outcomes.size() == 1 );
+        CHECK( one.outcomes.front().status == answer_status::complete );
+    }
+    SECTION( "which does not" )
+    {
+        one.time.advance( 2s );
+        REQUIRE( one.outcomes.size() == 1 );
+        CHECK( one.outcomes.front().reason == "deadline" );
+        one.services.held.front()( reply( "late" ) );
+    }
+    CHECK( one.targets.find( core::target_id( "a" ) )->open_requests() == 0 );
+    CHECK( one.targets.find( core::target_id( "b" ) )->open_requests() == 0 );
+}
+
 TEST_CASE( "equal tickets at once are one run with one answer",
            "[services][tickets]" )
 {
