An engine that knows nothing of what it had begun has ended it

Cause: every failure of a new connection was taken to prove nothing of the run. That is so where it could not be made or was refused; an engine that had sent a part and now knows of no such stream has said that the run is over.

"an engine that knows nothing of what it had begun has ended it" fails on the code before and passes now.

The case "a silent connection is kept until the new one speaks" asked for the contrary for that one error; it asks it for the three others still, and the new case asks for the end. Beside it "an engine that has not begun may not know of a request yet" keeps the old connection open: there the request may still wait to be read.

--- a/src/pollenstream/sessions/session.cpp
+++ b/src/pollenstream/sessions/session.cpp
@@ -653,7 +653,10 @@
     if ( !status )
         why = status.error();
     auto const is_new = which->latest.number == over;
-    if ( keeps_other_connection( *which, over ) )
+    // Not where it may only not have come to the request yet.
+    auto const knows_nothing = is_new && !which->prefill_counted &&
+                               why.code == core::error_code::not_found;
+    if ( !knows_nothing && keeps_other_connection( *which, over ) )
     {
         // A new connection that ends has not shown the engine to be well.
         if ( is_new )
