A process test: the only engine is frozen for 15 s and its answers go on

Real daemon, real engine stand-in, four answers under way. The engine is stopped for longer than a stream may be silent twice and woken: each answer has to come whole, with no stream opened anew and no memory left.

--- a/scripts/process_test.py
+++ b/scripts/process_test.py
@@ -108,10 +108,10 @@
     expect("accepted" in done.stdout, done.stdout)
 
 
-def wait_for_engines(fleet, names):
+def wait_for_engines(fleet, names, engines=4):
     wait_until(lambda: all(
         sum(t["total_memory_tokens"] == 100_000 and t["phase"] == "alive"
-            for t in fleet.dump(name)["targets"]) >= 4 for name in names),
+            for t in fleet.dump(name)["targets"]) >= engines for name in names),
         what="daemons have heard of all engines")
 
 
@@ -216,6 +216,38 @@
         return f"2 engines killed, {whole} answers whole and right"
 
 
+def engine_paused(build, _):
+    """The only engine is frozen for longer than a stream may be silent twice,
+    and wakes again; its answers go on and none is begun anew."""
+    with Fleet(build) as fleet:
+        names = start(fleet, 1, engines=1)
+        configure(fleet, names[0])
+        wait_for_engines(fleet, names, engines=1)
+        began = [threading.Event() for _ in range(4)]
+        answers = [{} for _ in began]
+        readers = [threading.Thread(target=lambda n=n: answers[n].update(
+            chat(fleet.callers(names[0]), "w", "fleet-audit", SHORT,
+                 on_chunk=began[n].set))) for n in range(len(began))]
+        for reader in readers:
+            reader.start()
+        expect(all(each.wait(30) for each in began), "no answer began")
+        fleet.processes["valuer-0"].signal(signal.SIGSTOP)
+        time.sleep(15)
+        fleet.processes["valuer-0"].signal(signal.SIGCONT)
+        for reader in readers:
+            reader.join()
+        for answer in answers:
+            words = len(answer["text"].split())
+            expect(answer["complete"] and words == 256, str(answer)[:500])
+        expect(len({answer["text"] for answer in answers}) == 1,
+               "equal prompts have different answers")
+        opened = fleet.control("valuer-0", "GET", "/counts")["opened"]
+        expect(opened == len(answers), f"{opened} streams were opened")
+        nothing_is_held(fleet, engines=1)
+        no_violations(fleet, names)
+        return f"1 engine frozen for 15 s, {len(answers)} answers whole"
+
+
 def instance_paused(build, _):
     """A daemon is frozen and wakes again; its callers get their answers."""
     with Fleet(build) as fleet:
@@ -444,8 +476,9 @@
         return f"{tried} commands, settings checked"
 
 
-SCENARIOS = (tool_commands, configuration_everywhere, engine_dies, instance_paused,
-             at_most_once, bad_input, caller_goes, rolling_restart)
+SCENARIOS = (tool_commands, configuration_everywhere, engine_dies, engine_paused,
+             instance_paused, at_most_once, bad_input, caller_goes,
+             rolling_restart)
 
 
 def main():
