--- a/src/pollenstream/sessions/span_group.hpp
+++ b/src/pollenstream/sessions/span_group.hpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace pollenstream::sessions
@@ -29,8 +30,9 @@
 public:
     using ready = std::function<void( core::result<void> )>;
 
+    /// `name` is this group's own: groups of one request may meet at engines.
     span_group( context& shared,
-                core::request_id request,
+                std::string name,
                 core::token_count prompt_tokens,
                 core::token_count output_tokens,
                 core::instant deadline );
@@ -41,7 +43,10 @@
     /// Reserves, then reads the prompt at all engines at once. Calls back once
     /// with success, or with why it was given up. `none_started` tells whether
     /// any engine was asked to read.
-    auto prepare( core::service_id const& service, ready callback ) -> void;
+    /// No span is placed at an engine of `avoided`.
+    auto prepare( core::service_id const& service,
+                  std::vector<core::target_id> avoided,
+                  ready callback ) -> void;
 
     /// Gives all memory back. May be called twice, and at any time.
     auto release() -> void;
@@ -63,7 +68,7 @@
     };
     using span_list = std::vector<span>;
 
-    auto alive_targets( core::service_id const& service ) const
+    auto usable_targets( core::service_id const& service ) const
         -> routing::target_list;
     auto plan( core::service_id const& service ) -> bool;
     auto place_spans( routing::target_list const& candidates, double part )
@@ -78,11 +83,12 @@
     auto give_back( span_list const& spans ) -> void;
 
     context& shared_;
-    core::request_id request_;
+    std::string name_;
     std::int64_t prompt_tokens_;
     std::int64_t output_tokens_;
     core::instant deadline_;
     core::service_id service_;
+    std::vector<core::target_id> avoided_;
 
     mutable std::mutex mutex_;
     span_list spans_;
