explain and losses know that a request went back to its target

`decision=go_back` lines are no failures: explain told "i-1 failed (it speaks again)", and losses put such a request down to a lost target instead of a silent one. Both new checks fail before.

--- a/apps/tool/explain.cpp
+++ b/apps/tool/explain.cpp
@@ -29,10 +29,15 @@
 {
     auto text = std::string{};
     for ( auto const& line : story )
-        if ( value_of( line.fields, "event" ) == "attempt_failed" )
-            text += ( text.empty() ? "" : ", then " ) +
-                    value_of( line.fields, "target" ) + " failed (" +
-                    value_of( line.fields, "error" ) + ")";
+    {
+        if ( value_of( line.fields, "event" ) != "attempt_failed" )
+            continue;
+        auto const target = value_of( line.fields, "target" );
+        auto const is_return = value_of( line.fields, "decision" ) == "go_back";
+        text += ( text.empty() ? "" : ", then " ) +
+                ( is_return ? "back to " + target : target + " failed" ) +
+                " (" + value_of( line.fields, "error" ) + ")";
+    }
     return text;
 }
 
--- a/apps/tool/losses.cpp
+++ b/apps/tool/losses.cpp
@@ -202,7 +202,8 @@
         told.predicted_ms = number_of( line, "predicted_ms" );
         told.asked_ms = number_of( line, "asked_ms" );
     }
-    else if ( event == "attempt_failed" )
+    else if ( event == "attempt_failed" &&
+              text_of( line, "decision" ) != "go_back" )
     {
         open( id ).failure = cause_of_failure( text_of( line, "error" ) );
     }
--- a/tests/observation/losses_test.cpp
+++ b/tests/observation/losses_test.cpp
@@ -72,6 +72,13 @@
                        "event=attempt_failed id=a error=silent",
                        placed( "a", 2'900, 500 ), served( "a", 3'400, 1 ) } ) ==
            loss_cause::target_silent );
+    // Going back to it is no failure of another kind.
+    CHECK( cause_in( { placed( "a", 3, 500 ),
+                       "event=attempt_failed id=a error=silent",
+                       "event=attempt_failed id=a error=\"it speaks again\" "
+                       "decision=go_back",
+                       served( "a", 3'400, 1 ) } ) ==
+           loss_cause::target_silent );
 }
 
 TEST_CASE( "a request that is refused or failed has its cause", "[losses]" )
--- a/tests/observation/observation_test.cpp
+++ b/tests/observation/observation_test.cpp
@@ -105,6 +105,16 @@
     CHECK( told.lines[0].find( "attempt_failed" ) != std::string::npos );
     CHECK( told.cause == "ended as target_lost with status 502 after 50.0 ms "
                          "at i-1: i-1 failed (Connection reset by peer)" );
+    auto back = std::istringstream(
+        "time=1 instance=b event=attempt_failed id=x target=i-1 error=silent "
+        "decision=look_elsewhere\n"
+        "time=2 instance=b event=attempt_failed id=x target=i-1 "
+        "error=\"it speaks again\" decision=go_back\n"
+        "time=3 instance=b event=ended id=x route=r outcome=deadline "
+        "status=504 target=i-1 total_ms=50.0\n" );
+    auto const returned = apps::tool::explain( "x", { &back } );
+    CHECK( returned.cause.find( "i-1 failed (silent), then back to i-1 "
+                                "(it speaks again)" ) != std::string::npos );
     auto none = std::istringstream( "nothing here\n" );
     CHECK( apps::tool::explain( "z", { &none } ).lines.empty() );
     auto const line =
