The stand-in's runners can be slow and silent, and tell how their runs ended

Cause: an answer that ends in the middle because its living target was silent could not be played with processes: a runner answered at once, broke off, or answered nothing for good. Nor did its record tell who had ended a run.

Change: `slow` makes all work take this many times as long; `hold_ms` holds open streams and new answers for a time, while the runner lives, keeps its entry and goes on afterwards; `end` ends it as by a crash of its own, without a request that is the cause. The record of a run has its end (answered, broken off by the runner, let go by its sender), when that was, its status and when its last event was written. What is open when a runner is destroyed ends first: its timers may outlive the records.

--- a/standins/platform/main.cpp
+++ b/standins/platform/main.cpp
@@ -174,12 +174,17 @@
     auto change_runner( json const& body ) -> void
     {
         auto& r = *runners_.at( body.at( "id" ) ).what;
+        if ( body.contains( "hold_ms" ) )
+            return r.hold( std::chrono::milliseconds( body.at( "hold_ms" ) ) );
+        if ( body.contains( "end" ) )
+            return r.end_now();
         auto f = runner_faults{};
         f.mute = body.value( "mute", false );
         f.fail = body.value( "fail", 0.0 );
         f.shed = body.value( "shed", 0.0 );
         f.cut = body.value( "cut", 0.0 );
         f.pause_s = body.value( "pause_s", 0.0 );
+        f.slow = body.value( "slow", 1 );
         r.set_faults( f );
         if ( body.contains( "leave" ) )
             r.leave( leaving_of( body.at( "leave" ) ) );
@@ -197,6 +202,10 @@
                               { "ran", r.ran },
                               { "leaked_key", r.leaked_key },
                               { "at_ms", r.at_ms },
+                              { "end", to_string( r.end ) },
+                              { "ended_ms", r.ended_ms },
+                              { "status", r.status },
+                              { "last_event_ms", r.last_event_ms },
                               { "leaving_ms", r.leaving_ms },
                               { "version", r.version } } );
         auto crashes = json::array();
--- a/standins/platform/runner.cpp
+++ b/standins/platform/runner.cpp
@@ -40,6 +40,22 @@
 
 }
 
+auto to_string( run_end end ) -> std::string
+{
+    switch ( end )
+    {
+    case run_end::answered:
+        return "answered";
+    case run_end::broke_off:
+        return "broke_off";
+    case run_end::let_go:
+        return "let_go";
+    case run_end::open:
+        break;
+    }
+    return "open";
+}
+
 /// One request that a runner works on.
 class runner::work : public asio::request_in_progress,
                      public std::enable_shared_from_this<work>
@@ -49,7 +65,7 @@
           asio::raw_request request,
           std::shared_ptr<exchange::answer_channel> answer )
         : owner_( owner ), request_( std::move( request ) ),
-          answer_( std::move( answer ) )
+          answer_( std::move( answer ) ), record_( owner.records_.size() - 1 )
     {
         ++owner_.open_;
         owner_.works_.insert( this );
@@ -58,7 +74,7 @@
     }
     ~work() override
     {
-        end();
+        end( run_end::let_go );
     }
 
     auto start() -> void
@@ -79,12 +95,12 @@
     }
     auto on_caller_gone() -> void override
     {
-        end();
+        end( run_end::let_go );
     }
     auto break_off() -> void
     {
+        end( run_end::broke_off );
         answer_->abort();
-        end();
     }
 
 private:
@@ -97,29 +113,44 @@
     auto later( core::duration time, std::function<void()> step ) -> void
     {
         call_ = owner_.scheduler_.call_after(
-            time,
+            time * owner_.faults_.slow,
             [self = shared_from_this(), step = std::move( step )]
             {
                 auto const done = std::move( self->call_ );
-                step();
+                self->when_not_held( step );
             } );
     }
+    auto when_not_held( std::function<void()> const& step ) -> void
+    {
+        auto const left = owner_.held_until_ - owner_.scheduler_.now();
+        if ( left <= core::duration( 0 ) )
+            return step();
+        call_ = owner_.scheduler_.call_after( left,
+                                              [self = shared_from_this(), step]
+                                              {
+                                                  auto const done =
+                                                      std::move( self->call_ );
+                                                  self->when_not_held( step );
+                                              } );
+    }
+    [[nodiscard]] auto record() const -> run_record&
+    {
+        return owner_.records_[record_];
+    }
     auto answer_whole() -> void
     {
         if ( owner_.faults_.mute )
             return;
         if ( owner_.drawn( owner_.faults_.cut ) )
-        {
-            answer_->abort();
-            return end();
-        }
+            return break_off();
         auto const fails = owner_.drawn( owner_.faults_.fail );
         auto const body = field( request_, "Attempt-Id" ) + " " +
                           owner_.settings_.id + " " + request_.target;
-        answer_->send_whole( { fails ? status_failed : status_ok,
+        record().status = fails ? status_failed : status_ok;
+        answer_->send_whole( { record().status,
                                headers( seal_of( owner_.settings_.id, body ) ),
                                body } );
-        end();
+        end( run_end::answered );
     }
     auto begin_stream() -> void
     {
@@ -128,6 +159,7 @@
         auto h = headers(
             seal_of( owner_.settings_.id, field( request_, "Attempt-Id" ) ) );
         h.push_back( { "Content-Type", "text/event-stream" } );
+        record().status = status_ok;
         answer_->start_stream( status_ok, std::move( h ) );
         breaks_at_ = owner_.drawn( owner_.faults_.cut ) ? next_ + 2 : 0;
         write_event();
@@ -141,14 +173,14 @@
         if ( id == breaks_at_ )
         {
             answer_->send_piece( event.substr( 0, event.size() / 2 ) );
-            answer_->abort();
-            return end();
+            return break_off();
         }
+        record().last_event_ms = owner_.now_ms();
         answer_->send_piece( event );
         if ( id >= owner_.settings_.events )
         {
             answer_->end_stream();
-            return end();
+            return end( run_end::answered );
         }
         later( owner_.settings_.event_gap,
                [this]
@@ -156,11 +188,13 @@
                    write_event();
                } );
     }
-    auto end() -> void
+    auto end( run_end how ) -> void
     {
         call_.reset();
         if ( std::exchange( ended_, true ) )
             return;
+        record().end = how;
+        record().ended_ms = owner_.now_ms();
         --owner_.open_;
         owner_.works_.erase( this );
     }
@@ -169,6 +203,7 @@
     asio::raw_request request_;
     std::shared_ptr<exchange::answer_channel> answer_;
     std::unique_ptr<ports::scheduled_call> call_;
+    std::size_t record_; ///< its place in the runner's records
     int next_{ 1 };
     int breaks_at_{ 0 };
     bool ended_{ false };
@@ -187,6 +222,14 @@
 {
 }
 
+runner::~runner()
+{
+    // Timers of what is open may outlive the runner and its records.
+    auto const open = std::vector( works_.begin(), works_.end() );
+    for ( auto* const one : open )
+        one->on_caller_gone();
+}
+
 auto runner::limits() const -> exchange::caller_limits
 {
     return {};
@@ -221,6 +264,16 @@
     faults_ = faults;
 }
 
+auto runner::hold( core::duration time ) -> void
+{
+    held_until_ = scheduler_.now() + time;
+}
+
+auto runner::now_ms() const -> std::int64_t
+{
+    return core::milliseconds_of( scheduler_.now().time_since_epoch() );
+}
+
 auto runner::leave( leaving_told how ) -> void
 {
     leaving_ = true;
@@ -246,10 +299,15 @@
 
 auto runner::crash( asio::raw_request const& cause ) -> void
 {
-    down_ = true;
     crashes_.push_back(
-        { cause.body, field( cause, "Attempt-Id" ), settings_.id,
-          core::milliseconds_of( scheduler_.now().time_since_epoch() ) } );
+        { cause.body, field( cause, "Attempt-Id" ), settings_.id, now_ms() } );
+    end_now();
+}
+
+auto runner::end_now() -> void
+{
+    if ( std::exchange( down_, true ) )
+        return;
     reservations_.clear();
     if ( on_listening )
         on_listening( false );
@@ -304,7 +362,7 @@
     r.body = request.body;
     r.ran = ran;
     r.leaked_key = !field( request, "Api-Key" ).empty();
-    r.at_ms = core::milliseconds_of( scheduler_.now().time_since_epoch() );
+    r.at_ms = now_ms();
     if ( leaving_since_ )
         r.leaving_ms =
             core::milliseconds_of( scheduler_.now() - *leaving_since_ );
--- a/standins/platform/runner.hpp
+++ b/standins/platform/runner.hpp
@@ -21,8 +21,20 @@
     double shed{ 0 };    ///< share of requests turned away
     double cut{ 0 };     ///< share of answers that break off
     double pause_s{ 0 }; ///< asked for by those that are turned away; 0: none
+    int slow{ 1 };       ///< all work takes this many times as long
 };
 
+/// How a run ended, as its runner saw it.
+enum class run_end
+{
+    open,
+    answered,  ///< whole
+    broke_off, ///< by the runner
+    let_go,    ///< by the one that had sent it
+};
+
+auto to_string( run_end end ) -> std::string;
+
 /// One request as it came to a runner; the truth that tests check against.
 struct run_record
 {
@@ -39,6 +51,10 @@
     std::int64_t leaving_ms{ -1 };
     std::int64_t version{ 0 }; ///< of the configuration in the store
     double pause_s{ 0 };       ///< that the answer asked for
+    run_end end{ run_end::open };
+    std::int64_t ended_ms{ -1 };
+    int status{ 0 };                  ///< of the answer; 0: none
+    std::int64_t last_event_ms{ -1 }; ///< written last; -1: none
 };
 
 /// An end of a runner under a request that ends each runner that runs it.
@@ -55,7 +71,9 @@
 
 /// A stand-in for a model runner or plain service of the platform. Paths with
 /// `stream` answer with events, others with one body. Reads and writes take
-/// fixed times; memory is counted for requests and reservations. A request
+/// fixed times; memory is counted for requests and reservations. One that is
+/// held lives and keeps its entry, but its open and new answers go on only when
+/// the hold is over. A request
 /// whose body begins with `fatal` ends the runner a moment after it has begun
 /// to run: all that is open breaks off, the entry lapses, and after some
 /// seconds the runner is back under another id.
@@ -79,6 +97,9 @@
             run_records& records,
             crash_records& crashes,
             std::uint64_t seed );
+    runner( runner const& ) = delete;
+    auto operator=( runner const& ) -> runner& = delete;
+    ~runner() override;
 
     [[nodiscard]] auto limits() const -> exchange::caller_limits override;
     auto handle( asio::raw_request request,
@@ -91,6 +112,10 @@
     /// Writes the entry into the store, now and again.
     auto register_at( std::string const& address ) -> void;
     auto set_faults( runner_faults faults ) -> void;
+    /// No answer goes on for this time.
+    auto hold( core::duration time ) -> void;
+    /// Ends at once, as by a crash of its own, and comes back later.
+    auto end_now() -> void;
     /// Leaves; its answers say so, and the store where it is told.
     enum class leaving_told
     {
@@ -130,6 +155,7 @@
     [[nodiscard]] auto own_headers( asio::raw_request const& request ) const
         -> exchange::header_list;
     auto crash( asio::raw_request const& cause ) -> void;
+    [[nodiscard]] auto now_ms() const -> std::int64_t;
     auto come_back() -> void;
 
     settings settings_;
@@ -139,6 +165,7 @@
     crash_records& crashes_;
     std::minstd_rand random_;
     runner_faults faults_;
+    core::instant held_until_;
     std::string address_;
     bool leaving_{ false };
     /// Since when the store knows of it.
