Checks: an answer that has begun is finished, what was read is answered

Cause: the soak of real processes judged statuses, runs and times, but not answers that end in the middle: a closed connection counted as an end like any other, so that it could not have found that silence of a living target ends one.

Change: `cut answer` asks for a reason of each answer that ended after its head and an event: its caller's time, a kill of its instance, the end of a planned stop's grace period for a request sent in time, or that no target lived that it could have gone on with, as the runners and the harness saw it. `unanswered` asks that a connection is not closed without an answer to what reached a runner or stood there for half a second. No log of the gateway is read.

--- a/scripts/platform_check.py
+++ b/scripts/platform_check.py
@@ -119,6 +119,131 @@
     return found
 
 
+class Disturbances:
+    """What was done from outside, in ms of the machine's monotonic clock."""
+
+    def __init__(self):
+        self.kills = {}     # address: when it was killed
+        self.stops = {}     # address: when it was sent SIGTERM
+        self.links = {}     # runner: spans in which its link was cut or silent
+        self.frozen = []    # address, begin and end
+        self.timeouts = []  # of the versions in their order: when and which
+
+
+# An instance may end a request so much before its time is over.
+TIME_MARGIN_MS = 150
+# Newer versions than this may not be in force yet at a request's begin.
+TIME_TO_CONFIGURE_MS = 5000
+SENT_IN_TIME_MS = 3000
+# The last sixth of the shortest grace period that is set.
+GRACE_RUNS_OUT_MS = 4166
+# A closed connection crosses a request that was not read sooner than this.
+TIME_TO_CROSS_MS = 500
+
+
+def time_of(seen, timeouts):
+    """The shortest time that a request may have, in ms."""
+    began_ms = seen["began"] * 1000
+    shortest = seen["time_ms"]
+    for place, (since, timeout) in enumerate(timeouts):
+        until = timeouts[place + 1][0] if place + 1 < len(timeouts) \
+            else began_ms
+        if since <= began_ms <= until + TIME_TO_CONFIGURE_MS:
+            shortest = min(shortest, timeout)
+    return shortest
+
+
+def ends_by_time_or_process(seen, ended_ms, disturbed):
+    """True where the caller's time was over, its instance was killed, or the
+    grace period of a planned stop ran out."""
+    began_ms = seen["began"] * 1000
+    if ended_ms - began_ms >= \
+            time_of(seen, disturbed.timeouts) - TIME_MARGIN_MS:
+        return True
+    address = seen["address"]
+    if any(began_ms <= at <= ended_ms for at in
+           disturbed.kills.get(address, ())):
+        return True
+    return any(began_ms <= at + SENT_IN_TIME_MS and
+               at + GRACE_RUNS_OUT_MS <= ended_ms
+               for at in disturbed.stops.get(address, ()))
+
+
+def is_harmed(run, ended_ms, links):
+    """True where the link to the run's target was cut or silent in the time of
+    the run."""
+    first_life = run["target"].split(".")[0]
+    return any(begin <= ended_ms and run["at_ms"] <= end
+               for begin, end in links.get(first_life, ()))
+
+
+def has_failed(run, ended_ms, links):
+    return run["end"] == "broke_off" or run["status"] >= 300 or \
+        is_harmed(run, ended_ms, links)
+
+
+def goes_on(run, all_of_them):
+    """True where no other run has spoken after it: this is the one, or one of
+    those, that the answer could have gone on with."""
+    spoke = max(run["at_ms"], run["last_event_ms"])
+    return not any(other is not run and other["last_event_ms"] > spoke
+                   for other in all_of_them)
+
+
+def cut_answer_violations(callers, record, disturbed):
+    """An answer that has begun is finished. It may end otherwise only with its
+    caller's time, its instance, or with all targets that could go on with it:
+    neither a living target's silence nor planned work is a reason."""
+    runs = collections.defaultdict(list)
+    for run in record["runs"]:
+        if run["ran"]:
+            runs[run["attempt"]].append(run)
+    found = []
+    for attempt, seen in callers.seen.items():
+        if seen["status"] != "cut" or not seen["head"] or not seen["events"]:
+            continue
+        ended_ms = seen["ended"] * 1000
+        if ends_by_time_or_process(seen, ended_ms, disturbed):
+            continue
+        living = [run for run in runs[attempt]
+                  if goes_on(run, runs[attempt]) and
+                  not has_failed(run, ended_ms, disturbed.links)]
+        if living:
+            last = living[-1]
+            heard = max(last["at_ms"], last["last_event_ms"])
+            found.append(
+                f"cut answer: {attempt} ({seen['path']}) at {seen['address']} "
+                f"ended with {seen['events']} events after "
+                f"{seen['took']:.2f} s, though {last['target']} lived "
+                f"({last['end']}, silent for {ended_ms - heard:.0f} ms)")
+    return found
+
+
+def unanswered_violations(callers, record, disturbed):
+    """What an instance has read whole is answered: its connection is not just
+    closed. It was read where a runner got it, or where it stood there for
+    longer than it takes a close to cross it."""
+    reached = {run["attempt"] for run in record["runs"]}
+    found = []
+    for attempt, seen in callers.seen.items():
+        if seen["status"] != "cut" or seen["head"] or seen["sent"] is None:
+            continue
+        ended_ms = seen["ended"] * 1000
+        waited_ms = ended_ms - seen["sent"] * 1000
+        if attempt not in reached and waited_ms <= TIME_TO_CROSS_MS:
+            continue
+        # A frozen process has not read what stood there.
+        is_frozen = any(a == seen["address"] and begin * 1000 <= ended_ms and
+                        seen["began"] <= end
+                        for a, begin, end in disturbed.frozen)
+        if is_frozen or ends_by_time_or_process(seen, ended_ms, disturbed):
+            continue
+        found.append(f"unanswered: {attempt} ({seen['path']}) at "
+                     f"{seen['address']} closed {waited_ms:.0f} ms after it "
+                     "was sent")
+    return found
+
+
 def violations(callers, record, store_disturbed_at=(), calm_only=False,
                pauses=()):
     """Texts of all broken promises. `store_disturbed_at` lists spans of the
--- /dev/null
+++ b/tests/scripts/platform_check_test.py
@@ -0,0 +1,130 @@
+"""Tests of scripts/platform_check.py: which ends of answers are violations."""
+
+import pathlib
+import sys
+import types
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).parents[2] / "scripts"))
+import platform_check
+
+AT = "127.0.0.2:1"
+
+
+def seen(**changes):
+    """A stream that was cut after 2 s, with three events passed on."""
+    return {"path": "/stream/x", "status": "cut", "address": AT, "head": 200,
+            "events": 3, "began": 100.0, "sent": 100.0, "ended": 102.0,
+            "took": 2.0, "time_ms": 4000, **changes}
+
+
+def run(**changes):
+    """Its run, given up 1.9 s after its last event."""
+    return {"attempt": "a1", "target": "i-model1", "ran": True, "status": 200,
+            "at_ms": 100_000, "last_event_ms": 100_100, "end": "let_go",
+            "ended_ms": 102_000, **changes}
+
+
+def disturbed(**changes):
+    done = platform_check.Disturbances()
+    done.timeouts = [(0, 4000)]
+    vars(done).update(changes)
+    return done
+
+
+class CutAnswers(unittest.TestCase):
+    def found(self, runs, done=None, **changes):
+        callers = types.SimpleNamespace(seen={"a1": seen(**changes)})
+        return len(platform_check.cut_answer_violations(
+            callers, {"runs": runs}, done or disturbed()))
+
+    def test_a_living_target_is_no_reason(self):
+        self.assertEqual(self.found([run()]), 1)
+        self.assertEqual(self.found([run(end="open")]), 1)
+        self.assertEqual(self.found([run(end="answered")]), 1)
+
+    def test_a_target_that_broke_off_is_one(self):
+        self.assertEqual(self.found([run(end="broke_off")]), 0)
+
+    def test_a_broken_link_is_one(self):
+        broken = {"i-model1": [(100_500, 101_000)]}
+        self.assertEqual(self.found([run()], disturbed(links=broken)), 0)
+        other = {"i-model2": [(100_500, 101_000)]}
+        self.assertEqual(self.found([run()], disturbed(links=other)), 1)
+        before = {"i-model1": [(99_000, 99_900)]}
+        self.assertEqual(self.found([run()], disturbed(links=before)), 1)
+
+    def test_the_silent_one_lives_where_the_next_one_fails(self):
+        fails = run(target="i-model2", at_ms=101_200, last_event_ms=-1,
+                    status=500, end="answered")
+        self.assertEqual(self.found([run(), fails]), 1)
+
+    def test_the_next_one_lives_where_the_first_one_broke(self):
+        mute = run(target="i-model2", at_ms=101_200, last_event_ms=-1,
+                   status=0)
+        self.assertEqual(self.found([run(end="broke_off"), mute]), 1)
+
+    def test_an_answer_that_went_on_elsewhere_ends_with_that_one(self):
+        spoke = run(target="i-model2", at_ms=101_200, last_event_ms=101_500)
+        self.assertEqual(self.found([run(), spoke | {"end": "broke_off"}]), 0)
+        self.assertEqual(self.found([run(), spoke]), 1)
+
+    def test_the_callers_time_is_one(self):
+        self.assertEqual(self.found([run()], ended=103.9), 0)
+        self.assertEqual(self.found([run()], ended=103.8), 1)
+
+    def test_the_time_of_a_version_that_came_later_is_none(self):
+        known = disturbed(timeouts=[(0, 4000), (99_000, 1500)])
+        self.assertEqual(self.found([run()], known), 0)
+        later = disturbed(timeouts=[(0, 4000), (100_500, 1500)])
+        self.assertEqual(self.found([run()], later), 1)
+
+    def test_a_kill_is_one_and_only_of_its_instance(self):
+        self.assertEqual(self.found([run()], disturbed(kills={AT: [101_000]})),
+                         0)
+        self.assertEqual(self.found([run()], disturbed(kills={"b": [101_000]})),
+                         1)
+        self.assertEqual(self.found([run()], disturbed(kills={AT: [99_000]})),
+                         1)
+
+    def test_a_planned_stop_is_one_only_when_its_grace_runs_out(self):
+        self.assertEqual(self.found([run()], disturbed(stops={AT: [100_500]})),
+                         1)
+        self.assertEqual(self.found([run()], disturbed(stops={AT: [97_500]})),
+                         0)
+        # Sent too late to be owed an end.
+        self.assertEqual(self.found([run()], disturbed(stops={AT: [96_500]})),
+                         1)
+
+    def test_what_has_not_begun_is_not_judged_here(self):
+        self.assertEqual(self.found([run()], events=0), 0)
+
+
+class Unanswered(unittest.TestCase):
+    def found(self, runs, done=None, **changes):
+        callers = types.SimpleNamespace(
+            seen={"a1": seen(head=0, events=0, **changes)})
+        return len(platform_check.unanswered_violations(
+            callers, {"runs": runs}, done or disturbed()))
+
+    def test_what_reached_a_runner_is_answered(self):
+        self.assertEqual(self.found([run()], ended=100.1), 1)
+        self.assertEqual(self.found([run(ran=False)], ended=100.1), 1)
+
+    def test_what_stood_there_is_answered(self):
+        self.assertEqual(self.found([], ended=100.6), 1)
+
+    def test_a_close_may_cross_a_request(self):
+        self.assertEqual(self.found([], ended=100.1), 0)
+
+    def test_a_connection_that_was_refused_has_brought_nothing(self):
+        self.assertEqual(self.found([], sent=None), 0)
+
+    def test_a_frozen_or_killed_instance_has_not_read_it(self):
+        frozen = disturbed(frozen=[(AT, 100.5, 101.5)])
+        self.assertEqual(self.found([], frozen), 0)
+        self.assertEqual(self.found([], disturbed(kills={AT: [101_000]})), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
