--- a/scripts/soak_processes.py
+++ b/scripts/soak_processes.py
@@ -221,16 +221,16 @@
         engines = [n for n in self.fleet.proxies if n.startswith("i-model")]
         slow = self.draw.randint(2, 12)
         others_full = self.draw.random() < 0.7
-        tasks = [self.runner_fault(name, 0.5, slow=slow) for name in engines]
-        slowed = asyncio.gather(*tasks)
+        faults = [asyncio.create_task(self.runner_fault(name, 0.5, slow=slow))
+                  for name in engines]
         await asyncio.sleep(self.draw.random() * 0.4)
         for name in engines:
             if self.draw.random() < 0.7:
                 await self.hold(name)
             elif others_full:
-                tasks.append(asyncio.create_task(
+                faults.append(asyncio.create_task(
                     self.runner_fault(name, 3, shed=1)))
-        await asyncio.gather(slowed, *tasks[len(engines):])
+        await asyncio.gather(*faults)
 
     async def silent_beside_planned_work(self):
         silent = asyncio.create_task(self.engines_fall_silent())
--- a/standins/platform/runner.hpp
+++ b/standins/platform/runner.hpp
@@ -73,10 +73,9 @@
 /// `stream` answer with events, others with one body. Reads and writes take
 /// fixed times; memory is counted for requests and reservations. One that is
 /// held lives and keeps its entry, but its open and new answers go on only when
-/// the hold is over. A request
-/// whose body begins with `fatal` ends the runner a moment after it has begun
-/// to run: all that is open breaks off, the entry lapses, and after some
-/// seconds the runner is back under another id.
+/// the hold is over. A request whose body begins with `fatal` ends the runner a
+/// moment after it has begun to run: all that is open breaks off, the entry
+/// lapses, and after some seconds the runner is back under another id.
 class runner : public asio::request_handler
 {
 public:
