Events in front of a gap come behind the head of the answer

Cause: where one read of a stream brought its first events and then one that leaves some out, the good ones were passed on before the answer had begun, so that a caller got a chunk without a head and then, from the next target, a head.

Change: what is passed on goes through one place that begins the answer first. The new case fails before (status 0, no head).

--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -140,6 +140,7 @@
     auto on_own_failure() -> void;
     auto relay( std::vector<stream_event> events ) -> void;
     auto relay_event( stream_event& event ) -> bool;
+    auto pass_on( std::string events ) -> void;
     auto note_event() -> void;
     [[nodiscard]] auto is_whole( open_try const& from ) const -> bool;
     [[nodiscard]] auto is_answer( open_try const& from,
--- a/src/pollenstream/exchange/exchange_answers.cpp
+++ b/src/pollenstream/exchange/exchange_answers.cpp
@@ -117,24 +117,26 @@
         if ( !relay_event( event ) )
         {
             // A gap in the numbers: what follows cannot be joined.
-            if ( !out.empty() )
-                answer_->send_piece( std::move( out ) );
+            pass_on( std::move( out ) );
             return on_broken( out_of_order() );
         }
         out += event.bytes;
     }
-    if ( out.empty() )
+    if ( answer_->unsent_bytes() > most_unsent )
+        return fail( status_gateway_timeout, "caller_does_not_read" );
+    pass_on( std::move( out ) );
+}
+
+/// Whole events for the caller, behind the head of the answer.
+auto exchange::pass_on( std::string events ) -> void
+{
+    if ( events.empty() )
         return;
     close_silent();
-    if ( !streaming_ )
-    {
-        streaming_ = true;
+    if ( !std::exchange( streaming_, true ) )
         answer_->start_stream( current_->head->status,
                                current_->head->headers );
-    }
-    if ( answer_->unsent_bytes() > most_unsent )
-        return fail( status_gateway_timeout, "caller_does_not_read" );
-    answer_->send_piece( std::move( out ) );
+    answer_->send_piece( std::move( events ) );
 }
 
 /// Takes one event into account; an event that the caller has already is
--- a/tests/exchange/exchange_test.cpp
+++ b/tests/exchange/exchange_test.cpp
@@ -246,6 +246,23 @@
     CHECK_FALSE( f.answer->ended );
 }
 
+TEST_CASE( "events in front of a gap come behind the head of the answer",
+           "[exchange][stream]" )
+{
+    auto f = exchange_fixture{};
+    f.start( f.request( "/chat/x" ) );
+    f.targets.all[0]->head( 200 );
+    f.targets.all[0]->listener->on_body( "id: 1\ndata: x\n\n"
+                                         "id: 3\ndata: x\n\n" );
+    CHECK( f.answer->stream_status == 200 );
+    CHECK( f.answer->stream == "id: 1\ndata: x\n\n" );
+    REQUIRE( f.targets.all.size() == 2 );
+    f.targets.all[1]->head( 200 );
+    f.targets.all[1]->event( 2 );
+    f.targets.all[1]->complete();
+    CHECK( f.answer->ended );
+}
+
 TEST_CASE( "a stream that may not be resumed is cut and looks cut",
            "[exchange][stream]" )
 {
