--- a/tests/exchange/told_state_test.cpp
+++ b/tests/exchange/told_state_test.cpp
@@ -134,8 +134,8 @@
     {
         for ( auto at = core::duration( 0 ); at < time; at += 20ms )
         {
-            fleet.call( ++number % fleet.size(), path,
-                        std::to_string( number ) );
+            ++number;
+            fleet.call( number % fleet.size(), path, std::to_string( number ) );
             fleet.scheduler.run( 20ms );
         }
     };
