--- a/tests/exchange/pause_test.cpp
+++ b/tests/exchange/pause_test.cpp
@@ -134,7 +134,8 @@
     auto const start = fleet.scheduler.now();
     while ( fleet.scheduler.now() < start + 1900ms )
     {
-        fleet.call( ++number % fleet.size(), "/safe/o",
+        ++number;
+        fleet.call( number % fleet.size(), "/safe/o",
                     std::to_string( number ) );
         fleet.scheduler.run( 10ms );
     }
