The soak notes kills and stops to less than a millisecond

Kills were noted in whole milliseconds, callers' times are not rounded: a kill in the millisecond of a request's begin counted as before it and excused nothing.

Evidence: the caller began at 4,179,843.295 ms; the gateway's log has the call placed and then nothing; it is started again 0.8 s later, as `kill_many` does for its third gateway after 0.2 s and three pauses of 0.2 s; the runner saw the call let go of 4 ms after it had come. The noted time itself was not kept, so the rounding is inferred. Ruled out: a planned stop (no `stopping` line), a reload, the gateway's own close (no `ended` line).

The check is the same; it gets the time as it was.

--- a/scripts/platform_fleet.py
+++ b/scripts/platform_fleet.py
@@ -130,7 +130,8 @@
     def signal(self, number):
         if self.child.poll() is not None:
             return
-        now_ms = int(time.monotonic() * 1000)
+        # Not rounded: a request may begin and end within a millisecond of it.
+        now_ms = time.monotonic() * 1000
         if number == signal.SIGKILL:
             self.kills.append(now_ms)
         if number == signal.SIGTERM:
