Sight: limits that targets name, and headers that nobody knows

Logs and metrics could not tell whether a target's limit was not read, or read and not obeyed. Answers' limits are decoded and believed (nothing goes by them yet): one line when one is named, lowered, raised or ended, the metrics pollenstream_target_limit and pollenstream_targets_limited, the dump and status.

Bad values are said once and change nothing (adapter_test).

--- a/apps/gateway/node_state.cpp
+++ b/apps/gateway/node_state.cpp
@@ -14,6 +14,13 @@
 
 using nlohmann::json;
 
+/// Requests a second that the target takes; null where it names no limit.
+auto limit_of( exchange::board_target const& t ) -> json
+{
+    auto const limit = t.limit.per_second();
+    return limit ? json( *limit ) : json();
+}
+
 auto describe_targets( exchange::exchange_context const& context ) -> json
 {
     auto const now = context.scheduler.now();
@@ -28,7 +35,8 @@
                              { "writers", t->load.writers },
                              { "memory_tokens", t->load.memory_tokens },
                              { "backlog_ms", t->backlog_ms( now ) },
-                             { "failure_share", t->health.failure_share } } );
+                             { "failure_share", t->health.failure_share },
+                             { "limit", limit_of( *t ) } } );
     return targets;
 }
 
@@ -61,6 +69,25 @@
              { "asks_waiting", node.coordinator.waiting() } };
 }
 
+/// Of so many limited targets at most, so that the text is bounded.
+constexpr auto most_limits_written = 50;
+
+auto write_limits( exchange::target_board const& board, std::ostream& out )
+    -> void
+{
+    auto limited = 0;
+    for ( auto const& [id, t] : board.all() )
+    {
+        auto const limit = t->limit.per_second();
+        if ( !limit || !t->takes_work() || ++limited > most_limits_written )
+            continue;
+        out << "pollenstream_target_limit{target=\"" << id.str() << "\"} "
+            << *limit << '\n';
+    }
+    out << "# TYPE pollenstream_targets_limited gauge\n"
+        << "pollenstream_targets_limited " << limited << '\n';
+}
+
 auto invariant_counts() -> json
 {
     auto counts = json::object();
@@ -146,6 +173,10 @@
     count( "pollenstream_peer_datagrams_total", "",
            group.sent().datagrams.value() );
     count( "pollenstream_peer_bytes_total", "", group.sent().bytes.value() );
+    for ( auto const& [name, times] : context.counters.unknown_headers.all() )
+        count( "pollenstream_unknown_answer_headers_total",
+               "{name=\"" + name + "\"}", times );
+    write_limits( context.board, out );
     constexpr auto kinds =
         static_cast<int>( platform::store_call::number_of_kinds );
     for ( auto i = 0; i < kinds; ++i )
--- a/src/pollenstream/exchange/context.hpp
+++ b/src/pollenstream/exchange/context.hpp
@@ -2,6 +2,7 @@
 #define POLLENSTREAM_EXCHANGE_CONTEXT_HPP
 
 #include <pollenstream/core/counter.hpp>
+#include <pollenstream/core/name_counts.hpp>
 #include <pollenstream/exchange/crash_history.hpp>
 #include <pollenstream/exchange/event_log.hpp>
 #include <pollenstream/exchange/message.hpp>
@@ -64,6 +65,8 @@
     core::counter abandoned; ///< the caller left
     core::counter repeats;
     core::counter resumed;
+    /// Headers of targets' answers that nobody here knows.
+    core::name_counts unknown_headers;
 };
 
 /// The process has been told to end.
--- /dev/null
+++ b/src/pollenstream/exchange/event_log.cpp
@@ -0,0 +1,58 @@
+#include <pollenstream/exchange/event_log.hpp>
+
+#include <charconv>
+#include <iterator>
+#include <utility>
+
+namespace pollenstream::exchange
+{
+
+namespace
+{
+
+auto name_of( limit_change change ) -> std::string
+{
+    switch ( change )
+    {
+    case limit_change::named:
+        return "limited";
+    case limit_change::lowered:
+        return "limit_lowered";
+    case limit_change::raised:
+        return "limit_raised";
+    case limit_change::ended:
+        return "limit_ended";
+    case limit_change::none:
+        break;
+    }
+    return "limit_unchanged";
+}
+
+auto rate_text( double per_second ) -> std::string
+{
+    constexpr auto digits = 6;
+    auto text = std::string( 32, ' ' );
+    auto const end =
+        std::to_chars( text.data(), text.data() + text.size(), per_second,
+                       std::chars_format::general, digits );
+    text.resize( static_cast<std::size_t>( end.ptr - text.data() ) );
+    return text + " a second";
+}
+
+}
+
+auto limit_news( target_ref const& target,
+                 limit_change change,
+                 std::optional<double> per_second,
+                 std::string because ) -> belief_changed
+{
+    if ( per_second )
+        because += ", " + rate_text( *per_second );
+    return { "target",
+             target.id.str(),
+             name_of( change ),
+             std::move( because ),
+             {} };
+}
+
+}
--- a/src/pollenstream/exchange/event_log.hpp
+++ b/src/pollenstream/exchange/event_log.hpp
@@ -96,6 +96,12 @@
     core::duration age{ 0 }; ///< of what the belief rests on
 };
 
+/// News of a target's limit, told by `because`.
+auto limit_news( target_ref const& target,
+                 limit_change change,
+                 std::optional<double> per_second,
+                 std::string because ) -> belief_changed;
+
 using event = std::variant<request_refused,
                            request_placed,
                            attempt_failed,
--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -131,6 +131,8 @@
     auto on_head( std::uint64_t serial, answer_head head ) -> void;
     auto note_told_state( open_try const& from, answer_head const& head )
         -> void;
+    auto note_told_limit( open_try const& from, answer_head const& head )
+        -> void;
     auto on_body( std::uint64_t serial, std::string const& bytes ) -> void;
     auto on_end( std::uint64_t serial, attempt_end const& end ) -> void;
     auto on_complete() -> void;
--- a/src/pollenstream/exchange/exchange_evidence.cpp
+++ b/src/pollenstream/exchange/exchange_evidence.cpp
@@ -16,6 +16,7 @@
 constexpr auto blamed_time = core::duration( 1500ms );
 /// The same for one that took no connection.
 constexpr auto unreachable_time = core::duration( 1s );
+constexpr auto first_failure_status = 500;
 
 }
 
@@ -27,6 +28,14 @@
     shared_.crashes.note_answer( target, from.sent_at );
     if ( head.wants_pause > core::duration( 0 ) )
         shared_.board.pause( target, from.heard_at + head.wants_pause );
+    note_told_limit( from, head );
+    for ( auto const& name : head.unknown_headers )
+        if ( shared_.counters.unknown_headers.add( name ) )
+            shared_.log.record( belief_changed{ "header",
+                                                name,
+                                                "unknown",
+                                                "answer of " + target.id.str(),
+                                                {} } );
     if ( !head.says_leaving || !shared_.board.note_said_leaving( target ) )
         return;
     shared_.log.record( belief_changed{
@@ -34,6 +43,29 @@
     shared_.announcer.target_leaves( target );
 }
 
+/// A failure says nothing of a limit where it names none.
+auto exchange::note_told_limit( open_try const& from, answer_head const& head )
+    -> void
+{
+    auto const& target = from.target;
+    if ( head.has_bad_limit && shared_.board.note_bad_limit( target ) )
+        shared_.log.record( belief_changed{ "target",
+                                            target.id.str(),
+                                            "limit_unreadable",
+                                            "its own answer",
+                                            {} } );
+    auto const is_whole_statement =
+        head.limit || ( head.has_seal && head.status < first_failure_status &&
+                        !head.has_bad_limit );
+    if ( !is_whole_statement )
+        return;
+    auto const change = shared_.board.note_limit(
+        target, { head.limit, from.sent_at, from.heard_at } );
+    if ( change != limit_change::none )
+        shared_.log.record(
+            limit_news( target, change, head.limit, "its own answer" ) );
+}
+
 /// What has been served is no suspect any more, here and at the others.
 auto exchange::note_served() -> void
 {
--- /dev/null
+++ b/src/pollenstream/exchange/limit_belief.cpp
@@ -0,0 +1,48 @@
+#include <pollenstream/exchange/limit_belief.hpp>
+
+#include <algorithm>
+#include <limits>
+
+namespace pollenstream::exchange
+{
+
+namespace
+{
+
+auto rate_of( limit_statement const& what ) -> double
+{
+    return what.per_second.value_or( std::numeric_limits<double>::infinity() );
+}
+
+auto change_between( limit_statement const& before,
+                     limit_statement const& after ) -> limit_change
+{
+    if ( !after.per_second )
+        return limit_change::ended;
+    if ( !before.per_second )
+        return limit_change::named;
+    return *after.per_second < *before.per_second ? limit_change::lowered
+                                                  : limit_change::raised;
+}
+
+}
+
+auto limit_belief::take( limit_statement const& what ) -> limit_change
+{
+    if ( what.per_second == held_.per_second )
+    {
+        held_.sent_at = std::max( held_.sent_at, what.sent_at );
+        held_.heard_at = std::max( held_.heard_at, what.heard_at );
+        return limit_change::none;
+    }
+    auto const is_older = what.heard_at <= held_.sent_at;
+    auto const is_younger = what.sent_at >= held_.heard_at;
+    auto const is_lower = rate_of( what ) < rate_of( held_ );
+    if ( is_older || !( is_younger || is_lower ) )
+        return limit_change::none;
+    auto const change = change_between( held_, what );
+    held_ = what;
+    return change;
+}
+
+}
--- a/src/pollenstream/exchange/message.hpp
+++ b/src/pollenstream/exchange/message.hpp
@@ -97,6 +97,11 @@
     /// For how long the target wants nothing from this instance.
     core::duration wants_pause{ 0 };
     std::optional<told_load> load;
+    /// Requests a second that the target takes from all instances together.
+    std::optional<double> limit;
+    /// It names a limit that is no number from zero up, or several that differ.
+    bool has_bad_limit{ false };
+    std::vector<std::string> unknown_headers; ///< names, in lower case
 };
 
 /// One request on its way to one target.
--- a/src/pollenstream/exchange/target_board.cpp
+++ b/src/pollenstream/exchange/target_board.cpp
@@ -423,6 +423,19 @@
     return at && !std::exchange( at->said_leaving, true );
 }
 
+auto target_board::note_limit( target_ref const& ref,
+                               limit_statement const& what ) -> limit_change
+{
+    auto const at = find_lifetime( ref );
+    return at ? at->limit.take( what ) : limit_change::none;
+}
+
+auto target_board::note_bad_limit( target_ref const& ref ) -> bool
+{
+    auto const at = find_lifetime( ref );
+    return at && !std::exchange( at->said_bad_limit, true );
+}
+
 auto target_board::shun( target_ref const& ref, core::instant until ) -> void
 {
     auto const at = find_lifetime( ref );
--- a/src/pollenstream/exchange/target_board.hpp
+++ b/src/pollenstream/exchange/target_board.hpp
@@ -4,6 +4,7 @@
 #include <pollenstream/core/address.hpp>
 #include <pollenstream/core/ids.hpp>
 #include <pollenstream/core/units.hpp>
+#include <pollenstream/exchange/limit_belief.hpp>
 #include <pollenstream/exchange/message.hpp>
 #include <pollenstream/exchange/wide_queue.hpp>
 
@@ -137,6 +138,8 @@
     /// It said in an answer that it leaves. The registry hears of that later,
     /// or not at all while the store is away, and does not take it back.
     bool said_leaving{ false };
+    limit_belief limit;
+    bool said_bad_limit{ false }; ///< it named one that cannot be read
 
     [[nodiscard]] auto ref() const -> target_ref
     {
@@ -258,6 +261,13 @@
     /// The target has said in an answer that it leaves; true where that is
     /// news.
     auto note_said_leaving( target_ref const& ref ) -> bool;
+    /// An answer of the target says how many requests a second it takes, or
+    /// names no limit.
+    auto note_limit( target_ref const& ref, limit_statement const& what )
+        -> limit_change;
+    /// The target has named a limit that cannot be read; true where that is
+    /// news.
+    auto note_bad_limit( target_ref const& ref ) -> bool;
     auto shun( target_ref const& ref, core::instant until ) -> void;
     /// The target wants nothing from this instance until then. Others may send
     /// there, so that it is no part of what the target is for all.
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -182,6 +182,48 @@
         platform::decode_request( absolute, core::instant( 1s ) ).has_error() );
 }
 
+TEST_CASE( "an answer's limit is a number from zero up, the lowest of several",
+           "[platform][headers][limit]" )
+{
+    auto const head_of = []( std::vector<std::string> const& texts )
+    {
+        auto fields = exchange::header_list{};
+        for ( auto const& text : texts )
+            fields.push_back( { "server-limit", text } );
+        return platform::decode_answer( { 200, std::move( fields ) } );
+    };
+    CHECK_FALSE( head_of( {} ).limit );
+    CHECK_FALSE( head_of( {} ).has_bad_limit );
+    CHECK( head_of( { " 1.3 " } ).limit == 1.3 );
+    CHECK( head_of( { "0" } ).limit == 0.0 );
+    CHECK( head_of( { "1e300" } ).limit == 1e300 );
+    CHECK( head_of( { "2", "2" } ).limit == 2.0 );
+    CHECK_FALSE( head_of( { "2", "2" } ).has_bad_limit );
+    CHECK( head_of( { "2", "1", "3" } ).limit == 1.0 );
+    CHECK( head_of( { "2", "1" } ).has_bad_limit );
+    CHECK( head_of( { "soon", "1" } ).limit == 1.0 );
+    for ( auto const* text :
+          { "", "-1", "soon", "nan", "inf", "1e999", "1 a second", "1,5" } )
+    {
+        CHECK_FALSE( head_of( { text } ).limit );
+        CHECK( head_of( { text } ).has_bad_limit );
+    }
+}
+
+TEST_CASE( "headers of answers that nobody knows are named",
+           "[platform][headers]" )
+{
+    auto const head = platform::decode_answer( { 200,
+                                                 { { "Server-Seal", "x" },
+                                                   { "content-type", "a/b" },
+                                                   { "Keep-Alive", "5" },
+                                                   { "Server-Mood", "1" },
+                                                   { "X y\"", "1" } } } );
+    CHECK( head.unknown_headers ==
+           std::vector<std::string>{ "server-mood", "x_y_" } );
+    CHECK( head.headers.size() == 4 );
+}
+
 TEST_CASE( "a target's answer tells what it proves", "[platform][headers]" )
 {
     auto const head = platform::decode_answer( { 503,
--- a/tests/support/exchange_fleet.cpp
+++ b/tests/support/exchange_fleet.cpp
@@ -144,6 +144,7 @@
         h.status = 200;
         h.has_seal = true;
         h.says_leaving = owner_.targets_.at( target_ ).leaving;
+        h.limit = owner_.targets_.at( target_ ).limit;
         listener_->on_head( std::move( h ) );
     }
     auto answer() -> void
@@ -278,6 +279,12 @@
     targets_.at( id ).leaving = true;
 }
 
+auto fleet_targets::name_limit( core::target_id const& id,
+                                std::optional<double> per_second ) -> void
+{
+    targets_.at( id ).limit = per_second;
+}
+
 auto fleet_targets::turn_away( core::target_id const& id,
                                std::string const& instance,
                                core::duration pause ) -> void
--- a/tests/support/exchange_fleet.hpp
+++ b/tests/support/exchange_fleet.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -68,6 +69,9 @@
     auto turn_away( core::target_id const& id,
                     std::string const& instance,
                     core::duration pause ) -> void;
+    /// From now on the target's answers name this limit, or none.
+    auto name_limit( core::target_id const& id,
+                     std::optional<double> per_second ) -> void;
     /// Breaks all that is open at the target, which lives on.
     auto cut( core::target_id const& id ) -> void;
 
@@ -90,6 +94,7 @@
         std::vector<std::weak_ptr<run>> open;
         bool leaving{ false };
         std::map<std::string, core::duration> pauses; ///< to ask for
+        std::optional<double> limit;                  ///< requests a second
     };
 
     auto after( core::duration delay, std::function<void()> what ) -> void;
