--- a/apps/gateway/node_state.cpp
+++ b/apps/gateway/node_state.cpp
@@ -21,22 +21,32 @@
     return limit ? json( *limit ) : json();
 }
 
+/// By all instances, as far as this one knows: all of it where it places.
+auto sent_per_second( exchange::board_target const& t, core::instant now )
+    -> double
+{
+    return static_cast<double>( t.limit.sent_lately( now ) ) /
+           core::seconds_of( exchange::sent_times::window );
+}
+
 auto describe_targets( exchange::exchange_context const& context ) -> json
 {
     auto const now = context.scheduler.now();
     auto targets = json::array();
     for ( auto const& [id, t] : context.board.all() )
-        targets.push_back( { { "id", id.str() },
-                             { "service", t->facts.service.str() },
-                             { "leaving", t->is_leaving() },
-                             { "gone", t->gone },
-                             { "may_get_work", t->may_get_work( now ) },
-                             { "requests", t->load.requests },
-                             { "writers", t->load.writers },
-                             { "memory_tokens", t->load.memory_tokens },
-                             { "backlog_ms", t->backlog_ms( now ) },
-                             { "failure_share", t->health.failure_share },
-                             { "limit", limit_of( *t ) } } );
+        targets.push_back(
+            { { "id", id.str() },
+              { "service", t->facts.service.str() },
+              { "leaving", t->is_leaving() },
+              { "gone", t->gone },
+              { "may_get_work", t->may_get_work( now ) },
+              { "requests", t->load.requests },
+              { "writers", t->load.writers },
+              { "memory_tokens", t->load.memory_tokens },
+              { "backlog_ms", t->backlog_ms( now ) },
+              { "failure_share", t->health.failure_share },
+              { "limit", limit_of( *t ) },
+              { "sent_per_second", sent_per_second( *t, now ) } } );
     return targets;
 }
 
@@ -72,8 +82,9 @@
 /// Of so many limited targets at most, so that the text is bounded.
 constexpr auto most_limits_written = 50;
 
-auto write_limits( exchange::target_board const& board, std::ostream& out )
-    -> void
+auto write_limits( exchange::target_board const& board,
+                   core::instant now,
+                   std::ostream& out ) -> void
 {
     auto limited = 0;
     for ( auto const& [id, t] : board.all() )
@@ -81,8 +92,10 @@
         auto const limit = t->limit.per_second();
         if ( !limit || !t->takes_work() || ++limited > most_limits_written )
             continue;
-        out << "pollenstream_target_limit{target=\"" << id.str() << "\"} "
-            << *limit << '\n';
+        auto const label = "{target=\"" + id.str() + "\"} ";
+        out << "pollenstream_target_limit" << label << *limit << '\n'
+            << "pollenstream_target_sent_per_second" << label
+            << sent_per_second( *t, now ) << '\n';
     }
     out << "# TYPE pollenstream_targets_limited gauge\n"
         << "pollenstream_targets_limited " << limited << '\n';
@@ -168,6 +181,8 @@
            decided.granted.value() );
     count( "pollenstream_decisions_total", "{decision=\"refused\"}",
            decided.refused.value() );
+    count( "pollenstream_refused_for_limits_total", "",
+           decided.limited.value() );
     count( "pollenstream_asks_repeated_total", "",
            decided.asked_again.value() );
     count( "pollenstream_peer_datagrams_total", "",
@@ -176,7 +191,7 @@
     for ( auto const& [name, times] : context.counters.unknown_headers.all() )
         count( "pollenstream_unknown_answer_headers_total",
                "{name=\"" + name + "\"}", times );
-    write_limits( context.board, out );
+    write_limits( context.board, context.scheduler.now(), out );
     constexpr auto kinds =
         static_cast<int>( platform::store_call::number_of_kinds );
     for ( auto i = 0; i < kinds; ++i )
--- a/apps/tool/explain.cpp
+++ b/apps/tool/explain.cpp
@@ -41,6 +41,14 @@
     return text;
 }
 
+/// How long it waited for a target's limit, for the sentence.
+auto limit_in( log_line const& placed ) -> std::string
+{
+    auto const waited = value_of( placed, "limit_ms" );
+    return waited.empty() ? ""
+                          : ", " + waited + " ms of it for a target's limit";
+}
+
 /// Who chose the targets, and how long that took, for the sentence.
 auto decision_in( std::vector<story_line> const& story ) -> std::string
 {
@@ -50,7 +58,8 @@
         auto const by = value_of( line.fields, "decided_by" );
         if ( !by.empty() )
             text = "; targets chosen by " + by + " in " +
-                   value_of( line.fields, "asked_ms" ) + " ms";
+                   value_of( line.fields, "asked_ms" ) + " ms" +
+                   limit_in( line.fields );
     }
     return text;
 }
--- a/apps/tool/losses.cpp
+++ b/apps/tool/losses.cpp
@@ -65,6 +65,8 @@
 
 auto cause_of_refusal( std::string const& reason ) -> loss_cause
 {
+    if ( reason == "limited" )
+        return loss_cause::target_limit;
     if ( reason == "no_configuration" )
         return loss_cause::no_configuration;
     if ( reason == "stopping" || reason == "process_ends" )
@@ -130,6 +132,8 @@
         return "memory_not_there";
     case loss_cause::no_room:
         return "no_room";
+    case loss_cause::target_limit:
+        return "target_limit";
     case loss_cause::late_ask:
         return "late_ask";
     case loss_cause::late_by_waiting:
@@ -201,6 +205,7 @@
         told.waited_ms = number_of( line, "waited_ms" );
         told.predicted_ms = number_of( line, "predicted_ms" );
         told.asked_ms = number_of( line, "asked_ms" );
+        told.limit_ms = number_of( line, "limit_ms" ).value_or( 0 );
     }
     else if ( event == "attempt_failed" &&
               text_of( line, "decision" ) != "go_back" )
@@ -252,6 +257,8 @@
                                   : std::nullopt );
     if ( told.failure )
         return count( prompt, told.failure );
+    if ( told.limit_ms > 0 && reached - told.limit_ms <= *objective )
+        return count( prompt, loss_cause::target_limit );
     if ( prompt == 0 )
         return count( prompt, loss_cause::late_call );
     if ( !told.waited_ms || !told.predicted_ms )
--- a/apps/tool/losses.hpp
+++ b/apps/tool/losses.hpp
@@ -30,6 +30,7 @@
     turned_away,       ///< targets did not take it
     memory_not_there,  ///< a reservation was refused
     no_room,           ///< it found no targets while its caller waited
+    target_limit,      ///< targets had got as much as they take
     late_ask,          ///< the answer to its ask for targets took long
     late_by_waiting,   ///< it waited for room, and was then read as predicted
     late_as_predicted, ///< the choice itself said that it would be late
@@ -103,6 +104,7 @@
         std::optional<double> waited_ms;
         std::optional<double> predicted_ms;
         std::optional<double> asked_ms;
+        double limit_ms{ 0 };              ///< waited for a target's limit
         std::optional<loss_cause> failure; ///< of its last attempt
     };
 
--- a/apps/tool/status.cpp
+++ b/apps/tool/status.cpp
@@ -54,7 +54,7 @@
     print_table( state.at( "targets" ),
                  { "id", "service", "leaving", "gone", "may_get_work",
                    "requests", "writers", "backlog_ms", "memory_tokens",
-                   "failure_share", "limit" },
+                   "failure_share", "limit", "sent_per_second" },
                  out );
     out << '\n';
     print_table( state.at( "peers" ),
--- a/src/pollenstream/adapters/spdlog/structured_log.cpp
+++ b/src/pollenstream/adapters/spdlog/structured_log.cpp
@@ -109,6 +109,8 @@
         .number( "configuration", e.configuration.count() )
         .text( "decided_by", e.decided_by.str() )
         .milliseconds( "asked_ms", e.asked_for );
+    if ( e.basis.limit_wait_ms > 0 )
+        line.number( "limit_ms", e.basis.limit_wait_ms );
     if ( e.parts.size() > 1 )
         line.text( "helpers", helpers_of( e.parts ) );
     return line;
--- a/src/pollenstream/core/invariant.cpp
+++ b/src/pollenstream/core/invariant.cpp
@@ -49,6 +49,8 @@
         return "revision_only_rises";
     case invariant::pause_holds:
         return "pause_holds";
+    case invariant::limit_holds:
+        return "limit_holds";
     case invariant::quarantine_holds:
         return "quarantine_holds";
     case invariant::number_of_invariants:
--- a/src/pollenstream/core/invariant.hpp
+++ b/src/pollenstream/core/invariant.hpp
@@ -25,6 +25,7 @@
     stop_cuts_nothing,    ///< a planned stop ends with no open request
     revision_only_rises,  ///< an adopted configuration is never older
     pause_holds,          ///< a target that wants nothing now is sent nothing
+    limit_holds,          ///< a target gets no more than it takes
     quarantine_holds,     ///< what ends its targets is not sent again
     number_of_invariants,
 };
--- a/src/pollenstream/exchange/context.hpp
+++ b/src/pollenstream/exchange/context.hpp
@@ -49,6 +49,9 @@
         -> void = 0;
     /// The target has said in an answer that it leaves.
     virtual auto target_leaves( target_ref const& ref ) -> void = 0;
+    /// The limit that the target names in its answers has changed.
+    virtual auto target_limited( target_ref const& ref, limit_change change )
+        -> void = 0;
     /// A run broke off at a target that may have ended by it.
     virtual auto run_crashed( crashed_run const& what ) -> void = 0;
     /// A content that was under suspicion has been served.
--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -22,9 +22,8 @@
 /// A request that waits is refused this much before its caller would leave,
 /// so that the caller hears when to come back.
 constexpr auto refusal_margin = core::duration( 150ms );
-/// Retry-After where no target is known, no configuration, or the process is
-/// about to end and callers find another instance at once.
-constexpr auto retry_after_no_target = core::duration( 400ms );
+/// Retry-After where no configuration is known, or the process is about to end
+/// and callers find another instance at once.
 constexpr auto retry_after_no_configuration = core::duration( 300ms );
 /// How long a request waits for the first configuration of its instance: the
 /// store answers within 25 ms of a start, and within 200 ms where it is slow.
@@ -229,6 +228,13 @@
     return service_->engine && demand_.prompt_tokens > 0;
 }
 
+/// Of plain calls nobody else needs to know, but for those that spend a
+/// target's limit.
+auto exchange::is_told_to_others() const -> bool
+{
+    return needs_engine() || is_asked_for_ || spends_limit_;
+}
+
 auto exchange::refresh_demand( core::instant now ) -> void
 {
     demand_.waited = now - request_.received;
@@ -242,6 +248,20 @@
         std::uniform_real_distribution<double>( 0, 1 )( shared_.random );
 }
 
+/// For a plain call. Only who places for all knows what others send to targets
+/// with limits.
+auto exchange::choose_here( core::instant now ) -> placement_result
+{
+    auto demand = demand_;
+    demand.only_to_hear = true;
+    demand.limits =
+        shared_.asks.places_for_all() ? limit_use::for_all : limit_use::unasked;
+    auto result = shared_.chooser.choose( demand, *service_, now );
+    if ( result.choice && demand.limits == limit_use::unasked )
+        shared_.board.note_unasked( result.choice->parts, now );
+    return result;
+}
+
 auto exchange::try_start() -> bool
 {
     if ( finished_ )
@@ -259,7 +279,7 @@
         ask_for_targets();
         return true;
     }
-    auto result = shared_.chooser.choose( demand_, *service_, now );
+    auto result = choose_here( now );
     if ( result.choice )
     {
         stop_waiting();
@@ -267,6 +287,13 @@
                  shared_.self } );
         return true;
     }
+    if ( result.reason == no_choice::limited )
+    {
+        // Who places prompts hands out what such targets take.
+        is_asked_for_ = true;
+        ask_for_targets();
+        return true;
+    }
     if ( result.reason == no_choice::paused )
         return wait_for_pause( now );
     if ( route_->kind == request_kind::stream )
@@ -279,7 +306,7 @@
 auto exchange::release( std::uint64_t serial, work_outcome outcome ) -> void
 {
     shared_.board.end_work( shared_.self, serial, shared_.scheduler.now() );
-    if ( !needs_engine() )
+    if ( !is_told_to_others() )
         return;
     shared_.asks.release( serial );
     shared_.announcer.work_ended( serial, outcome );
--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -99,7 +99,9 @@
     [[nodiscard]] auto time_limit() const -> core::duration;
     [[nodiscard]] auto may_outlast_stop( core::instant now ) const -> bool;
     [[nodiscard]] auto needs_engine() const -> bool;
+    [[nodiscard]] auto is_told_to_others() const -> bool;
     auto refresh_demand( core::instant now ) -> void;
+    auto choose_here( core::instant now ) -> placement_result;
     auto ask_for_targets() -> void;
     auto arm_end_of_pause() -> void;
     [[nodiscard]] auto end_of_pause() const -> core::instant;
@@ -219,6 +221,9 @@
     service_settings const* service_{ nullptr };
     bool is_wide_{ false };
     bool is_suspect_{ false }; ///< as who granted its targets knows
+    /// A plain call for which who places prompts was asked.
+    bool is_asked_for_{ false };
+    bool spends_limit_{ false }; ///< a target that it was sent to names one
 
     core::instant deadline_;
     core::instant not_before_;     ///< no choice of targets earlier
--- a/src/pollenstream/exchange/exchange_attempts.cpp
+++ b/src/pollenstream/exchange/exchange_attempts.cpp
@@ -75,8 +75,7 @@
     return told;
 }
 
-/// Counts the work on the board and tells those who place prompts of it. Of
-/// plain calls nobody else needs to know.
+/// Counts the work on the board and tells those who place prompts of it.
 auto exchange::add_work( placement_grant const& grant ) -> void
 {
     auto work = open_work{};
@@ -86,8 +85,11 @@
     work.tolerated_gap_ms = core::milliseconds_of( demand_.gap_objective );
     work.reading = route_->kind == request_kind::stream;
     work.is_suspect = is_suspect_;
+    work.reserves = grant.choice.needs_reservation;
     shared_.board.add_work( shared_.self, work, shared_.scheduler.now() );
-    if ( needs_engine() )
+    for ( auto const& target : grant.choice.targets )
+        spends_limit_ = spends_limit_ || target->limit.per_second();
+    if ( is_told_to_others() )
         shared_.announcer.work_began( work );
 }
 
--- a/src/pollenstream/exchange/exchange_evidence.cpp
+++ b/src/pollenstream/exchange/exchange_evidence.cpp
@@ -60,10 +60,12 @@
     if ( !is_whole_statement )
         return;
     auto const change = shared_.board.note_limit(
-        target, { head.limit, from.sent_at, from.heard_at } );
-    if ( change != limit_change::none )
-        shared_.log.record(
-            limit_news( target, change, head.limit, "its own answer" ) );
+        target, { head.limit, from.sent_at, from.heard_at }, from.heard_at );
+    if ( change == limit_change::none )
+        return;
+    shared_.announcer.target_limited( target, change );
+    shared_.log.record(
+        limit_news( target, change, head.limit, "its own answer" ) );
 }
 
 /// What has been served is no suspect any more, here and at the others.
--- a/src/pollenstream/exchange/limit_belief.cpp
+++ b/src/pollenstream/exchange/limit_belief.cpp
@@ -1,6 +1,7 @@
 #include <pollenstream/exchange/limit_belief.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace pollenstream::exchange
@@ -9,6 +10,12 @@
 namespace
 {
 
+/// Others' messages may say anything.
+auto is_rate( double per_second ) -> bool
+{
+    return std::isfinite( per_second ) && per_second >= 0;
+}
+
 auto rate_of( limit_statement const& what ) -> double
 {
     return what.per_second.value_or( std::numeric_limits<double>::infinity() );
@@ -29,6 +36,8 @@
 
 auto limit_belief::take( limit_statement const& what ) -> limit_change
 {
+    if ( what.per_second && !is_rate( *what.per_second ) )
+        return limit_change::none;
     if ( what.per_second == held_.per_second )
     {
         held_.sent_at = std::max( held_.sent_at, what.sent_at );
--- a/src/pollenstream/exchange/own_answers.hpp
+++ b/src/pollenstream/exchange/own_answers.hpp
@@ -16,6 +16,12 @@
 /// moment later, may take it.
 inline constexpr auto retry_after_turned_away =
     core::duration( std::chrono::milliseconds( 60 ) );
+/// Retry-After where no target is known.
+inline constexpr auto retry_after_no_target =
+    core::duration( std::chrono::milliseconds( 400 ) );
+/// Reason of an answer to a request for which targets have no room by the
+/// limits that they name.
+inline constexpr auto limited_reason = "limited";
 /// Reason of an answer to a request that ends its targets.
 inline constexpr auto quarantined_reason = "quarantined";
 inline constexpr auto status_bad_gateway = 502;
--- a/src/pollenstream/exchange/placement.cpp
+++ b/src/pollenstream/exchange/placement.cpp
@@ -125,6 +125,14 @@
     return options;
 }
 
+/// False for what the request is not to be sent to.
+auto is_left( placement_demand const& demand, board_target const& target )
+    -> bool
+{
+    return target.takes_work() && !contains( demand.tried, target.facts.id ) &&
+           !contains( demand.paused, target.facts.id );
+}
+
 auto basis_of( std::vector<std::shared_ptr<board_target>> const& targets,
                core::instant now ) -> choice_basis
 {
@@ -166,20 +174,45 @@
 {
 }
 
-auto placement::usable( placement_demand const& demand,
-                        core::instant now ) const -> candidates
+auto placement::options( placement_demand const& demand,
+                         core::instant now ) const -> target_options
+{
+    auto found = target_options{};
+    for ( auto const& t : board_.of_service( demand.service ) )
+    {
+        if ( !is_left( demand, *t ) )
+            continue;
+        if ( !board_.may_send( *t, demand.limits, now ) )
+            found.more = true;
+        else if ( !t->may_get_work( now ) )
+            found.shunned.push_back( t );
+        else if ( t->limit.per_second() )
+            found.limited.push_back( t );
+        else
+            found.free.push_back( t );
+    }
+    return found;
+}
+
+auto placement::room_by_limits( placement_demand const& demand ) const
+    -> std::optional<limited_room>
 {
-    auto found = candidates{};
-    auto shunned = candidates{};
+    auto room = limited_room{ core::instant::max(), 0 };
     for ( auto const& t : board_.of_service( demand.service ) )
     {
-        if ( !t->takes_work() || contains( demand.tried, t->facts.id ) ||
-             contains( demand.paused, t->facts.id ) )
+        if ( !t->limit.per_second() || !is_left( demand, *t ) )
             continue;
-        ( t->may_get_work( now ) ? found : shunned ).push_back( t );
+        room.first = std::min(
+            room.first, t->limit.next( demand.limits, board_.shares() ) );
+        room.per_second += t->limit.rate( demand.limits, board_.shares() );
     }
-    // Where all are shunned the belief is worth less than a try.
-    return found.empty() ? shunned : found;
+    return room.per_second > 0 ? std::optional( room ) : std::nullopt;
+}
+
+auto limited_room::behind( std::size_t ahead ) const -> core::instant
+{
+    return first +
+           core::duration_of( static_cast<double>( ahead ) / per_second );
 }
 
 /// True where a target is left once pauses are over.
@@ -198,18 +231,69 @@
                         service_settings const& service,
                         core::instant now ) const -> placement_result
 {
-    auto const targets = usable( demand, now );
-    if ( targets.empty() )
-        return nothing( pauses_only( demand ) ? no_choice::paused
-                                              : no_choice::no_targets );
-    auto result = demand.crashes > 0
-                      ? choose_apart( targets, demand, service, now )
-                      : choose_among( targets, demand, service, now );
+    auto const found = options( demand, now );
+    auto result = choose_unheard( found, demand, service, now );
+    if ( !result.choice )
+        result = choose_in_turn( found, demand, service, now );
     if ( result.choice )
         result.choice->basis = basis_of( result.choice->targets, now );
     return result;
 }
 
+/// A limited target that has got nothing for long, for a request that it serves
+/// alone: its answer tells whether it still needs its limit.
+auto placement::choose_unheard( target_options const& options,
+                                placement_demand const& demand,
+                                service_settings const& service,
+                                core::instant now ) const -> placement_result
+{
+    auto const is_small = !service.engine || demand.prompt_tokens == 0 ||
+                          !is_long_prompt( *service.engine, demand );
+    if ( options.free.empty() || !is_small || demand.crashes > 0 )
+        return nothing( no_choice::full );
+    for ( auto const& t : options.limited )
+        if ( t->limit.is_unheard( now ) )
+            return choose_from( { t }, demand, service, now );
+    return nothing( no_choice::full );
+}
+
+/// A limit is room: targets without one come first, those that have room by
+/// theirs next. Where all are shunned the belief is worth less than a try.
+auto placement::choose_in_turn( target_options const& options,
+                                placement_demand const& demand,
+                                service_settings const& service,
+                                core::instant now ) const -> placement_result
+{
+    auto result = nothing( no_choice::no_targets );
+    if ( !options.free.empty() )
+        result = choose_from( options.free, demand, service, now );
+    else if ( demand.only_to_hear && options.has_limited() )
+        return nothing( no_choice::limited );
+    if ( !result.choice && !demand.only_to_hear && !options.limited.empty() )
+    {
+        auto all = options.free;
+        all.insert( all.end(), options.limited.begin(), options.limited.end() );
+        result = choose_from( all, demand, service, now );
+    }
+    if ( result.choice || result.reason != no_choice::no_targets )
+        return result;
+    if ( !options.shunned.empty() )
+        return choose_from( options.shunned, demand, service, now );
+    if ( options.more )
+        return nothing( no_choice::limited );
+    return nothing( pauses_only( demand ) ? no_choice::paused
+                                          : no_choice::no_targets );
+}
+
+auto placement::choose_from( candidates const& targets,
+                             placement_demand const& demand,
+                             service_settings const& service,
+                             core::instant now ) const -> placement_result
+{
+    return demand.crashes > 0 ? choose_apart( targets, demand, service, now )
+                              : choose_among( targets, demand, service, now );
+}
+
 /// For a content under suspicion. Of all that broke off when a target ended one
 /// may end the next one too: two that run at the same target could not be told
 /// apart when that ends, so that each gets its own where there are enough. One
--- a/src/pollenstream/exchange/placement.hpp
+++ b/src/pollenstream/exchange/placement.hpp
@@ -29,6 +29,11 @@
     std::vector<core::target_id> tried; ///< not to be chosen again
     /// Targets that want nothing from the asker now.
     std::vector<core::target_id> paused;
+    /// What may be spent of the limits that targets name.
+    limit_use limits{ limit_use::for_all };
+    /// Targets with limits are chosen only to hear whether these still hold;
+    /// else they are to be asked for.
+    bool only_to_hear{ false };
     /// Targets that may have ended by runs of the same content.
     std::size_t crashes{ 0 };
     /// No other wide prompt waits.
@@ -45,6 +50,8 @@
     std::int64_t requests{ 0 }; ///< that the first target answers
     std::int64_t reading{ 0 };  ///< parts of prompts that it reads
     double backlog_ms{ 0 };     ///< most that one of the targets has to read
+    /// For how long the request has waited for a target's limit.
+    std::int64_t limit_wait_ms{ 0 };
 };
 
 /// Where a request goes. The first part's target answers; the others read
@@ -67,6 +74,7 @@
     full,       ///< none has room now
     too_large,  ///< all memory together does not hold it
     paused,     ///< all that are left want nothing from the asker now
+    limited,    ///< all that are left have got as much as they take
 };
 
 struct placement_result
@@ -83,6 +91,32 @@
     return { std::nullopt, reason };
 }
 
+/// Targets that are left for a request, by what speaks against them.
+struct target_options
+{
+    using list = std::vector<std::shared_ptr<board_target>>;
+
+    list free;          ///< that name no limit
+    list limited;       ///< that do, and have room for one request now
+    list shunned;       ///< with room too, and believed to fail
+    bool more{ false }; ///< others have room later, by their limits
+
+    [[nodiscard]] auto has_limited() const -> bool
+    {
+        return more || !limited.empty();
+    }
+};
+
+/// When the targets that are left have room by their limits, and how fast.
+struct limited_room
+{
+    core::instant first; ///< for one request
+    double per_second{ 0 };
+
+    /// When there is room for one behind `ahead` others.
+    [[nodiscard]] auto behind( std::size_t ahead ) const -> core::instant;
+};
+
 /// Chooses targets on the board; decides nothing about refusing.
 class placement
 {
@@ -94,6 +128,11 @@
                                service_settings const& service,
                                core::instant now ) const -> placement_result;
 
+    /// Room by the limits of the targets that are left for `demand`; nothing
+    /// where none of them names one.
+    [[nodiscard]] auto room_by_limits( placement_demand const& demand ) const
+        -> std::optional<limited_room>;
+
     /// True where the prompt cannot have its first event in time any more, even
     /// with as many engines as one prompt may take.
     [[nodiscard]] auto is_too_late( placement_demand const& demand,
@@ -114,8 +153,23 @@
                                      service_settings const& service,
                                      core::instant now ) const
         -> placement_result;
-    [[nodiscard]] auto usable( placement_demand const& demand,
-                               core::instant now ) const -> candidates;
+    [[nodiscard]] auto options( placement_demand const& demand,
+                                core::instant now ) const -> target_options;
+    [[nodiscard]] auto choose_unheard( target_options const& options,
+                                       placement_demand const& demand,
+                                       service_settings const& service,
+                                       core::instant now ) const
+        -> placement_result;
+    [[nodiscard]] auto choose_in_turn( target_options const& options,
+                                       placement_demand const& demand,
+                                       service_settings const& service,
+                                       core::instant now ) const
+        -> placement_result;
+    [[nodiscard]] auto choose_from( candidates const& targets,
+                                    placement_demand const& demand,
+                                    service_settings const& service,
+                                    core::instant now ) const
+        -> placement_result;
     [[nodiscard]] auto pauses_only( placement_demand const& demand ) const
         -> bool;
     [[nodiscard]] auto choose_apart( candidates const& targets,
--- a/src/pollenstream/exchange/placement_coordinator.cpp
+++ b/src/pollenstream/exchange/placement_coordinator.cpp
@@ -18,6 +18,8 @@
 /// earns less than one that can still be in time.
 constexpr auto late_penalty = 1'000.0;
 constexpr auto priority_step = 100'000.0;
+/// A caller that is refused for a limit is not sent back at once.
+constexpr auto shortest_return = core::duration( 20ms );
 
 }
 
@@ -34,8 +36,10 @@
           received_( owner.scheduler_.now() - ask.demand.waited ),
           deadline_( owner.scheduler_.now() + ask.demand.time_left ),
           patience_until_( owner.scheduler_.now() + ask.demand.patience_left ),
-          is_long_( is_long_prompt( *settings.engine, ask.demand ) ),
-          is_wide_( is_wide_prompt( *settings.engine, ask.demand ) )
+          is_long_( settings.engine &&
+                    is_long_prompt( *settings.engine, ask.demand ) ),
+          is_wide_( settings.engine &&
+                    is_wide_prompt( *settings.engine, ask.demand ) )
     {
     }
 
@@ -54,10 +58,11 @@
         return is_long_;
     }
     /// Held back for its own sake, or kept from some of the targets, it says
-    /// nothing of the room for others.
+    /// nothing of the room for others. One that waits for a limit is told as
+    /// soon as it cannot be in time.
     [[nodiscard]] auto is_always_tried() const -> bool override
     {
-        return is_held_back_ || !ask.demand.tried.empty() ||
+        return is_held_back_ || limited_since_ || !ask.demand.tried.empty() ||
                !ask.demand.paused.empty();
     }
 
@@ -90,6 +95,7 @@
     }
     auto refresh_demand( core::instant now ) -> void;
     auto try_choose( core::instant now ) -> bool;
+    auto wait_for_limit( core::instant now ) -> bool;
     [[nodiscard]] auto is_hopeless( service_settings const& settings ) const
         -> bool;
     [[nodiscard]] auto yields( placement_choice const& choice ) const -> bool;
@@ -110,6 +116,8 @@
     bool in_wide_queue_{ false };
     bool was_tried_{ false };
     bool is_held_back_{ false }; ///< until another run of the same has ended
+    /// Since when all targets that are left have got what they take.
+    std::optional<core::instant> limited_since_;
 };
 
 auto placement_coordinator::queued_prompt::order() const -> double
@@ -157,7 +165,7 @@
 {
     auto const* const settings =
         owner_.configuration_->find_service( ask.demand.service );
-    if ( settings == nullptr || !settings->engine )
+    if ( settings == nullptr )
         return refuse( "unknown_service", 0ms );
     if ( owner_.crashes_.is_quarantined( ask.content ) )
         return refuse( quarantined_reason, 0ms );
@@ -173,14 +181,42 @@
     if ( result.choice && yields( *result.choice ) )
         result = nothing( no_choice::full );
     if ( result.choice )
+    {
+        result.choice->basis.limit_wait_ms =
+            core::milliseconds_of( now - limited_since_.value_or( now ) );
         return grant( std::move( *result.choice ) );
+    }
     if ( result.reason == no_choice::too_large )
         return refuse( "too_large", 0ms );
+    if ( result.reason == no_choice::limited )
+        return wait_for_limit( now );
+    // A plain call waits for nothing else, unless its answer has begun.
+    if ( !settings->engine && ask.may_be_refused )
+        return refuse( "no_targets", retry_after_no_target );
     if ( is_hopeless( *settings ) )
         return refuse( "no_room_in_time", predicted_room( *settings ) );
     return false;
 }
 
+/// Refuses what cannot be in time by the limits of the targets that are left.
+/// One that comes while others wait has to be within its objective, as what is
+/// late takes the place of what is not; else its caller's patience counts.
+auto placement_coordinator::queued_prompt::wait_for_limit( core::instant now )
+    -> bool
+{
+    auto const room = owner_.chooser_.room_by_limits( ask.demand );
+    auto const ahead = owner_.waiting_before( *this );
+    auto const is_first_try = !limited_since_;
+    limited_since_ = limited_since_.value_or( now );
+    if ( !room || !ask.may_be_refused )
+        return false;
+    auto const latest = is_first_try && ahead > 0 ? due() : waits_until( now );
+    if ( room->behind( ahead ) <= latest )
+        return false;
+    owner_.counters_.limited.add();
+    return refuse( limited_reason, owner_.time_to_return( *this, *room ) );
+}
+
 /// True for a wide prompt that cannot be in time any more while others wait
 /// that can: it would be kept waiting until its caller leaves. Told at once,
 /// the caller comes back while there is time. One that may have run is not
@@ -283,7 +319,51 @@
 {
     auto const* const settings =
         configuration_ ? configuration_->find_service( service ) : nullptr;
-    return settings != nullptr && settings->engine;
+    return settings != nullptr;
+}
+
+auto placement_coordinator::others_waiting( queued_prompt const& who ) const
+    -> std::size_t
+{
+    return static_cast<std::size_t>(
+        std::count_if( waiting_.begin(), waiting_.end(),
+                       [&]( auto const& entry )
+                       {
+                           return entry.second.get() != &who &&
+                                  entry.second->service() == who.service();
+                       } ) );
+}
+
+auto placement_coordinator::waiting_before( queued_prompt const& who ) const
+    -> std::size_t
+{
+    auto const order = who.order();
+    return static_cast<std::size_t>(
+        std::count_if( waiting_.begin(), waiting_.end(),
+                       [&]( auto const& entry )
+                       {
+                           return entry.second.get() != &who &&
+                                  entry.second->service() == who.service() &&
+                                  entry.second->order() <= order;
+                       } ) );
+}
+
+/// Callers that are refused come back one after the other, as the targets take
+/// them, behind those that wait. A moment that is past a caller's time is only
+/// told, and kept for others.
+auto placement_coordinator::time_to_return( queued_prompt const& who,
+                                            limited_room const& room )
+    -> core::duration
+{
+    auto const& demand = who.ask.demand;
+    auto const now = scheduler_.now();
+    auto& last = returns_[demand.service];
+    auto const next = last + core::duration_of( 1 / room.per_second );
+    auto const at =
+        std::max( { now, room.behind( others_waiting( who ) ), next } );
+    if ( at - now < demand.time_left )
+        last = at;
+    return std::max( at - now, shortest_return );
 }
 
 auto placement_coordinator::add_work( queued_prompt const& who,
@@ -296,7 +376,16 @@
     work.tolerated_gap_ms =
         core::milliseconds_of( who.ask.demand.gap_objective );
     work.is_suspect = who.ask.demand.crashes > 0;
-    board_.add_work( who.ask.asker, work, scheduler_.now() );
+    work.reserves = choice.needs_reservation;
+    auto const now = scheduler_.now();
+    auto const use = who.ask.demand.limits;
+    for ( auto const& target : choice.targets )
+        core::check_invariant(
+            core::invariant::limit_holds, board_.may_send( *target, use, now ),
+            "target " + target->facts.id.str() + " is granted over its limit" );
+    if ( use == limit_use::unasked )
+        board_.note_unasked( work.parts, now );
+    board_.add_work( who.ask.asker, work, now );
 }
 
 auto placement_coordinator::runs_now( content_id content ) const -> bool
--- a/src/pollenstream/exchange/placement_coordinator.hpp
+++ b/src/pollenstream/exchange/placement_coordinator.hpp
@@ -27,6 +27,7 @@
     core::counter granted;
     core::counter refused;
     core::counter asked_again; ///< a repeated ask; its answer may be lost
+    core::counter limited;     ///< refused for targets' limits
 };
 
 /// Chooses targets for the prompts of all instances that ask here. One
@@ -90,7 +91,19 @@
         bool is_suspect{ false };
     };
 
+    /// When a service's refused callers are to come back, as far as it has
+    /// been said: each has a moment of its own.
+    using return_times = std::map<core::service_id, core::instant>;
+
     [[nodiscard]] auto runs_now( content_id content ) const -> bool;
+    /// Asks for the same service beside `who`, and those of them before it.
+    [[nodiscard]] auto others_waiting( queued_prompt const& who ) const
+        -> std::size_t;
+    [[nodiscard]] auto waiting_before( queued_prompt const& who ) const
+        -> std::size_t;
+    [[nodiscard]] auto time_to_return( queued_prompt const& who,
+                                       limited_room const& room )
+        -> core::duration;
     auto grant( queued_prompt const& who, placement_choice choice ) -> void;
     auto add_work( queued_prompt const& who, placement_choice const& choice )
         -> void;
@@ -106,6 +119,7 @@
     std::map<key, std::shared_ptr<queued_prompt>> waiting_;
     /// For askers that have not heard their answer.
     std::map<key, open_grant> granted_;
+    return_times returns_;
     coordinator_counters counters_;
     std::minstd_rand random_;
 };
--- a/src/pollenstream/exchange/placer.hpp
+++ b/src/pollenstream/exchange/placer.hpp
@@ -76,6 +76,8 @@
     virtual auto ask( placement_ask what,
                       std::shared_ptr<placement_listener> listener )
         -> std::unique_ptr<open_ask> = 0;
+    /// This instance is the one that is asked first.
+    [[nodiscard]] virtual auto places_for_all() const -> bool = 0;
     /// The work of a grant has ended.
     virtual auto release( std::uint64_t serial ) -> void = 0;
 };
--- /dev/null
+++ b/src/pollenstream/exchange/request_limit.hpp
@@ -0,0 +1,55 @@
+#ifndef POLLENSTREAM_EXCHANGE_REQUEST_LIMIT_HPP
+#define POLLENSTREAM_EXCHANGE_REQUEST_LIMIT_HPP
+
+#include <pollenstream/exchange/limit_belief.hpp>
+#include <pollenstream/exchange/request_pace.hpp>
+#include <pollenstream/exchange/sent_times.hpp>
+
+#include <optional>
+
+namespace pollenstream::exchange
+{
+
+/// How many requests a second one lifetime of a target takes from all instances
+/// together, what they have sent it, and when it may get the next one.
+class request_limit
+{
+public:
+    auto take( limit_statement const& what, core::instant now ) -> limit_change;
+    /// `requests` were sent at once, by whichever instance.
+    auto note_sent( core::instant at, std::size_t requests ) -> void;
+    /// One of them was sent by this instance without having asked.
+    auto note_unasked( core::instant at ) -> void;
+
+    [[nodiscard]] auto per_second() const -> std::optional<double>
+    {
+        return belief_.per_second();
+    }
+    [[nodiscard]] auto held() const -> limit_statement const&
+    {
+        return belief_.held();
+    }
+    /// Requests of all instances in the last window, as far as this one knows.
+    [[nodiscard]] auto sent_lately( core::instant now ) const -> std::size_t
+    {
+        return sent_.lately( now );
+    }
+    /// When the next request may be sent; long ago where there is no limit.
+    [[nodiscard]] auto next( limit_use use, limit_shares const& shares ) const
+        -> core::instant;
+    /// Requests a second that this instance may send or hand out.
+    [[nodiscard]] auto rate( limit_use use, limit_shares const& shares ) const
+        -> double;
+    /// It has got nothing for so long that it cannot have said whether its
+    /// limit still holds.
+    [[nodiscard]] auto is_unheard( core::instant now ) const -> bool;
+
+private:
+    limit_belief belief_;
+    sent_times sent_;
+    request_pace pace_;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/src/pollenstream/exchange/sent_times.cpp
@@ -0,0 +1,35 @@
+#include <pollenstream/exchange/sent_times.hpp>
+
+#include <algorithm>
+
+namespace pollenstream::exchange
+{
+
+auto sent_times::add( core::instant at ) -> void
+{
+    times_.insert( std::upper_bound( times_.begin(), times_.end(), at ), at );
+    while ( times_.size() > most_kept ||
+            times_.front() + window < times_.back() )
+        times_.pop_front();
+}
+
+auto sent_times::last() const -> std::optional<core::instant>
+{
+    return times_.empty() ? std::nullopt : std::optional( times_.back() );
+}
+
+auto sent_times::lately( core::instant now ) const -> std::size_t
+{
+    auto const first =
+        std::upper_bound( times_.begin(), times_.end(), now - window );
+    return static_cast<std::size_t>( times_.end() - first );
+}
+
+auto sent_times::fewer_than( std::size_t most ) const -> core::instant
+{
+    if ( times_.size() < most )
+        return {};
+    return times_[times_.size() - most] + window;
+}
+
+}
--- /dev/null
+++ b/src/pollenstream/exchange/sent_times.hpp
@@ -0,0 +1,38 @@
+#ifndef POLLENSTREAM_EXCHANGE_SENT_TIMES_HPP
+#define POLLENSTREAM_EXCHANGE_SENT_TIMES_HPP
+
+#include <pollenstream/core/units.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <deque>
+#include <optional>
+
+namespace pollenstream::exchange
+{
+
+/// When requests were lately sent to one target, by all instances as far as
+/// this one knows.
+class sent_times
+{
+public:
+    /// Over which a target's limit is kept: what was sent earlier has no
+    /// bearing on it.
+    static constexpr auto window = core::duration( std::chrono::seconds( 4 ) );
+    static constexpr auto most_kept = std::size_t{ 1'024 };
+
+    /// News of others come late, and not in order.
+    auto add( core::instant at ) -> void;
+    [[nodiscard]] auto last() const -> std::optional<core::instant>;
+    /// How many were sent in the window that ends now.
+    [[nodiscard]] auto lately( core::instant now ) const -> std::size_t;
+    /// When fewer than `most`, which is at least one, are in the window.
+    [[nodiscard]] auto fewer_than( std::size_t most ) const -> core::instant;
+
+private:
+    std::deque<core::instant> times_; ///< in order
+};
+
+}
+
+#endif
--- a/src/pollenstream/exchange/target_board.cpp
+++ b/src/pollenstream/exchange/target_board.cpp
@@ -84,6 +84,7 @@
     fresh->rank = core::stable_hash( facts.id.str() );
     fresh->facts = std::move( facts );
     pauses_.erase( fresh->facts.id );
+    limited_.erase( fresh->facts.id );
     auto& entry = by_id_[fresh->facts.id];
     auto const former = std::exchange( entry, fresh );
     if ( former )
@@ -98,6 +99,7 @@
         return;
     erase_from_order( found->second );
     by_id_.erase( found );
+    limited_.erase( id );
 }
 
 auto target_board::mark_gone( core::target_id const& id ) -> void
@@ -230,6 +232,14 @@
     }
 }
 
+auto target_board::count_sent( known_work const& known ) -> void
+{
+    for ( auto i = std::size_t{ 0 }; i < known.at.size(); ++i )
+        if ( known.at[i] )
+            known.at[i]->limit.note_sent( known.sent_at,
+                                          known.work.requests_at( i ) );
+}
+
 auto target_board::count_memory( known_work const& known, std::int64_t sign )
     -> void
 {
@@ -264,8 +274,8 @@
                              open_work const& work,
                              core::instant now ) -> void
 {
-    auto const [at, is_new] =
-        works_[owner].try_emplace( work.serial, known_work{ work, {}, false } );
+    auto const [at, is_new] = works_[owner].try_emplace(
+        work.serial, known_work{ work, {}, false, now - work.sent_ago } );
     if ( !is_new && lacks_known_target( at->second ) )
     {
         // Told before the registry's records had come: counted now, or engines
@@ -283,6 +293,7 @@
     auto& known = at->second;
     for ( auto const& part : known.work.parts )
         known.at.push_back( find_lifetime( { part.target, part.lifetime } ) );
+    count_sent( known );
     if ( known.work.reading )
         count_reading( known, now );
     else
@@ -371,8 +382,8 @@
     works_.erase( found );
 }
 
-auto target_board::works_of( core::instance_id const& owner ) const
-    -> std::vector<open_work>
+auto target_board::works_of( core::instance_id const& owner,
+                             core::instant now ) const -> std::vector<open_work>
 {
     auto result = std::vector<open_work>{};
     auto const found = works_.find( owner );
@@ -380,7 +391,10 @@
         return result;
     result.reserve( found->second.size() );
     for ( auto const& [serial, known] : found->second )
+    {
         result.push_back( known.work );
+        result.back().sent_ago = now - known.sent_at;
+    }
     return result;
 }
 
@@ -424,10 +438,33 @@
 }
 
 auto target_board::note_limit( target_ref const& ref,
-                               limit_statement const& what ) -> limit_change
+                               limit_statement const& what,
+                               core::instant now ) -> limit_change
 {
     auto const at = find_lifetime( ref );
-    return at ? at->limit.take( what ) : limit_change::none;
+    if ( !at )
+        return limit_change::none;
+    auto const change = at->limit.take( what, now );
+    if ( change == limit_change::named )
+        limited_.insert( ref.id );
+    return change;
+}
+
+auto target_board::note_unasked( std::vector<work_part> const& parts,
+                                 core::instant now ) -> void
+{
+    for ( auto const& part : parts )
+        if ( auto const at = find_lifetime( { part.target, part.lifetime } ) )
+            at->limit.note_unasked( now );
+}
+
+auto target_board::limited() const -> std::vector<target_ref>
+{
+    auto refs = std::vector<target_ref>{};
+    for ( auto const& id : limited_ )
+        if ( auto const at = find( id ) )
+            refs.push_back( at->ref() );
+    return refs;
 }
 
 auto target_board::note_bad_limit( target_ref const& ref ) -> bool
--- a/src/pollenstream/exchange/target_board.hpp
+++ b/src/pollenstream/exchange/target_board.hpp
@@ -4,8 +4,8 @@
 #include <pollenstream/core/address.hpp>
 #include <pollenstream/core/ids.hpp>
 #include <pollenstream/core/units.hpp>
-#include <pollenstream/exchange/limit_belief.hpp>
 #include <pollenstream/exchange/message.hpp>
+#include <pollenstream/exchange/request_limit.hpp>
 #include <pollenstream/exchange/wide_queue.hpp>
 
 #include <cstdint>
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -74,6 +75,19 @@
     /// A run of the same content has broken off at another target that may
     /// have ended by it.
     bool is_suspect{ false };
+    /// Memory is set aside and given back at each target, by orders.
+    bool reserves{ false };
+    core::duration sent_ago{ 0 }; ///< when this was told
+
+    /// Requests that a part means for its target: the first one's own, or what
+    /// the target reads for another, and the orders.
+    [[nodiscard]] auto requests_at( std::size_t part ) const -> std::size_t
+    {
+        constexpr auto orders = std::size_t{ 2 };
+        if ( !reserves )
+            return 1;
+        return part == 0 ? orders + 1 : orders;
+    }
 };
 
 /// Requests that tolerate pauses up to the same length.
@@ -138,7 +152,7 @@
     /// It said in an answer that it leaves. The registry hears of that later,
     /// or not at all while the store is away, and does not take it back.
     bool said_leaving{ false };
-    limit_belief limit;
+    request_limit limit;
     bool said_bad_limit{ false }; ///< it named one that cannot be read
 
     [[nodiscard]] auto ref() const -> target_ref
@@ -247,8 +261,9 @@
     /// Forgets all work of `owner`, which has ended, and what waits there.
     auto end_all_work( core::instance_id const& owner, core::instant now )
         -> void;
-    /// Serial numbers of the work that is known of `owner`.
-    [[nodiscard]] auto works_of( core::instance_id const& owner ) const
+    /// The work that is known of `owner`.
+    [[nodiscard]] auto works_of( core::instance_id const& owner,
+                                 core::instant now ) const
         -> std::vector<open_work>;
 
     /// Takes over how an attempt ended. Returns true where the target is
@@ -263,11 +278,32 @@
     auto note_said_leaving( target_ref const& ref ) -> bool;
     /// An answer of the target says how many requests a second it takes, or
     /// names no limit.
-    auto note_limit( target_ref const& ref, limit_statement const& what )
-        -> limit_change;
+    auto note_limit( target_ref const& ref,
+                     limit_statement const& what,
+                     core::instant now ) -> limit_change;
     /// The target has named a limit that cannot be read; true where that is
     /// news.
     auto note_bad_limit( target_ref const& ref ) -> bool;
+    auto set_limit_shares( limit_shares const& shares ) -> void
+    {
+        shares_ = shares;
+    }
+    [[nodiscard]] auto shares() const -> limit_shares const&
+    {
+        return shares_;
+    }
+    /// False where a limit that the target names keeps requests from it now.
+    [[nodiscard]] auto may_send( board_target const& target,
+                                 limit_use use,
+                                 core::instant now ) const -> bool
+    {
+        return target.limit.next( use, shares_ ) <= now;
+    }
+    /// This instance sends `parts` without having asked who places for all.
+    auto note_unasked( std::vector<work_part> const& parts, core::instant now )
+        -> void;
+    /// Targets of which a limit, or its end, has been heard.
+    [[nodiscard]] auto limited() const -> std::vector<target_ref>;
     auto shun( target_ref const& ref, core::instant until ) -> void;
     /// The target wants nothing from this instance until then. Others may send
     /// there, so that it is no part of what the target is for all.
@@ -289,6 +325,7 @@
         open_work work;
         std::vector<std::shared_ptr<board_target>> at;
         bool reading_counted{ false };
+        core::instant sent_at;
     };
     using work_map = std::unordered_map<std::uint64_t, known_work>;
 
@@ -308,6 +345,7 @@
                        core::instant now ) -> void;
     auto count_reading( known_work& known, core::instant now ) -> void;
     auto uncount_reading( known_work& known, core::instant now ) -> void;
+    static auto count_sent( known_work const& known ) -> void;
     static auto count_memory( known_work const& known, std::int64_t sign )
         -> void;
     static auto count_writer( known_work const& known, std::int64_t sign )
@@ -326,6 +364,8 @@
     wide_queue wide_;
     /// Few, and none as a rule: looked at for each request.
     std::unordered_map<core::target_id, core::instant> pauses_;
+    std::set<core::target_id> limited_; ///< few, and none as a rule
+    limit_shares shares_;
 };
 
 }
--- a/src/pollenstream/peers/peer_group.cpp
+++ b/src/pollenstream/peers/peer_group.cpp
@@ -333,6 +333,7 @@
         auto news = base_message();
         news.shunned = std::exchange( pending_.shunned, {} );
         news.leaving_targets = std::exchange( pending_.leaving_targets, {} );
+        news.limits = std::exchange( pending_.limits, {} );
         send_to_all( news );
     }
     auto message = base_message();
@@ -375,7 +376,7 @@
 {
     auto message = base_message();
     message.complete = true;
-    message.work = board_.works_of( self_.id );
+    message.work = board_.works_of( self_.id, scheduler_.now() );
     if ( handler_ != nullptr )
         message.undecided = handler_->undecided();
     message.known_ips = some_ips();
@@ -406,6 +407,7 @@
     }
     told_ = coordinators();
     check_silent();
+    share_limits();
     beat_call_ = scheduler_.call_after( beat_period(),
                                         [this]
                                         {
@@ -502,6 +504,7 @@
     take_silent( message );
     take_crashes( message );
     take_leaving( message );
+    take_limits( message );
     take_work( message );
     take_asks( message );
     if ( !message.update.empty() && on_update )
@@ -535,6 +538,8 @@
         add_ip( ip );
     if ( change.is_new && on_size_changed )
         on_size_changed();
+    if ( change.is_new || change.is_back || change.begins_to_leave )
+        share_limits();
     // It has to know of this instance; where it places prompts, of its work.
     if ( change.is_new || change.is_restarted )
         send( p.ip, encode( complete_message() ) );
@@ -577,7 +582,8 @@
     if ( handler_ != nullptr )
         handler_->on_open( message.sender, open );
     auto freed = false;
-    for ( auto const& work : board_.works_of( message.sender ) )
+    for ( auto const& work :
+          board_.works_of( message.sender, scheduler_.now() ) )
     {
         if ( open.contains( work.serial ) )
             continue;
--- a/src/pollenstream/peers/peer_group.hpp
+++ b/src/pollenstream/peers/peer_group.hpp
@@ -115,6 +115,8 @@
     auto target_shunned( exchange::target_ref const& ref, core::duration time )
         -> void override;
     auto target_leaves( exchange::target_ref const& ref ) -> void override;
+    auto target_limited( exchange::target_ref const& ref,
+                         exchange::limit_change change ) -> void override;
     auto run_crashed( exchange::crashed_run const& what ) -> void override;
     auto suspect_served( exchange::content_id content ) -> void override;
     /// Where this instance has a duty for all: tells all others which targets
@@ -162,6 +164,11 @@
     auto take_silent( peer_message const& message ) -> void;
     auto take_crashes( peer_message const& message ) -> void;
     auto take_leaving( peer_message const& message ) -> void;
+    auto take_limits( peer_message const& message ) -> void;
+    [[nodiscard]] auto told( exchange::target_ref const& ref ) const
+        -> told_limit;
+    auto add_limits( peer_message& message ) -> void;
+    auto share_limits() -> void;
     [[nodiscard]] auto told( exchange::crashed_run const& what ) const
         -> told_crash;
     auto add_target_news( peer_message& message ) -> void;
@@ -198,6 +205,7 @@
     /// Seen here lately; repeated, since each may be lost.
     std::vector<exchange::crashed_run> own_crashes_;
     std::vector<told_leaving> own_leaving_; ///< the same
+    std::size_t next_limit_{ 0 };           ///< to tell, of all that are known
     std::vector<core::instance_id> told_;   ///< coordinators with all open work
     std::size_t next_ip_{ 0 };
     std::size_t next_in_turn_{ 0 };
--- a/src/pollenstream/peers/peer_group_targets.cpp
+++ b/src/pollenstream/peers/peer_group_targets.cpp
@@ -1,3 +1,4 @@
+#include <pollenstream/core/hash.hpp>
 #include <pollenstream/peers/peer_group.hpp>
 
 #include <algorithm>
@@ -17,6 +18,11 @@
 /// What was seen here of a target's end or leaving stands in all complete
 /// messages for this long.
 constexpr auto told_time = core::duration( 3s );
+/// Limits that one message tells; more are told in turn.
+constexpr auto most_told_limits = std::size_t{ 40 };
+/// Part of its equal share of a limit that an instance may use without having
+/// asked: what many draw for themselves may fall together.
+constexpr auto unasked_part = 0.25;
 
 }
 
@@ -46,6 +52,76 @@
     arm_flush();
 }
 
+/// Those who place prompts go by it at once, as what is sent meanwhile counts
+/// against the limit; all others with the next news.
+auto peer_group::target_limited( exchange::target_ref const& ref,
+                                 exchange::limit_change change ) -> void
+{
+    using exchange::limit_change;
+    if ( change == limit_change::named || change == limit_change::lowered )
+    {
+        auto message = base_message();
+        message.limits.push_back( told( ref ) );
+        send_to_coordinators( message );
+    }
+    pending_.limits.push_back( told( ref ) );
+    tell_all_ = true;
+    arm_flush();
+}
+
+auto peer_group::told( exchange::target_ref const& ref ) const -> told_limit
+{
+    auto const now = scheduler_.now();
+    auto const held = board_.find_lifetime( ref )->limit.held();
+    return { ref, held.per_second, core::milliseconds_of( now - held.sent_at ),
+             core::milliseconds_of( now - held.heard_at ) };
+}
+
+auto peer_group::add_limits( peer_message& message ) -> void
+{
+    auto const limited = board_.limited();
+    auto const some = std::min( limited.size(), most_told_limits );
+    for ( auto i = std::size_t{ 0 }; i < some; ++i )
+        message.limits.push_back(
+            told( limited[next_limit_++ % limited.size()] ) );
+}
+
+auto peer_group::take_limits( peer_message const& message ) -> void
+{
+    auto const now = scheduler_.now();
+    for ( auto const& l : message.limits )
+    {
+        auto const change = board_.note_limit(
+            l.target,
+            { l.per_second, now - std::chrono::milliseconds( l.sent_age_ms ),
+              now - std::chrono::milliseconds( l.heard_age_ms ) },
+            now );
+        if ( change != exchange::limit_change::none )
+            log_.record( exchange::limit_news( l.target, change, l.per_second,
+                                               "its answer to " +
+                                                   message.sender.str() ) );
+    }
+}
+
+/// Who places for all hands out all of each limit, but where it hears only the
+/// lesser part of the instances: it may be cut off from another one that does.
+auto peer_group::share_limits() -> void
+{
+    auto known = 1.0;
+    auto living = 1.0;
+    for ( auto const& [id, p] : table_.all() )
+    {
+        known += p.leaving ? 0 : 1;
+        living += p.leaving || !p.alive ? 0 : 1;
+    }
+    auto const hears_most = living * 2 > known;
+    auto const phase =
+        static_cast<double>( core::stable_hash( self_.id.str() ) >> 11U ) /
+        static_cast<double>( std::uint64_t{ 1 } << 53U );
+    board_.set_limit_shares(
+        { hears_most ? 1.0 : living / known, unasked_part / known, phase } );
+}
+
 auto peer_group::run_crashed( exchange::crashed_run const& what ) -> void
 {
     own_crashes_.push_back( what );
@@ -135,6 +211,7 @@
             message.crashes.push_back( told( run ) );
     for ( auto const& one : own_leaving_ )
         message.leaving_targets.push_back( one.target );
+    add_limits( message );
 }
 
 }
--- a/src/pollenstream/peers/peer_message.cpp
+++ b/src/pollenstream/peers/peer_message.cpp
@@ -15,7 +15,7 @@
 using nlohmann::json;
 
 /// Raised with each change of the layout; others are passed over.
-constexpr auto layout = 8;
+constexpr auto layout = 9;
 
 auto ref_to_json( exchange::target_ref const& ref ) -> json
 {
@@ -49,6 +49,13 @@
     return parts;
 }
 
+/// An age; others' messages may say anything.
+auto age_ms_from_json( json const& number ) -> std::int64_t
+{
+    constexpr auto longest = std::int64_t{ 3'600'000 };
+    return std::clamp( number.get<std::int64_t>(), std::int64_t{ 0 }, longest );
+}
+
 auto ms_from_json( json const& number ) -> core::duration
 {
     return std::chrono::milliseconds( number.get<std::int64_t>() );
@@ -58,6 +65,7 @@
 {
     return json::array( { work.serial, work.context_tokens,
                           work.tolerated_gap_ms, work.reading, work.is_suspect,
+                          work.reserves, core::milliseconds_of( work.sent_ago ),
                           parts_to_json( work.parts ) } );
 }
 
@@ -69,7 +77,10 @@
     work.tolerated_gap_ms = object.at( 2 ).get<std::int64_t>();
     work.reading = object.at( 3 ).get<bool>();
     work.is_suspect = object.at( 4 ).get<bool>();
-    work.parts = parts_from_json( object.at( 5 ) );
+    work.reserves = object.at( 5 ).get<bool>();
+    work.sent_ago =
+        std::chrono::milliseconds( age_ms_from_json( object.at( 6 ) ) );
+    work.parts = parts_from_json( object.at( 7 ) );
     return work;
 }
 
@@ -129,7 +140,7 @@
           static_cast<std::int64_t>( a.first_event_ms ), a.needs_reservation,
           a.waiting, a.reason, a.retry_after_ms, a.basis.requests,
           a.basis.reading, static_cast<std::int64_t>( a.basis.backlog_ms ),
-          a.is_suspect } );
+          a.basis.limit_wait_ms, a.is_suspect } );
 }
 
 auto answer_from_json( json const& object ) -> ask_answer
@@ -145,10 +156,10 @@
     a.waiting = object.at( 5 ).get<std::int64_t>();
     a.reason = object.at( 6 ).get<std::string>();
     a.retry_after_ms = object.at( 7 ).get<std::int64_t>();
-    a.basis = { object.at( 8 ).get<std::int64_t>(),
-                object.at( 9 ).get<std::int64_t>(),
-                object.at( 10 ).get<double>() };
-    a.is_suspect = object.at( 11 ).get<bool>();
+    a.basis = {
+        object.at( 8 ).get<std::int64_t>(), object.at( 9 ).get<std::int64_t>(),
+        object.at( 10 ).get<double>(), object.at( 11 ).get<std::int64_t>() };
+    a.is_suspect = object.at( 12 ).get<bool>();
     return a;
 }
 
@@ -176,6 +187,24 @@
                                         : exchange::target_failure::failed };
 }
 
+auto limit_to_json( told_limit const& l ) -> json
+{
+    auto const rate = l.per_second ? json( *l.per_second ) : json();
+    return json::array(
+        { ref_to_json( l.target ), rate, l.sent_age_ms, l.heard_age_ms } );
+}
+
+auto limit_from_json( json const& object ) -> told_limit
+{
+    auto limit = told_limit{};
+    limit.target = ref_from_json( object.at( 0 ) );
+    if ( auto const& rate = object.at( 1 ); !rate.is_null() )
+        limit.per_second = rate.get<double>();
+    limit.sent_age_ms = age_ms_from_json( object.at( 2 ) );
+    limit.heard_age_ms = age_ms_from_json( object.at( 3 ) );
+    return limit;
+}
+
 auto crash_to_json( told_crash const& c ) -> json
 {
     return json::array(
@@ -245,6 +274,7 @@
     list_cleared,
     list_leaving_targets,
     list_quarantined,
+    list_limits,
 };
 
 auto lists_to_json( peer_message const& m ) -> json
@@ -269,6 +299,7 @@
     add( list_crashes, list_to_json( m.crashes, crash_to_json ) );
     add( list_quarantined, list_to_json( m.quarantined, content_to_json ) );
     add( list_leaving_targets, list_to_json( m.leaving_targets, ref_to_json ) );
+    add( list_limits, list_to_json( m.limits, limit_to_json ) );
     add( list_cleared, list_to_json( m.cleared, content_to_json ) );
     return lists;
 }
@@ -311,6 +342,8 @@
         return list_from_json( list, m.quarantined, content_from_json );
     case list_leaving_targets:
         return list_from_json( list, m.leaving_targets, ref_from_json );
+    case list_limits:
+        return list_from_json( list, m.limits, limit_from_json );
     case list_cleared:
         return list_from_json( list, m.cleared, content_from_json );
     }
--- a/src/pollenstream/peers/peer_message.hpp
+++ b/src/pollenstream/peers/peer_message.hpp
@@ -9,6 +9,7 @@
 #include <pollenstream/ports/record_store.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -30,6 +31,15 @@
     exchange::target_failure how{ exchange::target_failure::failed };
 };
 
+/// What the sender believes of a target's limit.
+struct told_limit
+{
+    exchange::target_ref target;
+    std::optional<double> per_second; ///< nothing: the target names none
+    std::int64_t sent_age_ms{ 0 };    ///< of the request whose answer said so
+    std::int64_t heard_age_ms{ 0 };   ///< of that answer
+};
+
 /// A run that broke off at a target that may have ended by it.
 struct told_crash
 {
@@ -96,6 +106,7 @@
     std::vector<failed_target> failed;
     /// Targets that have said in answers that they leave.
     std::vector<exchange::target_ref> leaving_targets;
+    std::vector<told_limit> limits;
     std::vector<told_crash> crashes;
     /// Contents that end their targets; `crashes` has their runs.
     std::vector<exchange::content_id> quarantined;
--- a/src/pollenstream/peers/placement_router.cpp
+++ b/src/pollenstream/peers/placement_router.cpp
@@ -187,6 +187,8 @@
 auto placement_router::send( pending_ptr const& which ) -> void
 {
     auto const next = next_coordinator( *which );
+    which->ask.demand.limits =
+        next ? exchange::limit_use::for_all : exchange::limit_use::unasked;
     if ( !next )
         counters_.own_choice.add();
     if ( !next || *next == self_ )
@@ -279,6 +281,12 @@
     listener->on_granted( std::move( grant ) );
 }
 
+auto placement_router::places_for_all() const -> bool
+{
+    auto const in_order = transport_.coordinators();
+    return !in_order.empty() && in_order.front() == self_;
+}
+
 auto placement_router::release( std::uint64_t serial ) -> void
 {
     granted_.erase( serial );
--- a/src/pollenstream/peers/placement_router.hpp
+++ b/src/pollenstream/peers/placement_router.hpp
@@ -48,6 +48,7 @@
     auto ask( exchange::placement_ask what,
               std::shared_ptr<exchange::placement_listener> listener )
         -> std::unique_ptr<exchange::open_ask> override;
+    [[nodiscard]] auto places_for_all() const -> bool override;
     auto release( std::uint64_t serial ) -> void override;
 
     auto on_ask( exchange::placement_ask ask ) -> void override;
--- a/tests/exchange/limit_belief_test.cpp
+++ b/tests/exchange/limit_belief_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <cmath>
+
 using namespace pollenstream;
 using namespace std::chrono_literals;
 using exchange::limit_change;
@@ -67,3 +69,14 @@
     CHECK( belief.take( said( 0.5, 10ms, 80ms ) ) == limit_change::none );
     CHECK( belief.per_second() == 4.0 );
 }
+
+TEST_CASE( "what is no number of requests changes no limit",
+           "[exchange][limit]" )
+{
+    auto belief = exchange::limit_belief{};
+    belief.take( said( 2.0, 0ms, 100ms ) );
+    for ( auto const rate : { -1.0, std::nan( "" ), HUGE_VAL, -HUGE_VAL } )
+        CHECK( belief.take( said( rate, 200ms, 210ms ) ) ==
+               limit_change::none );
+    CHECK( belief.per_second() == 2.0 );
+}
--- a/tests/observation/losses_test.cpp
+++ b/tests/observation/losses_test.cpp
@@ -72,6 +72,12 @@
                        "event=attempt_failed id=a error=silent",
                        placed( "a", 2'900, 500 ), served( "a", 3'400, 1 ) } ) ==
            loss_cause::target_silent );
+    CHECK( cause_in( { placed( "a", 2'800, 500 ) + " limit_ms=2700",
+                       served( "a", 3'300, 1 ) } ) ==
+           loss_cause::target_limit );
+    CHECK( cause_in( { "event=ended id=a outcome=limited status=503 "
+                       "total_ms=1.0 first_ms=0.0 gap_ms=0.0" } ) ==
+           loss_cause::target_limit );
     // Going back to it is no failure of another kind.
     CHECK( cause_in( { placed( "a", 3, 500 ),
                        "event=attempt_failed id=a error=silent",
--- a/tests/peers/placement_router_test.cpp
+++ b/tests/peers/placement_router_test.cpp
@@ -259,9 +259,11 @@
     f.asker.on_ask( ask );
     REQUIRE( f.transport.answers.size() == 1 );
     CHECK( f.transport.answers[0].decision == peers::ask_decision::granted );
-    CHECK( f.board.works_of( core::instance_id( "other" ) ).size() == 1 );
+    CHECK( f.board.works_of( core::instance_id( "other" ), f.scheduler.now() )
+               .size() == 1 );
     f.asker.on_released( core::instance_id( "other" ), 1 );
-    CHECK( f.board.works_of( core::instance_id( "other" ) ).empty() );
+    CHECK( f.board.works_of( core::instance_id( "other" ), f.scheduler.now() )
+               .empty() );
 }
 
 TEST_CASE( "coordinators that have more to answer than they can are left alone",
--- a/tests/support/exchange_fixture.hpp
+++ b/tests/support/exchange_fixture.hpp
@@ -246,6 +246,11 @@
     {
         leaving.push_back( ref.id );
     }
+    auto target_limited( exchange::target_ref const& ref,
+                         exchange::limit_change ) -> void override
+    {
+        limited.push_back( ref.id );
+    }
     auto run_crashed( exchange::crashed_run const& what ) -> void override
     {
         crashed.push_back( what );
@@ -258,6 +263,7 @@
     int open{ 0 };
     int served{ 0 };
     std::vector<exchange::crashed_run> crashed;
+    std::vector<core::target_id> limited;
     std::vector<exchange::content_id> cleared;
     std::vector<core::target_id> failed;
     std::vector<core::target_id> leaving;
@@ -347,6 +353,10 @@
         all.push_back( { std::move( what ), std::move( listener ) } );
         return std::make_unique<exchange::open_ask>();
     }
+    [[nodiscard]] auto places_for_all() const -> bool override
+    {
+        return false;
+    }
     auto release( std::uint64_t serial ) -> void override
     {
         released.push_back( serial );
--- a/tests/support/exchange_fleet.cpp
+++ b/tests/support/exchange_fleet.cpp
@@ -676,6 +676,8 @@
 {
     if ( silent_.contains( from ) || silent_.contains( to ) )
         return;
+    if ( lost_each > 0 && ++delivered_ % lost_each == 0 )
+        return;
     calls_.push_back( scheduler.call_after(
         datagram_time,
         [this, to, bytes = std::move( bytes )]
--- a/tests/support/exchange_fleet.hpp
+++ b/tests/support/exchange_fleet.hpp
@@ -219,6 +219,10 @@
     auto restart( int number ) -> void;
     /// Nothing passes between the instance and the others.
     auto cut( int number, bool is_cut ) -> void;
+    [[nodiscard]] auto lives( int number ) const -> bool
+    {
+        return instances_.at( static_cast<std::size_t>( number ) ) != nullptr;
+    }
     [[nodiscard]] auto size() const -> int
     {
         return static_cast<int>( instances_.size() );
@@ -237,6 +241,7 @@
     auto tell_record( std::string const& key, std::string const& value )
         -> void;
 
+    int lost_each{ 0 }; ///< of so many datagrams one is lost; 0: none
     held_scheduler scheduler;
     fleet_store store{ *this };
     fleet_targets engines;
@@ -256,6 +261,7 @@
     std::vector<std::unique_ptr<ports::scheduled_call>> calls_;
     int last_attempt_{ 0 };
     int last_incarnation_{ 0 };
+    int delivered_{ 0 };
 };
 
 }
--- /dev/null
+++ b/tests/support/limited_load.cpp
@@ -0,0 +1,88 @@
+#include "limited_load.hpp"
+
+#include <algorithm>
+#include <map>
+
+namespace tests
+{
+
+auto most_in_window( std::vector<fleet_run> const& runs,
+                     core::target_id const& target,
+                     core::instant from,
+                     run_filter const& counts ) -> int
+{
+    auto times = std::vector<core::instant>{};
+    for ( auto const& run : runs )
+        if ( run.target == target && run.sent_at >= from &&
+             ( !counts || counts( run ) ) )
+            times.push_back( run.sent_at );
+    auto most = std::ptrdiff_t{ 0 };
+    for ( auto at = times.begin(); at != times.end(); ++at )
+        most = std::max(
+            most,
+            std::lower_bound( at, times.end(), *at + limit_window ) - at );
+    return static_cast<int>( most );
+}
+
+auto count_between( std::vector<fleet_run> const& runs,
+                    core::target_id const& target,
+                    core::instant from,
+                    core::instant until ) -> int
+{
+    return static_cast<int>( std::count_if( runs.begin(), runs.end(),
+                                            [&]( auto const& run )
+                                            {
+                                                return run.target == target &&
+                                                       run.sent_at >= from &&
+                                                       run.sent_at < until;
+                                            } ) );
+}
+
+auto within_limit( double per_second ) -> double
+{
+    return per_second * core::seconds_of( limit_window ) + 1;
+}
+
+auto within_rule( double per_second ) -> double
+{
+    return 1.5 * per_second * core::seconds_of( limit_window ) + 5;
+}
+
+auto steady_calls::play( core::duration time, core::duration pause ) -> void
+{
+    for ( auto at = core::duration( 0 ); at < time; at += pause )
+    {
+        ++number;
+        all.push_back( fleet.call( number % fleet.size(), path,
+                                   std::to_string( number ) ) );
+        fleet.scheduler.run( pause );
+    }
+}
+
+auto steady_calls::service() const -> fleet_targets&
+{
+    return path.starts_with( "/chat/" ) ? fleet.engines : fleet.plain;
+}
+
+auto busiest( fleet_targets const& service ) -> core::target_id
+{
+    auto counts = std::map<core::target_id, int>{};
+    for ( auto const& run : service.runs )
+        ++counts[run.target];
+    return std::max_element( counts.begin(), counts.end(),
+                             []( auto const& a, auto const& b )
+                             {
+                                 return a.second < b.second;
+                             } )
+        ->first;
+}
+
+auto first_coordinator( exchange_fleet& fleet ) -> int
+{
+    for ( auto i = 0; i < fleet.size(); ++i )
+        if ( fleet.lives( i ) && fleet.at( i ).group.own_duty() == 0 )
+            return i;
+    return -1;
+}
+
+}
