Stand-ins name limits, and the soak draws them and counts arrivals

One runner or all engines name 0 to 8 requests a second for 5 to 8 s beside kills, freezes, stops and cuts. limit_violations counts from the runners' records, over all gateways that had been told and were not in trouble, by the users' rule.

--- a/scripts/platform_check.py
+++ b/scripts/platform_check.py
@@ -119,6 +119,79 @@
     return found
 
 
+# A limit holds from this time after a runner first names it, over each window,
+# for gateways that had passed on such an answer so long before.
+LIMIT_BEGINS_MS = 3000
+LIMIT_WINDOW_MS = 4000
+TIME_TO_HEAR_MS = 500
+
+
+def allowed_in_window(per_second):
+    return 1.5 * per_second * LIMIT_WINDOW_MS / 1000 + 5
+
+
+def limit_spans(runs):
+    """Spans in which a runner's answers name a limit all the while: begin, end
+    and the highest that it names; `runs` are those of one lifetime."""
+    spans = []
+    open_span = None
+    for run in sorted((r for r in runs if r["head_ms"] >= 0),
+                      key=lambda r: r["head_ms"]):
+        if run["limit"] < 0:
+            open_span = None
+            continue
+        if open_span is None:
+            open_span = [run["head_ms"], run["head_ms"], run["limit"]]
+            spans.append(open_span)
+        open_span[1] = run["head_ms"]
+        open_span[2] = max(open_span[2], run["limit"])
+    return spans
+
+
+def limit_violations(callers, record, trouble):
+    """A runner that names a limit gets no more from all gateways together that
+    it had told, but for those that were killed, stopped or cut off. `trouble`
+    lists address, begin and end in ms."""
+    sender = {attempt: seen["address"] for attempt, seen in callers.seen.items()}
+    by_target = collections.defaultdict(list)
+    for run in record["runs"]:
+        if run["attempt"] in sender:
+            by_target[run["target"]].append(run)
+    found = []
+    for target, runs in sorted(by_target.items()):
+        for span in limit_spans(runs):
+            found += broken_limit(target, runs, span, sender, trouble)
+    return found
+
+
+def broken_limit(target, runs, span, sender, trouble):
+    first, last, limit = span
+    told = {}    # gateway: when an answer first told it
+    for run in runs:
+        if first <= run["head_ms"] <= last and run["limit"] >= 0:
+            address = sender[run["attempt"]]
+            told[address] = min(run["head_ms"], told.get(address, last))
+    for end in sorted(run["at_ms"] for run in runs):
+        begin = end - LIMIT_WINDOW_MS
+        if not first + LIMIT_BEGINS_MS <= end <= last:
+            continue
+        counts = {a for a, at in told.items() if at <= end - TIME_TO_HEAR_MS
+                  and not was_in_trouble(a, begin, end, trouble)}
+        inside = [run for run in runs if begin < run["at_ms"] <= end and
+                  sender[run["attempt"]] in counts]
+        if len(inside) > allowed_in_window(limit):
+            return [f"limit: {target} names {limit} a second and got "
+                    f"{len(inside)} requests in 4 s, allowed "
+                    f"{allowed_in_window(limit):.1f}"]
+    return []
+
+
+def was_in_trouble(address, begin_ms, end_ms, trouble):
+    return any(a == address and began <= end_ms and
+               begin_ms <= ended + LIMIT_BEGINS_MS
+               for a, began, ended in trouble)
+
+
 class Disturbances:
     """What was done from outside, in ms of the machine's monotonic clock."""
 
--- a/scripts/soak_processes.py
+++ b/scripts/soak_processes.py
@@ -43,7 +43,8 @@
             self.runner_slow, self.runner_falls_silent,
             self.silent_beside_planned_work, self.silent_beside_planned_work,
             self.silent_beside_planned_work, self.configurations,
-            self.reload_changed, self.runner_lost]
+            self.reload_changed, self.runner_lost, self.runner_limited,
+            self.engines_limited]
         self.wrong = {}          # runner: what is wrong with it, by fault
         self.ways_to_leave = ["says", "silently"]
         if not as_first_played:
@@ -205,6 +206,21 @@
     async def runner_slow(self):
         await self.runner_fault(slow=self.draw.randint(3, 12))
 
+    def limit(self):
+        return self.draw.choice([0, 0.4, 1.3, 2.7, 8])
+
+    async def runner_limited(self):
+        """Long enough for the windows over which limits are judged."""
+        await self.runner_fault(seconds=5 + self.draw.random() * 3,
+                                limit=self.limit())
+
+    async def engines_limited(self):
+        """All of them: there is no other place for what is asked."""
+        await asyncio.gather(*(
+            self.runner_fault(name, 5 + self.draw.random() * 2,
+                              limit=self.limit())
+            for name in self.fleet.proxies if name.startswith("i-model")))
+
     def silence(self):
         return 1.2 + self.draw.random() * 1.8
 
@@ -425,6 +441,8 @@
                                           pauses=faults.pauses)
         found += platform_check.told_state_violations(
             callers, record, faults.gateway_trouble)
+        found += platform_check.limit_violations(
+            callers, record, faults.gateway_trouble)
         found += answer_violations(callers, record,
                                    disturbances(fleet, faults))
         after = [one for one in list(callers.seen.values())[before:]
--- a/standins/platform/main.cpp
+++ b/standins/platform/main.cpp
@@ -185,6 +185,7 @@
         f.cut = body.value( "cut", 0.0 );
         f.pause_s = body.value( "pause_s", 0.0 );
         f.slow = body.value( "slow", 1 );
+        f.limit = body.value( "limit", -1.0 );
         r.set_faults( f );
         if ( body.contains( "leave" ) )
             r.leave( leaving_of( body.at( "leave" ) ) );
@@ -206,6 +207,8 @@
                               { "ended_ms", r.ended_ms },
                               { "status", r.status },
                               { "last_event_ms", r.last_event_ms },
+                              { "limit", r.limit },
+                              { "head_ms", r.head_ms },
                               { "leaving_ms", r.leaving_ms },
                               { "version", r.version } } );
         auto crashes = json::array();
--- a/standins/platform/runner.cpp
+++ b/standins/platform/runner.cpp
@@ -108,6 +108,8 @@
     {
         auto all = owner_.own_headers( request_ );
         all.push_back( { "Server-Seal", seal } );
+        record().head_ms = owner_.now_ms();
+        record().limit = owner_.faults_.limit;
         return all;
     }
     auto later( core::duration time, std::function<void()> step ) -> void
@@ -294,6 +296,8 @@
                                { "Instance-Id", settings_.id } };
     if ( leaving_ )
         all.push_back( { "Server-Leaving", "1" } );
+    if ( faults_.limit >= 0 )
+        all.push_back( { "Server-Limit", std::to_string( faults_.limit ) } );
     return all;
 }
 
@@ -399,6 +403,8 @@
                         exchange::answer_channel& answer ) -> void
 {
     note( request, false );
+    records_.back().head_ms = now_ms();
+    records_.back().limit = faults_.limit;
     auto headers = own_headers( request );
     headers.push_back( { "Not-Executed", "1" } );
     if ( faults_.pause_s > 0 )
--- a/standins/platform/runner.hpp
+++ b/standins/platform/runner.hpp
@@ -22,6 +22,8 @@
     double cut{ 0 };     ///< share of answers that break off
     double pause_s{ 0 }; ///< asked for by those that are turned away; 0: none
     int slow{ 1 };       ///< all work takes this many times as long
+    /// Requests a second that its answers name as its limit; below 0: none.
+    double limit{ -1 };
 };
 
 /// How a run ended, as its runner saw it.
@@ -55,6 +57,8 @@
     std::int64_t ended_ms{ -1 };
     int status{ 0 };                  ///< of the answer; 0: none
     std::int64_t last_event_ms{ -1 }; ///< written last; -1: none
+    double limit{ -1 };          ///< that the answer named; below 0: none
+    std::int64_t head_ms{ -1 };  ///< when the answer began; -1: it has not
 };
 
 /// An end of a runner under a request that ends each runner that runs it.
--- a/tests/scripts/platform_check_test.py
+++ b/tests/scripts/platform_check_test.py
@@ -126,5 +126,46 @@
         self.assertEqual(self.found([], disturbed(kills={AT: [101_000]})), 0)
 
 
+
+class Limits(unittest.TestCase):
+    """A runner that names two a second: 17 in a window are allowed."""
+
+    OTHER = "127.0.0.3:1"
+
+    def found(self, times, trouble=(), limits=None):
+        runs = [{"attempt": f"a{n}", "target": "i-model1", "at_ms": at,
+                 "head_ms": at + 20, "limit": 2 if limits is None else limits(at)}
+                for n, at in enumerate(times)]
+        callers = types.SimpleNamespace(seen={
+            f"a{n}": {"address": AT if n % 2 else self.OTHER}
+            for n in range(len(times))})
+        return len(platform_check.limit_violations(
+            callers, {"runs": runs}, trouble))
+
+    @staticmethod
+    def every(pause, until=12_000):
+        return list(range(0, until, pause))
+
+    def test_a_runner_that_gets_what_it_takes_is_content(self):
+        self.assertEqual(self.found(self.every(500)), 0)
+
+    def test_all_gateways_count_together(self):
+        self.assertEqual(self.found(self.every(200)), 1)
+
+    def test_a_gateway_that_was_killed_does_not_count(self):
+        lost = [(AT, 3_000, 9_000)]
+        self.assertEqual(self.found(self.every(200), lost), 0)
+
+    def test_the_first_three_seconds_do_not_count(self):
+        self.assertEqual(self.found(self.every(50, 2_900)), 0)
+
+    def test_a_limit_that_was_taken_back_binds_nobody(self):
+        self.assertEqual(
+            self.found(self.every(200), limits=lambda at: -1), 0)
+        self.assertEqual(
+            self.found(self.every(200),
+                       limits=lambda at: 2 if at < 2_000 else -1), 0)
+
+
 if __name__ == "__main__":
     unittest.main()
