Sends of which nobody was told count once their target names a limit

Plain calls are told to nobody. Who paces a target for all began with nothing where it had got calls from other instances a moment before, and these stand in the window over which the limit is judged. Instances keep the times of such sends for the window and tell them to the coordinators with the first news of the limit. told_limit_trouble_test: of plain calls at 25 a second nothing follows within the window.

--- a/src/pollenstream/exchange/exchange_attempts.cpp
+++ b/src/pollenstream/exchange/exchange_attempts.cpp
@@ -91,6 +91,8 @@
         spends_limit_ = spends_limit_ || target->limit.per_second();
     if ( is_told_to_others() )
         shared_.announcer.work_began( work );
+    else
+        shared_.board.note_untold( work.parts, shared_.scheduler.now() );
 }
 
 auto exchange::send( placement_grant const& grant,
--- a/src/pollenstream/exchange/request_limit.cpp
+++ b/src/pollenstream/exchange/request_limit.cpp
@@ -1,6 +1,7 @@
 #include <pollenstream/exchange/request_limit.hpp>
 
 #include <chrono>
+#include <utility>
 
 namespace pollenstream::exchange
 {
@@ -37,6 +38,17 @@
         pace_.note_sent( at, requests );
 }
 
+auto request_limit::note_untold( core::instant at ) -> void
+{
+    untold_.add( at );
+}
+
+auto request_limit::take_untold( core::instant now )
+    -> std::vector<core::instant>
+{
+    return std::exchange( untold_, {} ).within( now );
+}
+
 auto request_limit::note_unasked( core::instant at ) -> void
 {
     pace_.note_unasked( at );
--- a/src/pollenstream/exchange/request_limit.hpp
+++ b/src/pollenstream/exchange/request_limit.hpp
@@ -6,6 +6,7 @@
 #include <pollenstream/exchange/sent_times.hpp>
 
 #include <optional>
+#include <vector>
 
 namespace pollenstream::exchange
 {
@@ -18,6 +19,11 @@
     auto take( limit_statement const& what, core::instant now ) -> limit_change;
     /// `requests` were sent at once, by whichever instance.
     auto note_sent( core::instant at, std::size_t requests ) -> void;
+    /// This instance sent a request of which it tells nobody. They count for
+    /// who places for all, should the target name a limit.
+    auto note_untold( core::instant at ) -> void;
+    /// When it did so in the last window; each is given once.
+    auto take_untold( core::instant now ) -> std::vector<core::instant>;
     /// One of them was sent by this instance without having asked.
     auto note_unasked( core::instant at ) -> void;
 
@@ -47,6 +53,7 @@
 private:
     limit_belief belief_;
     sent_times sent_;
+    sent_times untold_;
     request_pace pace_;
 };
 
--- a/src/pollenstream/exchange/sent_times.cpp
+++ b/src/pollenstream/exchange/sent_times.cpp
@@ -18,11 +18,20 @@
     return times_.empty() ? std::nullopt : std::optional( times_.back() );
 }
 
+auto sent_times::first_within( core::instant now ) const
+    -> std::deque<core::instant>::const_iterator
+{
+    return std::upper_bound( times_.begin(), times_.end(), now - window );
+}
+
+auto sent_times::within( core::instant now ) const -> std::vector<core::instant>
+{
+    return { first_within( now ), times_.end() };
+}
+
 auto sent_times::lately( core::instant now ) const -> std::size_t
 {
-    auto const first =
-        std::upper_bound( times_.begin(), times_.end(), now - window );
-    return static_cast<std::size_t>( times_.end() - first );
+    return static_cast<std::size_t>( times_.end() - first_within( now ) );
 }
 
 auto sent_times::fewer_than( std::size_t most ) const -> core::instant
--- a/src/pollenstream/exchange/sent_times.hpp
+++ b/src/pollenstream/exchange/sent_times.hpp
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <deque>
 #include <optional>
+#include <vector>
 
 namespace pollenstream::exchange
 {
@@ -24,12 +25,17 @@
     /// News of others come late, and not in order.
     auto add( core::instant at ) -> void;
     [[nodiscard]] auto last() const -> std::optional<core::instant>;
-    /// How many were sent in the window that ends now.
+    /// Those in the window that ends now, and their number.
+    [[nodiscard]] auto within( core::instant now ) const
+        -> std::vector<core::instant>;
     [[nodiscard]] auto lately( core::instant now ) const -> std::size_t;
     /// When fewer than `most`, which is at least one, are in the window.
     [[nodiscard]] auto fewer_than( std::size_t most ) const -> core::instant;
 
 private:
+    [[nodiscard]] auto first_within( core::instant now ) const
+        -> std::deque<core::instant>::const_iterator;
+
     std::deque<core::instant> times_; ///< in order
 };
 
--- a/src/pollenstream/exchange/target_board.cpp
+++ b/src/pollenstream/exchange/target_board.cpp
@@ -458,6 +458,31 @@
             at->limit.note_unasked( now );
 }
 
+auto target_board::note_untold( std::vector<work_part> const& parts,
+                                core::instant now ) -> void
+{
+    for ( auto const& part : parts )
+        if ( auto const at = find_lifetime( { part.target, part.lifetime } ) )
+            at->limit.note_untold( now );
+}
+
+auto target_board::note_sent( target_ref const& ref,
+                              std::vector<core::instant> const& times ) -> void
+{
+    auto const at = find_lifetime( ref );
+    if ( !at )
+        return;
+    for ( auto const time : times )
+        at->limit.note_sent( time, 1 );
+}
+
+auto target_board::take_untold( target_ref const& ref, core::instant now )
+    -> std::vector<core::instant>
+{
+    auto const at = find_lifetime( ref );
+    return at ? at->limit.take_untold( now ) : std::vector<core::instant>{};
+}
+
 auto target_board::limited() const -> std::vector<target_ref>
 {
     auto refs = std::vector<target_ref>{};
--- a/src/pollenstream/exchange/target_board.hpp
+++ b/src/pollenstream/exchange/target_board.hpp
@@ -302,6 +302,15 @@
     /// This instance sends `parts` without having asked who places for all.
     auto note_unasked( std::vector<work_part> const& parts, core::instant now )
         -> void;
+    /// This instance sends `parts` and tells nobody.
+    auto note_untold( std::vector<work_part> const& parts, core::instant now )
+        -> void;
+    /// Others have sent the target requests of which they told nobody before.
+    auto note_sent( target_ref const& ref,
+                    std::vector<core::instant> const& times ) -> void;
+    /// When this instance sent the target what it told nobody; given once.
+    auto take_untold( target_ref const& ref, core::instant now )
+        -> std::vector<core::instant>;
     /// Targets of which a limit, or its end, has been heard.
     [[nodiscard]] auto limited() const -> std::vector<target_ref>;
     auto shun( target_ref const& ref, core::instant until ) -> void;
--- a/src/pollenstream/peers/peer_group.hpp
+++ b/src/pollenstream/peers/peer_group.hpp
@@ -167,6 +167,7 @@
     auto take_limits( peer_message const& message ) -> void;
     [[nodiscard]] auto told( exchange::target_ref const& ref ) const
         -> told_limit;
+    auto tell_coordinators( exchange::target_ref const& ref ) -> void;
     auto add_limits( peer_message& message ) -> void;
     auto share_limits() -> void;
     [[nodiscard]] auto told( exchange::crashed_run const& what ) const
--- a/src/pollenstream/peers/peer_group_targets.cpp
+++ b/src/pollenstream/peers/peer_group_targets.cpp
@@ -59,16 +59,24 @@
 {
     using exchange::limit_change;
     if ( change == limit_change::named || change == limit_change::lowered )
-    {
-        auto message = base_message();
-        message.limits.push_back( told( ref ) );
-        send_to_coordinators( message );
-    }
+        tell_coordinators( ref );
     pending_.limits.push_back( told( ref ) );
     tell_all_ = true;
     arm_flush();
 }
 
+/// Besides what this instance has lately sent there: it counts too.
+auto peer_group::tell_coordinators( exchange::target_ref const& ref ) -> void
+{
+    auto const now = scheduler_.now();
+    auto limit = told( ref );
+    for ( auto const at : board_.take_untold( ref, now ) )
+        limit.sent_ages_ms.push_back( core::milliseconds_of( now - at ) );
+    auto message = base_message();
+    message.limits.push_back( std::move( limit ) );
+    send_to_coordinators( message );
+}
+
 auto peer_group::told( exchange::target_ref const& ref ) const -> told_limit
 {
     auto const now = scheduler_.now();
@@ -89,17 +97,27 @@
 auto peer_group::take_limits( peer_message const& message ) -> void
 {
     auto const now = scheduler_.now();
+    auto const ago = [now]( std::int64_t ms )
+    {
+        return now - std::chrono::milliseconds( ms );
+    };
     for ( auto const& l : message.limits )
     {
         auto const change = board_.note_limit(
             l.target,
-            { l.per_second, now - std::chrono::milliseconds( l.sent_age_ms ),
-              now - std::chrono::milliseconds( l.heard_age_ms ) },
+            { l.per_second, ago( l.sent_age_ms ), ago( l.heard_age_ms ) },
             now );
-        if ( change != exchange::limit_change::none )
-            log_.record( exchange::limit_news( l.target, change, l.per_second,
-                                               "its answer to " +
-                                                   message.sender.str() ) );
+        auto times = std::vector<core::instant>{};
+        for ( auto const age : l.sent_ages_ms )
+            times.push_back( ago( age ) );
+        board_.note_sent( l.target, times );
+        if ( change == exchange::limit_change::none )
+            continue;
+        log_.record(
+            exchange::limit_news( l.target, change, l.per_second,
+                                  "its answer to " + message.sender.str() ) );
+        if ( change == exchange::limit_change::named )
+            tell_coordinators( l.target );
     }
 }
 
--- a/src/pollenstream/peers/peer_message.cpp
+++ b/src/pollenstream/peers/peer_message.cpp
@@ -190,8 +190,8 @@
 auto limit_to_json( told_limit const& l ) -> json
 {
     auto const rate = l.per_second ? json( *l.per_second ) : json();
-    return json::array(
-        { ref_to_json( l.target ), rate, l.sent_age_ms, l.heard_age_ms } );
+    return json::array( { ref_to_json( l.target ), rate, l.sent_age_ms,
+                          l.heard_age_ms, l.sent_ages_ms } );
 }
 
 auto limit_from_json( json const& object ) -> told_limit
@@ -202,6 +202,8 @@
         limit.per_second = rate.get<double>();
     limit.sent_age_ms = age_ms_from_json( object.at( 2 ) );
     limit.heard_age_ms = age_ms_from_json( object.at( 3 ) );
+    for ( auto const& age : object.at( 4 ) )
+        limit.sent_ages_ms.push_back( age_ms_from_json( age ) );
     return limit;
 }
 
--- a/src/pollenstream/peers/peer_message.hpp
+++ b/src/pollenstream/peers/peer_message.hpp
@@ -38,6 +38,8 @@
     std::optional<double> per_second; ///< nothing: the target names none
     std::int64_t sent_age_ms{ 0 };    ///< of the request whose answer said so
     std::int64_t heard_age_ms{ 0 };   ///< of that answer
+    /// Of requests that the sender has lately sent there and told nobody.
+    std::vector<std::int64_t> sent_ages_ms;
 };
 
 /// A run that broke off at a target that may have ended by it.
--- a/standins/platform/runner.hpp
+++ b/standins/platform/runner.hpp
@@ -57,8 +57,8 @@
     std::int64_t ended_ms{ -1 };
     int status{ 0 };                  ///< of the answer; 0: none
     std::int64_t last_event_ms{ -1 }; ///< written last; -1: none
-    double limit{ -1 };          ///< that the answer named; below 0: none
-    std::int64_t head_ms{ -1 };  ///< when the answer began; -1: it has not
+    double limit{ -1 };               ///< that the answer named; below 0: none
+    std::int64_t head_ms{ -1 };       ///< when the answer began; -1: it has not
 };
 
 /// An end of a runner under a request that ends each runner that runs it.
--- a/tests/exchange/told_limit_trouble_test.cpp
+++ b/tests/exchange/told_limit_trouble_test.cpp
@@ -109,6 +109,25 @@
                               fleet.scheduler.now() ) >= 0.9 * 2.7 * 6 );
 }
 
+TEST_CASE( "what was sent before a limit was known is paid back in its window",
+           "[exchange][limit]" )
+{
+    auto fleet = exchange_fleet( 7, 6, 2 );
+    auto const path = GENERATE( as<std::string>{}, "/chat/o", "/safe/o" );
+    auto calls = steady_calls{ fleet, path };
+    calls.play( 2s, 40ms );
+    auto const limited = busiest( calls.service() );
+    calls.service().name_limit( limited, 1.3 );
+    auto const named = fleet.scheduler.now();
+    calls.play( 3s, 40ms );
+    auto const before = count_between( calls.service().runs, limited,
+                                       named - 1s, named + 200ms );
+    auto const whole =
+        count_between( calls.service().runs, limited, named - 1s, named + 3s );
+    REQUIRE( before > 6 );
+    CHECK( whole - before <= 1 );
+}
+
 TEST_CASE( "a limit ends when the target names none any more",
            "[exchange][limit]" )
 {
