--- a/scripts/platform_check.py
+++ b/scripts/platform_check.py
@@ -127,9 +127,16 @@
 
 
 def allowed_in_window(per_second):
+    """What the users' rule allows."""
     return 1.5 * per_second * LIMIT_WINDOW_MS / 1000 + 5
 
 
+def aimed_in_window(per_second):
+    """What gateways that nothing happens to send: the limit, one at the edge,
+    and two for requests that take longer than others to reach the runner."""
+    return per_second * LIMIT_WINDOW_MS / 1000 + 3
+
+
 def limit_spans(runs):
     """Spans in which a runner's answers name a limit all the while: begin, end
     and the highest that it names; `runs` are those of one lifetime."""
@@ -148,7 +155,7 @@
     return spans
 
 
-def limit_violations(callers, record, trouble):
+def limit_violations(callers, record, trouble, allowed=allowed_in_window):
     """A runner that names a limit gets no more from all gateways together that
     it had told, but for those that were killed, stopped or cut off. `trouble`
     lists address, begin and end in ms."""
@@ -160,11 +167,11 @@
     found = []
     for target, runs in sorted(by_target.items()):
         for span in limit_spans(runs):
-            found += broken_limit(target, runs, span, sender, trouble)
+            found += broken_limit(target, runs, span, sender, trouble, allowed)
     return found
 
 
-def broken_limit(target, runs, span, sender, trouble):
+def broken_limit(target, runs, span, sender, trouble, allowed):
     first, last, limit = span
     told = {}    # gateway: when an answer first told it
     for run in runs:
@@ -173,19 +180,39 @@
             told[address] = min(run["head_ms"], told.get(address, last))
     for end in sorted(run["at_ms"] for run in runs):
         begin = end - LIMIT_WINDOW_MS
+        # What was sent before an answer could tell anybody is nobody's fault.
+        begin = max(begin, first + TIME_TO_HEAR_MS)
         if not first + LIMIT_BEGINS_MS <= end <= last:
             continue
         counts = {a for a, at in told.items() if at <= end - TIME_TO_HEAR_MS
                   and not was_in_trouble(a, begin, end, trouble)}
         inside = [run for run in runs if begin < run["at_ms"] <= end and
                   sender[run["attempt"]] in counts]
-        if len(inside) > allowed_in_window(limit):
+        if len(inside) > allowed(limit):
             return [f"limit: {target} names {limit} a second and got "
                     f"{len(inside)} requests in 4 s, allowed "
-                    f"{allowed_in_window(limit):.1f}"]
+                    f"{allowed(limit):.1f}"]
     return []
 
 
+# Part of a limit that is used while more is asked for than it allows.
+LEAST_USE = 0.9
+
+
+def unused_limits(record, named, begin_ms, end_ms):
+    """Runners that got less than they take while work for them waited; `named`
+    has their limits. One request at each edge of the time does not count."""
+    found = []
+    for target, limit in named.items():
+        got = sum(run["target"] == target and begin_ms <= run["at_ms"] < end_ms
+                  for run in record["runs"])
+        wanted = LEAST_USE * limit * (end_ms - begin_ms) / 1000 - 1
+        if got < wanted:
+            found.append(f"limit: {target} takes {limit} a second and got {got} "
+                         f"requests in {(end_ms - begin_ms) / 1000:.1f} s")
+    return found
+
+
 def was_in_trouble(address, begin_ms, end_ms, trouble):
     return any(a == address and began <= end_ms and
                begin_ms <= ended + LIMIT_BEGINS_MS
--- a/scripts/soak_processes.py
+++ b/scripts/soak_processes.py
@@ -3,7 +3,7 @@
 overlapping. What must hold is checked from what callers and runners saw.
 
     scripts/soak-processes [BUILD] [--seeds=A-B] [--seconds=N] [--gateways=N]
-    scripts/soak-processes BUILD --scenario=silent-engine [--seeds=A-B]
+    scripts/soak-processes BUILD --scenario=silent-engine|limits [--seeds=A-B]
 
 Each seed draws its faults from itself; how processes interleave it cannot
 fix. Logs of a seed that fails are kept and their folder is printed. A scenario
@@ -405,6 +405,49 @@
     return is_open
 
 
+LIMITS_SECONDS = 12
+
+
+async def limits(build, seed):
+    """All runners name limits; at even seeds a gateway is killed or frozen
+    every two seconds and the users' rule holds; at odd seeds nothing happens and
+    each runner gets what it takes, no more and not much less."""
+    draw = random.Random(seed)
+    fleet = PlatformFleet(build, seed, gateways=4, engines=3, plain=2)
+    try:
+        await fleet.start()
+        callers = Callers(fleet, draw, count=24)
+        load = asyncio.create_task(callers.run())
+        faults = Faults(fleet, callers, draw, False)
+        is_calm = seed % 2 == 1
+        named = {name: draw.choice([1.3, 2.7, 6]) for name in fleet.proxies}
+        for name, limit in named.items():
+            await fleet.control("/runner", {"id": name, "limit": limit})
+        began_ms = faults.loop.time() * 1000
+        for _ in range(LIMITS_SECONDS // 2):
+            if not is_calm:
+                await draw.choice([faults.kill, faults.pause])()
+            await asyncio.sleep(2)
+        ended_ms = faults.loop.time() * 1000
+        callers.stop = True
+        await load
+        record = await fleet.control("/record")
+        found = platform_check.limit_violations(
+            callers, record, faults.gateway_trouble,
+            platform_check.aimed_in_window if is_calm
+            else platform_check.allowed_in_window)
+        if is_calm:
+            found += platform_check.unused_limits(
+                record, named, began_ms + platform_check.LIMIT_BEGINS_MS,
+                ended_ms)
+        found += [f"{g.name}: invariant" for g in fleet.gateways
+                  if "invariant" in g.log()]
+    finally:
+        fleet.stop()
+    return report(seed, fleet, found, f"seed {seed}: limits {named}, "
+                  f"{len(callers.seen)} requests, {len(found)} violations")
+
+
 def report(seed, fleet, found, text, faults=()):
     """Prints what came of a seed; its folder is kept where something broke."""
     print(text, flush=True)
@@ -482,17 +525,21 @@
     return seeds
 
 
+SCENARIOS = {"silent-engine": silent_engine, "limits": limits}
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("build", nargs="?", default="build-test")
     parser.add_argument("--seeds", default="1-3")
     parser.add_argument("--seconds", type=float, default=8)
     parser.add_argument("--gateways", type=int, default=4)
-    parser.add_argument("--scenario", choices=["silent-engine"])
+    parser.add_argument("--scenario", choices=list(SCENARIOS))
     options = parser.parse_args()
     first, last = (int(x) for x in options.seeds.split("-"))
     if options.scenario:
-        held = [asyncio.run(silent_engine(options.build, seed))
+        play = SCENARIOS[options.scenario]
+        held = [asyncio.run(play(options.build, seed))
                 for seed in range(first, last + 1)]
         print(f"scenario: {sum(held)} of {len(held)} seeds held")
         sys.exit(0 if all(held) else 1)
--- a/tests/exchange/told_limit_trouble_test.cpp
+++ b/tests/exchange/told_limit_trouble_test.cpp
@@ -92,11 +92,11 @@
                } );
 }
 
-TEST_CASE( "a limit holds for many instances with little work each",
-           "[exchange][limit]" )
+namespace
+{
+
+auto check_limits_of_many( int instances, std::string const& path ) -> void
 {
-    auto const instances = GENERATE( 30, 66 );
-    auto const path = GENERATE( as<std::string>{}, "/chat/o", "/safe/o" );
     auto fleet = exchange_fleet( instances, 4, 2 );
     auto calls = steady_calls{ fleet, path };
     limit_all( calls.service(), 2.7 );
@@ -109,6 +109,22 @@
                               fleet.scheduler.now() ) >= 0.9 * 2.7 * 6 );
 }
 
+}
+
+TEST_CASE( "a limit holds for many instances with little work each",
+           "[exchange][limit]" )
+{
+    auto const instances = GENERATE( 30, 66 );
+    auto const path = GENERATE( as<std::string>{}, "/chat/o", "/safe/o" );
+    check_limits_of_many( instances, path );
+}
+
+TEST_CASE( "a limit holds for hundreds of instances", "[exchange][limit]" )
+{
+    check_limits_of_many( 300,
+                          GENERATE( as<std::string>{}, "/chat/o", "/safe/o" ) );
+}
+
 TEST_CASE( "what was sent before a limit was known is paid back in its window",
            "[exchange][limit]" )
 {
--- a/tests/scripts/platform_check_test.py
+++ b/tests/scripts/platform_check_test.py
@@ -152,6 +152,14 @@
     def test_all_gateways_count_together(self):
         self.assertEqual(self.found(self.every(200)), 1)
 
+    def test_a_limit_that_is_not_used_is_found(self):
+        def unused(times):
+            runs = [{"target": "i-model1", "at_ms": at} for at in times]
+            return len(platform_check.unused_limits(
+                {"runs": runs}, {"i-model1": 2}, 3_000, 12_000))
+        self.assertEqual(unused(self.every(520)), 0)
+        self.assertEqual(unused(self.every(700)), 1)
+
     def test_a_gateway_that_was_killed_does_not_count(self):
         lost = [(AT, 3_000, 9_000)]
         self.assertEqual(self.found(self.every(200), lost), 0)
