--- a/src/pollenstream/exchange/event_splitter.hpp
+++ b/src/pollenstream/exchange/event_splitter.hpp
@@ -29,10 +29,6 @@
     {
         return pending_.size();
     }
-    auto reset() -> void
-    {
-        pending_.clear();
-    }
 
 private:
     std::string pending_;
--- a/src/pollenstream/exchange/placement_coordinator.cpp
+++ b/src/pollenstream/exchange/placement_coordinator.cpp
@@ -150,7 +150,7 @@
     auto const now = owner_.scheduler_.now();
     // Its asker has withdrawn it, which has not been heard, or has ended. One
     // that may be past its time when it comes gets one try.
-    auto const is_over = now > waits_until( now ) || now > deadline_;
+    auto const is_over = now > waits_until( now );
     if ( std::exchange( was_tried_, true ) && is_over )
     {
         close();
