--- a/src/pollenstream/exchange/reservation.cpp
+++ b/src/pollenstream/exchange/reservation.cpp
@@ -88,19 +88,29 @@
 {
     if ( released_ )
         return;
-    auto self = shared_from_this();
-    caller_.reserve( places_[index], id_, hold_,
-                     [self, index, tries]( auto status )
-                     {
-                         if ( !status.has_error() || tries <= 1 )
-                             return;
-                         self->call_later( renewal_pause,
-                                           [self, index, tries]
-                                           {
-                                               self->renew_at( index,
-                                                               tries - 1 );
-                                           } );
-                     } );
+    caller_.reserve(
+        places_[index], id_, hold_,
+        retry( &reservation_group::renew_at, index, tries, renewal_pause ) );
+}
+
+auto reservation_group::retry( void ( reservation_group::*again )( std::size_t,
+                                                                   int ),
+                               std::size_t index,
+                               int tries,
+                               core::duration pause )
+    -> reservation_caller::done
+{
+    return [self = shared_from_this(), again, index, tries,
+            pause]( auto const& status )
+    {
+        if ( !status.has_error() || tries <= 1 )
+            return;
+        self->call_later( pause,
+                          [self, again, index, tries]
+                          {
+                              ( *self.*again )( index, tries - 1 );
+                          } );
+    };
 }
 
 auto reservation_group::call_later( core::duration pause,
@@ -127,19 +137,9 @@
 
 auto reservation_group::release_at( std::size_t index, int tries ) -> void
 {
-    auto self = shared_from_this();
-    caller_.release( places_[index], id_,
-                     [self, index, tries]( auto status )
-                     {
-                         if ( !status.has_error() || tries <= 1 )
-                             return;
-                         self->call_later( release_pause,
-                                           [self, index, tries]
-                                           {
-                                               self->release_at( index,
-                                                                 tries - 1 );
-                                           } );
-                     } );
+    caller_.release(
+        places_[index], id_,
+        retry( &reservation_group::release_at, index, tries, release_pause ) );
 }
 
 }
--- a/src/pollenstream/exchange/reservation.hpp
+++ b/src/pollenstream/exchange/reservation.hpp
@@ -69,6 +69,11 @@
     auto on_reserved( core::result<void> const& status ) -> void;
     auto renew() -> void;
     auto renew_at( std::size_t index, int tries ) -> void;
+    /// What follows an order that failed: `again` with one try less.
+    auto retry( void ( reservation_group::*again )( std::size_t, int ),
+                std::size_t index,
+                int tries,
+                core::duration pause ) -> reservation_caller::done;
     /// Calls after `pause`; the call keeps the group.
     auto call_later( core::duration pause, std::function<void()> callback )
         -> void;
