--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -189,6 +189,9 @@
     auto note_crash( target_ref const& target, core::error const& why ) -> void;
     [[nodiscard]] auto is_quarantined() const -> bool;
     auto end_quarantined() -> void;
+    auto ends_as_quarantined( placement_grant const& grant,
+                              std::shared_ptr<reservation_group> const& memory )
+        -> bool;
     auto close_try( bool cancel, work_outcome outcome = work_outcome::none )
         -> void;
     auto close_silent() -> void;
--- a/src/pollenstream/exchange/exchange_waiting.cpp
+++ b/src/pollenstream/exchange/exchange_waiting.cpp
@@ -146,14 +146,24 @@
         on_unusable( grant );
 }
 
+/// True where the content has been quarantined since the grant was asked for.
+auto exchange::ends_as_quarantined(
+    placement_grant const& grant,
+    std::shared_ptr<reservation_group> const& memory ) -> bool
+{
+    if ( !is_quarantined() )
+        return false;
+    release( grant.serial, work_outcome::none );
+    if ( memory )
+        memory->release();
+    end_quarantined();
+    return true;
+}
+
 auto exchange::begin( placement_grant grant ) -> void
 {
-    // It may have been quarantined since it was asked for.
-    if ( is_quarantined() )
-    {
-        release( grant.serial, work_outcome::none );
-        return end_quarantined();
-    }
+    if ( ends_as_quarantined( grant, nullptr ) )
+        return;
     is_suspect_ = grant.is_suspect || demand_.crashes > 0;
     // At once, so that what is told of all open work has it.
     add_work( grant );
@@ -191,12 +201,8 @@
         return memory->release();
     }
     reserving_.reset();
-    if ( is_quarantined() )
-    {
-        release( grant.serial, work_outcome::none );
-        memory->release();
-        return end_quarantined();
-    }
+    if ( ends_as_quarantined( grant, memory ) )
+        return;
     if ( status.has_error() )
         return on_no_memory( grant, status.error() );
     if ( is_current( grant.choice ) )
