--- a/src/pollenstream/exchange/placement.cpp
+++ b/src/pollenstream/exchange/placement.cpp
@@ -133,6 +133,17 @@
            !contains( demand.paused, target.facts.id );
 }
 
+/// True where a limit leaves room for as many requests as the target serves at
+/// once: its slots bind before the limit does, as those of others.
+auto has_ample_limit( board_target const& target, core::instant now ) -> bool
+{
+    auto const limit = target.limit.per_second();
+    auto const in_window =
+        limit.value_or( 0 ) * core::seconds_of( sent_times::window );
+    auto const sent = static_cast<double>( target.limit.sent_lately( now ) );
+    return in_window - sent >= static_cast<double>( target.facts.slots );
+}
+
 auto basis_of( std::vector<std::shared_ptr<board_target>> const& targets,
                core::instant now ) -> choice_basis
 {
@@ -186,7 +197,8 @@
             found.more = true;
         else if ( !t->may_get_work( now ) )
             found.shunned.push_back( t );
-        else if ( t->limit.per_second() )
+        else if ( t->limit.per_second() &&
+                  ( demand.only_to_hear || !has_ample_limit( *t, now ) ) )
             found.limited.push_back( t );
         else
             found.free.push_back( t );
--- a/tests/exchange/told_limit_trouble_test.cpp
+++ b/tests/exchange/told_limit_trouble_test.cpp
@@ -230,3 +230,27 @@
     CHECK( second - first > 1 );
     CHECK( second - first < 3 );
 }
+
+TEST_CASE( "a limit beyond what a target serves at once changes no choice",
+           "[exchange][limit]" )
+{
+    auto const targets_with = []( std::optional<double> limit )
+    {
+        auto f = exchange_fixture{};
+        auto const now = f.scheduler.now();
+        for ( auto const* id : { "m2", "m3" } )
+            f.board.note_limit( core::target_id( id ), { limit, now, now },
+                                now );
+        f.scheduler.run( 1s );
+        auto chosen = std::vector<core::target_id>{};
+        for ( auto i = 0; i < 12; ++i )
+            f.start( f.request( "/chat/x" ) );
+        for ( auto const& sent : f.targets.all )
+        {
+            chosen.push_back( sent->request.target );
+            sent->answer( 200, "" );
+        }
+        return chosen;
+    };
+    CHECK( targets_with( 400 ) == targets_with( std::nullopt ) );
+}
