Tests of limits judge windows with both their ends again

When most_in_window moved to tests/support its window of 4 s lost its end: upper_bound had become lower_bound, and no message said so.

--- a/tests/support/limited_load.cpp
+++ b/tests/support/limited_load.cpp
@@ -20,7 +20,7 @@
     for ( auto at = times.begin(); at != times.end(); ++at )
         most = std::max(
             most,
-            std::lower_bound( at, times.end(), *at + limit_window ) - at );
+            std::upper_bound( at, times.end(), *at + limit_window ) - at );
     return static_cast<int>( most );
 }
 
