--- a/tests/registry/target_entries_test.cpp
+++ b/tests/registry/target_entries_test.cpp
@@ -1,7 +1,4 @@
-#include "registry_records.hpp"
-#include "support/answered_store.hpp"
-#include "support/exchange_fixture.hpp"
-#include <pollenstream/registry/registry_watch.hpp>
+#include "support/registry_fixture.hpp"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -11,28 +8,11 @@
 
 using namespace tests;
 using namespace std::chrono_literals;
-namespace platform = pollenstream::platform;
-namespace registry = pollenstream::registry;
 using nlohmann::json;
 
 namespace
 {
 
-/// Returns a valid entry, as a target writes it.
-auto valid_entry() -> json
-{
-    return json{ { "service", "model" },
-                 { "address", "10.1.0.9:8080" },
-                 { "zone", "a" },
-                 { "version", "v1" },
-                 { "slots", 16 },
-                 { "state", "ready" },
-                 { "cold_remaining_ms", 0 },
-                 { "stage", "colocated" },
-                 { "sequence", 4 },
-                 { "born", 1'000'000 } };
-}
-
 auto entry_of_lifetime( std::int64_t born, std::string const& state = "ready" )
     -> std::string
 {
@@ -42,52 +22,6 @@
     return entry.dump();
 }
 
-/// A registry watch of one instance on the platform's records.
-struct registry_fixture
-{
-    registry_fixture()
-    {
-        auto events = registry::registry_events{};
-        events.on_configuration = []( auto const& ) {};
-        events.on_target_left = []( auto const& ) {};
-        events.on_targets_changed = [] {};
-        events.on_instance = []( auto const&, auto const& ) {};
-        watch = std::make_unique<registry::registry_watch>(
-            store, scheduler, records, loads, log, std::move( events ) );
-        watch->start();
-        store.answer( { {}, ports::store_revision( 1 ) } );
-    }
-    auto write( std::string const& id, std::optional<std::string> value )
-        -> void
-    {
-        auto const at = ports::store_revision( ++revision );
-        store.answer( { { { "servers/" + id, std::move( value ), at } }, at } );
-    }
-    auto takes_work( std::string const& id ) const -> bool
-    {
-        auto const t = loads.find( core::target_id( id ) );
-        return t && t->takes_work();
-    }
-    auto count_unreadable_logs() const -> std::int64_t
-    {
-        return std::count_if( log.all.begin(), log.all.end(),
-                              []( auto const& e )
-                              {
-                                  auto const* b =
-                                      std::get_if<exchange::state_change>( &e );
-                                  return b != nullptr && b->now == "unreadable";
-                              } );
-    }
-
-    held_scheduler scheduler;
-    answered_store store;
-    platform::registry_records records;
-    exchange::load_table loads;
-    recorded_events log;
-    std::unique_ptr<registry::registry_watch> watch;
-    int revision{ 1 };
-};
-
 auto work_at( std::string const& id, std::uint64_t serial )
     -> exchange::open_work
 {
