Obey a drained data centre, and spare targets that warm up

Cause: op/evacuate/ZONE was read by no line, so that requests went on to the place until it was taken back; cold_per_s was nowhere in the code and cold_remaining_ms read and not used.

Drained data centres are records like the configuration (registry_codec kind drained_data_centre): kept by revision, sent on by the instances that read the store, in the state that a new instance fetches, removed with the record. The load table keeps them and marks the targets, present and later ones; they take no work of any kind. A grant that arrives, or memory that is reserved, after the drain is placed anew; what runs goes on; where all targets are drained callers are refused at once (drained, Retry-After 1 s). New invariant drained_gets_no_work.

A target that warms up has a rate limit with an end (request_limit, paced like the limits that targets report: by who places for all; the lower one counts).

Ruled out: a second mechanism of pacing; reading Cold-Ms of health answers, as no health answer is asked for (each is priced) and the record says the same.

Told in: status, state dump, explain (left out), losses (place_drained), metrics (places_drained, targets_warming_up), log lines of data centres and targets.

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -199,6 +199,8 @@
     events.on_configuration = [this]( auto configuration )
     {
         coordinator_.set_configuration( configuration );
+        load_table_.set_warm_up_rates( configuration->warm_up_rates(),
+                                       scheduler_.now() );
         context_.configuration = std::move( configuration );
         update_ready();
         wait_queue_.schedule_round();
--- a/apps/gateway/node_state.cpp
+++ b/apps/gateway/node_state.cpp
@@ -14,10 +14,11 @@
 
 using nlohmann::json;
 
-/// The limit of the target in requests per second; null if it has none.
-auto limit_or_null( exchange::target_entry const& t ) -> json
+/// The limit of the target in requests per second, reported or of its warm-up;
+/// null if it has none.
+auto limit_or_null( exchange::target_entry const& t, core::instant now ) -> json
 {
-    auto const limit = t.limit.per_second();
+    auto const limit = t.limit.per_second( now );
     return limit ? json( *limit ) : json();
 }
 
@@ -38,19 +39,30 @@
         targets.push_back(
             { { "id", id.str() },
               { "service", t->properties.service.str() },
+              { "place", t->properties.data_centre.str() },
               { "leaving", t->is_leaving() },
               { "gone", t->gone },
+              { "drained", t->data_centre_drained },
               { "may_get_work", t->may_get_work( now ) },
               { "requests", t->load.requests },
               { "writers", t->load.decoding },
               { "memory_tokens", t->load.memory_tokens },
               { "backlog_ms", t->backlog_ms( now ) },
               { "failure_share", t->health.failure_share },
-              { "limit", limit_or_null( *t ) },
+              { "warming_up", t->limit.is_warming_up( now ) },
+              { "limit", limit_or_null( *t, now ) },
               { "sent_per_second", sent_per_second( *t, now ) } } );
     return targets;
 }
 
+auto describe_drained( exchange::load_table const& loads ) -> json
+{
+    auto list = json::array();
+    for ( auto const& id : loads.drained_data_centres() )
+        list.push_back( id.str() );
+    return list;
+}
+
 auto describe_peers( peers::peer_group const& group, core::instant now ) -> json
 {
     auto list = json::array();
@@ -90,7 +102,7 @@
     auto limited = 0;
     for ( auto const& [id, t] : loads.all() )
     {
-        auto const limit = t->limit.per_second();
+        auto const limit = t->limit.reported_per_second();
         if ( !limit || !t->takes_work() || ++limited > max_limits_written )
             continue;
         auto const label = "{target=\"" + id.str() + "\"} ";
@@ -136,6 +148,7 @@
                   { "known_until", registry.known_until().count() },
                   { "reads", group.should_read_store() } } },
               { "placing", describe_placement( node ) },
+              { "drained_places", describe_drained( context.loads ) },
               { "targets", describe_targets( context ) },
               { "peers", describe_peers( group, context.scheduler.now() ) },
               { "invariants", invariant_counts() } };
@@ -157,10 +170,18 @@
     gauge( "pollenstream_configuration_version", version );
     gauge( "pollenstream_store_known_until", registry.known_until().count() );
     gauge( "pollenstream_instances", group.size() );
+    auto const now = context.scheduler.now();
     auto usable = 0;
+    auto warming_up = 0;
     for ( auto const& [id, t] : context.loads.all() )
-        usable += t->may_get_work( context.scheduler.now() ) ? 1 : 0;
+    {
+        usable += t->may_get_work( now ) ? 1 : 0;
+        warming_up += t->limit.is_warming_up( now ) ? 1 : 0;
+    }
     gauge( "pollenstream_targets_usable", usable );
+    gauge( "pollenstream_targets_warming_up", warming_up );
+    gauge( "pollenstream_places_drained",
+           context.loads.drained_data_centres().size() );
     gauge( "pollenstream_quarantined_contents",
            context.crashes.quarantined_contents() );
     gauge( "pollenstream_asks_waiting", coordinator.waiting() );
@@ -192,7 +213,7 @@
     for ( auto const& [name, times] : context.counters.unknown_headers.all() )
         count( "pollenstream_unknown_answer_headers_total",
                "{name=\"" + name + "\"}", times );
-    write_limits( context.loads, context.scheduler.now(), out );
+    write_limits( context.loads, now, out );
     constexpr auto kinds =
         static_cast<int>( platform::store_call::number_of_kinds );
     for ( auto i = 0; i < kinds; ++i )
--- a/apps/tool/explain.cpp
+++ b/apps/tool/explain.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <fstream>
 #include <iostream>
+#include <map>
 #include <memory>
 
 namespace apps::tool
@@ -64,6 +65,43 @@
     return text;
 }
 
+/// The data centres that operators had drained at a time, by the state changes
+/// that all logs tell of.
+class drain_history
+{
+public:
+    auto note( log_line const& line ) -> void
+    {
+        if ( value_of( line, "what" ) == "data_centre" )
+            changes_.emplace( value_of( line, "time" ), line );
+    }
+
+    /// The data centres that were drained at `time`, for the sentence.
+    [[nodiscard]] auto text_at( std::string const& time ) const -> std::string
+    {
+        // Each instance logs a change when it learns of it; the first one tells
+        // since when.
+        auto since = std::map<std::string, std::string>{};
+        for ( auto const& [at, change] : changes_ )
+        {
+            if ( at > time )
+                break;
+            auto const name = value_of( change, "name" );
+            if ( value_of( change, "now" ) == "drained" )
+                since.try_emplace( name, at );
+            else
+                since.erase( name );
+        }
+        auto text = std::string{};
+        for ( auto const& [name, at] : since )
+            text += "; left out: data centre " + name + ", drained since " + at;
+        return text;
+    }
+
+private:
+    std::multimap<std::string, log_line> changes_; ///< by time
+};
+
 auto cause_of( std::vector<story_line> const& story ) -> std::string
 {
     if ( story.empty() )
@@ -99,14 +137,17 @@
     return "still open at the end of these logs";
 }
 
-auto read_story( std::string const& id, std::vector<std::istream*> const& logs )
-    -> std::vector<story_line>
+auto read_story( std::string const& id,
+                 std::vector<std::istream*> const& logs,
+                 drain_history& drains ) -> std::vector<story_line>
 {
     auto story = std::vector<story_line>{};
     auto text = std::string{};
     for ( auto* const log : logs )
         while ( std::getline( *log, text ) )
         {
+            if ( text.find( "what=data_centre" ) != std::string::npos )
+                drains.note( read_log_line( text ) );
             if ( text.find( id ) == std::string::npos )
                 continue;
             auto fields = read_log_line( text );
@@ -149,11 +190,14 @@
 auto explain( std::string const& id, std::vector<std::istream*> const& logs )
     -> explanation
 {
-    auto const story = read_story( id, logs );
+    auto drains = drain_history{};
+    auto const story = read_story( id, logs, drains );
     auto result = explanation{};
     for ( auto const& line : story )
         result.lines.push_back( line.text );
     result.cause = cause_of( story ) + decision_in( story );
+    if ( !story.empty() )
+        result.cause += drains.text_at( story.back().time );
     return result;
 }
 
--- a/apps/tool/losses.cpp
+++ b/apps/tool/losses.cpp
@@ -67,6 +67,8 @@
 {
     if ( reason == "limited" )
         return loss_cause::target_limit;
+    if ( reason == "drained" )
+        return loss_cause::place_drained;
     if ( reason == "no_configuration" )
         return loss_cause::no_configuration;
     if ( reason == "stopping" || reason == "process_ends" )
@@ -134,6 +136,8 @@
         return "no_room";
     case loss_cause::target_limit:
         return "target_limit";
+    case loss_cause::place_drained:
+        return "place_drained";
     case loss_cause::late_ask:
         return "late_ask";
     case loss_cause::late_by_waiting:
--- a/apps/tool/losses.hpp
+++ b/apps/tool/losses.hpp
@@ -31,6 +31,7 @@
     memory_not_there,  ///< a reservation was refused
     no_room,           ///< it found no targets while its caller waited
     target_limit,      ///< targets had got as much as they take
+    place_drained,     ///< all its targets were in drained data centres
     late_ask,          ///< the answer to its ask for targets took long
     late_by_waiting,   ///< it waited for room, and was then read as predicted
     late_as_predicted, ///< the choice itself said that it would be late
--- a/apps/tool/status.cpp
+++ b/apps/tool/status.cpp
@@ -22,6 +22,16 @@
         << '\n';
 }
 
+auto print_drained( web::json::value const& drained, std::ostream& out ) -> void
+{
+    if ( drained.size() == 0 )
+        return;
+    out << "drained by the operator:";
+    for ( auto const& id : drained.as_array() )
+        out << ' ' << id.as_string();
+    out << '\n';
+}
+
 auto print_violations( web::json::value const& invariants, std::ostream& out )
     -> void
 {
@@ -49,12 +59,15 @@
         << ", known until " << store.at( "known_until" ).serialize() << '\n';
     if ( state.has_field( "placing" ) )
         print_placing( state.at( "placing" ), out );
+    if ( state.has_field( "drained_places" ) )
+        print_drained( state.at( "drained_places" ), out );
     print_violations( state.at( "invariants" ), out );
     out << '\n';
     print_table( state.at( "targets" ),
-                 { "id", "service", "leaving", "gone", "may_get_work",
-                   "requests", "writers", "backlog_ms", "memory_tokens",
-                   "failure_share", "limit", "sent_per_second" },
+                 { "id", "service", "place", "leaving", "gone", "drained",
+                   "may_get_work", "requests", "writers", "backlog_ms",
+                   "memory_tokens", "failure_share", "warming_up", "limit",
+                   "sent_per_second" },
                  out );
     out << '\n';
     print_table( state.at( "peers" ),
--- a/src/pollenstream/core/invariant.cpp
+++ b/src/pollenstream/core/invariant.cpp
@@ -43,6 +43,8 @@
         return "at_most_once";
     case invariant::leaving_gets_no_work:
         return "leaving_gets_no_work";
+    case invariant::drained_gets_no_work:
+        return "drained_gets_no_work";
     case invariant::stop_cuts_nothing:
         return "stop_cuts_nothing";
     case invariant::revision_only_rises:
--- a/src/pollenstream/core/invariant.hpp
+++ b/src/pollenstream/core/invariant.hpp
@@ -22,6 +22,7 @@
     not_run_is_true,      ///< nothing was sent before a "not run" refusal
     at_most_once,         ///< a non-idempotent call is sent once
     leaving_gets_no_work, ///< a leaving target is not chosen
+    drained_gets_no_work, ///< no target of a drained data centre is chosen
     stop_cuts_nothing,    ///< a planned shutdown leaves no open request
     revision_only_rises,  ///< an adopted configuration is never older
     pause_holds,          ///< nothing is sent to a target while it is paused
--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -307,6 +307,11 @@
     }
     if ( result.reason == placement_obstacle::paused )
         return wait_for_pause( now );
+    if ( result.reason == placement_obstacle::drained )
+    {
+        give_up( drained_reason, retry_after_drained );
+        return true;
+    }
     if ( route_->kind == request_kind::stream )
         return false;
     // An earlier attempt may have run and left no other target: give_up() then
--- a/src/pollenstream/exchange/exchange_attempts.cpp
+++ b/src/pollenstream/exchange/exchange_attempts.cpp
@@ -92,7 +92,8 @@
     context_.loads.add_work( context_.self, work, context_.scheduler.now() );
     for ( auto const& target : grant.choice.targets )
         uses_limited_target_ =
-            uses_limited_target_ || target->limit.per_second();
+            uses_limited_target_ ||
+            target->limit.per_second( context_.scheduler.now() );
     if ( is_announced() )
         context_.announcer.work_began( work );
     else
@@ -115,6 +116,12 @@
                            first.takes_work() || reservation,
                            "target " + first.properties.id.str() +
                                " got a request while leaving" );
+    for ( auto const& target : choice.targets )
+        core::check_invariant( core::invariant::drained_gets_no_work,
+                               !target->data_centre_drained,
+                               "target " + target->properties.id.str() +
+                                   " got work while its data centre is "
+                                   "drained" );
     core::check_invariant( core::invariant::pause_holds,
                            !context_.loads.is_paused( first.ref(), now ),
                            "target " + first.properties.id.str() +
--- a/src/pollenstream/exchange/exchange_waiting.cpp
+++ b/src/pollenstream/exchange/exchange_waiting.cpp
@@ -217,12 +217,14 @@
     if ( is_still_valid( grant.choice ) )
         return send( grant, reservation );
     reservation->release();
-    on_reservation_failed(
-        grant, { core::error_code::expired, "target restarted or paused" } );
+    on_reservation_failed( grant, { core::error_code::expired,
+                                    "target restarted, paused or drained" } );
 }
 
 /// False if a target of the choice has restarted, which loses the memory
-/// reserved there, or has asked this instance to pause.
+/// reserved there, has asked this instance to pause, or is in a data centre
+/// that has been drained since. At a target that leaves, reserved memory is
+/// used.
 auto exchange::is_still_valid( placement_choice const& choice ) const -> bool
 {
     auto const now = context_.scheduler.now();
@@ -231,6 +233,7 @@
                         {
                             return context_.loads.find_lifetime( t->ref() ) ==
                                        t &&
+                                   !t->data_centre_drained &&
                                    !context_.loads.is_paused( t->ref(), now );
                         } );
 }
--- a/src/pollenstream/exchange/load_table.cpp
+++ b/src/pollenstream/exchange/load_table.cpp
@@ -75,6 +75,7 @@
         properties.leaving && !entry->properties.leaving;
     // A target that has begun to leave does not return in the same lifetime.
     properties.leaving = properties.leaving || entry->properties.leaving;
+    entry->data_centre_drained = is_drained( properties );
     entry->properties = std::move( properties );
     entry->gone = false;
     return starts_to_leave ? target_change::starts_to_leave
@@ -87,6 +88,7 @@
 {
     auto entry = std::make_shared<target_entry>();
     entry->rank = core::stable_hash( properties.id.str() );
+    entry->data_centre_drained = is_drained( properties );
     entry->properties = std::move( properties );
     pauses_.erase( entry->properties.id );
     limited_.erase( entry->properties.id );
@@ -97,6 +99,22 @@
     insert_into_service( entry );
 }
 
+auto load_table::is_drained( target_properties const& properties ) const -> bool
+{
+    return drained_data_centres_.contains( properties.data_centre );
+}
+
+auto load_table::set_drained( core::data_centre_id const& id, bool drained )
+    -> bool
+{
+    auto const is_change = drained ? drained_data_centres_.insert( id ).second
+                                   : drained_data_centres_.erase( id ) > 0;
+    if ( is_change )
+        for ( auto const& [target, entry] : by_id_ )
+            entry->data_centre_drained = is_drained( entry->properties );
+    return is_change;
+}
+
 auto load_table::remove( core::target_id const& id ) -> void
 {
     auto const found = by_id_.find( id );
@@ -156,7 +174,7 @@
     if ( auto by_id = find( core::target_id( name ) ) )
         return by_id;
     for ( auto const& [id, entry] : by_id_ )
-        if ( entry->takes_work() &&
+        if ( entry->is_staying() &&
              core::to_string( entry->properties.address ) == name )
             return entry;
     return nullptr;
@@ -505,6 +523,38 @@
     return refs;
 }
 
+auto load_table::warm_up_rate_of( core::service_id const& id ) const
+    -> std::optional<double>
+{
+    auto const found = warm_up_rates_.find( id );
+    return found == warm_up_rates_.end() ? std::nullopt
+                                         : std::optional( found->second );
+}
+
+auto load_table::set_warm_up_rates(
+    std::unordered_map<core::service_id, double> rates, core::instant now )
+    -> void
+{
+    warm_up_rates_ = std::move( rates );
+    for ( auto const& [id, entry] : by_id_ )
+        entry->limit.set_warm_up_rate(
+            warm_up_rate_of( entry->properties.service ), now );
+}
+
+auto load_table::note_warm_up( target_ref const& ref,
+                               core::duration left,
+                               core::instant now ) -> bool
+{
+    auto const entry = find_lifetime( ref );
+    if ( !entry )
+        return false;
+    auto const was_warming_up = entry->limit.is_warming_up( now );
+    entry->limit.set_warm_up_rate( warm_up_rate_of( entry->properties.service ),
+                                   now );
+    entry->limit.set_warm_up_end( now + left, now );
+    return !was_warming_up && left > core::duration( 0 );
+}
+
 auto load_table::note_invalid_limit( target_ref const& ref ) -> bool
 {
     auto const entry = find_lifetime( ref );
--- a/src/pollenstream/exchange/load_table.hpp
+++ b/src/pollenstream/exchange/load_table.hpp
@@ -51,7 +51,7 @@
     core::data_centre_id data_centre;
     std::int64_t slots{ 1 };
     bool leaving{ false };
-    core::duration slow_for{ 0 }; ///< remaining warm-up time after its start
+    core::duration warm_up_left{ 0 }; ///< as of the record
 };
 
 /// The part of a request's work that one target does.
@@ -154,6 +154,7 @@
     /// this later, or not at all while the store is unavailable, and cannot
     /// revoke it.
     bool announced_leaving{ false };
+    bool data_centre_drained{ false }; ///< by the operator
     request_limit limit;
     bool reported_invalid_limit{ false }; ///< one that cannot be parsed
 
@@ -166,10 +167,15 @@
         return properties.leaving || announced_leaving;
     }
     /// False for a target that is leaving or no longer registered.
-    [[nodiscard]] auto takes_work() const -> bool
+    [[nodiscard]] auto is_staying() const -> bool
     {
         return !is_leaving() && !gone;
     }
+    /// False also while the operator has drained its data centre.
+    [[nodiscard]] auto takes_work() const -> bool
+    {
+        return is_staying() && !data_centre_drained;
+    }
     /// False also while the target is ejected.
     [[nodiscard]] auto may_get_work( core::instant now ) const -> bool
     {
@@ -212,6 +218,16 @@
     /// record returns.
     auto mark_gone( core::target_id const& id ) -> void;
 
+    /// The operator has drained the data centre, or returned it to service.
+    /// Returns true if this is a change. A drained data centre's targets get no
+    /// new work, and what runs there ends as usual.
+    auto set_drained( core::data_centre_id const& id, bool drained ) -> bool;
+    [[nodiscard]] auto drained_data_centres() const
+        -> std::set<core::data_centre_id> const&
+    {
+        return drained_data_centres_;
+    }
+
     [[nodiscard]] auto find( core::target_id const& id ) const
         -> std::shared_ptr<target_entry>;
     /// Null if the target's current lifetime differs from that of `ref`.
@@ -303,8 +319,17 @@
                                  limit_use use,
                                  core::instant now ) const -> bool
     {
-        return target.limit.next( use, shares_ ) <= now;
+        return target.limit.next( use, shares_, now ) <= now;
     }
+    /// The requests a second that targets of each service take while they warm
+    /// up; services that are not named have no such limit.
+    auto set_warm_up_rates( std::unordered_map<core::service_id, double> rates,
+                            core::instant now ) -> void;
+    /// The target warms up for `left` from now on. Returns true if it did not
+    /// warm up before.
+    auto note_warm_up( target_ref const& ref,
+                       core::duration left,
+                       core::instant now ) -> bool;
     /// This instance sends `parts` without a grant of a coordinator.
     auto note_uncoordinated( std::vector<work_part> const& parts,
                              core::instant now ) -> void;
@@ -376,6 +401,10 @@
     auto erase_from_service( std::shared_ptr<target_entry> const& entry )
         -> void;
     auto replace_entry( target_properties properties ) -> void;
+    [[nodiscard]] auto is_drained( target_properties const& properties ) const
+        -> bool;
+    [[nodiscard]] auto warm_up_rate_of( core::service_id const& id ) const
+        -> std::optional<double>;
 
     target_map by_id_;
     std::unordered_map<core::service_id,
@@ -386,7 +415,9 @@
     split_queue split_prompts_;
     /// Usually empty; searched for each request.
     std::unordered_map<core::target_id, core::instant> pauses_;
-    std::set<core::target_id> limited_; ///< usually empty
+    std::set<core::target_id> limited_;                   ///< usually empty
+    std::set<core::data_centre_id> drained_data_centres_; ///< usually empty
+    std::unordered_map<core::service_id, double> warm_up_rates_;
     limit_shares shares_;
 };
 
--- a/src/pollenstream/exchange/own_answers.hpp
+++ b/src/pollenstream/exchange/own_answers.hpp
@@ -19,6 +19,12 @@
 /// Retry-After when no target is known.
 inline constexpr auto retry_after_no_target =
     core::duration( std::chrono::milliseconds( 400 ) );
+/// Retry-After when the operator has drained the data centres of all targets.
+/// For how long is not known, and no drain is shorter than some seconds.
+inline constexpr auto retry_after_drained =
+    core::duration( std::chrono::seconds( 1 ) );
+/// Reason for refusing a request whose targets are all in drained data centres.
+inline constexpr auto drained_reason = "drained";
 /// Reason for refusing a request because of the rate limits that targets name.
 inline constexpr auto limited_reason = "limited";
 /// Reason for refusing a request whose content crashes targets.
--- a/src/pollenstream/exchange/placement.cpp
+++ b/src/pollenstream/exchange/placement.cpp
@@ -147,7 +147,7 @@
 /// limit.
 auto has_ample_limit( target_entry const& target, core::instant now ) -> bool
 {
-    auto const limit = target.limit.per_second();
+    auto const limit = target.limit.per_second( now );
     auto const allowed_in_window =
         limit.value_or( 0 ) * core::seconds_of( sent_times::window );
     auto const sent = static_cast<double>( target.limit.sent_in_window( now ) );
@@ -209,8 +209,9 @@
             found.limited_later = true;
         else if ( !t->may_get_work( now ) )
             found.ejected.push_back( t );
-        else if ( t->limit.per_second() && ( demand.only_to_probe_limits ||
-                                             !has_ample_limit( *t, now ) ) )
+        else if ( t->limit.per_second( now ) &&
+                  ( demand.only_to_probe_limits ||
+                    !has_ample_limit( *t, now ) ) )
             found.limited.push_back( t );
         else
             found.unlimited.push_back( t );
@@ -218,19 +219,20 @@
     return found;
 }
 
-auto placement::capacity_by_limits( placement_demand const& demand ) const
+auto placement::capacity_by_limits( placement_demand const& demand,
+                                    core::instant now ) const
     -> std::optional<limited_capacity>
 {
     auto capacity = limited_capacity{ core::instant::max(), 0 };
     for ( auto const& t : load_table_.of_service( demand.service ) )
     {
-        if ( !t->limit.per_second() || !is_eligible( demand, *t ) )
+        if ( !t->limit.per_second( now ) || !is_eligible( demand, *t ) )
             continue;
-        capacity.available_at =
-            std::min( capacity.available_at,
-                      t->limit.next( demand.limits, load_table_.shares() ) );
+        capacity.available_at = std::min(
+            capacity.available_at,
+            t->limit.next( demand.limits, load_table_.shares(), now ) );
         capacity.per_second +=
-            t->limit.rate( demand.limits, load_table_.shares() );
+            t->limit.rate( demand.limits, load_table_.shares(), now );
     }
     return capacity.per_second > 0 ? std::optional( capacity ) : std::nullopt;
 }
@@ -256,6 +258,19 @@
                         } );
 }
 
+/// True if a target remains in a data centre that the operator has drained.
+auto placement::has_drained_target( placement_demand const& demand ) const
+    -> bool
+{
+    auto const& all = load_table_.of_service( demand.service );
+    return std::any_of( all.begin(), all.end(),
+                        [&]( auto const& t )
+                        {
+                            return t->data_centre_drained && t->is_staying() &&
+                                   !contains( demand.tried, t->properties.id );
+                        } );
+}
+
 auto placement::choose( placement_demand const& demand,
                         service_settings const& service,
                         core::instant now ) const -> placement_result
@@ -314,8 +329,10 @@
         return choose_from( options.ejected, demand, service, now );
     if ( options.limited_later )
         return not_placed( placement_obstacle::limited );
-    return not_placed( has_paused_target( demand )
-                           ? placement_obstacle::paused
+    if ( has_paused_target( demand ) )
+        return not_placed( placement_obstacle::paused );
+    return not_placed( has_drained_target( demand )
+                           ? placement_obstacle::drained
                            : placement_obstacle::no_targets );
 }
 
--- a/src/pollenstream/exchange/placement.hpp
+++ b/src/pollenstream/exchange/placement.hpp
@@ -77,6 +77,7 @@
     too_large,  ///< exceeds the memory of all targets together
     paused,     ///< all remaining targets are paused for the requester
     limited,    ///< all remaining targets have reached their limits
+    drained,    ///< all remaining targets are in drained data centres
 };
 
 struct placement_result
@@ -137,8 +138,8 @@
 
     /// Capacity under the limits of the targets that remain for `demand`;
     /// nullopt if none of them allows any requests by a limit.
-    [[nodiscard]] auto
-    capacity_by_limits( placement_demand const& demand ) const
+    [[nodiscard]] auto capacity_by_limits( placement_demand const& demand,
+                                           core::instant now ) const
         -> std::optional<limited_capacity>;
 
     /// True if the prompt cannot have its first event in time any more, even
@@ -179,6 +180,8 @@
         -> placement_result;
     [[nodiscard]] auto has_paused_target( placement_demand const& demand ) const
         -> bool;
+    [[nodiscard]] auto
+    has_drained_target( placement_demand const& demand ) const -> bool;
     [[nodiscard]] auto choose_isolated( candidates const& targets,
                                         placement_demand const& demand,
                                         service_settings const& service,
--- a/src/pollenstream/exchange/placement_coordinator.cpp
+++ b/src/pollenstream/exchange/placement_coordinator.cpp
@@ -200,6 +200,9 @@
         return refuse( "too_large", 0ms );
     if ( result.reason == placement_obstacle::limited )
         return wait_for_limit( now );
+    if ( result.reason == placement_obstacle::drained &&
+         request.may_be_refused )
+        return refuse( drained_reason, retry_after_drained );
     // A plain call waits only for limits, unless it may have run already.
     if ( !settings->engine && request.may_be_refused )
         return refuse( "no_targets", retry_after_no_target );
@@ -215,7 +218,8 @@
 auto placement_coordinator::queued_request::wait_for_limit( core::instant now )
     -> bool
 {
-    auto const capacity = owner_.chooser_.capacity_by_limits( request.demand );
+    auto const capacity =
+        owner_.chooser_.capacity_by_limits( request.demand, now );
     auto const ahead = owner_.count_waiting_ahead( *this );
     auto const is_first_try = !limited_since_;
     limited_since_ = limited_since_.value_or( now );
--- a/src/pollenstream/exchange/placement_lateness.cpp
+++ b/src/pollenstream/exchange/placement_lateness.cpp
@@ -36,7 +36,13 @@
                                   service_settings const& service ) const
     -> core::duration
 {
-    auto const engines = load_table_.of_service( demand.service ).size();
+    auto const& all = load_table_.of_service( demand.service );
+    auto const drained = std::count_if( all.begin(), all.end(),
+                                        []( auto const& t )
+                                        {
+                                            return t->data_centre_drained;
+                                        } );
+    auto const engines = all.size() - static_cast<std::size_t>( drained );
     return core::duration_of(
         shortest_prefill_ms( demand, *service.engine, engines ) / 1'000 );
 }
--- a/src/pollenstream/exchange/routes.cpp
+++ b/src/pollenstream/exchange/routes.cpp
@@ -73,6 +73,16 @@
                                              : found->second;
 }
 
+auto route_configuration::warm_up_rates() const
+    -> std::unordered_map<core::service_id, double>
+{
+    auto rates = std::unordered_map<core::service_id, double>{};
+    for ( auto const& [id, settings] : services )
+        if ( settings.warm_up_rate )
+            rates.emplace( id, *settings.warm_up_rate );
+    return rates;
+}
+
 auto route_configuration::find_service( core::service_id const& id ) const
     -> service_settings const*
 {
--- a/src/pollenstream/exchange/routes.hpp
+++ b/src/pollenstream/exchange/routes.hpp
@@ -82,6 +82,9 @@
     std::string health_path;
     std::int64_t max_connections{ 0 };  ///< to each target, for all callers
     std::optional<engine_speed> engine; ///< absent for a plain service
+    /// Requests a second that a target takes from all instances together while
+    /// it warms up after its start; empty if that is not limited.
+    std::optional<double> warm_up_rate;
 };
 
 /// Limits on the size of callers' requests and on the time to send them.
@@ -128,6 +131,9 @@
         -> core::duration;
     [[nodiscard]] auto find_service( core::service_id const& id ) const
         -> service_settings const*;
+    /// The warm-up rates of the services that have one.
+    [[nodiscard]] auto warm_up_rates() const
+        -> std::unordered_map<core::service_id, double>;
 
 private:
     auto index_gap_objectives() -> void;
--- a/src/pollenstream/registry/registry_codec.hpp
+++ b/src/pollenstream/registry/registry_codec.hpp
@@ -19,6 +19,7 @@
     target,
     instance,
     quarantine,
+    drained_data_centre,
     other,
 };
 
@@ -36,6 +37,9 @@
         -> core::result<exchange::configuration_ptr> = 0;
     [[nodiscard]] virtual auto target_of( std::string const& key ) const
         -> core::target_id = 0;
+    /// The data centre that a record of kind `drained_data_centre` names.
+    [[nodiscard]] virtual auto data_centre_of( std::string const& key ) const
+        -> core::data_centre_id = 0;
     [[nodiscard]] virtual auto read_target( std::string const& key,
                                             std::string const& value ) const
         -> core::result<exchange::target_properties> = 0;
--- a/src/pollenstream/registry/registry_watch.cpp
+++ b/src/pollenstream/registry/registry_watch.cpp
@@ -302,6 +302,8 @@
         return events_.on_instance( r.key, *r.value );
     case record_kind::quarantine:
         return events_.on_quarantine( r.key, *r.value );
+    case record_kind::drained_data_centre:
+        return apply_drained( r.key, true, source );
     case record_kind::other:
         return;
     }
@@ -342,19 +344,58 @@
     auto read = codec_.read_target( r.key, *r.value );
     if ( read.has_error() )
         return apply_unreadable_target( r.key, read.error() );
-    auto const id = read.value().id;
-    auto const lifetime = read.value().lifetime;
+    auto const& properties = read.value();
+    auto const& id = properties.id;
     missing_.erase( id );
-    auto const change = load_table_.put( std::move( read.value() ) );
+    auto const change = load_table_.put( properties );
     if ( change != exchange::target_change::none )
+        log_.record( exchange::state_change{
+            "target",
+            id.str(),
+            name_of( change ),
+            describe_source( source, properties.lifetime ),
+            {} } );
+    note_warm_up( properties, source );
+    if ( change == exchange::target_change::starts_to_leave )
+        events_.on_target_left( id );
+    events_.on_targets_changed();
+}
+
+/// The record states the rest of the warm-up at the time of its writing. It is
+/// counted from now on, as that time is not known: a target that is spared for
+/// too long loses less than one that crashes under its load.
+auto registry_watch::note_warm_up(
+    exchange::target_properties const& properties, std::string const& source )
+    -> void
+{
+    auto const ref = exchange::target_ref( properties.id, properties.lifetime );
+    if ( load_table_.note_warm_up( ref, properties.warm_up_left,
+                                   scheduler_.now() ) )
         log_.record(
             exchange::state_change{ "target",
-                                    id.str(),
-                                    name_of( change ),
-                                    describe_source( source, lifetime ),
+                                    properties.id.str(),
+                                    "warms_up",
+                                    source + ", " +
+                                        std::to_string( core::milliseconds_of(
+                                            properties.warm_up_left ) ) +
+                                        " ms left",
                                     {} } );
-    if ( change == exchange::target_change::starts_to_leave )
-        events_.on_target_left( id );
+}
+
+/// The record says by its existence that the data centre is drained; what it
+/// holds does not matter.
+auto registry_watch::apply_drained( std::string const& key,
+                                    bool drained,
+                                    std::string const& source ) -> void
+{
+    auto const id = codec_.data_centre_of( key );
+    if ( !load_table_.set_drained( id, drained ) )
+        return;
+    log_.record( exchange::state_change{ "data_centre",
+                                         id.str(),
+                                         drained ? "drained" : "in_service",
+                                         source,
+                                         {} } );
     events_.on_targets_changed();
 }
 
@@ -401,7 +442,10 @@
     if ( known == records_.end() || known->second.revision > at )
         return;
     records_.erase( known );
-    if ( codec_.kind_of( key ) != record_kind::target )
+    auto const kind = codec_.kind_of( key );
+    if ( kind == record_kind::drained_data_centre )
+        return apply_drained( key, false, source );
+    if ( kind != record_kind::target )
         return;
     auto const id = codec_.target_of( key );
     if ( !may_have_lapsed() )
--- a/src/pollenstream/registry/registry_watch.hpp
+++ b/src/pollenstream/registry/registry_watch.hpp
@@ -46,8 +46,9 @@
     std::function<core::duration()> others_served_for;
 };
 
-/// Follows the records in the platform's store: the operators' configuration,
-/// the entries of the targets, the instances and the quarantines. Only some
+/// Follows the records in the platform's store: the operators' configuration
+/// and the data centres that they have drained, the entries of the targets, the
+/// instances and the quarantines. Only some
 /// instances read the store; the others follow the updates that these send. The
 /// user of this class decides with `set_reader` whether this instance reads.
 ///
@@ -126,6 +127,11 @@
                               std::string const& source ) -> void;
     auto apply_target( ports::record const& r, std::string const& source )
         -> void;
+    auto note_warm_up( exchange::target_properties const& properties,
+                       std::string const& source ) -> void;
+    auto apply_drained( std::string const& key,
+                        bool drained,
+                        std::string const& source ) -> void;
     auto apply_unreadable_target( std::string const& key,
                                   core::error const& error ) -> void;
     auto apply_removal( std::string const& key,
--- a/tests/exchange/reported_limit_faults_test.cpp
+++ b/tests/exchange/reported_limit_faults_test.cpp
@@ -166,7 +166,8 @@
     CHECK( count_between( load.service().runs, limited, later,
                           fleet.scheduler.now() ) > 10 );
     for ( auto i = 0; i < fleet.size(); ++i )
-        CHECK_FALSE( fleet.at( i ).loads.find( limited )->limit.per_second() );
+        CHECK_FALSE(
+            fleet.at( i ).loads.find( limited )->limit.reported_per_second() );
 }
 
 TEST_CASE( "a restarted target has no limit from its former lifetime",
@@ -179,11 +180,11 @@
         exchange::target_ref( properties.id, properties.lifetime );
     auto const now = core::instant( 100s );
     loads.note_limit( former, { 1.3, now, now }, now );
-    REQUIRE( loads.find( properties.id )->limit.per_second() );
+    REQUIRE( loads.find( properties.id )->limit.reported_per_second() );
     properties.lifetime =
         core::target_lifetime( properties.lifetime.count() + 1 );
     loads.put( properties );
-    CHECK_FALSE( loads.find( properties.id )->limit.per_second() );
+    CHECK_FALSE( loads.find( properties.id )->limit.reported_per_second() );
     // A late update about the former lifetime.
     CHECK( loads.note_limit( former, { 1.3, now, now }, now ) ==
            exchange::limit_change::none );
--- a/tests/observation/losses_test.cpp
+++ b/tests/observation/losses_test.cpp
@@ -81,6 +81,9 @@
     CHECK( single_cause( { placed( "a", 2'800, 500 ) + " limit_ms=2700",
                            served( "a", 3'300, 1 ) } ) ==
            loss_cause::target_limit );
+    CHECK( single_cause( { "event=ended id=a outcome=drained status=503 "
+                           "total_ms=1.0 first_ms=0.0 gap_ms=0.0" } ) ==
+           loss_cause::place_drained );
     CHECK( single_cause( { "event=ended id=a outcome=limited status=503 "
                            "total_ms=1.0 first_ms=0.0 gap_ms=0.0" } ) ==
            loss_cause::target_limit );
--- a/tests/observation/observation_test.cpp
+++ b/tests/observation/observation_test.cpp
@@ -128,6 +128,32 @@
     CHECK( line.at( "d" ) == "e" );
 }
 
+TEST_CASE( "explain names the data centres that were drained at the time",
+           "[explain][drain]" )
+{
+    auto const drained = std::string(
+        "time=02 event=belief what=data_centre name=b now=drained "
+        "because=store "
+        "age_ms=0.0\ntime=03 event=belief what=data_centre name=b now=drained "
+        "because=other age_ms=0.0\n" );
+    auto const returned = std::string( "time=05 event=belief what=data_centre "
+                                       "name=b now=in_service because=store "
+                                       "age_ms=0.0\n" );
+    auto const explained_at = [&]( std::string const& time )
+    {
+        auto log = std::istringstream(
+            drained + returned + "time=" + time +
+            " event=refused id=x status=503 reason=drained waited_ms=0.1 "
+            "waiting=0\n" );
+        return apps::tool::explain( "x", { &log } ).cause;
+    };
+    CHECK( explained_at( "04" ) ==
+           "refused with 503 after 0.1 ms as drained with 0 waiting at this "
+           "instance; left out: data centre b, drained since 02" );
+    CHECK( explained_at( "01" ).find( "left out" ) == std::string::npos );
+    CHECK( explained_at( "06" ).find( "left out" ) == std::string::npos );
+}
+
 TEST_CASE( "status prints the state of a gateway and its violations",
            "[status]" )
 {
@@ -135,6 +161,7 @@
         "instance": "front-1", "configuration": 42, "open_requests": 3,
         "waiting_requests": 1, "stopping": false,
         "store": { "serves": true, "reads": false, "known_until": 99 },
+        "drained_places": [ "b", "c" ],
         "invariants": { "at_most_once": { "checks": 9, "violations": 2 },
                         "ends_in_time": { "checks": 9, "violations": 0 } },
         "targets": [ { "id": "i-1", "service": "model", "requests": 4 } ],
@@ -146,6 +173,7 @@
                       "waiting 1, stopping no\n" ) == 0 );
     CHECK( text.find( "store serves yes, read here no, known until 99\n" ) !=
            std::string::npos );
+    CHECK( text.find( "drained by the operator: b c\n" ) != std::string::npos );
     CHECK( text.find( "VIOLATED at_most_once: 2 times" ) != std::string::npos );
     CHECK( text.find( "ends_in_time" ) == std::string::npos );
     CHECK( text.find( "i-1" ) != std::string::npos );
--- a/tests/registry/drained_data_centre_test.cpp
+++ b/tests/registry/drained_data_centre_test.cpp
@@ -70,8 +70,9 @@
     }
 }
 
-TEST_CASE( "an older update changes no data centre that was drained or returned",
-           "[registry][drain]" )
+TEST_CASE(
+    "an older update changes no data centre that was drained or returned",
+    "[registry][drain]" )
 {
     auto f = registry_fixture{};
     f.write( "a1", entry_in( "a" ) );
@@ -84,8 +85,7 @@
     update.batch.at = ports::store_revision( f.revision + 1 );
     SECTION( "the record of before does not drain it again" )
     {
-        update.batch.records.push_back(
-            { "op/evacuate/a", "{}", drained_at } );
+        update.batch.records.push_back( { "op/evacuate/a", "{}", drained_at } );
         f.watch->apply_update( update, "other" );
         CHECK( f.takes_work( "a1" ) );
     }
--- a/tests/registry/registry_watch_test.cpp
+++ b/tests/registry/registry_watch_test.cpp
@@ -38,6 +38,11 @@
     {
         return core::target_id( key.substr( 2 ) );
     }
+    [[nodiscard]] auto data_centre_of( std::string const& ) const
+        -> core::data_centre_id override
+    {
+        return {};
+    }
     [[nodiscard]] auto read_target( std::string const& key,
                                     std::string const& value ) const
         -> core::result<exchange::target_properties> override
--- a/tests/registry/target_entries_test.cpp
+++ b/tests/registry/target_entries_test.cpp
@@ -199,3 +199,38 @@
     // Some corruptions leave the entry valid, such as a changed name.
     CHECK( valid_count > 50 );
 }
+
+TEST_CASE( "a target warms up for as long as its newest entry says",
+           "[registry][warm-up]" )
+{
+    auto f = registry_fixture{};
+    auto const warms_up = [&]
+    {
+        return f.loads.find( core::target_id( "i-1" ) )
+            ->limit.is_warming_up( f.scheduler.now() );
+    };
+    auto entry = valid_entry();
+    f.write( "i-1", entry.dump() );
+    CHECK_FALSE( warms_up() );
+    entry["cold_remaining_ms"] = 3'000;
+    f.write( "i-1", entry.dump() );
+    CHECK( warms_up() );
+    SECTION( "until the time is over" )
+    {
+        f.scheduler.run( 2900ms );
+        CHECK( warms_up() );
+        f.scheduler.run( 100ms );
+        CHECK_FALSE( warms_up() );
+    }
+    SECTION( "until an entry says that it is over" )
+    {
+        entry["cold_remaining_ms"] = 0;
+        f.write( "i-1", entry.dump() );
+        CHECK_FALSE( warms_up() );
+    }
+    SECTION( "not in a later lifetime without warm-up" )
+    {
+        f.write( "i-1", entry_of_lifetime( 2'000'000 ) );
+        CHECK_FALSE( warms_up() );
+    }
+}
--- a/tests/support/exchange_fleet.cpp
+++ b/tests/support/exchange_fleet.cpp
@@ -636,10 +636,36 @@
     for ( auto const* service : { &engines, &plain } )
         for ( auto const& properties : service->properties() )
             instance->loads.put( properties );
+    tell_warm_up( *instance );
     for ( auto const& [key, value] : store.records )
         instance->records.apply_record( key, value );
 }
 
+auto exchange_fleet::warm_up_all( double per_second, core::duration left )
+    -> void
+{
+    warm_up_rate_ = per_second;
+    warm_up_until_ = scheduler.now() + left;
+    for ( auto const& one : instances_ )
+        if ( one )
+            tell_warm_up( *one );
+}
+
+auto exchange_fleet::tell_warm_up( fleet_instance& instance ) -> void
+{
+    auto const now = scheduler.now();
+    if ( now >= warm_up_until_ )
+        return;
+    instance.loads.set_warm_up_rates(
+        { { core::service_id( "model" ), warm_up_rate_ },
+          { core::service_id( "plain" ), warm_up_rate_ } },
+        now );
+    for ( auto const* service : { &engines, &plain } )
+        for ( auto const& properties : service->properties() )
+            instance.loads.note_warm_up( { properties.id, properties.lifetime },
+                                         warm_up_until_ - now, now );
+}
+
 auto exchange_fleet::deliver_record( std::string const& key,
                                      std::string const& value ) -> void
 {
--- a/tests/support/exchange_fleet.hpp
+++ b/tests/support/exchange_fleet.hpp
@@ -242,6 +242,11 @@
                   std::string bytes ) -> void;
     auto targets_of( core::address const& address ) -> fleet_targets&;
 
+    /// All targets begin to warm up, as their records tell all instances.
+    /// Until `left` has passed each takes `per_second` requests from all
+    /// instances together.
+    auto warm_up_all( double per_second, core::duration left ) -> void;
+
     /// Passes a record that was written to all connected instances.
     auto deliver_record( std::string const& key, std::string const& value )
         -> void;
@@ -260,7 +265,10 @@
     auto unlist( core::target_id const& id ) -> void;
     auto begin_attempt( int number, std::shared_ptr<fleet_call> const& call )
         -> void;
+    auto tell_warm_up( fleet_instance& instance ) -> void;
 
+    double warm_up_rate_{ 0 };
+    core::instant warm_up_until_;
     std::vector<std::unique_ptr<fleet_instance>> instances_;
     std::set<std::string> disconnected_; ///< IP addresses
     std::vector<std::unique_ptr<ports::scheduled_call>> calls_;
--- a/tests/support/limited_load.cpp
+++ b/tests/support/limited_load.cpp
@@ -9,7 +9,8 @@
 auto max_in_window( std::vector<fleet_run> const& runs,
                     core::target_id const& target,
                     core::instant from,
-                    run_filter const& counts ) -> int
+                    run_filter const& counts,
+                    core::duration window ) -> int
 {
     auto times = std::vector<core::instant>{};
     for ( auto const& run : runs )
@@ -19,8 +20,7 @@
     auto max_count = std::ptrdiff_t{ 0 };
     for ( auto at = times.begin(); at != times.end(); ++at )
         max_count = std::max(
-            max_count,
-            std::upper_bound( at, times.end(), *at + limit_window ) - at );
+            max_count, std::upper_bound( at, times.end(), *at + window ) - at );
     return static_cast<int>( max_count );
 }
 
--- a/tests/support/limited_load.hpp
+++ b/tests/support/limited_load.hpp
@@ -22,7 +22,8 @@
 auto max_in_window( std::vector<fleet_run> const& runs,
                     core::target_id const& target,
                     core::instant from,
-                    run_filter const& counts = {} ) -> int;
+                    run_filter const& counts = {},
+                    core::duration window = limit_window ) -> int;
 
 /// Requests that `target` received from `from` until before `until`.
 auto count_between( std::vector<fleet_run> const& runs,
--- a/tests/support/registry_fixture.hpp
+++ b/tests/support/registry_fixture.hpp
@@ -25,15 +25,15 @@
 inline auto valid_entry() -> nlohmann::json
 {
     return nlohmann::json{ { "service", "model" },
-                 { "address", "10.1.0.9:8080" },
-                 { "zone", "a" },
-                 { "version", "v1" },
-                 { "slots", 16 },
-                 { "state", "ready" },
-                 { "cold_remaining_ms", 0 },
-                 { "stage", "colocated" },
-                 { "sequence", 4 },
-                 { "born", 1'000'000 } };
+                           { "address", "10.1.0.9:8080" },
+                           { "zone", "a" },
+                           { "version", "v1" },
+                           { "slots", 16 },
+                           { "state", "ready" },
+                           { "cold_remaining_ms", 0 },
+                           { "stage", "colocated" },
+                           { "sequence", 4 },
+                           { "born", 1'000'000 } };
 }
 
 /// A registry watch of one instance on the platform's records.
