One instance writes the records of all instances, 32 in a call

Cause: each instance granted a lease, wrote its record and renewed the lease each 20 s: 2 calls an instance and start, and each record came back as a change for all. It grows with the fleet at every start.

The first coordinator that the store has served for 2 s writes the records of all under one lease and renews that; the next one writes them anew within the 40 s and more that the lease lasts. Instances that left lose theirs.

Ruled out: a record of a few instances only, as the divided budgets need the number of all; taking over the former keeper's lease, one more record for 1 call in 31.

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -119,11 +119,17 @@
                                              load_table_,
                                              log,
                                              make_registry_events() ),
-      registration_( store_,
-                     scheduler_,
-                     records_.instance_key( settings_.instance ),
-                     settings_.callers.ip,
-                     log ),
+      instance_records_(
+          store_,
+          scheduler_,
+          records_,
+          [this]
+          {
+              return group_.keeps_records()
+                         ? std::optional( group_.instance_ips() )
+                         : std::nullopt;
+          },
+          log ),
       quarantine_( context_,
                    group_,
                    target_calls_,
@@ -271,7 +277,7 @@
     };
     group_.start();
     registry_.start_following();
-    registration_.start();
+    instance_records_.start();
     quarantine_.on_changed = [this]( auto content )
     {
         quarantine_records_.on_changed( content );
@@ -410,7 +416,6 @@
         exchange::planned_stop{ directory_expired_at - stop_detection_delay,
                                 now + settings_.grace_period - stop_margin };
     group_.announce_leaving();
-    registration_.stop();
     callers_->begin_drain();
     callers_left_at_ = directory_expired_at + 500ms;
     check_stopped();
--- a/apps/gateway/gateway_node.hpp
+++ b/apps/gateway/gateway_node.hpp
@@ -22,8 +22,8 @@
 #include <pollenstream/peers/peer_group.hpp>
 #include <pollenstream/peers/placement_router.hpp>
 #include <pollenstream/peers/quarantine.hpp>
+#include <pollenstream/registry/instance_records.hpp>
 #include <pollenstream/registry/quarantine_records.hpp>
-#include <pollenstream/registry/registration.hpp>
 #include <pollenstream/registry/registry_watch.hpp>
 
 #include <memory>
@@ -91,7 +91,7 @@
     peers::placement_router router_;
     exchange::exchange_context context_;
     registry::registry_watch registry_;
-    registry::registration registration_;
+    registry::instance_records instance_records_;
     peers::quarantine quarantine_;
     registry::quarantine_records quarantine_records_;
 
--- a/src/pollenstream/peers/peer_group.cpp
+++ b/src/pollenstream/peers/peer_group.cpp
@@ -329,6 +329,7 @@
     informed_coordinators_ = coordinators();
     check_silent_peers();
     update_limit_shares();
+    update_keeper();
     heartbeat_call_ = scheduler_.call_after( heartbeat_period(),
                                              [this]
                                              {
--- a/src/pollenstream/peers/peer_group.hpp
+++ b/src/pollenstream/peers/peer_group.hpp
@@ -82,6 +82,13 @@
     /// follows in the order and the store has not answered any other instance
     /// lately.
     [[nodiscard]] auto should_read_store() const -> bool;
+    /// True if this instance keeps the records of all instances in the store:
+    /// it has been the first coordinator that the store serves for some time.
+    [[nodiscard]] auto keeps_records() const -> bool;
+    /// IP addresses of this instance and the others, without those that leave.
+    /// Includes silent ones until they are removed.
+    [[nodiscard]] auto instance_ips() const
+        -> std::map<core::instance_id, std::string>;
     /// Adds the address of an instance, from the registry or from a peer.
     auto add_ip( std::string const& ip ) -> void;
 
@@ -166,6 +173,8 @@
     auto heartbeat_period() const -> core::duration;
     auto send_to_next_in_round() -> void;
     [[nodiscard]] auto store_read_delay() const -> core::duration;
+    [[nodiscard]] auto is_first_served() const -> bool;
+    auto update_keeper() -> void;
     auto inform_new_coordinators() -> void;
     auto check_silent_peers() -> void;
     auto handle_lost_peer( core::instance_id const& id, std::string reason )
@@ -214,6 +223,8 @@
     ports::store_revision known_until_;
     core::duration store_age_{ 0 };
     core::duration store_served_for_{ 0 };
+    /// Since when this instance is the first coordinator that the store serves.
+    std::optional<core::instant> first_served_since_;
     peer_message pending_; ///< changes for the next flush
     /// Crashes that this instance has seen recently. Complete messages repeat
     /// them, since datagrams may be lost.
--- a/src/pollenstream/peers/peer_group_store.cpp
+++ b/src/pollenstream/peers/peer_group_store.cpp
@@ -40,6 +40,11 @@
 /// read the store, and the rest fetch the records from these. Otherwise 300
 /// instances with 3,000 targets would each fetch a megabyte from the store.
 constexpr auto read_delay_with_peers = core::duration( 150ms );
+/// Time for which an instance has to be the first coordinator that the store
+/// serves before it writes the records of all. Each change of the writer costs
+/// one call for each 32 instances, and the order is not settled right after a
+/// start or a loss.
+constexpr auto keeper_delay = core::duration( 2s );
 
 }
 
@@ -94,6 +99,47 @@
     return peers().empty() ? read_delay_without_peers : read_delay_with_peers;
 }
 
+auto peer_group::is_first_served() const -> bool
+{
+    auto const now = scheduler_.now();
+    if ( store_age_ >= store_timeout )
+        return false;
+    for ( auto const& id : table_.coordinators( now ) )
+    {
+        if ( id == self_.id )
+            return true;
+        if ( now - table_.find( id )->store_answered_at < store_timeout )
+            return false;
+    }
+    return false;
+}
+
+auto peer_group::update_keeper() -> void
+{
+    if ( !is_first_served() )
+        first_served_since_.reset();
+    else if ( !first_served_since_ )
+        first_served_since_ = scheduler_.now();
+}
+
+auto peer_group::keeps_records() const -> bool
+{
+    return first_served_since_ &&
+           scheduler_.now() - *first_served_since_ >= keeper_delay;
+}
+
+auto peer_group::instance_ips() const
+    -> std::map<core::instance_id, std::string>
+{
+    auto all = std::map<core::instance_id, std::string>{};
+    if ( !leaving_ )
+        all.emplace( self_.id, self_.ip );
+    for ( auto const& [id, p] : table_.all() )
+        if ( !p.leaving )
+            all.emplace( id, p.ip );
+    return all;
+}
+
 auto peer_group::better_informed_peer( ports::store_revision at ) const
     -> peer const*
 {
--- a/src/pollenstream/ports/record_store.hpp
+++ b/src/pollenstream/ports/record_store.hpp
@@ -4,6 +4,7 @@
 #include <pollenstream/core/error.hpp>
 #include <pollenstream/core/units.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -33,6 +34,28 @@
     store_revision at;
 };
 
+/// A record to write.
+struct record_put
+{
+    std::string key;
+    std::string value;
+};
+
+/// Changes of records that the store makes all or not at all.
+struct record_changes
+{
+    /// Puts and removals that the store accepts in one call.
+    static constexpr auto max_size = std::size_t{ 32 };
+
+    std::vector<record_put> puts;
+    std::vector<std::string> removals; ///< keys
+
+    [[nodiscard]] auto size() const -> std::size_t
+    {
+        return puts.size() + removals.size();
+    }
+};
+
 /// Asynchronous calls to the platform's store. Each callback runs exactly once,
 /// on the thread that handles requests.
 ///
@@ -59,11 +82,11 @@
                         store_revision known,
                         core::duration limit,
                         batch_done callback ) -> void = 0;
-    /// Writes `value` under `key`; the record is removed when `lease` ends.
-    virtual auto put( std::string const& key,
-                      std::string const& value,
-                      lease_id lease,
-                      done callback ) -> void = 0;
+    /// Makes the changes. The records that are put are removed when `lease`
+    /// ends.
+    virtual auto write( record_changes const& changes,
+                        lease_id lease,
+                        done callback ) -> void = 0;
     virtual auto grant_lease( core::duration time, lease_done callback )
         -> void = 0;
     virtual auto renew_lease( lease_id lease, done callback ) -> void = 0;
--- a/src/pollenstream/registry/quarantine_records.cpp
+++ b/src/pollenstream/registry/quarantine_records.cpp
@@ -77,17 +77,19 @@
     auto const runs = crashes_.is_quarantined( content )
                           ? crashes_.crashes_of( content )
                           : std::vector<exchange::crashed_run>{};
-    store_.put( codec_.quarantine_key( content ),
-                codec_.write_quarantine( runs ), lease,
-                [this, content, is_quarantined = !runs.empty()]( auto status )
-                {
-                    if ( status.has_error() )
-                        return schedule_write( content, retry_pause );
-                    if ( is_quarantined )
-                        recorded_.insert( content );
-                    else
-                        recorded_.erase( content );
-                } );
+    auto changes = ports::record_changes{};
+    changes.puts.push_back(
+        { codec_.quarantine_key( content ), codec_.write_quarantine( runs ) } );
+    store_.write( changes, lease,
+                  [this, content, is_quarantined = !runs.empty()]( auto status )
+                  {
+                      if ( status.has_error() )
+                          return schedule_write( content, retry_pause );
+                      if ( is_quarantined )
+                          recorded_.insert( content );
+                      else
+                          recorded_.erase( content );
+                  } );
 }
 
 auto quarantine_records::apply_record( std::string const& key,
--- a/src/pollenstream/registry/registry_watch.cpp
+++ b/src/pollenstream/registry/registry_watch.cpp
@@ -230,7 +230,7 @@
     update.batch.at = known_until_;
     update.lapse_possible = may_have_lapsed();
     for ( auto const& [key, known] : records_ )
-        if ( known.revision > after )
+        if ( known.changed_at > after )
             update.batch.records.push_back(
                 { key, known.value, known.revision } );
     for ( auto const& [key, revision] : removed_ )
@@ -291,8 +291,15 @@
     auto& known = records_[r.key];
     if ( known.revision >= r.revision )
         return;
-    known = { *r.value, r.revision };
-    switch ( codec_.kind_of( r.key ) )
+    auto const kind = codec_.kind_of( r.key );
+    auto const is_unchanged = kind == record_kind::instance &&
+                              known.changed_at != ports::store_revision{} &&
+                              known.value == *r.value;
+    known = { *r.value, r.revision,
+              is_unchanged ? known.changed_at : r.revision };
+    if ( is_unchanged )
+        return;
+    switch ( kind )
     {
     case record_kind::configuration:
         return apply_configuration( r, source );
--- a/src/pollenstream/registry/registry_watch.hpp
+++ b/src/pollenstream/registry/registry_watch.hpp
@@ -107,7 +107,10 @@
     struct known_record
     {
         std::string value;
-        ports::store_revision revision;
+        ports::store_revision revision; ///< of the last write
+        /// Of the last write that changed the value. A record that was written
+        /// again unchanged need not be sent to instances that have it.
+        ports::store_revision changed_at;
     };
 
     auto list() -> void;
--- a/tests/peers/peer_group_test.cpp
+++ b/tests/peers/peer_group_test.cpp
@@ -161,6 +161,14 @@
         REQUIRE( found != all.end() );
         return **found;
     }
+    auto keepers() const -> std::vector<instance*>
+    {
+        auto found = std::vector<instance*>{};
+        for ( auto const& one : all )
+            if ( one && one->group.keeps_records() )
+                found.push_back( one.get() );
+        return found;
+    }
     auto readers() const -> int
     {
         return static_cast<int>(
@@ -569,6 +577,65 @@
     CHECK( fleet.readers() <= 20 );
 }
 
+TEST_CASE( "one instance keeps the records of all in the store",
+           "[peers][store]" )
+{
+    auto fleet = small_fleet( 60 );
+    fleet.run( 3s, 100ms );
+    REQUIRE( fleet.keepers().size() == 1 );
+    auto* const keeper = fleet.keepers().front();
+    CHECK( keeper->group.instance_ips().size() == 60 );
+    SECTION( "another one does after its loss" )
+    {
+        fleet.network.unreachable.insert( keeper->ip );
+        fleet.run( 6s, 100ms );
+        auto others = fleet.keepers();
+        std::erase( others, keeper );
+        REQUIRE( others.size() == 1 );
+        CHECK( others.front()->group.instance_ips().size() == 60 );
+        fleet.run( 40s, 100ms );
+        CHECK( others.front()->group.instance_ips().size() == 59 );
+    }
+    SECTION( "another one does after its leaving" )
+    {
+        keeper->group.announce_leaving();
+        fleet.run( 3s, 100ms );
+        REQUIRE( fleet.keepers().size() == 1 );
+        CHECK( fleet.keepers().front() != keeper );
+        CHECK( fleet.keepers().front()->group.instance_ips().size() == 59 );
+    }
+    SECTION( "another one does while the store does not serve it" )
+    {
+        for ( auto t = core::duration( 0 ); t < 6s; t += 100ms )
+        {
+            for ( auto const& one : fleet.all )
+                one->group.set_store_state(
+                    ports::store_revision( 1 ),
+                    one.get() == keeper ? t + 100ms : 100ms, 0ms );
+            fleet.scheduler.run( 100ms );
+        }
+        REQUIRE( fleet.keepers().size() == 1 );
+        CHECK( fleet.keepers().front() != keeper );
+    }
+    SECTION( "none does while the store serves nobody" )
+    {
+        fleet.run( 3s, 2s );
+        CHECK( fleet.keepers().empty() );
+    }
+}
+
+TEST_CASE( "an instance that finds no other keeps its own record",
+           "[peers][store]" )
+{
+    auto scheduler = held_scheduler{};
+    auto network = simulated_network{};
+    auto one = instance( network, scheduler, 1, { "10.0.0.9" } );
+    one.group.start();
+    scheduler.run( 5s );
+    CHECK( one.group.keeps_records() );
+    CHECK( one.group.instance_ips().size() == 1 );
+}
+
 TEST_CASE( "of many instances that start together only three read the store",
            "[peers][store]" )
 {
--- a/tests/registry/registry_watch_test.cpp
+++ b/tests/registry/registry_watch_test.cpp
@@ -23,6 +23,8 @@
     {
         if ( key == "config" )
             return registry::record_kind::configuration;
+        if ( key.starts_with( "i/" ) )
+            return registry::record_kind::instance;
         return key.starts_with( "t/" ) ? registry::record_kind::target
                                        : registry::record_kind::other;
     }
@@ -265,6 +267,35 @@
     CHECK( follower.store.known_at == ports::store_revision( 3 ) );
 }
 
+TEST_CASE(
+    "an instance's record that is written again unchanged is not sent on",
+    "[registry]" )
+{
+    auto f = watch_fixture{};
+    f.store.answer( make_batch( { make_record( "i/n1", "10.0.0.1", 5 ) }, 5 ) );
+    f.store.answer( make_batch( { make_record( "i/n1", "10.0.0.1", 6 ) }, 6 ) );
+    CHECK( f.updates.back().batch.records.empty() );
+    CHECK( f.updates.back().batch.at == ports::store_revision( 6 ) );
+    SECTION( "but to an instance that does not have it" )
+    {
+        CHECK( f.watch->changes_after( ports::store_revision( 4 ) )
+                   .batch.records.size() == 1 );
+    }
+    SECTION( "but once it has changed" )
+    {
+        f.store.answer(
+            make_batch( { make_record( "i/n1", "10.0.0.2", 7 ) }, 7 ) );
+        CHECK( f.updates.back().batch.records.size() == 1 );
+    }
+    SECTION( "but after a removal" )
+    {
+        f.store.answer( make_batch( { make_removal( "i/n1", 7 ) }, 7 ) );
+        f.store.answer(
+            make_batch( { make_record( "i/n1", "10.0.0.1", 8 ) }, 8 ) );
+        CHECK( f.updates.back().batch.records.size() == 1 );
+    }
+}
+
 TEST_CASE( "an update tells a follower that a missing entry may have lapsed",
            "[registry][peers][outage]" )
 {
--- a/tests/support/answered_store.hpp
+++ b/tests/support/answered_store.hpp
@@ -30,7 +30,7 @@
         known_at = known;
         pending = std::move( callback );
     }
-    auto put( std::string const&, std::string const&, ports::lease_id, done )
+    auto write( ports::record_changes const&, ports::lease_id, done )
         -> void override
     {
     }
--- a/tests/support/exchange_fleet.cpp
+++ b/tests/support/exchange_fleet.cpp
@@ -344,16 +344,18 @@
     callback( core::error{ core::error_code::failed, "not simulated" } );
 }
 
-auto fleet_store::put( std::string const& key,
-                       std::string const& value,
-                       ports::lease_id,
-                       done callback ) -> void
+auto fleet_store::write( ports::record_changes const& changes,
+                         ports::lease_id,
+                         done callback ) -> void
 {
     if ( is_unavailable )
         return callback( core::error{ core::error_code::timed_out, "away" } );
     ++writes;
-    records[key] = value;
-    fleet_.deliver_record( key, value );
+    for ( auto const& put : changes.puts )
+    {
+        records[put.key] = put.value;
+        fleet_.deliver_record( put.key, put.value );
+    }
     callback( core::success() );
 }
 
