A list beside one that hangs; choices begin at an instance's own place

Start of all while the store is silent: a list call that was sent before the store's return stays without an answer until its limit of 1.5 s. An instance without records sends another list each 250 ms beside the open one, six at most. Instances with records do not: it would cost calls in each outage.

--- a/src/pollenstream/exchange/load_table.hpp
+++ b/src/pollenstream/exchange/load_table.hpp
@@ -330,6 +330,16 @@
     auto note_warm_up( target_ref const& ref,
                        core::duration left,
                        core::instant now ) -> bool;
+    /// Where in the order of a service's targets choices begin, from 0 to 1. An
+    /// instance that knows the work of all begins at the first target, like its
+    /// successor would. One that knows only its own begins at its own place:
+    /// otherwise all such instances would choose the same few targets.
+    [[nodiscard]] auto first_choice( limit_use use ) const -> double
+    {
+        auto const knows_all =
+            use == limit_use::coordinated && shares_.knows_all_work;
+        return knows_all ? 0 : shares_.phase;
+    }
     /// This instance sends `parts` without a grant of a coordinator.
     auto note_uncoordinated( std::vector<work_part> const& parts,
                              core::instant now ) -> void;
--- a/src/pollenstream/exchange/placement.cpp
+++ b/src/pollenstream/exchange/placement.cpp
@@ -201,8 +201,13 @@
                          core::instant now ) const -> target_options
 {
     auto found = target_options{};
-    for ( auto const& t : load_table_.of_service( demand.service ) )
+    auto const& all = load_table_.of_service( demand.service );
+    auto const first =
+        static_cast<std::size_t>( load_table_.first_choice( demand.limits ) *
+                                  static_cast<double>( all.size() ) );
+    for ( auto i = std::size_t{ 0 }; i < all.size(); ++i )
     {
+        auto const& t = all[( first + i ) % all.size()];
         if ( !is_eligible( demand, *t ) )
             continue;
         if ( !load_table_.may_send( *t, demand.limits, now ) )
--- a/src/pollenstream/exchange/request_pace.hpp
+++ b/src/pollenstream/exchange/request_pace.hpp
@@ -26,8 +26,10 @@
     double coordinated{ 1 };
     double uncoordinated{ 1 };
     /// From 0 to 1, different at each instance, so that their uncoordinated
-    /// requests do not arrive at the same time.
+    /// requests do not arrive at the same time or at the same target.
     double phase{ 0 };
+    /// The other instances have had time to tell this one of their work.
+    bool knows_all_work{ true };
 };
 
 /// Paces the requests to a target with a rate limit. They are sent at equal
--- a/src/pollenstream/peers/peer_group_targets.cpp
+++ b/src/pollenstream/peers/peer_group_targets.cpp
@@ -143,7 +143,8 @@
         static_cast<double>( std::uint64_t{ 1 } << 53U );
     load_table_.set_limit_shares(
         { hears_majority ? 1.0 : alive_instances / known_instances,
-          uncoordinated_share / known_instances, phase } );
+          uncoordinated_share / known_instances, phase,
+          table_.has_warmed_up( scheduler_.now() ) } );
 }
 
 auto peer_group::run_crashed( exchange::crashed_run const& what ) -> void
--- a/src/pollenstream/peers/peer_table.cpp
+++ b/src/pollenstream/peers/peer_table.cpp
@@ -177,7 +177,12 @@
 
 auto peer_table::own_precedence( core::instant now ) const -> precedence
 {
-    return { now - started_ < warm_up_time, capacity_, rank_, &self_ };
+    return { !has_warmed_up( now ), capacity_, rank_, &self_ };
+}
+
+auto peer_table::has_warmed_up( core::instant now ) const -> bool
+{
+    return now - started_ >= warm_up_time;
 }
 
 auto peer_table::coordinators( core::instant now ) const
--- a/src/pollenstream/peers/peer_table.hpp
+++ b/src/pollenstream/peers/peer_table.hpp
@@ -105,6 +105,9 @@
     [[nodiscard]] auto is_coordinator( core::instant now ) const -> bool;
     /// Number of alive instances before this one in the order.
     [[nodiscard]] auto own_position( core::instant now ) const -> int;
+    /// True once this instance has run so long that the others have sent it
+    /// their open work.
+    [[nodiscard]] auto has_warmed_up( core::instant now ) const -> bool;
     /// Shortest time since the store answered another alive instance.
     [[nodiscard]] auto min_store_age( core::instant now ) const
         -> core::duration;
--- a/src/pollenstream/registry/registry_watch.cpp
+++ b/src/pollenstream/registry/registry_watch.cpp
@@ -17,6 +17,11 @@
 /// no more changes, and only a new watch reports the loss. A short watch keeps
 /// the delay of changes below two seconds, as leaving targets require.
 constexpr auto watch_timeout = core::duration( 700ms );
+/// Time after which an instance without records sends another list call beside
+/// one that has no answer. A call that was made while the store was unreachable
+/// stays without one after the store's return.
+constexpr auto next_list_delay = core::duration( 250ms );
+constexpr auto max_open_lists = 6;
 /// Bounds of the pause before the next call after a failure; it doubles.
 constexpr auto min_pause = core::duration( 100ms );
 constexpr auto max_pause = core::duration( 800ms );
@@ -110,13 +115,38 @@
 auto registry_watch::list() -> void
 {
     call_in_progress_ = true;
+    ++list_round_;
+    open_lists_ = 0;
+    send_list();
+}
+
+auto registry_watch::send_list() -> void
+{
+    ++open_lists_;
+    arm_next_list();
     store_.list( "",
-                 [this]( auto batch )
+                 [this, round = list_round_]( auto batch )
                  {
-                     on_list( std::move( batch ) );
+                     if ( round == list_round_ )
+                         on_list( std::move( batch ) );
                  } );
 }
 
+/// Sends another list call later, if this instance still needs the records.
+auto registry_watch::arm_next_list() -> void
+{
+    if ( next_list_call_ || known_until_ != ports::store_revision{} )
+        return;
+    next_list_call_ = scheduler_.call_after(
+        next_list_delay,
+        [this]
+        {
+            auto const finished_call = std::move( next_list_call_ );
+            if ( reads_store_ && open_lists_ < max_open_lists )
+                send_list();
+        } );
+}
+
 auto registry_watch::watch() -> void
 {
     call_in_progress_ = true;
@@ -129,7 +159,12 @@
 
 auto registry_watch::on_list( core::result<ports::record_batch> batch ) -> void
 {
+    --open_lists_;
+    if ( batch.has_error() && open_lists_ > 0 )
+        return arm_next_list();
     call_in_progress_ = false;
+    next_list_call_.reset();
+    ++list_round_;
     if ( batch.has_error() )
         return on_failure( batch.error() );
     on_success();
--- a/src/pollenstream/registry/registry_watch.hpp
+++ b/src/pollenstream/registry/registry_watch.hpp
@@ -8,6 +8,7 @@
 #include <pollenstream/ports/scheduler.hpp>
 #include <pollenstream/registry/registry_codec.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -114,6 +115,8 @@
     };
 
     auto list() -> void;
+    auto send_list() -> void;
+    auto arm_next_list() -> void;
     auto watch() -> void;
     auto continue_watching() -> void;
     auto on_list( core::result<ports::record_batch> batch ) -> void;
@@ -164,6 +167,8 @@
     exchange::configuration_ptr configuration_;
     bool reads_store_{ true };
     bool call_in_progress_{ false }; ///< to the store
+    std::uint64_t list_round_{ 0 };  ///< answers of earlier rounds are ignored
+    int open_lists_{ 0 };            ///< calls of this round without an answer
     bool store_serves_{ false };
     bool has_served_{ false };
     /// Until when entries may have lapsed, as reported by instances that read
@@ -176,6 +181,7 @@
     core::duration retry_pause_{ 0 };
     /// Targets with a missing entry, and since when.
     std::map<core::target_id, core::instant> missing_;
+    std::unique_ptr<ports::scheduled_call> next_list_call_;
     std::unique_ptr<ports::scheduled_call> retry_call_;
     std::unique_ptr<ports::scheduled_call> missing_check_call_;
 };
--- a/tests/registry/registry_watch_test.cpp
+++ b/tests/registry/registry_watch_test.cpp
@@ -434,6 +434,7 @@
            "[registry][store]" )
 {
     auto f = watch_fixture{};
+    f.store.answer( make_batch( {}, 1 ) );
     auto const lists = f.store.lists;
     auto events = registry::registry_events{};
     events.on_configuration = []( auto const& ) {};
@@ -446,3 +447,88 @@
     follower.set_reader( true );
     CHECK( f.store.lists == lists + 1 );
 }
+
+namespace
+{
+
+/// A store whose list calls the test answers in any order.
+class listed_store : public answered_store
+{
+public:
+    auto list( std::string const&, batch_done callback ) -> void override
+    {
+        open.push_back( std::move( callback ) );
+    }
+
+    std::vector<batch_done> open;
+};
+
+struct first_list_fixture
+{
+    first_list_fixture()
+    {
+        auto events = registry::registry_events{};
+        events.on_configuration = [this]( auto const& c )
+        {
+            version = c->version.count();
+        };
+        events.on_targets_changed = [] {};
+        watch = std::make_unique<registry::registry_watch>(
+            store, scheduler, codec, loads, log, std::move( events ) );
+        watch->start();
+    }
+
+    held_scheduler scheduler;
+    listed_store store;
+    minimal_codec codec;
+    exchange::load_table loads;
+    recorded_events log;
+    std::int64_t version{ 0 };
+    std::unique_ptr<registry::registry_watch> watch;
+};
+
+}
+
+TEST_CASE( "an instance without records does not wait for a call that hangs",
+           "[registry]" )
+{
+    auto f = first_list_fixture{};
+    f.scheduler.run( 300ms );
+    REQUIRE( f.store.open.size() == 2 );
+    SECTION( "the first answer counts, late ones are ignored" )
+    {
+        f.store.open[1]( make_batch( { make_record( "config", "2", 9 ) }, 9 ) );
+        CHECK( f.version == 2 );
+        CHECK( f.store.watches == 1 );
+        f.store.open[0]( make_batch( { make_record( "config", "1", 4 ) }, 4 ) );
+        CHECK( f.version == 2 );
+        CHECK( f.store.watches == 1 );
+        f.scheduler.run( 5s );
+        CHECK( f.store.open.size() == 2 );
+    }
+    SECTION( "a call that fails leaves the others open" )
+    {
+        f.store.open[0]( core::error{ core::error_code::timed_out, "" } );
+        f.store.open[1]( make_batch( { make_record( "config", "2", 9 ) }, 9 ) );
+        CHECK( f.version == 2 );
+    }
+    SECTION( "calls that are refused are followed by a pause" )
+    {
+        f.store.open[1]( core::error{ core::error_code::refused, "" } );
+        f.store.open[0]( core::error{ core::error_code::refused, "" } );
+        CHECK( f.store.open.size() == 2 );
+        f.scheduler.run( 150ms );
+        CHECK( f.store.open.size() == 3 );
+    }
+    SECTION( "their number is bounded" )
+    {
+        f.scheduler.run( 30s );
+        CHECK( f.store.open.size() == 6 );
+    }
+    SECTION( "an instance that follows others sends no more" )
+    {
+        f.watch->set_reader( false );
+        f.scheduler.run( 30s );
+        CHECK( f.store.open.size() == 2 );
+    }
+}
