The first list of an instance may be of any age

What they lack follows from the watch or from another instance at once, so that these pages may be old, which costs a tenth. Pages of any age may each be older than the one before: the batch has the oldest revision.

Ruled out: a longer wait for others, which is a larger constant.

--- a/src/pollenstream/ports/record_store.hpp
+++ b/src/pollenstream/ports/record_store.hpp
@@ -56,6 +56,14 @@
     }
 };
 
+/// How old the records may be that a read returns.
+enum class read_age
+{
+    latest, ///< no change that the store acknowledged before the call is
+            ///< missing
+    any,    ///< may be seconds old; costs the store a tenth
+};
+
 /// Asynchronous calls to the platform's store. Each callback runs exactly once,
 /// on the thread that handles requests.
 ///
@@ -74,9 +82,10 @@
 
     /// All records whose keys begin with `prefix`. They are read page by page:
     /// more than one page is not a consistent snapshot, and the batch has the
-    /// revision of the first page.
-    virtual auto list( std::string const& prefix, batch_done callback )
-        -> void = 0;
+    /// revision of the oldest page.
+    virtual auto list( std::string const& prefix,
+                       read_age age,
+                       batch_done callback ) -> void = 0;
     /// Changes after revision `known`; empty if there is none within `limit`.
     virtual auto watch( std::string const& prefix,
                         store_revision known,
--- a/src/pollenstream/registry/registry_watch.cpp
+++ b/src/pollenstream/registry/registry_watch.cpp
@@ -124,7 +124,13 @@
 {
     ++open_lists_;
     arm_next_list();
-    store_.list( "",
+    // The first records may be old: what has changed since follows at once,
+    // from the watch or from another instance. Of many instances that start
+    // together each may read them.
+    auto const age = known_until_ == ports::store_revision{}
+                         ? ports::read_age::any
+                         : ports::read_age::latest;
+    store_.list( "", age,
                  [this, round = list_round_]( auto batch )
                  {
                      if ( round == list_round_ )
--- a/tests/registry/instance_records_test.cpp
+++ b/tests/registry/instance_records_test.cpp
@@ -26,7 +26,10 @@
 class leasing_store : public ports::record_store
 {
 public:
-    auto list( std::string const&, batch_done ) -> void override {}
+    auto list( std::string const&, ports::read_age, batch_done )
+        -> void override
+    {
+    }
     auto watch( std::string const&,
                 ports::store_revision,
                 core::duration,
--- a/tests/registry/registry_watch_test.cpp
+++ b/tests/registry/registry_watch_test.cpp
@@ -218,6 +218,24 @@
     CHECK_FALSE( f.takes_work( "b" ) );
 }
 
+TEST_CASE( "only the first records may be old, and changes since follow",
+           "[registry][store]" )
+{
+    auto f = watch_fixture{};
+    CHECK( f.store.last_age == ports::read_age::any );
+    f.store.answer( make_batch(
+        { make_record( "config", "1", 4 ), make_record( "t/a", "ready", 4 ) },
+        5 ) );
+    // The next read asks for all changes after the records that it has.
+    CHECK( f.store.known_at == ports::store_revision( 5 ) );
+    f.store.answer( make_batch(
+        { make_record( "config", "2", 6 ), make_removal( "t/a", 7 ) }, 7 ) );
+    CHECK( f.versions == std::vector<std::int64_t>{ 1, 2 } );
+    CHECK_FALSE( f.takes_work( "a" ) );
+    f.store.fail( core::error_code::expired );
+    CHECK( f.store.last_age == ports::read_age::latest );
+}
+
 TEST_CASE( "all records are listed again after the history is discarded",
            "[registry][outage]" )
 {
@@ -455,7 +473,8 @@
 class listed_store : public answered_store
 {
 public:
-    auto list( std::string const&, batch_done callback ) -> void override
+    auto list( std::string const&, ports::read_age, batch_done callback )
+        -> void override
     {
         open.push_back( std::move( callback ) );
     }
--- a/tests/support/answered_store.hpp
+++ b/tests/support/answered_store.hpp
@@ -16,9 +16,11 @@
 class answered_store : public ports::record_store
 {
 public:
-    auto list( std::string const&, batch_done callback ) -> void override
+    auto list( std::string const&, ports::read_age age, batch_done callback )
+        -> void override
     {
         ++lists;
+        last_age = age;
         pending = std::move( callback );
     }
     auto watch( std::string const&,
@@ -51,6 +53,7 @@
 
     batch_done pending;
     int lists{ 0 };
+    ports::read_age last_age{ ports::read_age::latest }; ///< of the last list
     int watches{ 0 };
     ports::store_revision known_at; ///< of the last watch
 };
--- a/tests/support/exchange_fleet.cpp
+++ b/tests/support/exchange_fleet.cpp
@@ -331,7 +331,9 @@
            } );
 }
 
-auto fleet_store::list( std::string const&, batch_done callback ) -> void
+auto fleet_store::list( std::string const&,
+                        ports::read_age,
+                        batch_done callback ) -> void
 {
     callback( core::error{ core::error_code::failed, "not simulated" } );
 }
--- a/tests/support/exchange_fleet.hpp
+++ b/tests/support/exchange_fleet.hpp
@@ -119,8 +119,9 @@
 public:
     explicit fleet_store( exchange_fleet& fleet ) : fleet_( fleet ) {}
 
-    auto list( std::string const& prefix, batch_done callback )
-        -> void override;
+    auto list( std::string const& prefix,
+               ports::read_age age,
+               batch_done callback ) -> void override;
     auto watch( std::string const& prefix,
                 ports::store_revision known,
                 core::duration limit,
