--- a/scripts/bench_runs.py
+++ b/scripts/bench_runs.py
@@ -149,9 +149,10 @@
 
 def play_all(plays, play_one, bench, jobs, on_outcome):
     """Plays all with `jobs` at once; returns those that gave nothing, with the
-    reason. SIGINT and SIGTERM end it with what is done; a shell that starts it
-    behind `&` in a script has SIGINT ignored."""
+    reason. SIGINT and SIGTERM end it with what is done, SIGINT also where the
+    shell that started it behind `&` ignores that signal."""
     signal.signal(signal.SIGTERM, signal.default_int_handler)
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     failed = {}
     with concurrent.futures.ThreadPoolExecutor(max_workers=jobs) as pool:
         futures = {pool.submit(play_one, play): play for play in plays}
--- a/src/pollenstream/exchange/exchange_answers.cpp
+++ b/src/pollenstream/exchange/exchange_answers.cpp
@@ -15,7 +15,6 @@
 
 /// Unsent bytes to a slow caller above which its stream is aborted.
 constexpr auto max_unsent_bytes = std::size_t{ 1 } << 20U;
-constexpr auto first_failure_status = 500;
 
 auto is_success( int status ) -> bool
 {
--- a/src/pollenstream/exchange/exchange_evidence.cpp
+++ b/src/pollenstream/exchange/exchange_evidence.cpp
@@ -17,7 +17,6 @@
 constexpr auto fault_ejection_time = core::duration( 1500ms );
 /// How long a target that accepts no connection is ejected.
 constexpr auto unreachable_ejection_time = core::duration( 1s );
-constexpr auto first_failure_status = 500;
 
 }
 
--- a/src/pollenstream/exchange/message.hpp
+++ b/src/pollenstream/exchange/message.hpp
@@ -86,6 +86,9 @@
     std::int64_t slots{ 0 };
 };
 
+/// The lowest status of answers by which targets report a failure.
+inline constexpr auto first_failure_status = 500;
+
 /// Status and headers of a target's answer, and what they report.
 struct answer_head
 {
