--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -241,6 +241,10 @@
     {
         group_.add_ip( ip );
     };
+    events.on_instance_removed = [this]( auto const& key )
+    {
+        instance_records_.note_removed( key );
+    };
     return events;
 }
 
--- a/apps/tool/explain.cpp
+++ b/apps/tool/explain.cpp
@@ -94,7 +94,10 @@
         }
         auto text = std::string{};
         for ( auto const& [name, at] : since )
-            text += "; left out: data centre " + name + ", drained since " + at;
+        {
+            text += "; left out: data centre " + name;
+            text += ", drained since " + at;
+        }
         return text;
     }
 
--- a/src/pollenstream/exchange/load_table.hpp
+++ b/src/pollenstream/exchange/load_table.hpp
@@ -330,10 +330,11 @@
     auto note_warm_up( target_ref const& ref,
                        core::duration left,
                        core::instant now ) -> bool;
-    /// Where in the order of a service's targets choices begin, from 0 to 1. An
-    /// instance that knows the work of all begins at the first target, like its
-    /// successor would. One that knows only its own begins at its own place:
-    /// otherwise all such instances would choose the same few targets.
+    /// Where in the order of a service's targets choices begin, from 0 to 1.
+    /// Coordinators that know the work of all begin at the first target, so
+    /// that they pack alike when one replaces another. An instance that knows
+    /// only its own work begins at its own place: otherwise all such instances
+    /// would choose the same few targets.
     [[nodiscard]] auto first_choice( limit_use use ) const -> double
     {
         auto const knows_all =
--- a/src/pollenstream/registry/instance_records.cpp
+++ b/src/pollenstream/registry/instance_records.cpp
@@ -40,6 +40,11 @@
     schedule( check_period );
 }
 
+auto instance_records::note_removed( std::string const& key ) -> void
+{
+    written_.erase( key );
+}
+
 auto instance_records::schedule( core::duration delay ) -> void
 {
     next_step_ = scheduler_.call_after( delay,
--- a/src/pollenstream/registry/instance_records.hpp
+++ b/src/pollenstream/registry/instance_records.hpp
@@ -44,6 +44,10 @@
     /// Writes and renews the records from now on while this instance is the
     /// keeper.
     auto start() -> void;
+    /// The store no longer has the record `key`. If it should be there, as
+    /// after a removal by another keeper that has lost sight of the instance,
+    /// it is written again.
+    auto note_removed( std::string const& key ) -> void;
 
 private:
     auto schedule( core::duration delay ) -> void;
--- a/src/pollenstream/registry/registry_watch.cpp
+++ b/src/pollenstream/registry/registry_watch.cpp
@@ -493,6 +493,8 @@
     auto const kind = codec_.kind_of( key );
     if ( kind == record_kind::drained_data_centre )
         return apply_drained( key, false, source );
+    if ( kind == record_kind::instance && events_.on_instance_removed )
+        return events_.on_instance_removed( key );
     if ( kind != record_kind::target )
         return;
     auto const id = codec_.target_of( key );
--- a/src/pollenstream/registry/registry_watch.hpp
+++ b/src/pollenstream/registry/registry_watch.hpp
@@ -37,6 +37,7 @@
     std::function<void()> on_targets_changed;
     std::function<void( std::string const& key, std::string const& value )>
         on_instance;
+    std::function<void( std::string const& key )> on_instance_removed;
     std::function<void( std::string const& key, std::string const& value )>
         on_quarantine;
     /// The store reported changes that other instances may not know yet.
--- a/tests/registry/instance_records_test.cpp
+++ b/tests/registry/instance_records_test.cpp
@@ -169,6 +169,24 @@
     CHECK( f.store.leases_in_use.size() == 2 );
 }
 
+TEST_CASE( "a record that another keeper removed is written again",
+           "[registry][registration]" )
+{
+    auto f = keeper_fixture{};
+    f.scheduler.run( 10s );
+    auto const key = f.codec.instance_key( core::instance_id( "n7" ) );
+    f.store.records.erase( key );
+    f.records.note_removed( key );
+    f.scheduler.run( 2s );
+    CHECK( f.store.records.contains( key ) );
+    // One that is not needed any more is not.
+    f.addresses.erase( core::instance_id( "n8" ) );
+    f.scheduler.run( 2s );
+    f.records.note_removed( f.codec.instance_key( core::instance_id( "n8" ) ) );
+    f.scheduler.run( 2s );
+    CHECK( f.store.records.size() == 99 );
+}
+
 TEST_CASE( "a write that failed is made again", "[registry][registration]" )
 {
     auto f = keeper_fixture{};
--- a/tests/registry/registry_watch_test.cpp
+++ b/tests/registry/registry_watch_test.cpp
@@ -113,6 +113,10 @@
         };
         events.on_targets_changed = [] {};
         events.on_instance = []( auto const&, auto const& ) {};
+        events.on_instance_removed = [this]( auto const& key )
+        {
+            removed_instances.push_back( key );
+        };
         events.others_served_for = [this]
         {
             return others_served;
@@ -138,6 +142,7 @@
     recorded_events log;
     std::vector<std::int64_t> versions;
     std::vector<std::string> left_targets;
+    std::vector<std::string> removed_instances;
     std::vector<registry::record_update> updates;
     core::duration others_served{ 0 };
     std::unique_ptr<registry::registry_watch> watch;
@@ -308,6 +313,7 @@
     SECTION( "but after a removal" )
     {
         f.store.answer( make_batch( { make_removal( "i/n1", 7 ) }, 7 ) );
+        CHECK( f.removed_instances == std::vector<std::string>{ "i/n1" } );
         f.store.answer(
             make_batch( { make_record( "i/n1", "10.0.0.1", 8 ) }, 8 ) );
         CHECK( f.updates.back().batch.records.size() == 1 );
