--- a/src/pollenstream/exchange/load_table.hpp
+++ b/src/pollenstream/exchange/load_table.hpp
@@ -330,7 +330,8 @@
     auto note_warm_up( target_ref const& ref,
                        core::duration left,
                        core::instant now ) -> bool;
-    /// Where in the order of a service's targets choices begin, from 0 to 1.
+    /// Position in the order of a service's targets from which a choice starts:
+    /// 0 is the first target, values up to 1 the share of targets before it.
     /// Coordinators that know the work of all begin at the first target, so
     /// that they pack alike when one replaces another. An instance that knows
     /// only its own work begins at its own place: otherwise all such instances
--- a/src/pollenstream/exchange/own_answers.hpp
+++ b/src/pollenstream/exchange/own_answers.hpp
@@ -20,7 +20,8 @@
 inline constexpr auto retry_after_no_target =
     core::duration( std::chrono::milliseconds( 400 ) );
 /// Retry-After when the operator has drained the data centres of all targets.
-/// For how long is not known, and no drain is shorter than some seconds.
+/// The end of the drain is not known; the pause keeps callers from repeating
+/// requests that would be refused again.
 inline constexpr auto retry_after_drained =
     core::duration( std::chrono::seconds( 1 ) );
 /// Reason for refusing a request whose targets are all in drained data centres.
--- a/src/pollenstream/exchange/request_limit.cpp
+++ b/src/pollenstream/exchange/request_limit.cpp
@@ -91,7 +91,7 @@
 }
 
 /// A request that the pace of the warm-up holds back may go once that is over.
-/// What was sent before the warm-up does not count against its rate.
+/// Requests sent before the warm-up do not count against its rate.
 auto request_limit::next( limit_use use,
                           limit_shares const& shares,
                           core::instant now ) const -> core::instant
--- a/src/pollenstream/registry/registry_watch.cpp
+++ b/src/pollenstream/registry/registry_watch.cpp
@@ -21,6 +21,8 @@
 /// one that has no answer. A call that was made while the store was unreachable
 /// stays without one after the store's return.
 constexpr auto next_list_delay = core::duration( 250ms );
+/// Bounds the connections that hang at the same time: calls time out after this
+/// many delays.
 constexpr auto max_open_lists = 6;
 /// Bounds of the pause before the next call after a failure; it doubles.
 constexpr auto min_pause = core::duration( 100ms );
--- a/tests/exchange/drained_test.cpp
+++ b/tests/exchange/drained_test.cpp
@@ -186,3 +186,23 @@
     CHECK( placements.all.size() == 2 );
     f.scheduler.run( 20s );
 }
+
+TEST_CASE( "the shortest prefill counts no engines of drained data centres",
+           "[exchange][drain]" )
+{
+    auto f = exchange_fixture{};
+    for ( auto i = 4; i <= 20; ++i )
+        f.loads.put( make_target( "m" + std::to_string( i ), "model" ) );
+    move_to_b(
+        f, { "m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8", "m9", "m10" } );
+    auto demand = exchange::placement_demand{};
+    demand.service = core::service_id( "model" );
+    demand.prompt_tokens = 300'000;
+    auto service = exchange::service_settings{};
+    service.engine = production_engine_speed();
+    auto const with_all = f.chooser.shortest_prefill( demand, service );
+    drain_b( f );
+    // Seven in ten of 20 engines, then of 10.
+    CHECK( core::seconds_of( f.chooser.shortest_prefill( demand, service ) ) ==
+           Approx( 2 * core::seconds_of( with_all ) ).epsilon( 0.001 ) );
+}
