Release reserved memory everywhere once one target must have dropped its own

Cause: a prompt that exceeds one engine's memory reserves memory at several.

Ruled out: the tolerated silence of 6 s, which was the reading so far: the attempt ended by the connection's time-out, before that. A shorter connection time-out: it would end answers that have begun and only pause.

Change: a reservation group knows until when each target holds the memory. If no renewal has reached one of them by then, that target has aborted the request, so the group releases the memory everywhere and the attempt counts as broken.

--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -133,6 +133,8 @@
     auto stop_waiting() -> void;
     auto on_reservation_failed( placement_grant const& grant,
                                 core::error const& why ) -> void;
+    auto on_reservation_expired( std::uint64_t serial,
+                                 core::target_id const& target ) -> void;
 
     auto on_head( std::uint64_t serial, answer_head head ) -> void;
     auto note_reported_state( target_attempt const& from,
--- a/src/pollenstream/exchange/exchange_answers.cpp
+++ b/src/pollenstream/exchange/exchange_answers.cpp
@@ -281,6 +281,25 @@
     refuse( status_unavailable, "turned_away", retry_after_turned_away );
 }
 
+/// A target has not renewed its reservation and has aborted the request with
+/// it, or is unreachable. Waiting for its answer any longer is pointless.
+auto exchange::on_reservation_expired( std::uint64_t serial,
+                                       core::target_id const& target ) -> void
+{
+    auto* const from = find_attempt( serial );
+    if ( from == nullptr )
+        return;
+    auto end = attempt_end{};
+    end.error = { core::error_code::expired,
+                  "reservation expired at " + target.str() };
+    end.sent = true;
+    may_have_run_ = true;
+    exclude_target( target );
+    if ( is_silent_attempt( from ) )
+        return on_silent_target_failed( end );
+    on_broken_attempt( end );
+}
+
 auto exchange::on_broken_attempt( attempt_end const& end ) -> void
 {
     auto const target = current_->target;
--- a/src/pollenstream/exchange/exchange_waiting.cpp
+++ b/src/pollenstream/exchange/exchange_waiting.cpp
@@ -189,12 +189,17 @@
     auto reservation = std::make_shared<reservation_group>(
         context_.reservations, context_.scheduler, id, std::move( places ),
         max_hold );
-    reserving_grant_ = grant.serial;
+    auto const serial = grant.serial;
+    reserving_grant_ = serial;
     reservation->start(
         [self = shared_from_this(), reservation,
          grant = std::move( grant )]( auto status )
         {
             self->on_reservation_result( grant, reservation, status );
+        },
+        [self = shared_from_this(), serial]( auto const& target )
+        {
+            self->on_reservation_expired( serial, target );
         } );
 }
 
--- a/src/pollenstream/exchange/reservation.cpp
+++ b/src/pollenstream/exchange/reservation.cpp
@@ -32,43 +32,94 @@
                                       std::vector<target_memory> targets,
                                       core::duration max_hold )
     : client_( client ), scheduler_( scheduler ), id_( std::move( id ) ),
-      targets_( std::move( targets ) ), hold_( std::min( hold_time, max_hold ) )
+      hold_( std::min( hold_time, max_hold ) )
 {
+    for ( auto& memory : targets )
+        targets_.push_back( { std::move( memory ), {} } );
 }
 
-auto reservation_group::start( ready_callback callback ) -> void
+auto reservation_group::start( ready_callback ready, expired_callback expired )
+    -> void
 {
-    callback_ = std::move( callback );
+    ready_ = std::move( ready );
+    expired_ = std::move( expired );
     pending_ = targets_.size();
-    for ( auto const& target : targets_ )
-        client_.reserve( target, id_, hold_,
-                         [self = shared_from_this()]( auto status )
+    for ( auto i = std::size_t{ 0 }; i < targets_.size(); ++i )
+        client_.reserve( targets_[i].memory, id_, hold_,
+                         [self = shared_from_this(), i]( auto status )
                          {
-                             self->on_reserved( status );
+                             self->on_reserved( i, status );
                          } );
 }
 
-auto reservation_group::on_reserved( core::result<void> const& status ) -> void
+auto reservation_group::on_reserved( std::size_t index,
+                                     core::result<void> const& status ) -> void
 {
     --pending_;
-    if ( released_ || !callback_ )
+    if ( released_ || !ready_ )
         return;
     if ( status.has_error() )
     {
-        auto const callback = std::exchange( callback_, nullptr );
+        auto const ready = std::exchange( ready_, nullptr );
         release();
-        callback( status );
+        ready( status );
         return;
     }
+    note_held( index );
     if ( pending_ > 0 )
         return;
+    // A shorter hold time ends with the request, before the first renewal.
+    if ( hold_ > renewal_period )
+        arm_expiry_timer();
     renewal_ = scheduler_.call_after( renewal_period,
                                       [this]
                                       {
                                           renew();
                                       } );
-    auto const callback = std::exchange( callback_, nullptr );
-    callback( core::success() );
+    auto const ready = std::exchange( ready_, nullptr );
+    ready( core::success() );
+}
+
+/// The target has answered a call that reserves or renews, so the hold time
+/// began before now.
+auto reservation_group::note_held( std::size_t index ) -> void
+{
+    targets_[index].held_until = scheduler_.now() + hold_;
+}
+
+auto reservation_group::arm_expiry_timer() -> void
+{
+    auto const first = std::min_element( targets_.begin(), targets_.end(),
+                                         []( auto const& a, auto const& b )
+                                         {
+                                             return a.held_until < b.held_until;
+                                         } );
+    expiry_ = scheduler_.call_after( first->held_until - scheduler_.now(),
+                                     [self = weak_from_this()]
+                                     {
+                                         if ( auto const group = self.lock() )
+                                             group->on_expiry_timer();
+                                     } );
+}
+
+/// Releases the memory everywhere once one target has dropped its own. The
+/// request cannot be completed then, and a target that has lost its connection
+/// to the others would otherwise keep their memory reserved: its silence is
+/// tolerated for longer than operators tolerate memory without a request.
+auto reservation_group::on_expiry_timer() -> void
+{
+    auto const fired_timer = std::move( expiry_ );
+    auto const now = scheduler_.now();
+    auto const expired_at = std::find_if( targets_.begin(), targets_.end(),
+                                          [now]( auto const& target )
+                                          {
+                                              return target.held_until <= now;
+                                          } );
+    if ( expired_at == targets_.end() )
+        return arm_expiry_timer();
+    auto const expired = expired_;
+    release();
+    expired( expired_at->memory.target );
 }
 
 auto reservation_group::renew() -> void
@@ -88,9 +139,16 @@
 {
     if ( released_ )
         return;
-    client_.reserve( targets_[index], id_, hold_,
-                     retry( &reservation_group::renew_at, index, attempts,
-                            renewal_retry_delay ) );
+    client_.reserve(
+        targets_[index].memory, id_, hold_,
+        [self = shared_from_this(), index,
+         again = retry( &reservation_group::renew_at, index, attempts,
+                        renewal_retry_delay )]( auto const& status )
+        {
+            if ( !status.has_error() )
+                self->note_held( index );
+            again( status );
+        } );
 }
 
 auto reservation_group::retry( void ( reservation_group::*again )( std::size_t,
@@ -129,15 +187,17 @@
 {
     if ( std::exchange( released_, true ) )
         return;
-    callback_ = nullptr;
+    ready_ = nullptr;
+    expired_ = nullptr;
     renewal_.reset();
+    expiry_.reset();
     for ( auto i = std::size_t{ 0 }; i < targets_.size(); ++i )
         release_at( i, max_release_attempts );
 }
 
 auto reservation_group::release_at( std::size_t index, int attempts ) -> void
 {
-    client_.release( targets_[index], id_,
+    client_.release( targets_[index].memory, id_,
                      retry( &reservation_group::release_at, index, attempts,
                             release_retry_delay ) );
 }
--- a/src/pollenstream/exchange/reservation.hpp
+++ b/src/pollenstream/exchange/reservation.hpp
@@ -50,6 +50,7 @@
 {
 public:
     using ready_callback = std::function<void( core::result<void> )>;
+    using expired_callback = std::function<void( core::target_id const& )>;
 
     reservation_group( reservation_client& client,
                        ports::scheduler& scheduler,
@@ -57,10 +58,12 @@
                        std::vector<target_memory> targets,
                        core::duration max_hold );
 
-    /// Reserves the memory. Calls `callback` once: with success when all
-    /// targets have reserved, or with the first error. Does not call it after
-    /// `release`.
-    auto start( ready_callback callback ) -> void;
+    /// Reserves the memory. Calls `ready` once: with success when all targets
+    /// have reserved, or with the first error. Calls `expired` at most once,
+    /// later, with a target that must have dropped the memory because no
+    /// renewal has reached it in time; the memory at the others has been
+    /// released by then. Calls neither after `release`.
+    auto start( ready_callback ready, expired_callback expired ) -> void;
     /// Releases the memory at all targets. May be called at any time and more
     /// than once.
     auto release() -> void;
@@ -71,7 +74,19 @@
     }
 
 private:
-    auto on_reserved( core::result<void> const& status ) -> void;
+    /// A reservation and the time at which it ends unless it is renewed.
+    struct held_memory
+    {
+        target_memory memory;
+        core::instant
+            held_until; ///< as late as the target may have got the call
+    };
+
+    auto on_reserved( std::size_t index, core::result<void> const& status )
+        -> void;
+    auto note_held( std::size_t index ) -> void;
+    auto arm_expiry_timer() -> void;
+    auto on_expiry_timer() -> void;
     auto renew() -> void;
     auto renew_at( std::size_t index, int attempts ) -> void;
     /// Returns a callback that, if the call failed, calls `again` after
@@ -88,11 +103,13 @@
     reservation_client& client_;
     ports::scheduler& scheduler_;
     core::reservation_id id_;
-    std::vector<target_memory> targets_;
+    std::vector<held_memory> targets_;
     core::duration hold_;
-    ready_callback callback_;
+    ready_callback ready_;
+    expired_callback expired_;
     std::size_t pending_{ 0 };
     std::unique_ptr<ports::scheduled_call> renewal_;
+    std::unique_ptr<ports::scheduled_call> expiry_;
     bool released_{ false };
 };
 
--- a/tests/exchange/reservation_test.cpp
+++ b/tests/exchange/reservation_test.cpp
@@ -22,6 +22,8 @@
     return started;
 }
 
+auto const ignore_expiry = []( core::target_id const& ) {};
+
 /// Lets all reservation calls so far succeed.
 auto complete_all( exchange_fixture& f ) -> void
 {
@@ -93,7 +95,8 @@
         [&]( auto status )
         {
             result = !status.has_error();
-        } );
+        },
+        ignore_expiry );
     REQUIRE( client.reserved.size() == 2 );
     CHECK( client.reserved[0].hold <= 3'500ms );
     client.reserved[0].callback( core::success() );
@@ -115,7 +118,7 @@
     // The hold time is short, as for a request that is close to its deadline.
     auto const group = std::make_shared<exchange::reservation_group>(
         client, scheduler, core::reservation_id( "r" ), targets, 700ms );
-    group->start( []( auto ) {} );
+    group->start( []( auto ) {}, ignore_expiry );
     client.reserved[0].callback( core::success() );
     scheduler.run( 6s );
     // Each call is work for the target, so a short hold time must not cause
@@ -135,7 +138,7 @@
         { core::target_id( "m1" ), {}, 100 } };
     auto const group = std::make_shared<exchange::reservation_group>(
         client, scheduler, core::reservation_id( "r" ), targets, 10s );
-    group->start( []( auto ) {} );
+    group->start( []( auto ) {}, ignore_expiry );
     client.reserved[0].callback( core::success() );
     scheduler.run( 1'600ms );
     REQUIRE( client.reserved.size() == 2 );
@@ -177,7 +180,7 @@
         { core::target_id( "m1" ), {}, 100 } };
     auto const group = std::make_shared<exchange::reservation_group>(
         client, scheduler, core::reservation_id( "r" ), targets, 20s );
-    group->start( []( auto ) {} );
+    group->start( []( auto ) {}, ignore_expiry );
     client.reserved[0].callback( core::success() );
     group->release();
     group->release();
@@ -190,3 +193,72 @@
     scheduler.run( 5s );
     CHECK( client.released.size() == 2 );
 }
+
+TEST_CASE( "memory is released everywhere once one target has dropped its own",
+           "[reservation]" )
+{
+    // Without this, a target that is out of reach keeps the memory of all
+    // others reserved for as long as its silence is tolerated.
+    auto scheduler = held_scheduler{};
+    auto client = recorded_reservations{};
+    auto const targets = std::vector<exchange::target_memory>{
+        { core::target_id( "m1" ), {}, 100 },
+        { core::target_id( "m2" ), {}, 100 } };
+    auto expired_at = std::vector<std::string>{};
+    auto const group = std::make_shared<exchange::reservation_group>(
+        client, scheduler, core::reservation_id( "r" ), targets, 20s );
+    group->start( []( auto ) {},
+                  [&]( auto const& target )
+                  {
+                      expired_at.push_back( target.str() );
+                  } );
+    client.reserved[0].callback( core::success() );
+    client.reserved[1].callback( core::success() );
+    // From here on, `m1` answers nothing.
+    auto answered = std::size_t{ 2 };
+    auto const run_without_m1 = [&]( core::duration time )
+    {
+        for ( auto at = 0ms; at < time; at += 100ms )
+        {
+            scheduler.run( 100ms );
+            for ( ; answered < client.reserved.size(); ++answered )
+            {
+                auto const call = client.reserved[answered];
+                if ( call.place.target == core::target_id( "m1" ) )
+                    call.callback( core::error{ core::error_code::timed_out,
+                                                "no answer" } );
+                else
+                    call.callback( core::success() );
+            }
+        }
+    };
+    run_without_m1( 3'400ms );
+    CHECK( expired_at.empty() );
+    CHECK( client.released.empty() );
+    run_without_m1( 200ms );
+    CHECK( expired_at == std::vector<std::string>{ "m1" } );
+    CHECK( client.released.size() == 2 );
+    auto const calls = client.reserved.size();
+    run_without_m1( 5s );
+    CHECK( expired_at.size() == 1 );
+    CHECK( client.reserved.size() == calls );
+}
+
+TEST_CASE( "a request whose reservation has expired is not waited for",
+           "[reservation][silence]" )
+{
+    auto f = exchange_fixture{};
+    for ( auto i = 4; i < 10; ++i )
+        f.loads.put( make_target( "m" + std::to_string( i ), "model" ) );
+    auto const split_request = start_split_request( f );
+    complete_all( f );
+    REQUIRE( f.targets.all.size() == 1 );
+    auto const reserved = f.reservations.reserved.size();
+    // No renewal is answered, and the target sends nothing.
+    f.scheduler.run( 3'600ms );
+    CHECK( f.reservations.released.size() >= reserved );
+    CHECK( f.targets.all[0]->cancelled );
+    // The request may have run, so that it is not refused as not run.
+    f.scheduler.run( 15s );
+    CHECK( f.answer->whole.status != 503 );
+}
