Workspace in the lines of ended and refused requests; event late_expected

Nothing in logs or metrics named the workspace of a lost request, nor a request that will be late before it is. Holding the event back with its request was ruled out, as it is of use only at once: it has a limit of its own, and the request of a logged one is logged whole. Placement is unchanged.

--- a/apps/gateway/main.cpp
+++ b/apps/gateway/main.cpp
@@ -59,8 +59,8 @@
           std::optional<std::uint16_t> metrics_port ) -> int
 {
     auto io = net::io_context( 1 );
-    auto log =
-        pollenstream::adapters::spdlog::structured_log( settings.instance );
+    auto log = pollenstream::adapters::spdlog::structured_log(
+        settings.instance, settings.data_centre );
     auto node = gw::gateway_node( io, settings, log );
     auto stop_signals = net::signal_set( io, SIGTERM, SIGINT );
     stop_signals.async_wait(
--- a/apps/tool/explain.cpp
+++ b/apps/tool/explain.cpp
@@ -65,6 +65,25 @@
     return text;
 }
 
+/// Since when it was known that the request would be late, for the sentence.
+auto lateness_in( std::vector<story_line> const& story ) -> std::string
+{
+    for ( auto const& line : story )
+    {
+        if ( value_of( line.fields, "event" ) != "late_expected" )
+            continue;
+        auto const predicted = value_of( line.fields, "predicted_ms" );
+        return "; expected late after " + value_of( line.fields, "waited_ms" ) +
+               " ms, " +
+               ( predicted.empty()
+                     ? std::string( "without a target" )
+                     : predicted + " ms before its first event" ) +
+               ", objective " + value_of( line.fields, "objective_ms" ) +
+               " ms, because of: " + value_of( line.fields, "reason" );
+    }
+    return {};
+}
+
 /// The data centres that operators had drained at a time, by the state changes
 /// that all logs tell of.
 class drain_history
@@ -198,7 +217,8 @@
     auto result = explanation{};
     for ( auto const& line : story )
         result.lines.push_back( line.text );
-    result.cause = cause_of( story ) + decision_in( story );
+    result.cause =
+        cause_of( story ) + decision_in( story ) + lateness_in( story );
     if ( !story.empty() )
         result.cause += drains.text_at( story.back().time );
     return result;
--- a/src/pollenstream/adapters/spdlog/structured_log.cpp
+++ b/src/pollenstream/adapters/spdlog/structured_log.cpp
@@ -69,6 +69,7 @@
     auto line = line_builder( "refused" );
     line.text( "id", e.id.str() )
         .text( "content", exchange::to_string( e.content ) )
+        .text( "workspace", e.workspace.str() )
         .text( "route", e.route )
         .text( "reason", e.reason )
         .number( "status", e.status )
@@ -117,6 +118,21 @@
     return line;
 }
 
+auto line_of( exchange::lateness_expected const& e ) -> line_builder
+{
+    auto line = line_builder( "late_expected" );
+    line.text( "id", e.id.str() )
+        .text( "content", exchange::to_string( e.content ) )
+        .text( "workspace", e.workspace.str() )
+        .text( "route", e.route )
+        .text( "reason", scheduling::name_of( e.reason ) )
+        .milliseconds( "waited_ms", e.waited )
+        .milliseconds( "objective_ms", e.latency_objective );
+    if ( e.predicted )
+        line.milliseconds( "predicted_ms", *e.predicted );
+    return line;
+}
+
 auto line_of( exchange::attempt_failed const& e ) -> line_builder
 {
     auto line = line_builder( "attempt_failed" );
@@ -137,6 +153,7 @@
     auto line = line_builder( "ended" );
     line.text( "id", e.id.str() )
         .text( "content", exchange::to_string( e.content ) )
+        .text( "workspace", e.workspace.str() )
         .text( "route", e.route )
         .text( "outcome", e.outcome )
         .number( "status", e.status )
@@ -167,16 +184,27 @@
 
 }
 
-structured_log::structured_log( core::instance_id self )
-    : self_( std::move( self ) )
+auto to_line( exchange::event const& what ) -> std::string
+{
+    return std::visit(
+        []( auto const& e )
+        {
+            // Every field begins with a blank.
+            return std::string( line_of( e ).str().substr( 1 ) );
+        },
+        what );
+}
+
+structured_log::structured_log( core::instance_id const& self,
+                                core::data_centre_id const& data_centre )
 {
     ::spdlog::init_thread_pool( max_queued_lines, 1 );
     auto sink = std::make_shared<::spdlog::sinks::stdout_sink_mt>();
     logger_ = std::make_shared<::spdlog::async_logger>(
         "events", std::move( sink ), ::spdlog::thread_pool(),
         ::spdlog::async_overflow_policy::overrun_oldest );
-    logger_->set_pattern( "time=%Y-%m-%dT%H:%M:%S.%e instance=" + self_.str() +
-                              "%v",
+    logger_->set_pattern( "time=%Y-%m-%dT%H:%M:%S.%e instance=" + self.str() +
+                              " place=" + data_centre.str() + " %v",
                           ::spdlog::pattern_time_type::utc );
 }
 
@@ -189,13 +217,7 @@
 
 auto structured_log::record( exchange::event const& what ) -> void
 {
-    std::visit(
-        [this]( auto const& e )
-        {
-            auto const line = line_of( e );
-            logger_->info( "{}", line.str() );
-        },
-        what );
+    logger_->info( "{}", to_line( what ) );
 }
 
 auto structured_log::dropped() const -> std::uint64_t
--- a/src/pollenstream/adapters/spdlog/structured_log.hpp
+++ b/src/pollenstream/adapters/spdlog/structured_log.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
 
 namespace spdlog
 {
@@ -15,13 +16,18 @@
 namespace pollenstream::adapters::spdlog
 {
 
+/// The event as `name=value` pairs, without what all lines begin with.
+auto to_line( exchange::event const& what ) -> std::string;
+
 /// Writes each event to standard output as a line of `name=value` pairs. Lines
 /// pass through a bounded queue that drops and counts the oldest lines when it
 /// is full, so a blocked reader of the output never delays a request.
 class structured_log : public exchange::event_log
 {
 public:
-    explicit structured_log( core::instance_id self );
+    /// Each line begins with its time, this instance and its data centre.
+    structured_log( core::instance_id const& self,
+                    core::data_centre_id const& data_centre );
     ~structured_log() override;
     structured_log( structured_log const& ) = delete;
     auto operator=( structured_log const& ) -> structured_log& = delete;
@@ -32,7 +38,6 @@
     [[nodiscard]] auto dropped() const -> std::uint64_t;
 
 private:
-    core::instance_id self_;
     std::shared_ptr<::spdlog::logger> logger_;
 };
 
--- a/src/pollenstream/exchange/event_log.hpp
+++ b/src/pollenstream/exchange/event_log.hpp
@@ -7,8 +7,10 @@
 #include <pollenstream/exchange/message.hpp>
 #include <pollenstream/exchange/placement.hpp>
 #include <pollenstream/exchange/request_content.hpp>
+#include <pollenstream/scheduling/lateness_watch.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -19,7 +21,8 @@
 struct request_refused
 {
     attempt_id id;
-    content_id content; ///< zero where no route is known
+    content_id content;           ///< zero where no route is known
+    core::workspace_id workspace; ///< empty if the route needs no key
     int status{ 0 };
     std::string route;
     std::string reason;
@@ -50,6 +53,21 @@
     core::duration placement_time{ 0 };
 };
 
+/// The first event of a request is expected after its latency objective.
+/// Recorded at most once for each request, when this becomes known.
+struct lateness_expected
+{
+    attempt_id id;
+    content_id content;
+    core::workspace_id workspace; ///< empty if the route needs no key
+    std::string route;
+    core::duration waited{ 0 };
+    /// From now to the first event; empty if the request has no target.
+    std::optional<core::duration> predicted;
+    core::duration latency_objective{ 0 };
+    scheduling::lateness_reason reason{ scheduling::lateness_reason::waited };
+};
+
 /// An attempt at a target failed. `decision` says what the exchange does next.
 struct attempt_failed
 {
@@ -70,7 +88,8 @@
 struct request_ended
 {
     attempt_id id;
-    content_id content; ///< zero where no route is known
+    content_id content;           ///< zero where no route is known
+    core::workspace_id workspace; ///< empty if the route needs no key
     std::string route;
     std::string outcome;
     int status{ 0 };
@@ -106,6 +125,7 @@
 
 using event = std::variant<request_refused,
                            request_placed,
+                           lateness_expected,
                            attempt_failed,
                            request_ended,
                            state_change>;
--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -187,6 +187,7 @@
         return refuse( status_unavailable, "stopping", retry_after_stop );
     set_deadlines();
     demand_.latency_objective = route_->latency_objective;
+    lateness_ = scheduling::lateness_watch( route_->latency_objective );
     demand_.gap_objective = route_->gap_objective;
     demand_.min_gap_objective =
         configuration_->min_gap_objective( demand_.service );
@@ -407,7 +408,7 @@
         answer.headers.push_back( retry_after_header( *retry_after ) );
     auto const now = context_.scheduler.now();
     context_.log.record( request_refused{
-        request_.id, content_, status,
+        request_.id, content_, workspace_, status,
         route_ != nullptr ? route_->id.str() : "", reason,
         now - request_.received, retry_after.value_or( core::duration( 0 ) ),
         configuration_ ? configuration_->version : core::revision{},
@@ -448,11 +449,11 @@
     silence_timer_.reset();
     context_.open.erase( this );
     context_.log.record( request_ended{
-        request_.id, content_, route_ != nullptr ? route_->id.str() : "",
-        std::move( outcome ), status, last_target_,
-        context_.scheduler.now() - request_.received, first_event_,
-        longest_gap_, events_, targets_reached_, demand_.prompt_tokens,
-        demand_.latency_objective, demand_.gap_objective,
+        request_.id, content_, workspace_,
+        route_ != nullptr ? route_->id.str() : "", std::move( outcome ), status,
+        last_target_, context_.scheduler.now() - request_.received,
+        first_event_, longest_gap_, events_, targets_reached_,
+        demand_.prompt_tokens, demand_.latency_objective, demand_.gap_objective,
         configuration_ ? configuration_->version : core::revision{},
         context_.configuration ? context_.configuration->version
                                : core::revision{} } );
--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -5,6 +5,7 @@
 #include <pollenstream/exchange/event_splitter.hpp>
 #include <pollenstream/exchange/message.hpp>
 #include <pollenstream/exchange/request_content.hpp>
+#include <pollenstream/scheduling/lateness_watch.hpp>
 
 #include <memory>
 #include <optional>
@@ -133,6 +134,11 @@
     auto stop_waiting() -> void;
     auto on_reservation_failed( placement_grant const& grant,
                                 core::error const& why ) -> void;
+    auto arm_objective_timer() -> void;
+    auto on_objective_passed() -> void;
+    auto note_predicted_lateness( placement_choice const& choice ) -> void;
+    auto record_lateness( scheduling::lateness_reason reason,
+                          std::optional<core::duration> predicted ) -> void;
 
     auto on_head( std::uint64_t serial, answer_head head ) -> void;
     auto note_reported_state( target_attempt const& from,
@@ -246,6 +252,8 @@
     std::unique_ptr<ports::scheduled_call> patience_timer_;
     std::unique_ptr<ports::scheduled_call> silence_timer_;
     std::unique_ptr<ports::scheduled_call> pause_timer_;
+    std::unique_ptr<ports::scheduled_call> objective_timer_;
+    scheduling::lateness_watch lateness_;
 
     std::optional<pending_placement> pending_placement_;
     /// Placement requests that wait at the coordinator with this one.
--- a/src/pollenstream/exchange/exchange_attempts.cpp
+++ b/src/pollenstream/exchange/exchange_attempts.cpp
@@ -135,6 +135,7 @@
                            "non-idempotent request " + request_.id.str() +
                                " sent again" );
     auto const serial = grant.serial;
+    note_predicted_lateness( choice );
     context_.log.record( request_placed{
         request_.id, content_, route_->id.str(), first.properties.id,
         choice.parts, targets_reached_, now - request_.received,
--- a/src/pollenstream/exchange/exchange_waiting.cpp
+++ b/src/pollenstream/exchange/exchange_waiting.cpp
@@ -285,6 +285,7 @@
 {
     patience_timer_.reset();
     pause_timer_.reset();
+    objective_timer_.reset();
     waiting_ = false;
     // Withdraws a placement request that has not been answered.
     pending_placement_.reset();
@@ -315,6 +316,7 @@
                                        {
                                            on_patience_expired();
                                        } );
+    arm_objective_timer();
 }
 
 auto exchange::on_patience_expired() -> void
--- a/src/pollenstream/observation/bounded_log.cpp
+++ b/src/pollenstream/observation/bounded_log.cpp
@@ -35,19 +35,31 @@
     auto const now = scheduler_.now();
     if ( now - window_start_ < 1s )
         return;
-    if ( left_out_ > reported_left_out_ )
-        next_log_.record( exchange::state_change{
-            "log", "requests", "left_out",
-            std::to_string( left_out_ - reported_left_out_ ),
-            now - window_start_ } );
-    reported_left_out_ = left_out_;
+    report_left_out();
     window_start_ = now;
     started_in_window_ = 0;
+    late_in_window_ = 0;
+}
+
+auto bounded_log::report_left_out() -> void
+{
+    auto const report = [this]( char const* what, std::uint64_t count )
+    {
+        if ( count > 0 )
+            next_log_.record( exchange::state_change{
+                "log", what, "left_out", std::to_string( count ),
+                scheduler_.now() - window_start_ } );
+    };
+    report( "requests",
+            left_out_ - std::exchange( reported_left_out_, left_out_ ) );
+    report( "late_expected", std::exchange( late_left_out_, 0 ) );
 }
 
 /// True if the events of a newly placed request may be logged immediately.
 auto bounded_log::admit( exchange::attempt_id const& id ) -> bool
 {
+    if ( logged_late_.count( id.str() ) != 0 )
+        return true;
     if ( held_events_.count( id.str() ) != 0 )
         return false;
     return ++started_in_window_ <= max_requests_per_second_;
@@ -61,18 +73,43 @@
         held_events_[id.str()].push_back( what );
 }
 
+auto bounded_log::expect_late( exchange::lateness_expected const& e,
+                               exchange::event const& what ) -> void
+{
+    auto const is_within_limit = logged_late_.size() < max_held_requests &&
+                                 ++late_in_window_ <= max_requests_per_second_;
+    if ( is_within_limit )
+    {
+        log_held( e.id );
+        logged_late_.insert( e.id.str() );
+        next_log_.record( what );
+    }
+    else if ( held_events_.count( e.id.str() ) != 0 )
+        hold( e.id, what );
+    else
+        ++late_left_out_;
+}
+
+/// Logs the events of the request that were held back.
+auto bounded_log::log_held( exchange::attempt_id const& id ) -> void
+{
+    auto const held = held_events_.extract( id.str() );
+    if ( held.empty() )
+        return;
+    for ( auto const& event : held.mapped() )
+        next_log_.record( event );
+}
+
 auto bounded_log::end( exchange::request_ended const& e,
                        exchange::event const& what ) -> void
 {
-    auto const held = held_events_.extract( e.id.str() );
-    if ( !held.empty() && is_served( e ) )
+    logged_late_.erase( e.id.str() );
+    if ( is_served( e ) && held_events_.erase( e.id.str() ) > 0 )
     {
         ++left_out_;
         return;
     }
-    if ( !held.empty() )
-        for ( auto const& line : held.mapped() )
-            next_log_.record( line );
+    log_held( e.id );
     next_log_.record( what );
 }
 
@@ -87,6 +124,8 @@
             hold( placed->id, what );
         return;
     }
+    if ( auto const* late = std::get_if<exchange::lateness_expected>( &what ) )
+        return expect_late( *late, what );
     if ( auto const* failed = std::get_if<exchange::attempt_failed>( &what ) )
     {
         if ( held_events_.count( failed->id.str() ) == 0 )
--- a/src/pollenstream/observation/bounded_log.hpp
+++ b/src/pollenstream/observation/bounded_log.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace pollenstream::observation
@@ -16,6 +17,11 @@
 /// are logged immediately. The events of any further request are held back
 /// until it ends: a served request is left out and counted, any other request
 /// is logged completely. State changes are always logged.
+///
+/// An expected lateness is of use only at once. As many of them per second are
+/// logged immediately, beside the requests within the limit, with what is held
+/// back of their requests and what follows. Any further one is held back with
+/// its request, or left out and counted.
 class bounded_log : public exchange::event_log
 {
 public:
@@ -35,8 +41,12 @@
     auto admit( exchange::attempt_id const& id ) -> bool;
     auto hold( exchange::attempt_id const& id, exchange::event const& what )
         -> void;
+    auto expect_late( exchange::lateness_expected const& e,
+                      exchange::event const& what ) -> void;
     auto end( exchange::request_ended const& e, exchange::event const& what )
         -> void;
+    auto log_held( exchange::attempt_id const& id ) -> void;
+    auto report_left_out() -> void;
     auto advance_window() -> void;
 
     exchange::event_log& next_log_;
@@ -47,6 +57,10 @@
     std::uint64_t left_out_{ 0 };
     std::uint64_t reported_left_out_{ 0 };
     std::unordered_map<std::string, std::vector<exchange::event>> held_events_;
+    std::size_t late_in_window_{ 0 };
+    std::uint64_t late_left_out_{ 0 }; ///< in this window
+    /// Open requests whose expected lateness was logged.
+    std::unordered_set<std::string> logged_late_;
 };
 
 }
--- a/src/pollenstream/observation/event_metrics.cpp
+++ b/src/pollenstream/observation/event_metrics.cpp
@@ -26,6 +26,31 @@
             << '\n';
 }
 
+/// Writes one family of counters with one label.
+auto write_counters( std::ostream& out,
+                     text name,
+                     text label,
+                     std::map<std::string, std::uint64_t> const& counts )
+    -> void
+{
+    out << "# TYPE " << name << " counter\n";
+    for ( auto const& [value, count] : counts )
+        out << name << '{' << label << "=\"" << value << "\"} " << count
+            << '\n';
+}
+
+auto write_lost( std::ostream& out, lost_requests const& lost ) -> void
+{
+    auto counts =
+        std::map<std::pair<std::string, std::string>, std::uint64_t>{};
+    for ( auto const& [workspace, by_kind] : lost.all() )
+        for ( auto i = std::size_t{ 0 }; i < by_kind.size(); ++i )
+            counts[{ workspace, name_of( static_cast<loss_kind>( i ) ) }] =
+                by_kind.at( i );
+    write_counters( out, "pollenstream_requests_lost_total", "workspace", "why",
+                    counts );
+}
+
 auto write_histograms( std::ostream& out,
                        std::string const& name,
                        std::map<std::string, histogram> const& by_route )
@@ -65,6 +90,11 @@
         placement_time_[e.route].add( e.placement_time );
 }
 
+auto event_metrics::count( exchange::lateness_expected const& e ) -> void
+{
+    ++late_expected_[e.route];
+}
+
 auto event_metrics::count( exchange::attempt_failed const& e ) -> void
 {
     ++failed_attempts_[e.decision];
@@ -73,6 +103,8 @@
 auto event_metrics::count( exchange::request_ended const& e ) -> void
 {
     ++ended_[{ e.route, e.outcome }];
+    if ( auto const lost = loss_of( e ) )
+        lost_.add( e.workspace, *lost );
     request_time_[e.route].add( e.total );
     if ( e.events == 0 )
         return;
@@ -94,10 +126,11 @@
                     "reason", refused_ );
     write_counters( out, "pollenstream_beliefs_total", "what", "now",
                     state_changes_ );
-    out << "# TYPE pollenstream_attempts_failed_total counter\n";
-    for ( auto const& [decision, count] : failed_attempts_ )
-        out << "pollenstream_attempts_failed_total{decision=\"" << decision
-            << "\"} " << count << '\n';
+    write_lost( out, lost_ );
+    write_counters( out, "pollenstream_late_expected_total", "route",
+                    late_expected_ );
+    write_counters( out, "pollenstream_attempts_failed_total", "decision",
+                    failed_attempts_ );
     out << "# TYPE pollenstream_placements_total counter\n"
         << "pollenstream_placements_total " << placements_ << '\n'
         << "# TYPE pollenstream_placed_parts_total counter\n"
--- a/src/pollenstream/observation/event_metrics.hpp
+++ b/src/pollenstream/observation/event_metrics.hpp
@@ -3,6 +3,7 @@
 
 #include <pollenstream/exchange/event_log.hpp>
 #include <pollenstream/observation/histogram.hpp>
+#include <pollenstream/observation/lost_requests.hpp>
 
 #include <cstdint>
 #include <map>
@@ -27,6 +28,7 @@
 private:
     auto count( exchange::request_refused const& e ) -> void;
     auto count( exchange::request_placed const& e ) -> void;
+    auto count( exchange::lateness_expected const& e ) -> void;
     auto count( exchange::attempt_failed const& e ) -> void;
     auto count( exchange::request_ended const& e ) -> void;
     auto count( exchange::state_change const& e ) -> void;
@@ -39,7 +41,9 @@
     std::map<label_pair, std::uint64_t>
         state_changes_; ///< by kind of subject and new state
     std::map<std::string, std::uint64_t> failed_attempts_; ///< by decision
-    std::map<std::string, histogram> first_event_;         ///< by route
+    std::map<std::string, std::uint64_t> late_expected_;   ///< by route
+    lost_requests lost_;
+    std::map<std::string, histogram> first_event_; ///< by route
     std::map<std::string, histogram> longest_gap_;
     std::map<std::string, histogram> request_time_;
     std::map<std::string, histogram> queue_time_;
--- a/tests/observation/observation_test.cpp
+++ b/tests/observation/observation_test.cpp
@@ -4,7 +4,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <explain.hpp>
+#include <set>
 #include <sstream>
 #include <status.hpp>
 
@@ -37,6 +39,14 @@
     return e;
 }
 
+auto late( std::string const& id ) -> exchange::event
+{
+    auto e = exchange::lateness_expected{};
+    e.id = exchange::attempt_id( id );
+    e.route = "r";
+    return e;
+}
+
 }
 
 TEST_CASE( "logs are bounded and complete for requests that are not served",
@@ -66,6 +76,58 @@
     CHECK( left_out_logged );
 }
 
+// Guards against an overload in which each late request adds a line, and
+// against requests in the log whose end is left out.
+TEST_CASE( "expected latenesses are logged at once up to the limit", "[log]" )
+{
+    auto scheduler = held_scheduler{};
+    auto written = recorded_events{};
+    auto log = observation::bounded_log( written, scheduler, 10 );
+    for ( auto i = 0; i < 100; ++i )
+        log.record( placed( std::to_string( i ) ) );
+    for ( auto i = 0; i < 100; ++i )
+        log.record( late( std::to_string( i + 50 ) ) );
+    // Ten placements within the limit, then ten latenesses with the placements
+    // that had been held back.
+    CHECK( written.all.size() == 30 );
+    for ( auto i = 0; i < 150; ++i )
+        log.record( ended( std::to_string( i ), "served" ) );
+    auto starts = std::set<std::string>{};
+    auto ends = std::set<std::string>{};
+    for ( auto const& e : written.all )
+        if ( auto const* l = std::get_if<exchange::lateness_expected>( &e ) )
+            starts.insert( l->id.str() );
+        else if ( auto const* p = std::get_if<exchange::request_placed>( &e ) )
+            starts.insert( p->id.str() );
+        else if ( auto const* d = std::get_if<exchange::request_ended>( &e ) )
+            ends.insert( d->id.str() );
+    CHECK( std::includes( ends.begin(), ends.end(), starts.begin(),
+                          starts.end() ) );
+    scheduler.run( 1s );
+    log.record( placed( "later" ) );
+    // Fifty latenesses of requests that were not held are left out.
+    auto left_out = std::string{};
+    for ( auto const& e : written.all )
+        if ( auto const* change = std::get_if<exchange::state_change>( &e ) )
+            if ( change->name == "late_expected" )
+                left_out = change->because;
+    CHECK( left_out == "50" );
+}
+
+TEST_CASE( "a request that was logged as late while it waited is logged whole",
+           "[log]" )
+{
+    auto scheduler = held_scheduler{};
+    auto written = recorded_events{};
+    auto log = observation::bounded_log( written, scheduler, 1 );
+    log.record( placed( "other" ) );
+    log.record( late( "x" ) );
+    log.record( placed( "x" ) );
+    log.record( ended( "x", "served" ) );
+    CHECK( written.all.size() == 4 );
+    CHECK( log.left_out() == 0 );
+}
+
 TEST_CASE( "state changes are always logged", "[log]" )
 {
     auto scheduler = held_scheduler{};
@@ -83,10 +145,15 @@
     metrics.record( placed( "a" ) );
     metrics.record( ended( "a", "served" ) );
     metrics.record( ended( "b", "deadline" ) );
-    CHECK( written.all.size() == 3 );
+    metrics.record( late( "b" ) );
+    CHECK( written.all.size() == 4 );
     auto const text = metrics.text();
     CHECK( text.find( "pollenstream_requests_ended_total{route=\"r\","
                       "outcome=\"deadline\"} 1\n" ) != std::string::npos );
+    CHECK( text.find( "pollenstream_requests_lost_total{workspace=\"none\","
+                      "why=\"failed\"} 1\n" ) != std::string::npos );
+    CHECK( text.find( "pollenstream_late_expected_total{route=\"r\"} 1\n" ) !=
+           std::string::npos );
     CHECK( text.find( "pollenstream_first_event_seconds_bucket{route=\"r\","
                       "le=\"0.1\"} 2\n" ) != std::string::npos );
     CHECK( text.find( "pollenstream_request_seconds_count{route=\"r\",} 2" ) !=
@@ -205,3 +272,22 @@
     CHECK( explained.cause.find( "; targets chosen by front-2 in 3.1 ms" ) !=
            std::string::npos );
 }
+
+TEST_CASE( "explain reports an expected lateness and its reason", "[explain]" )
+{
+    auto const cause_of = []( std::string const& lines )
+    {
+        auto log = std::istringstream( lines );
+        return apps::tool::explain( "x", { &log } ).cause;
+    };
+    CHECK( cause_of( "time=1 event=late_expected id=x workspace=w route=r "
+                     "reason=backlog waited_ms=50.0 objective_ms=300.0 "
+                     "predicted_ms=400.0\n" ) ==
+           "still open at the end of these logs; expected late after 50.0 ms, "
+           "400.0 ms before its first event, objective 300.0 ms, because of: "
+           "backlog" );
+    CHECK( cause_of( "time=1 event=late_expected id=x workspace=w route=r "
+                     "reason=waited waited_ms=300.0 objective_ms=300.0\n" ) ==
+           "still open at the end of these logs; expected late after 300.0 ms, "
+           "without a target, objective 300.0 ms, because of: waited" );
+}
