losses --by workspace, data-centre or kind

The sums told causes and sizes, not who is affected. The same sums are now also grouped by a key of the log lines. The causes move to a module of their own, which the groups share. Values beyond 4,096 share one group, so that memory stays bounded.

--- a/apps/tool/losses.cpp
+++ b/apps/tool/losses.cpp
@@ -112,52 +112,7 @@
 
 }
 
-auto name_of( loss_cause cause ) -> char const*
-{
-    switch ( cause )
-    {
-    case loss_cause::no_configuration:
-        return "no_configuration";
-    case loss_cause::stopping:
-        return "stopping";
-    case loss_cause::not_finished:
-        return "not_finished";
-    case loss_cause::target_failed:
-        return "target_failed";
-    case loss_cause::target_lost:
-        return "target_lost";
-    case loss_cause::target_silent:
-        return "target_silent";
-    case loss_cause::turned_away:
-        return "turned_away";
-    case loss_cause::memory_not_there:
-        return "memory_not_there";
-    case loss_cause::no_room:
-        return "no_room";
-    case loss_cause::target_limit:
-        return "target_limit";
-    case loss_cause::place_drained:
-        return "place_drained";
-    case loss_cause::late_ask:
-        return "late_ask";
-    case loss_cause::late_by_waiting:
-        return "late_by_waiting";
-    case loss_cause::late_as_predicted:
-        return "late_as_predicted";
-    case loss_cause::slower_than_told:
-        return "slower_than_told";
-    case loss_cause::long_pause:
-        return "long_pause";
-    case loss_cause::late_call:
-        return "late_call";
-    case loss_cause::unknown:
-    case loss_cause::number_of_causes:
-        break;
-    }
-    return "unknown";
-}
-
-loss_account::loss_account()
+loss_account::loss_account( std::optional<loss_key> key ) : key_( key )
 {
     for ( auto const& c : size_classes )
         by_size_.push_back(
@@ -180,7 +135,7 @@
                           {
                               return a.second.number < b.second.number;
                           } );
-    count( oldest->second.prompt, loss_cause::not_finished );
+    count( oldest->second, loss_cause::not_finished );
     open_.erase( oldest );
     return open_[id];
 }
@@ -202,9 +157,14 @@
         ++unreadable_;
         return;
     }
-    if ( event == "placed" )
+    if ( event == "late_expected" )
+    {
+        note_group( line, open( id ) );
+    }
+    else if ( event == "placed" )
     {
         auto& told = open( id );
+        note_group( line, told );
         told.prompt = number_of( line, "prompt" ).value_or( 0 );
         told.waited_ms = number_of( line, "waited_ms" );
         told.predicted_ms = number_of( line, "predicted_ms" );
@@ -218,7 +178,9 @@
     }
     else if ( event == "refused" )
     {
-        open( id ).failure = cause_of_refusal( text_of( line, "reason" ) );
+        auto& told = open( id );
+        note_group( line, told );
+        told.failure = cause_of_refusal( text_of( line, "reason" ) );
     }
     else if ( event == "ended" )
     {
@@ -241,13 +203,15 @@
         ++unreadable_;
         return;
     }
-    auto const told = open( id );
+    auto told = open( id );
     open_.erase( id );
+    note_group( line, told );
     auto const prompt = number_of( line, "prompt" ).value_or( told.prompt );
+    told.prompt = prompt;
     if ( is_no_loss( outcome, *status, *total, objective.value_or( 0 ) ) )
         return;
     if ( outcome != "served" || *status >= first_own_failure )
-        return count( prompt,
+        return count( told,
                       told.failure.value_or( cause_of_refusal( outcome ) ) );
     auto const reached = *first > 0 ? *first : *total;
     if ( prompt > 0 && told.waited_ms && told.predicted_ms && !told.failure )
@@ -255,27 +219,27 @@
                                                *told.predicted_ms );
     auto const is_late = objective && *objective > 0 && reached > *objective;
     if ( !is_late )
-        return count( prompt, gap_objective && *gap_objective > 0 &&
-                                      *gap > *gap_objective
-                                  ? std::optional( loss_cause::long_pause )
-                                  : std::nullopt );
+        return count( told, gap_objective && *gap_objective > 0 &&
+                                    *gap > *gap_objective
+                                ? std::optional( loss_cause::long_pause )
+                                : std::nullopt );
     if ( told.failure )
-        return count( prompt, told.failure );
+        return count( told, told.failure );
     if ( told.limit_ms > 0 && reached - told.limit_ms <= *objective )
-        return count( prompt, loss_cause::target_limit );
+        return count( told, loss_cause::target_limit );
     if ( prompt == 0 )
-        return count( prompt, loss_cause::late_call );
+        return count( told, loss_cause::late_call );
     if ( !told.waited_ms || !told.predicted_ms )
-        return count( prompt, loss_cause::unknown );
+        return count( told, loss_cause::unknown );
     auto const predicted = *told.waited_ms + *told.predicted_ms;
     if ( predicted <= *objective )
-        return count( prompt, loss_cause::slower_than_told );
+        return count( told, loss_cause::slower_than_told );
     if ( *told.predicted_ms > *objective )
-        return count( prompt, loss_cause::late_as_predicted );
+        return count( told, loss_cause::late_as_predicted );
     auto const late_answer = told.asked_ms.value_or( 0 ) > late_ask_ms;
-    count( prompt, late_answer && *told.waited_ms < *objective / 2
-                       ? loss_cause::late_ask
-                       : loss_cause::late_by_waiting );
+    count( told, late_answer && *told.waited_ms < *objective / 2
+                     ? loss_cause::late_ask
+                     : loss_cause::late_by_waiting );
 }
 
 auto loss_account::row_of( double prompt ) -> size_row&
@@ -288,12 +252,25 @@
     return by_size_.at( static_cast<std::size_t>( at - size_classes.begin() ) );
 }
 
-auto loss_account::count( double prompt, std::optional<loss_cause> lost )
+/// Later lines take precedence: the group is that of the line that ends the
+/// request if this line has the key.
+auto loss_account::note_group( log_line const& line, story& told ) const -> void
+{
+    if ( !key_ )
+        return;
+    auto const found = line.find( field_of( *key_ ) );
+    if ( found != line.end() )
+        told.group = found->second;
+}
+
+auto loss_account::count( story const& told, std::optional<loss_cause> lost )
     -> void
 {
     ++requests_;
-    auto const weight = 1 + prompt / tokens_per_weight;
-    auto& row = row_of( prompt );
+    auto const weight = 1 + told.prompt / tokens_per_weight;
+    if ( key_ )
+        groups_.add( told.group, weight, lost );
+    auto& row = row_of( told.prompt );
     auto const add = [weight]( loss_sum& sum )
     {
         ++sum.requests;
@@ -309,7 +286,7 @@
 auto loss_account::finish() -> void
 {
     for ( auto const& [id, told] : std::exchange( open_, {} ) )
-        count( told.prompt, loss_cause::not_finished );
+        count( told, loss_cause::not_finished );
 }
 
 auto loss_account::lost() const -> loss_sum
@@ -345,24 +322,59 @@
     return rounded( whole == 0 ? 0 : part / whole * hundred );
 }
 
+/// Adds a row for each cause in `sums` to `rows`. The rows begin with the
+/// members of `start`.
+auto add_cause_rows( value& rows, cause_sums const& sums, value const& start )
+    -> void
+{
+    auto all = 0.0;
+    for ( auto const& sum : sums )
+        all += sum.weight;
+    for ( auto i = std::size_t{ 0 }; i < sums.size(); ++i )
+    {
+        if ( sums.at( i ).requests == 0 )
+            continue;
+        auto row = start;
+        row["cause"] = value( name_of( static_cast<loss_cause>( i ) ) );
+        row["requests"] = value( sums.at( i ).requests );
+        row["weight"] = rounded( sums.at( i ).weight );
+        row["percent"] = percent( sums.at( i ).weight, all );
+        rows[rows.size()] = row;
+    }
+}
+
 auto cause_rows( loss_account const& account ) -> value
 {
     auto rows = value::array();
-    auto const all = account.lost().weight;
-    auto at = std::size_t{ 0 };
-    constexpr auto causes = static_cast<int>( loss_cause::number_of_causes );
-    for ( auto i = 0; i < causes; ++i )
+    add_cause_rows( rows, account.by_cause(), value::object() );
+    return rows;
+}
+
+auto group_rows( loss_account const& account, char const* key ) -> value
+{
+    auto rows = value::array();
+    for ( auto const& group : account.groups().by_lost_weight() )
     {
-        auto const cause = static_cast<loss_cause>( i );
-        auto const& sum = account.of( cause );
-        if ( sum.requests == 0 )
-            continue;
         auto row = value::object();
-        row["cause"] = value( name_of( cause ) );
-        row["requests"] = value( sum.requests );
-        row["weight"] = rounded( sum.weight );
-        row["percent"] = percent( sum.weight, all );
-        rows[at++] = row;
+        row[key] = value( group.name );
+        row["requests"] = value( group.all.requests );
+        row["lost"] = value( group.lost.requests );
+        row["weight"] = rounded( group.lost.weight );
+        row["percent"] = percent( group.lost.weight, account.lost().weight );
+        row["lost_percent"] = percent( group.lost.weight, group.all.weight );
+        rows[rows.size()] = row;
+    }
+    return rows;
+}
+
+auto group_cause_rows( loss_account const& account, char const* key ) -> value
+{
+    auto rows = value::array();
+    for ( auto const& group : account.groups().by_lost_weight() )
+    {
+        auto start = value::object();
+        start[key] = value( group.name );
+        add_cause_rows( rows, group.by_cause, start );
     }
     return rows;
 }
@@ -405,7 +417,20 @@
     return rows;
 }
 
-auto print( loss_account const& account, bool as_json ) -> void
+auto print_groups( loss_account const& account, char const* key ) -> void
+{
+    std::cout << '\n';
+    print_table(
+        group_rows( account, key ),
+        { key, "requests", "lost", "weight", "percent", "lost_percent" },
+        std::cout );
+    std::cout << '\n';
+    print_table( group_cause_rows( account, key ),
+                 { key, "cause", "requests", "weight", "percent" }, std::cout );
+}
+
+/// `key` is null where the sums are not grouped.
+auto print( loss_account const& account, char const* key, bool as_json ) -> void
 {
     auto const lost = account.lost();
     if ( as_json )
@@ -419,6 +444,12 @@
         whole["causes"] = cause_rows( account );
         whole["sizes"] = size_rows( account );
         whole["later_than_told"] = prediction_rows( account );
+        if ( key )
+        {
+            whole["by"] = value( key );
+            whole["groups"] = group_rows( account, key );
+            whole["group_causes"] = group_cause_rows( account, key );
+        }
         std::cout << whole.serialize() << '\n';
         return;
     }
@@ -428,6 +459,8 @@
               << account.unreadable() << " lines passed over\n\n";
     print_table( cause_rows( account ),
                  { "cause", "requests", "weight", "percent" }, std::cout );
+    if ( key )
+        print_groups( account, key );
     std::cout << '\n';
     print_table( size_rows( account ),
                  { "size", "requests", "lost", "lost_percent" }, std::cout );
@@ -456,9 +489,18 @@
 
 }
 
-auto run_losses( std::vector<std::string> const& files, bool as_json ) -> int
+auto run_losses( std::vector<std::string> const& files,
+                 std::string const& key,
+                 bool as_json ) -> int
 {
-    auto account = loss_account{};
+    auto const grouped_by = loss_key_of( key );
+    if ( !key.empty() && !grouped_by )
+    {
+        std::cerr << "--by is workspace, data-centre or kind, not " << key
+                  << '\n';
+        return 1;
+    }
+    auto account = loss_account( grouped_by );
     if ( files.empty() )
         read_all( std::cin, "standard input", account );
     for ( auto const& name : files )
@@ -472,7 +514,7 @@
         read_all( log, name, account );
     }
     account.finish();
-    print( account, as_json );
+    print( account, key.empty() ? nullptr : key.c_str(), as_json );
     return 0;
 }
 
--- a/apps/tool/losses.hpp
+++ b/apps/tool/losses.hpp
@@ -2,6 +2,8 @@
 #define APPS_TOOL_LOSSES_HPP
 
 #include "explain.hpp"
+#include "loss_cause.hpp"
+#include "loss_groups.hpp"
 #include <pollenstream/metrics/distribution.hpp>
 
 #include <array>
@@ -17,41 +19,6 @@
 namespace apps::tool
 {
 
-/// Why a request was late, refused or failed. Each lost request has one cause,
-/// the first of these that its lines show.
-enum class loss_cause : std::uint8_t
-{
-    no_configuration,  ///< its instance did not have one yet
-    stopping,          ///< its instance was about to stop
-    not_finished,      ///< no line ends it: its instance was lost or frozen
-    target_failed,     ///< a target answered with a failure
-    target_lost,       ///< a target or a connection to one broke
-    target_silent,     ///< a target said nothing for too long
-    turned_away,       ///< targets did not take it
-    memory_not_there,  ///< a reservation was refused
-    no_room,           ///< it found no targets while its caller waited
-    target_limit,      ///< targets had got as much as they take
-    place_drained,     ///< all its targets were in drained data centres
-    late_ask,          ///< the answer to its ask for targets took long
-    late_by_waiting,   ///< it waited for room, and was then read as predicted
-    late_as_predicted, ///< the choice itself said that it would be late
-    slower_than_told,  ///< its first event came later than predicted
-    long_pause,        ///< a pause between its events was too long
-    late_call,         ///< a plain call took longer than its objective
-    unknown,
-    number_of_causes,
-};
-
-/// Stable name of `cause`, as the table prints it.
-auto name_of( loss_cause cause ) -> char const*;
-
-/// Lost requests of one kind.
-struct loss_sum
-{
-    std::int64_t requests{ 0 };
-    double weight{ 0 }; ///< by size, as placing values them
-};
-
 /// Adds up what became of requests, from log lines in any order of instances.
 /// Keeps the requests that are open and drops the oldest where they are too
 /// many, so that its memory is bounded.
@@ -63,6 +30,10 @@
     /// Takes what has no end as not finished. Nothing may be taken after it.
     auto finish() -> void;
 
+    [[nodiscard]] auto by_cause() const -> cause_sums const&
+    {
+        return by_cause_;
+    }
     [[nodiscard]] auto of( loss_cause cause ) const -> loss_sum const&
     {
         return by_cause_.at( static_cast<std::size_t>( cause ) );
@@ -94,7 +65,14 @@
         return unreadable_;
     }
 
-    loss_account();
+    /// Sums by the key; empty if no key was given.
+    [[nodiscard]] auto groups() const -> loss_groups const&
+    {
+        return groups_;
+    }
+
+    /// Sums are also grouped by `key` if one is given.
+    explicit loss_account( std::optional<loss_key> key = std::nullopt );
 
 private:
     /// What the lines of one request have said so far.
@@ -107,16 +85,19 @@
         std::optional<double> asked_ms;
         double limit_ms{ 0 };              ///< waited for a target's limit
         std::optional<loss_cause> failure; ///< of its last attempt
+        /// Value of the key; empty if no line has had it.
+        std::optional<std::string> group;
     };
 
     auto open( std::string const& id ) -> story&;
     auto take_end( log_line const& line, std::string const& id ) -> void;
-    auto count( double prompt, std::optional<loss_cause> lost ) -> void;
+    auto note_group( log_line const& line, story& told ) const -> void;
+    auto count( story const& told, std::optional<loss_cause> lost ) -> void;
     auto row_of( double prompt ) -> size_row&;
 
-    std::array<loss_sum,
-               static_cast<std::size_t>( loss_cause::number_of_causes )>
-        by_cause_{};
+    cause_sums by_cause_{};
+    std::optional<loss_key> key_;
+    loss_groups groups_;
     std::vector<size_row> by_size_;
     std::unordered_map<std::string, story> open_;
     std::uint64_t last_number_{ 0 };
@@ -124,9 +105,12 @@
     std::int64_t unreadable_{ 0 };
 };
 
-/// `losses [--json] [FILE...]`; reads standard input where no file is named.
-/// Returns the exit status: 0 done, 1 a file unreadable.
-auto run_losses( std::vector<std::string> const& files, bool as_json ) -> int;
+/// `losses [--by=KEY] [--json] [FILE...]`; reads standard input where no file
+/// is named. `key` is empty where it is not given. Returns the exit status: 0
+/// done, 1 a file unreadable or the key unknown.
+auto run_losses( std::vector<std::string> const& files,
+                 std::string const& key,
+                 bool as_json ) -> int;
 
 }
 
--- a/apps/tool/main.cpp
+++ b/apps/tool/main.cpp
@@ -32,6 +32,7 @@
   --metrics=A        A gateway's metrics address [default: 127.0.0.1:9464].
   --token=T          Operators' token; else POLLENSTREAM_TOKEN.
   --json             Print JSON instead of tables and texts.
+  --by=KEY           Group losses by workspace, data-centre or kind.
   --change-id=ID     Name of the change, to ask again with.
   --based-on=N       Refuse the change if another came after revision N.
   --wait             Wait until the change is in force on all instances.
@@ -66,6 +67,9 @@
                                             given.at( "FILE" ).asStringList() );
         if ( given.at( "losses" ).asBool() )
             return apps::tool::run_losses( given.at( "FILE" ).asStringList(),
+                                           given.at( "--by" )
+                                               ? given.at( "--by" ).asString()
+                                               : std::string{},
                                            given.at( "--json" ).asBool() );
         return apps::tool::run_command( given );
     }
--- a/tests/observation/losses_test.cpp
+++ b/tests/observation/losses_test.cpp
@@ -158,6 +158,116 @@
             CHECK( row.later_than_told->summary().count == 0 );
 }
 
+namespace
+{
+
+/// Lines of a day on which one workspace's requests are late, two of them in
+/// data centre `b`, and an instance in `c` is lost.
+auto lines_of_mixed_day() -> std::vector<std::string>
+{
+    auto const ended_at = []( std::string const& place, std::string const& id,
+                              std::string const& workspace, int first_event )
+    {
+        return "place=" + place + " route=chat workspace=" + workspace + " " +
+               served( id, first_event, 1 );
+    };
+    return { placed( "1", 3, 500 ),
+             ended_at( "b", "1", "large", 3'200 ),
+             placed( "2", 3, 500 ),
+             ended_at( "b", "2", "large", 3'200 ),
+             ended_at( "a", "3", "large", 3'200 ),
+             ended_at( "a", "4", "small", 600 ),
+             "place=c route=audit " + placed( "5", 3, 500 ) };
+}
+
+auto group_of( loss_account const& account, std::string const& name )
+    -> apps::tool::loss_group
+{
+    for ( auto const& group : account.groups().by_lost_weight() )
+        if ( group.name == name )
+            return group;
+    return {};
+}
+
+auto grouped_by( apps::tool::loss_key key,
+                 std::vector<std::string> const& lines ) -> loss_account
+{
+    auto account = loss_account( key );
+    for ( auto const& line : lines )
+        account.take( line );
+    account.finish();
+    return account;
+}
+
+}
+
+// Guards against sums of groups that differ from the sums of the whole, and
+// against losses that no group shows.
+TEST_CASE( "losses are grouped by workspace, data centre or kind", "[losses]" )
+{
+    using apps::tool::loss_key;
+    auto const lines = lines_of_mixed_day();
+    auto const by_workspace = grouped_by( loss_key::workspace, lines );
+    CHECK( group_of( by_workspace, "large" ).all.requests == 3 );
+    CHECK( group_of( by_workspace, "large" ).lost.requests == 3 );
+    CHECK( group_of( by_workspace, "small" ).all.requests == 1 );
+    CHECK( group_of( by_workspace, "small" ).lost.requests == 0 );
+    // Only the `placed` line of the lost instance's request is there.
+    CHECK( group_of( by_workspace, "unknown" ).lost.requests == 1 );
+    auto const by_place = grouped_by( loss_key::data_centre, lines );
+    CHECK( by_place.groups().by_lost_weight().front().name == "b" );
+    CHECK( group_of( by_place, "b" ).lost.requests == 2 );
+    CHECK( group_of( by_place, "a" ).lost.requests == 1 );
+    auto const& lost_instance = group_of( by_place, "c" ).by_cause;
+    CHECK(
+        lost_instance.at( static_cast<std::size_t>( loss_cause::not_finished ) )
+            .requests == 1 );
+    auto const by_kind = grouped_by( loss_key::kind, lines );
+    CHECK( group_of( by_kind, "chat" ).lost.requests == 3 );
+    CHECK( group_of( by_kind, "audit" ).lost.requests == 1 );
+    for ( auto const* account : { &by_workspace, &by_place, &by_kind } )
+    {
+        auto weight = 0.0;
+        for ( auto const& group : account->groups().by_lost_weight() )
+            weight += group.lost.weight;
+        CHECK( weight == Approx( account->lost().weight ) );
+    }
+}
+
+TEST_CASE( "a lost request that only waited belongs to its workspace",
+           "[losses]" )
+{
+    auto const account = grouped_by(
+        apps::tool::loss_key::workspace,
+        { "event=late_expected id=a workspace=w route=r reason=waited" } );
+    CHECK( group_of( account, "w" ).lost.requests == 1 );
+}
+
+// Guards against memory that grows with the values in the logs.
+TEST_CASE( "groups of losses beyond the maximum share one", "[losses]" )
+{
+    auto groups = apps::tool::loss_groups{};
+    constexpr auto max = apps::tool::loss_groups::max_groups;
+    for ( auto i = std::size_t{ 0 }; i < max + 5; ++i )
+        groups.add( std::to_string( i ), 2, loss_cause::no_room );
+    groups.add( "", 1, std::nullopt );
+    auto const all = groups.by_lost_weight();
+    CHECK( all.size() == max + 1 );
+    CHECK( all.front().name == apps::tool::loss_groups::others );
+    CHECK( all.front().lost.requests == 5 );
+    CHECK( all.front().all.requests == 6 );
+}
+
+TEST_CASE( "the key of grouped losses is one that operators know", "[losses]" )
+{
+    using apps::tool::loss_key;
+    CHECK( apps::tool::loss_key_of( "workspace" ) == loss_key::workspace );
+    CHECK( apps::tool::loss_key_of( "data-centre" ) == loss_key::data_centre );
+    CHECK( apps::tool::loss_key_of( "kind" ) == loss_key::kind );
+    CHECK_FALSE( apps::tool::loss_key_of( "target" ) );
+    CHECK( apps::tool::run_losses( {}, "target", false ) == 1 );
+}
+
 TEST_CASE( "malformed log lines are counted and otherwise ignored",
            "[losses][input]" )
 {
