Load table and chooser use learned engine speeds

Ruled out: slowed times in the parts that are sent to other instances, as each coordinator would apply its own slowdown again; samples on instances that are no coordinators, to which engines that work for others would seem slow; the expiry on each update, whose cost would grow with slow engines times requests.

Slowdowns multiply backlog, passes, own prefill and parts, and rescale what is left of the backlog. No samples come from late work with several parts, around work that became known late or that a part overtakes, or from first events known only from a regular message. Simulated engines can be slowed.

Engines that run as configured keep 1, and without slow engines all placements are the same with and without learning.

--- a/src/pollenstream/exchange/engine_capacity.cpp
+++ b/src/pollenstream/exchange/engine_capacity.cpp
@@ -11,6 +11,12 @@
 /// that runs out of memory has to repeat the prefill of a prompt.
 constexpr auto usable_memory_share = 0.97;
 
+auto configured_pass_ms( engine_speed const& speed, target_entry const& t )
+    -> double
+{
+    return decode_pass_ms( speed, t.load.decoding, t.load.context_tokens );
+}
+
 }
 
 auto usable_memory( engine_speed const& speed ) -> std::int64_t
@@ -32,14 +38,15 @@
 
 auto pass_ms( engine_speed const& speed, target_entry const& t ) -> double
 {
-    return decode_pass_ms( speed, t.load.decoding, t.load.context_tokens );
+    return configured_pass_ms( speed, t ) * t.slowdown;
 }
 
 auto part_time_ms( engine_speed const& speed,
                    target_entry const& t,
                    double prefill_ms ) -> double
 {
-    return prefill_ms + ( t.load.decoding > 0 ? pass_ms( speed, t ) : 0.0 );
+    return prefill_ms +
+           ( t.load.decoding > 0 ? configured_pass_ms( speed, t ) : 0.0 );
 }
 
 auto weight_delayed_by( target_entry const& t, double pause_ms ) -> double
--- a/src/pollenstream/exchange/engine_capacity.hpp
+++ b/src/pollenstream/exchange/engine_capacity.hpp
@@ -16,10 +16,16 @@
     -> std::int64_t;
 /// True if `t` can start one more request.
 auto has_free_slot( engine_speed const& speed, target_entry const& t ) -> bool;
-/// Milliseconds of a decode pass at `t` with the requests that it decodes now.
+/// Passes until the first event of a prompt: the rest of the current one and
+/// the one with its own prefill.
+inline constexpr auto first_event_per_pass = 1.6;
+
+/// Milliseconds of a decode pass at `t` with the requests that it decodes now,
+/// at its present speed.
 auto pass_ms( engine_speed const& speed, target_entry const& t ) -> double;
-/// Milliseconds that `t` takes for a part of `prefill_ms`. If `t` decodes, the
-/// part shares the engine with a decode pass, whose time is added.
+/// Milliseconds that `t` takes for a part of `prefill_ms` if it runs as
+/// configured; the load table adds its slowdown. If `t` decodes, the part
+/// shares the engine with a decode pass, whose time is added.
 auto part_time_ms( engine_speed const& speed,
                    target_entry const& t,
                    double prefill_ms ) -> double;
--- a/src/pollenstream/exchange/event_log.cpp
+++ b/src/pollenstream/exchange/event_log.cpp
@@ -1,7 +1,9 @@
 #include <pollenstream/exchange/event_log.hpp>
 
 #include <charconv>
+#include <iomanip>
 #include <iterator>
+#include <sstream>
 #include <utility>
 
 namespace pollenstream::exchange
@@ -55,4 +57,22 @@
              {} };
 }
 
+auto slowdown_state_change( slowdown_change const& change ) -> state_change
+{
+    auto because = std::ostringstream{};
+    if ( change.reason == slowdown_reason::first_events )
+        because << "first events";
+    else
+        because << "no recent first events";
+    auto const is_slow = change.slowdown > 1;
+    if ( is_slow )
+        because << ", " << std::fixed << std::setprecision( 1 )
+                << change.slowdown << " times";
+    return { "target",
+             change.target.id.str(),
+             is_slow ? "slowed" : "as_configured",
+             because.str(),
+             {} };
+}
+
 }
--- a/src/pollenstream/exchange/event_log.hpp
+++ b/src/pollenstream/exchange/event_log.hpp
@@ -104,6 +104,10 @@
                          std::optional<double> per_second,
                          std::string because ) -> state_change;
 
+/// The event for a target that has become slower than configured, or no longer
+/// is.
+auto slowdown_state_change( slowdown_change const& change ) -> state_change;
+
 using event = std::variant<request_refused,
                            request_placed,
                            attempt_failed,
--- a/src/pollenstream/exchange/load_table.cpp
+++ b/src/pollenstream/exchange/load_table.cpp
@@ -92,6 +92,7 @@
     entry->properties = std::move( properties );
     pauses_.erase( entry->properties.id );
     limited_.erase( entry->properties.id );
+    slowed_.erase( entry->properties.id );
     auto& slot = by_id_[entry->properties.id];
     auto const former = std::exchange( slot, entry );
     if ( former )
@@ -123,6 +124,7 @@
     erase_from_service( found->second );
     by_id_.erase( found );
     limited_.erase( id );
+    slowed_.erase( id );
 }
 
 auto load_table::mark_gone( core::target_id const& id ) -> void
@@ -235,7 +237,8 @@
         ++load.parts_prefilling;
         load.own_parts_prefilling += i == 0 ? 1 : 0;
         load.prefill_until = std::max( load.prefill_until, now ) +
-                             from_ms( known.work.parts[i].prefill_ms );
+                             from_ms( known.work.parts[i].prefill_ms *
+                                      known.targets[i]->slowdown );
     }
 }
 
@@ -299,7 +302,7 @@
                            core::instant now ) -> void
 {
     auto const [position, is_new] = works_[owner].try_emplace(
-        work.serial, known_work{ work, {}, false, now - work.sent_ago } );
+        work.serial, known_work{ work, {}, false, now - work.sent_ago, {} } );
     if ( !is_new && has_newly_known_target( position->second ) )
     {
         // The work was reported before the registry listed its target. It is
@@ -310,8 +313,10 @@
     }
     if ( !is_new )
     {
+        // The report of the first event itself was lost: when it came is not
+        // known.
         if ( !work.prefilling )
-            end_prefill( owner, work.serial, now );
+            end_prefill_of( position->second, now );
         return;
     }
     auto& known = position->second;
@@ -323,6 +328,7 @@
         count_prefill( known, now );
     else
         count_decoding( known, 1 );
+    expect_first_event( known, now );
     count_memory( known, 1 );
     if ( known.targets.empty() || !known.targets.front() )
         return;
@@ -343,9 +349,15 @@
     auto const found = works.find( serial );
     if ( found == works.end() || !found->second.work.prefilling )
         return;
-    auto& known = found->second;
+    note_first_event( found->second, now );
+    end_prefill_of( found->second, now );
+}
+
+auto load_table::end_prefill_of( known_work& known, core::instant now ) -> void
+{
+    if ( !std::exchange( known.work.prefilling, false ) )
+        return;
     uncount_prefill( known, now );
-    known.work.prefilling = false;
     count_decoding( known, 1 );
 }
 
--- a/src/pollenstream/exchange/load_table.hpp
+++ b/src/pollenstream/exchange/load_table.hpp
@@ -6,7 +6,9 @@
 #include <pollenstream/core/units.hpp>
 #include <pollenstream/exchange/message.hpp>
 #include <pollenstream/exchange/request_limit.hpp>
+#include <pollenstream/exchange/routes.hpp>
 #include <pollenstream/exchange/split_queue.hpp>
+#include <pollenstream/scheduling/engine_speeds.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -58,7 +60,8 @@
 struct work_part
 {
     core::target_id target;
-    double prefill_ms{ 0 }; ///< time that the target prefills for this part
+    /// Time that the target prefills for this part if it runs as configured.
+    double prefill_ms{ 0 };
     std::int64_t memory_tokens{ 0 };  ///< held there until the work ends
     core::target_lifetime lifetime{}; ///< of the target, when it was chosen
 };
@@ -157,6 +160,11 @@
     bool data_centre_drained{ false }; ///< by the operator
     request_limit limit;
     bool reported_invalid_limit{ false }; ///< one that cannot be parsed
+    scheduling::speed_estimate first_events;
+    /// Times that prefills and passes take, relative to the configured ones.
+    double slowdown{ 1 };
+    /// Work that was sent before gives no samples for `first_events`.
+    core::instant no_samples_before;
 
     [[nodiscard]] auto ref() const -> target_ref
     {
@@ -192,6 +200,21 @@
     core::instant until;
 };
 
+/// What a target's slowdown follows from.
+enum class slowdown_reason
+{
+    first_events,
+    no_samples, ///< no first event has come for some seconds
+};
+
+/// A target that was as fast as configured is slower, or is as fast again.
+struct slowdown_change
+{
+    target_ref target;
+    double slowdown{ 1 };
+    slowdown_reason reason{ slowdown_reason::first_events };
+};
+
 /// Effect of an update of a target's properties.
 enum class target_change
 {
@@ -330,6 +353,28 @@
     auto note_warm_up( target_ref const& ref,
                        core::duration left,
                        core::instant now ) -> bool;
+    /// Sets the models of the engines of each service. Slowdowns are learned
+    /// for the targets of these services.
+    auto set_engine_models(
+        std::unordered_map<core::service_id, engine_speed> models,
+        core::instant now ) -> void;
+    /// Whether slowdowns are learned. Only coordinators are told of all work:
+    /// to another instance, an engine that works for others would seem slow.
+    auto set_learns_speeds( bool learns ) -> void
+    {
+        learns_speeds_ = learns;
+    }
+    /// Treats targets without recent first events as configured again. To be
+    /// called regularly, as there may be no work that would do so.
+    auto expire_slowdowns( core::instant now ) -> void;
+    /// Targets that are slower than configured.
+    [[nodiscard]] auto slowed() const -> std::set<core::target_id> const&
+    {
+        return slowed_;
+    }
+    /// Called when a target becomes slower than configured, or no longer is.
+    std::function<void( slowdown_change const& )> on_slowdown_changed;
+
     /// Position in the order of a service's targets from which a choice starts:
     /// 0 is the first target, values up to 1 the share of targets before it.
     /// Coordinators that know the work of all begin at the first target, so
@@ -383,6 +428,7 @@
         std::vector<std::shared_ptr<target_entry>> targets;
         bool prefill_counted{ false };
         core::instant sent_at;
+        std::optional<scheduling::expected_first_event> first_event;
     };
     using work_map = std::unordered_map<std::uint64_t, known_work>;
 
@@ -408,6 +454,17 @@
     static auto count_decoding( known_work const& known, std::int64_t sign )
         -> void;
     auto uncount( known_work& known, core::instant now ) -> void;
+    auto end_prefill_of( known_work& known, core::instant now ) -> void;
+    [[nodiscard]] auto engine_model_of( target_entry const& target ) const
+        -> engine_speed const*;
+    auto set_slowdown( std::shared_ptr<target_entry> const& entry,
+                       double slowdown,
+                       slowdown_reason reason,
+                       core::instant now ) -> void;
+    static auto exclude_samples( known_work const& known, core::instant now )
+        -> void;
+    auto expect_first_event( known_work& known, core::instant now ) -> void;
+    auto note_first_event( known_work const& known, core::instant now ) -> void;
     auto insert_into_service( std::shared_ptr<target_entry> const& entry )
         -> void;
     auto erase_from_service( std::shared_ptr<target_entry> const& entry )
@@ -430,6 +487,9 @@
     std::set<core::target_id> limited_;                   ///< usually empty
     std::set<core::data_centre_id> drained_data_centres_; ///< usually empty
     std::unordered_map<core::service_id, double> warm_up_rates_;
+    std::unordered_map<core::service_id, engine_speed> engine_models_;
+    std::set<core::target_id> slowed_; ///< usually empty
+    bool learns_speeds_{ true };
     limit_shares shares_;
 };
 
--- /dev/null
+++ b/src/pollenstream/exchange/load_table_speeds.cpp
@@ -0,0 +1,149 @@
+#include <pollenstream/exchange/engine_capacity.hpp>
+#include <pollenstream/exchange/load_table.hpp>
+
+#include <algorithm>
+#include <utility>
+
+// How the load table learns the speeds of engines from the first events of the
+// open work.
+
+namespace pollenstream::exchange
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Work that is older at its first report was learned of late. Instances report
+/// new work within 8 ms; older work was reported in a datagram that was lost,
+/// or before this instance became a coordinator.
+constexpr auto max_report_age = core::duration( 20ms );
+
+}
+
+auto load_table::set_engine_models(
+    std::unordered_map<core::service_id, engine_speed> models,
+    core::instant now ) -> void
+{
+    engine_models_ = std::move( models );
+    for ( auto const& [id, entry] : by_id_ )
+    {
+        if ( engine_models_.contains( entry->properties.service ) )
+            continue;
+        entry->first_events = {};
+        set_slowdown( entry, 1, slowdown_reason::no_samples, now );
+    }
+}
+
+auto load_table::engine_model_of( target_entry const& target ) const
+    -> engine_speed const*
+{
+    auto const found = engine_models_.find( target.properties.service );
+    return found == engine_models_.end() ? nullptr : &found->second;
+}
+
+auto load_table::set_slowdown( std::shared_ptr<target_entry> const& entry,
+                               double slowdown,
+                               slowdown_reason reason,
+                               core::instant now ) -> void
+{
+    if ( entry->slowdown == slowdown )
+        return;
+    auto const former = std::exchange( entry->slowdown, slowdown );
+    auto& until = entry->load.prefill_until;
+    if ( until > now )
+        until = now + core::duration_of( core::seconds_of( until - now ) *
+                                         slowdown / former );
+    if ( find( entry->properties.id ) != entry )
+        return;
+    if ( slowdown > 1 )
+        slowed_.insert( entry->properties.id );
+    else
+        slowed_.erase( entry->properties.id );
+    auto const is_change = ( former > 1 ) != ( slowdown > 1 );
+    if ( is_change && on_slowdown_changed )
+        on_slowdown_changed( { entry->ref(), slowdown, reason } );
+}
+
+auto load_table::expire_slowdowns( core::instant now ) -> void
+{
+    auto const slowed = slowed_;
+    for ( auto const& id : slowed )
+        if ( auto const entry = find( id ) )
+            set_slowdown( entry, entry->first_events.slowdown( now ),
+                          slowdown_reason::no_samples, now );
+}
+
+/// Excludes first events from the estimates that the known load of their
+/// engines doesn't explain: those of work that was sent before this instance
+/// learned of the late work `known`, or that is prefilled behind it.
+auto load_table::exclude_samples( known_work const& known, core::instant now )
+    -> void
+{
+    auto const is_late = now - known.sent_at > max_report_age;
+    for ( auto i = std::size_t{ 0 }; i < known.targets.size(); ++i )
+    {
+        if ( !known.targets[i] )
+            continue;
+        auto& target = *known.targets[i];
+        auto& before = target.no_samples_before;
+        // An engine prefills parts for other engines before its own prompts.
+        auto const overtakes = i > 0 && known.work.prefilling &&
+                               target.load.own_parts_prefilling > 0;
+        if ( is_late )
+            before = std::max( { before, now, target.load.prefill_until } );
+        else if ( overtakes )
+            before = std::max( before, now );
+    }
+}
+
+/// Expects the first event when the engines have finished all their prefills
+/// and the first one has made the passes that an event needs.
+auto load_table::expect_first_event( known_work& known, core::instant now )
+    -> void
+{
+    exclude_samples( known, now );
+    if ( !known.work.prefilling || !learns_speeds_ || !shares_.knows_all_work )
+        return;
+    auto expected = scheduling::expected_first_event{ known.sent_at, {}, {} };
+    auto end = now;
+    for ( auto const& target : known.targets )
+    {
+        if ( !target || !engine_model_of( *target ) )
+            return;
+        end = std::max( end, target->load.prefill_until );
+        expected.slowdowns.push_back( target->slowdown );
+    }
+    if ( known.targets.empty() )
+        return;
+    auto const& first = *known.targets.front();
+    auto const passes_ms =
+        pass_ms( *engine_model_of( first ), first ) * first_event_per_pass;
+    expected.time =
+        end - known.sent_at + core::duration_of( passes_ms / 1'000 );
+    known.first_event = std::move( expected );
+}
+
+auto load_table::note_first_event( known_work const& known, core::instant now )
+    -> void
+{
+    if ( !known.first_event )
+        return;
+    auto const is_excluded = [&known]( auto const& target )
+    {
+        return known.sent_at <= target->no_samples_before;
+    };
+    auto const& targets = known.targets;
+    if ( std::any_of( targets.begin(), targets.end(), is_excluded ) )
+        return;
+    auto const samples = scheduling::samples_of( *known.first_event, now );
+    for ( auto i = std::size_t{ 0 }; i < samples.size(); ++i )
+    {
+        targets[i]->first_events.add_sample( samples[i], now );
+        set_slowdown( targets[i], targets[i]->first_events.slowdown( now ),
+                      slowdown_reason::first_events, now );
+    }
+}
+
+}
--- a/src/pollenstream/exchange/placement.cpp
+++ b/src/pollenstream/exchange/placement.cpp
@@ -30,11 +30,11 @@
 constexpr auto spread_window_seconds = 0.1;
 /// Minimum capacity, in requests, over which short prompts are spread.
 constexpr auto min_spread = 6.0;
-/// Factors of the predicted first event of a short prompt. It comes after the
-/// rest of the current pass and the pass with its own prefill, and a backlog
-/// prolongs both. With factors of one, first events come 52 ms later than
-/// predicted, and 117 ms later behind a backlog above 60 ms.
-constexpr auto first_event_per_pass = 1.6;
+/// Factor of the predicted first event of a short prompt, beside
+/// `first_event_per_pass`. It comes after the rest of the current pass and the
+/// pass with its own prefill, and a backlog prolongs both. With factors of one,
+/// first events come 52 ms later than predicted, and 117 ms later behind a
+/// backlog above 60 ms.
 constexpr auto first_event_per_backlog = 1.7;
 /// Share of the latency objective that the predicted first event of a short
 /// prompt may take. The rest is a reserve for prompts that join the engine
@@ -91,13 +91,14 @@
 };
 
 /// The option that `target` is for a short prompt with a prefill of
-/// `own_prefill_ms`.
+/// `configured_prefill_ms` on an engine that runs as configured.
 auto option_for( placement_demand const& demand,
                  engine_speed const& speed,
                  std::shared_ptr<target_entry> const& target,
-                 double own_prefill_ms,
+                 double configured_prefill_ms,
                  core::instant now ) -> short_option
 {
+    auto const own_prefill_ms = configured_prefill_ms * target->slowdown;
     auto option = short_option{ target, 0, 0, 0 };
     option.first_event_ms =
         target->backlog_ms( now ) * first_event_per_backlog + own_prefill_ms +
@@ -470,8 +471,8 @@
         if ( !has_free_slot( speed, *t ) || free_memory( speed, *t ) < memory )
             continue;
         auto option = option_for( demand, speed, t, own_prefill, now );
-        auto const pass =
-            t->backlog_ms( now ) + own_prefill + pass_ms( speed, *t );
+        auto const pass = t->backlog_ms( now ) + own_prefill * t->slowdown +
+                          pass_ms( speed, *t );
         if ( t->load.requests < packed_slots && pass < max_pass_ms &&
              ( long_prompts_first || option.max_joining >= 1 ) )
         {
--- a/src/pollenstream/exchange/placement_long.cpp
+++ b/src/pollenstream/exchange/placement_long.cpp
@@ -172,6 +172,7 @@
     auto equal = std::size_t{ 1 };
     while ( equal < max_equal &&
             fitting[equal].delayed_weight == fitting[0].delayed_weight &&
+            fitting[equal].target->slowdown == fitting[0].target->slowdown &&
             fitting[equal].interactive_weight == fitting[0].interactive_weight )
         ++equal;
     auto const drawn =
--- a/src/pollenstream/exchange/prompt_division.cpp
+++ b/src/pollenstream/exchange/prompt_division.cpp
@@ -65,8 +65,9 @@
     return weight_delayed_by( t, interactive_gap_ms );
 }
 
-/// Orders by the weight of delayed requests, then by the weight of interactive
-/// requests; then engines without requests come first, then those of the
+/// Orders by the weight of delayed requests, then by slowdown, as the slowest
+/// part delays the whole prompt, then by the weight of interactive requests;
+/// then engines without requests come first, then those of the
 /// highest rank, which short prompts fill last.
 auto is_better_prefill_candidate( prefill_candidate const& a,
                                   prefill_candidate const& b ) -> bool
@@ -75,6 +76,8 @@
     auto const b_has_requests = b.target->load.requests > 0;
     if ( a.delayed_weight != b.delayed_weight )
         return a.delayed_weight < b.delayed_weight;
+    if ( a.target->slowdown != b.target->slowdown )
+        return a.target->slowdown < b.target->slowdown;
     if ( a.interactive_weight != b.interactive_weight )
         return a.interactive_weight < b.interactive_weight;
     if ( a_has_requests != b_has_requests )
@@ -116,8 +119,8 @@
                            core::instant now ) -> prefill_candidate
 {
     auto const backlog = t->backlog_ms( now );
-    auto const pause =
-        backlog + part_ms + pass_ms( speed, *t ) + expected_join_prefill_ms;
+    auto const pause = backlog + part_ms * t->slowdown + pass_ms( speed, *t ) +
+                       expected_join_prefill_ms * t->slowdown;
     return { t, backlog, weight_delayed_by( *t, pause ),
              interactive_weight_of( *t ) };
 }
@@ -143,6 +146,8 @@
 {
     if ( a.delayed_weight != b.delayed_weight )
         return a.delayed_weight < b.delayed_weight;
+    if ( a.target->slowdown != b.target->slowdown )
+        return a.target->slowdown < b.target->slowdown;
     if ( a.interactive_weight != b.interactive_weight )
         return a.interactive_weight < b.interactive_weight;
     auto const a_is_behind = a.backlog_ms > preferred_decode_backlog_ms;
@@ -186,13 +191,13 @@
                      division_limits limits ) -> void
 {
     auto delayed_weight = 0.0;
-    auto backlog = 0.0;
+    auto finish = 0.0;
     for ( auto const& candidate : engines )
     {
         delayed_weight += candidate.delayed_weight;
-        backlog = std::max( backlog, candidate.backlog_ms );
+        finish = std::max( finish, candidate.backlog_ms +
+                                       part_ms * candidate.target->slowdown );
     }
-    auto const finish = backlog + part_ms;
     if ( finish > max_finish_of( limits, engines.size() ) ||
          delayed_weight > ( finish <= limits.on_time_finish_ms
                                 ? limits.max_delayed_weight
--- a/src/pollenstream/exchange/prompt_division.hpp
+++ b/src/pollenstream/exchange/prompt_division.hpp
@@ -87,10 +87,10 @@
     std::int64_t memory,
     core::instant now ) -> std::vector<prefill_candidate>;
 
-/// Orders decode targets by the weight of delayed requests, then by the weight
-/// of interactive requests, then by whether their backlog is short; then those
-/// with the most requests come first, so that other engines stay free for
-/// prefill.
+/// Orders decode targets by the weight of delayed requests, then by slowdown,
+/// then by the weight of interactive requests, then by whether their backlog is
+/// short; then those with the most requests come first, so that other engines
+/// stay free for prefill.
 auto is_better_decode_target( prefill_candidate const& a,
                               prefill_candidate const& b ) -> bool;
 
--- a/src/pollenstream/exchange/routes.cpp
+++ b/src/pollenstream/exchange/routes.cpp
@@ -83,6 +83,16 @@
     return rates;
 }
 
+auto route_configuration::engine_models() const
+    -> std::unordered_map<core::service_id, engine_speed>
+{
+    auto models = std::unordered_map<core::service_id, engine_speed>{};
+    for ( auto const& [id, settings] : services )
+        if ( settings.engine )
+            models.emplace( id, *settings.engine );
+    return models;
+}
+
 auto route_configuration::find_service( core::service_id const& id ) const
     -> service_settings const*
 {
--- a/src/pollenstream/exchange/routes.hpp
+++ b/src/pollenstream/exchange/routes.hpp
@@ -134,6 +134,9 @@
     /// The warm-up rates of the services that have one.
     [[nodiscard]] auto warm_up_rates() const
         -> std::unordered_map<core::service_id, double>;
+    /// The engine models of the services that have one.
+    [[nodiscard]] auto engine_models() const
+        -> std::unordered_map<core::service_id, engine_speed>;
 
 private:
     auto index_gap_objectives() -> void;
--- a/tests/support/simulated_engines.cpp
+++ b/tests/support/simulated_engines.cpp
@@ -18,12 +18,24 @@
 constexpr auto events_after_first = 15;
 constexpr auto event_gap = core::duration( 50ms );
 constexpr auto max_attempts_per_caller = 2;
+constexpr auto tick_period = core::duration( 100ms );
+
+/// The address of the engine `number`.
+auto engine_address( int number ) -> core::address
+{
+    return { "10.0.1." + std::to_string( number ), 80 };
+}
 
 auto event_text( int id ) -> std::string
 {
     return "id: " + std::to_string( id ) + "\ndata: x\n\n";
 }
 
+auto scaled( core::duration time, double factor ) -> core::duration
+{
+    return core::duration_of( core::seconds_of( time ) * factor );
+}
+
 }
 
 auto sized_encoder::encode(
@@ -44,9 +56,10 @@
 public:
     answer( held_scheduler& scheduler,
             std::shared_ptr<exchange::attempt_listener> listener,
-            std::size_t parts )
+            std::size_t parts,
+            double const& slowdown )
         : scheduler_( scheduler ), listener_( std::move( listener ) ),
-          parts_left_( parts )
+          parts_left_( parts ), slowdown_( slowdown )
     {
     }
     [[nodiscard]] auto is_cancelled() const -> bool
@@ -56,7 +69,7 @@
     auto on_part_prefilled() -> void
     {
         if ( --parts_left_ == 0 )
-            schedule_event( event_gap );
+            schedule_event();
     }
     auto cancel() -> void override
     {
@@ -67,9 +80,9 @@
     {
         return true;
     }
-    auto schedule_event( core::duration time ) -> void
+    auto schedule_event() -> void
     {
-        timer_ = scheduler_.call_after( time,
+        timer_ = scheduler_.call_after( scaled( event_gap, slowdown_ ),
                                         [self = shared_from_this()]
                                         {
                                             self->send_event();
@@ -91,7 +104,7 @@
         }
         listener->on_body( event_text( ++events_ ) );
         if ( events_ <= events_after_first )
-            return schedule_event( event_gap );
+            return schedule_event();
         auto end = exchange::attempt_end{};
         end.complete = true;
         end.sent = true;
@@ -102,6 +115,7 @@
     std::shared_ptr<exchange::attempt_listener> listener_;
     std::unique_ptr<ports::scheduled_call> timer_;
     std::size_t parts_left_;
+    double const& slowdown_; ///< of the engine that answers
     int events_{ 0 };
 };
 
@@ -123,18 +137,29 @@
         core::duration_of( exchange::prefill_ms( speed_, tokens ) /
                            static_cast<double>( addresses.size() ) / 1'000 );
     auto const started = std::make_shared<answer>(
-        scheduler_, std::move( listener ), addresses.size() );
+        scheduler_, std::move( listener ), addresses.size(),
+        engines_[addresses.front()].slowdown );
     for ( auto const& address : addresses )
     {
         auto& engine = engines_[address];
         advance( engine );
-        engine.parts.push_back(
-            { started, part_time, address == addresses.front() } );
+        engine.parts.push_back( { started, scaled( part_time, engine.slowdown ),
+                                  address == addresses.front() } );
         advance( engine );
     }
     return started;
 }
 
+auto simulated_engines::set_slowdown( int number, double factor ) -> void
+{
+    auto& engine = engines_[core::to_string( engine_address( number ) )];
+    advance( engine );
+    auto const change = factor / std::exchange( engine.slowdown, factor );
+    for ( auto& p : engine.parts )
+        p.time_left = scaled( p.time_left, change );
+    advance( engine );
+}
+
 auto simulated_engines::current_part( engine_state& engine )
     -> std::vector<part>::iterator
 {
@@ -266,20 +291,33 @@
     changed->index_routes();
     context_.configuration = changed;
     fixture.coordinator.set_configuration( changed );
+    fixture.loads.set_engine_models( changed->engine_models(),
+                                     fixture.scheduler.now() );
     fixture.reservations.answers_at_once = true;
     for ( auto const* id : { "m1", "m2", "m3" } )
         fixture.loads.remove( core::target_id( id ) );
     for ( auto i = 0; i < engine_count; ++i )
     {
         auto properties = make_target( "e" + std::to_string( i ), "model" );
-        properties.address = { "10.0.1." + std::to_string( i ), 80 };
+        properties.address = engine_address( i );
         properties.slots = speed.slots;
         fixture.loads.put( properties );
     }
+    tick();
 }
 
 simulated_load::~simulated_load() = default;
 
+auto simulated_load::tick() -> void
+{
+    fixture.loads.expire_slowdowns( fixture.scheduler.now() );
+    tick_call_ = fixture.scheduler.call_after( tick_period,
+                                               [this]
+                                               {
+                                                   tick();
+                                               } );
+}
+
 auto simulated_load::schedule_request( core::duration after,
                                        std::string const& route,
                                        std::int64_t tokens )
@@ -312,6 +350,24 @@
     started->start();
 }
 
+auto simulated_load::later_than_predicted() const -> int
+{
+    auto predicted = std::map<exchange::attempt_id, core::duration>{};
+    auto late = 0;
+    for ( auto const& event : fixture.log.all )
+    {
+        if ( auto const* placed =
+                 std::get_if<exchange::request_placed>( &event ) )
+            predicted[placed->id] =
+                placed->waited +
+                core::duration_of( placed->predicted_ms / 1'000 );
+        else if ( auto const* ended =
+                      std::get_if<exchange::request_ended>( &event ) )
+            late += ended->first_event > predicted[ended->id] ? 1 : 0;
+    }
+    return late;
+}
+
 auto simulated_load::run( core::duration time ) -> void
 {
     fixture.scheduler.run( time );
--- a/tests/support/simulated_engines.hpp
+++ b/tests/support/simulated_engines.hpp
@@ -25,7 +25,8 @@
 /// Simulates engines in the time of a `held_scheduler`. As real engines do,
 /// each one prefills parts for other engines first, the latest of them before
 /// the earlier ones, then its own prompts in order of arrival. The first event
-/// comes 50 ms after the prefill of all parts, and 15 more follow, 50 ms apart.
+/// comes 50 ms after the prefill of all parts, and 15 more follow, 50 ms apart;
+/// an engine can be made slower.
 class simulated_engines : public exchange::target_client
 {
 public:
@@ -38,6 +39,10 @@
                std::shared_ptr<exchange::attempt_listener> listener )
         -> std::shared_ptr<exchange::open_attempt> override;
 
+    /// From now on, the prefill and the events of the engine `number` take
+    /// `factor` times as long.
+    auto set_slowdown( int number, double factor ) -> void;
+
     /// Sizes of the prompts that were sent, in order.
     std::vector<std::int64_t> sent;
 
@@ -55,6 +60,7 @@
     {
         std::vector<part> parts;
         core::instant prefilled_until;
+        double slowdown{ 1 };
         std::unique_ptr<ports::scheduled_call> next_part_end;
     };
 
@@ -91,6 +97,9 @@
     simulated_load( simulated_load const& ) = delete;
     auto operator=( simulated_load const& ) -> simulated_load& = delete;
 
+    /// Requests whose first event came later than predicted.
+    [[nodiscard]] auto later_than_predicted() const -> int;
+
     /// Schedules the request of a caller of `route` for `after` from now.
     auto schedule_request( core::duration after,
                            std::string const& route,
@@ -106,6 +115,8 @@
 private:
     class caller_channel;
 
+    /// What an instance does regularly.
+    auto tick() -> void;
     auto start_request( std::shared_ptr<simulated_request> const& record,
                         std::string const& route,
                         core::duration time_limit ) -> void;
@@ -113,6 +124,7 @@
     sized_encoder encoder_;
     exchange::exchange_context context_;
     std::vector<std::unique_ptr<ports::scheduled_call>> timers_;
+    std::unique_ptr<ports::scheduled_call> tick_call_;
 };
 
 }
