--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -207,6 +207,8 @@
         coordinator_.set_configuration( configuration );
         load_table_.set_warm_up_rates( configuration->warm_up_rates(),
                                        scheduler_.now() );
+        load_table_.set_engine_models( configuration->engine_models(),
+                                       scheduler_.now() );
         context_.configuration = std::move( configuration );
         update_ready();
         wait_queue_.schedule_round();
@@ -269,6 +271,11 @@
     {
         wait_queue_.schedule_round();
     };
+    load_table_.on_slowdown_changed = [this]( auto const& change )
+    {
+        log_.record( exchange::slowdown_state_change( change ) );
+        wait_queue_.schedule_round();
+    };
     group_.on_update = [this]( auto const& from, auto const& bytes )
     {
         auto const update = peers::decode_update( bytes );
@@ -328,6 +335,8 @@
     update_store_state();
     registry_.set_reader( group_.should_read_store() );
     fetch_from_peer();
+    load_table_.set_learns_speeds( group_.coordinator_position().has_value() );
+    load_table_.expire_slowdowns( scheduler_.now() );
     auto const period =
         context_.configuration == nullptr ? startup_tick_period : tick_period;
     tick_call_ = scheduler_.call_after( period,
--- a/apps/gateway/node_state.cpp
+++ b/apps/gateway/node_state.cpp
@@ -48,6 +48,7 @@
               { "writers", t->load.decoding },
               { "memory_tokens", t->load.memory_tokens },
               { "backlog_ms", t->backlog_ms( now ) },
+              { "slowdown", t->slowdown },
               { "failure_share", t->health.failure_share },
               { "warming_up", t->limit.is_warming_up( now ) },
               { "limit", limit_or_null( *t, now ) },
@@ -180,6 +181,7 @@
     }
     gauge( "pollenstream_targets_usable", usable );
     gauge( "pollenstream_targets_warming_up", warming_up );
+    gauge( "pollenstream_engines_slow", context.loads.slowed().size() );
     gauge( "pollenstream_places_drained",
            context.loads.drained_data_centres().size() );
     gauge( "pollenstream_quarantined_contents",
--- a/apps/tool/status.cpp
+++ b/apps/tool/status.cpp
@@ -66,8 +66,8 @@
     print_table( state.at( "targets" ),
                  { "id", "service", "place", "leaving", "gone", "drained",
                    "may_get_work", "requests", "writers", "backlog_ms",
-                   "memory_tokens", "failure_share", "warming_up", "limit",
-                   "sent_per_second" },
+                   "slowdown", "memory_tokens", "failure_share", "warming_up",
+                   "limit", "sent_per_second" },
                  out );
     out << '\n';
     print_table( state.at( "peers" ),
