Learned speeds expect first events as the choosers predict them

The expectation left out that prefills before a prompt take longer than their own time, that prompts join the pass of the first event, and the way of the report; and a slowdown of 1.5 is within what first events vary by.

Change: the factor of the backlog is shared with the chooser, prefills that join within the expected time count, 10 ms for the report, and the slowdown counts from 2.

--- a/src/pollenstream/exchange/engine_capacity.hpp
+++ b/src/pollenstream/exchange/engine_capacity.hpp
@@ -19,6 +19,9 @@
 /// Passes until the first event of a prompt: the rest of the current one and
 /// the one with its own prefill.
 inline constexpr auto first_event_per_pass = 1.6;
+/// Time until the first event of a prompt per time of the prefills before it:
+/// the engine decodes between their chunks.
+inline constexpr auto first_event_per_backlog = 1.7;
 
 /// Milliseconds of a decode pass at `t` with the requests that it decodes now,
 /// at its present speed.
--- a/src/pollenstream/exchange/load_table.cpp
+++ b/src/pollenstream/exchange/load_table.cpp
@@ -236,9 +236,11 @@
         auto& load = known.targets[i]->load;
         ++load.parts_prefilling;
         load.own_parts_prefilling += i == 0 ? 1 : 0;
-        load.prefill_until = std::max( load.prefill_until, now ) +
-                             from_ms( known.work.parts[i].prefill_ms *
-                                      known.targets[i]->slowdown );
+        auto const time_ms =
+            known.work.parts[i].prefill_ms * known.targets[i]->slowdown;
+        load.prefill_until =
+            std::max( load.prefill_until, now ) + from_ms( time_ms );
+        known.targets[i]->prefill_sum_ms += time_ms;
     }
 }
 
@@ -302,7 +304,8 @@
                            core::instant now ) -> void
 {
     auto const [position, is_new] = works_[owner].try_emplace(
-        work.serial, known_work{ work, {}, false, now - work.sent_ago, {} } );
+        work.serial,
+        known_work{ work, {}, false, now - work.sent_ago, {}, 0 } );
     if ( !is_new && has_newly_known_target( position->second ) )
     {
         // The work was reported before the registry listed its target. It is
--- a/src/pollenstream/exchange/load_table.hpp
+++ b/src/pollenstream/exchange/load_table.hpp
@@ -163,6 +163,8 @@
     scheduling::speed_estimate first_events;
     /// Times that prefills and passes take, relative to the configured ones.
     double slowdown{ 1 };
+    /// Sum of all prefills that were added in this lifetime.
+    double prefill_sum_ms{ 0 };
     /// Work that was sent before gives no samples for `first_events`.
     core::instant no_samples_before;
 
@@ -429,6 +431,8 @@
         bool prefill_counted{ false };
         core::instant sent_at;
         std::optional<scheduling::expected_first_event> first_event;
+        /// The first target's `prefill_sum_ms` when the work was added.
+        double prefill_before_ms{ 0 };
     };
     using work_map = std::unordered_map<std::uint64_t, known_work>;
 
--- a/src/pollenstream/exchange/load_table_speeds.cpp
+++ b/src/pollenstream/exchange/load_table_speeds.cpp
@@ -19,6 +19,26 @@
 /// new work within 8 ms; older work was reported in a datagram that was lost,
 /// or before this instance became a coordinator.
 constexpr auto max_report_age = core::duration( 20ms );
+/// Time from an engine's first event until the coordinators know of it:
+/// instances report within 8 ms, and the rest is the way of the messages.
+constexpr auto first_event_report_time = core::duration( 10ms );
+
+/// Adds the prefills of prompts that joined the engine before its first event
+/// at `at`. Those that joined within the expected time share the pass of the
+/// event, which takes longer by them; the others came too late for it.
+auto with_joined_prefills( scheduling::expected_first_event expected,
+                           double joined_ms,
+                           core::instant at )
+    -> scheduling::expected_first_event
+{
+    auto const expected_seconds = core::seconds_of( expected.time );
+    auto const observed_seconds = core::seconds_of( at - expected.sent_at );
+    auto const share = observed_seconds > expected_seconds
+                           ? expected_seconds / observed_seconds
+                           : 1.0;
+    expected.time += core::duration_of( joined_ms * share / 1'000 );
+    return expected;
+}
 
 }
 
@@ -99,7 +119,8 @@
 }
 
 /// Expects the first event when the engines have finished all their prefills
-/// and the first one has made the passes that an event needs.
+/// and the first one has made the passes that an event needs, by the factors
+/// with which the choosers predict it.
 auto load_table::expect_first_event( known_work& known, core::instant now )
     -> void
 {
@@ -107,12 +128,17 @@
     if ( !known.work.prefilling || !learns_speeds_ || !shares_.knows_all_work )
         return;
     auto expected = scheduling::expected_first_event{ known.sent_at, {}, {} };
-    auto end = now;
-    for ( auto const& target : known.targets )
+    auto prefills_ms = 0.0;
+    for ( auto i = std::size_t{ 0 }; i < known.targets.size(); ++i )
     {
+        auto const& target = known.targets[i];
         if ( !target || !engine_model_of( *target ) )
             return;
-        end = std::max( end, target->load.prefill_until );
+        auto const own_ms = known.work.parts[i].prefill_ms * target->slowdown;
+        auto const ahead_ms =
+            std::max( 0.0, target->backlog_ms( now ) - own_ms );
+        prefills_ms = std::max( prefills_ms,
+                                ahead_ms * first_event_per_backlog + own_ms );
         expected.slowdowns.push_back( target->slowdown );
     }
     if ( known.targets.empty() )
@@ -120,9 +146,10 @@
     auto const& first = *known.targets.front();
     auto const passes_ms =
         pass_ms( *engine_model_of( first ), first ) * first_event_per_pass;
-    expected.time =
-        end - known.sent_at + core::duration_of( passes_ms / 1'000 );
+    expected.time = now - known.sent_at +
+                    core::duration_of( ( prefills_ms + passes_ms ) / 1'000 );
     known.first_event = std::move( expected );
+    known.prefill_before_ms = first.prefill_sum_ms;
 }
 
 auto load_table::note_first_event( known_work const& known, core::instant now )
@@ -137,7 +164,13 @@
     auto const& targets = known.targets;
     if ( std::any_of( targets.begin(), targets.end(), is_excluded ) )
         return;
-    auto const samples = scheduling::samples_of( *known.first_event, now );
+    auto const came_at = now - first_event_report_time;
+    auto const samples = scheduling::samples_of(
+        with_joined_prefills( *known.first_event,
+                              targets.front()->prefill_sum_ms -
+                                  known.prefill_before_ms,
+                              came_at ),
+        came_at );
     for ( auto i = std::size_t{ 0 }; i < samples.size(); ++i )
     {
         targets[i]->first_events.add_sample( samples[i], now );
--- a/src/pollenstream/exchange/placement.cpp
+++ b/src/pollenstream/exchange/placement.cpp
@@ -30,12 +30,6 @@
 constexpr auto spread_window_seconds = 0.1;
 /// Minimum capacity, in requests, over which short prompts are spread.
 constexpr auto min_spread = 6.0;
-/// Factor of the predicted first event of a short prompt, beside
-/// `first_event_per_pass`. It comes after the rest of the current pass and the
-/// pass with its own prefill, and a backlog prolongs both. With factors of one,
-/// first events come 52 ms later than predicted, and 117 ms later behind a
-/// backlog above 60 ms.
-constexpr auto first_event_per_backlog = 1.7;
 /// Share of the latency objective that the predicted first event of a short
 /// prompt may take. The rest is a reserve for prompts that join the engine
 /// without this instance knowing.
--- a/src/pollenstream/scheduling/engine_speeds.cpp
+++ b/src/pollenstream/scheduling/engine_speeds.cpp
@@ -11,9 +11,10 @@
 using namespace std::chrono_literals;
 
 /// Lower values count as 1. A first event waits for the rest of the current
-/// pass, which lasts between nothing and a whole pass, so that first events of
-/// an engine that runs as configured vary by about this factor.
-constexpr auto min_slowdown = 1.5;
+/// pass, between nothing and a whole one, and for prompts that other instances
+/// send meanwhile, so that first events of an engine that runs as configured
+/// vary by up to this factor.
+constexpr auto min_slowdown = 2.0;
 /// Higher values count as this one. An engine that is slower answers no request
 /// in time, and a single extreme sample must not distort the backlog.
 constexpr auto max_slowdown = 10.0;
