--- a/tests/scheduling/booked_return_test.cpp
+++ b/tests/scheduling/booked_return_test.cpp
@@ -67,7 +67,7 @@
         what.demand.min_gap_objective = 200ms;
         what.demand.time_left = time_left;
         what.demand.patience_left = 12s;
-        auto const answer = std::make_shared<recorded_placement>();
+        auto answer = std::make_shared<recorded_placement>();
         coordinator.request( std::move( what ), answer );
         return answer;
     }
@@ -349,7 +349,7 @@
         what.received = scheduler.now();
         auto const tokens = body == "later" ? 120'000 : 60'000;
         what.prompt = exchange::prompt_properties{ tokens, 1'000, 0 };
-        auto const answer = std::make_shared<recorded_channel>();
+        auto answer = std::make_shared<recorded_channel>();
         at( number ).start( what, answer );
         return answer;
     }
