Short prompts are spread over the engines that long ones leave

Cause: constants decide how densely short prompts are packed, whether or not long prompts arrive. Under short prompts alone, several share each pass. Change: scheduling/mix_forecast forecasts the prefill of short and long prompts for each service; a chooser behind an interface spreads short prompts over the engines that long ones are not expected to need. Services without an engine model, or with equal gap objectives, keep the packing chooser. Ruled out: spreading over all engines without long prompts (a prompt of 571,301 tokens that came unforecast was refused in split_prompt_load_test), and over engines filled to more than half (short prompts were late beside long ones).

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -3,6 +3,7 @@
 #include "node_state.hpp"
 #include <pollenstream/adapters/asio/http_text.hpp>
 #include <pollenstream/exchange/exchange.hpp>
+#include <pollenstream/exchange/short_prompt_chooser.hpp>
 #include <pollenstream/peers/caller_directory.hpp>
 #include <pollenstream/peers/state_transfer.hpp>
 
@@ -207,6 +208,8 @@
         coordinator_.set_configuration( configuration );
         load_table_.set_warm_up_rates( configuration->warm_up_rates(),
                                        scheduler_.now() );
+        load_table_.mix().configure(
+            exchange::spread_services( *configuration ) );
         context_.configuration = std::move( configuration );
         update_ready();
         wait_queue_.schedule_round();
--- a/apps/gateway/node_state.cpp
+++ b/apps/gateway/node_state.cpp
@@ -1,6 +1,7 @@
 #include "node_state.hpp"
 
 #include <pollenstream/core/invariant.hpp>
+#include <pollenstream/exchange/short_prompt_chooser.hpp>
 
 #include <nlohmann/json.hpp>
 
@@ -55,6 +56,63 @@
     return targets;
 }
 
+/// Engines over which short prompts of the service are spread now; 0 while they
+/// are packed.
+auto engines_for_short_prompts( exchange::load_table const& loads,
+                                core::service_id const& service,
+                                core::instant now ) -> std::size_t
+{
+    auto accepting = loads.of_service( service );
+    std::erase_if( accepting,
+                   [now]( auto const& t )
+                   {
+                       return !t->may_get_work( now );
+                   } );
+    return exchange::engines_for_short( loads, service, accepting, now )
+        .value_or( 0 );
+}
+
+/// The forecast of each service whose short prompts are spread by it.
+auto describe_mix( exchange::exchange_context const& context ) -> json
+{
+    auto rows = json::array();
+    if ( !context.configuration )
+        return rows;
+    auto const now = context.scheduler.now();
+    auto const& mix = context.loads.mix();
+    for ( auto const& [id, settings] : context.configuration->services )
+    {
+        if ( !mix.tracks( id ) )
+            continue;
+        auto const shorts = mix.short_prompts( id, now );
+        auto const longs = mix.long_prompts( id, now );
+        rows.push_back(
+            { { "service", id.str() },
+              { "engines_for_short",
+                engines_for_short_prompts( context.loads, id, now ) },
+              { "short_per_second", shorts.requests_per_second },
+              { "short_prefill", shorts.prefill_seconds_per_second },
+              { "long_per_second", longs.requests_per_second },
+              { "long_prefill", longs.prefill_seconds_per_second } } );
+    }
+    return rows;
+}
+
+auto write_mix( exchange::exchange_context const& context, std::ostream& out )
+    -> void
+{
+    constexpr auto name = "pollenstream_engines_for_short_prompts";
+    if ( !context.configuration )
+        return;
+    out << "# TYPE " << name << " gauge\n";
+    for ( auto const& [id, settings] : context.configuration->services )
+        if ( context.loads.mix().tracks( id ) )
+            out << name << "{service=\"" << id.str() << "\"} "
+                << engines_for_short_prompts( context.loads, id,
+                                              context.scheduler.now() )
+                << '\n';
+}
+
 auto describe_drained( exchange::load_table const& loads ) -> json
 {
     auto list = json::array();
@@ -148,6 +206,7 @@
                   { "known_until", registry.known_until().count() },
                   { "reads", group.should_read_store() } } },
               { "placing", describe_placement( node ) },
+              { "mix", describe_mix( context ) },
               { "drained_places", describe_drained( context.loads ) },
               { "targets", describe_targets( context ) },
               { "peers", describe_peers( group, context.scheduler.now() ) },
@@ -214,6 +273,7 @@
         count( "pollenstream_unknown_answer_headers_total",
                "{name=\"" + name + "\"}", times );
     write_limits( context.loads, now, out );
+    write_mix( context, out );
     constexpr auto kinds =
         static_cast<int>( platform::store_call::number_of_kinds );
     for ( auto i = 0; i < kinds; ++i )
--- a/apps/tool/status.cpp
+++ b/apps/tool/status.cpp
@@ -69,6 +69,14 @@
                    "memory_tokens", "failure_share", "warming_up", "limit",
                    "sent_per_second" },
                  out );
+    if ( state.has_field( "mix" ) && state.at( "mix" ).size() > 0 )
+    {
+        out << '\n';
+        print_table( state.at( "mix" ),
+                     { "service", "engines_for_short", "short_per_second",
+                       "short_prefill", "long_per_second", "long_prefill" },
+                     out );
+    }
     out << '\n';
     print_table( state.at( "peers" ),
                  { "id", "ip", "alive", "ready", "leaving", "known_until",
--- a/src/pollenstream/exchange/load_table.cpp
+++ b/src/pollenstream/exchange/load_table.cpp
@@ -34,6 +34,11 @@
 /// long prompt takes some seconds.
 constexpr auto prefill_decay_seconds = 2.0;
 
+/// Work that is older when it is reported does not count as an arrival for the
+/// forecast: a coordinator that has just started hears of all open work at
+/// once, which would look like a wave.
+constexpr auto max_arrival_age = core::duration( 1s );
+
 auto from_ms( double ms ) -> core::duration
 {
     return core::duration_of( ms / 1'000 );
@@ -219,9 +224,14 @@
     rate.per_second = rate.per_second * std::exp( -age / rate_decay_seconds ) +
                       1 / rate_decay_seconds;
     rate.prefill_ms *= std::exp( -age / prefill_decay_seconds );
+    auto prefill_ms = 0.0;
     for ( auto const& part : work.parts )
-        rate.prefill_ms += part.prefill_ms;
+        prefill_ms += part.prefill_ms;
+    rate.prefill_ms += prefill_ms;
     rate.updated_at = now;
+    if ( work.sent_ago < max_arrival_age )
+        mix_.note_prompt( id, core::token_count( work.context_tokens ),
+                          from_ms( prefill_ms ), now );
 }
 
 auto load_table::count_prefill( known_work& known, core::instant now ) -> void
--- a/src/pollenstream/exchange/load_table.hpp
+++ b/src/pollenstream/exchange/load_table.hpp
@@ -7,6 +7,7 @@
 #include <pollenstream/exchange/message.hpp>
 #include <pollenstream/exchange/request_limit.hpp>
 #include <pollenstream/exchange/split_queue.hpp>
+#include <pollenstream/scheduling/mix_forecast.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -264,6 +265,16 @@
     [[nodiscard]] auto prefill_utilization( core::service_id const& id,
                                             core::instant now ) const -> double;
 
+    /// Forecast of the short and long prompts, from the work that is added.
+    [[nodiscard]] auto mix() -> scheduling::mix_forecast&
+    {
+        return mix_;
+    }
+    [[nodiscard]] auto mix() const -> scheduling::mix_forecast const&
+    {
+        return mix_;
+    }
+
     /// Adds `work` of the instance `owner` to the load of its targets.
     auto add_work( core::instance_id const& owner,
                    open_work const& work,
@@ -425,6 +436,7 @@
     std::unordered_map<core::instance_id, work_map> works_;
     std::unordered_map<core::service_id, arrival_rate> arrivals_;
     split_queue split_prompts_;
+    scheduling::mix_forecast mix_;
     /// Usually empty; searched for each request.
     std::unordered_map<core::target_id, core::instant> pauses_;
     std::set<core::target_id> limited_;                   ///< usually empty
--- a/src/pollenstream/exchange/placement.cpp
+++ b/src/pollenstream/exchange/placement.cpp
@@ -1,5 +1,6 @@
 #include <pollenstream/exchange/engine_capacity.hpp>
 #include <pollenstream/exchange/placement.hpp>
+#include <pollenstream/exchange/short_prompt_chooser.hpp>
 
 #include <algorithm>
 #include <cmath>
@@ -69,29 +70,17 @@
 {
     if ( demand.others_in_time )
         return true;
-    auto const busy =
-        std::count_if( targets.begin(), targets.end(),
-                       [now]( auto const& t )
-                       {
-                           return t->backlog_ms( now ) > long_backlog_ms;
-                       } );
+    auto const busy = std::count_if( targets.begin(), targets.end(),
+                                     [now]( auto const& t )
+                                     {
+                                         return prefills_long_prompt( *t, now );
+                                     } );
     return static_cast<double>( busy ) >=
            long_engine_share * static_cast<double>( targets.size() );
 }
 
-/// An engine that may take a short prompt.
-struct short_option
-{
-    std::shared_ptr<target_entry> target;
-    double first_event_ms{ 0 }; ///< predicted first event, from now
-    double capacity{ 0 };       ///< requests that it may still get
-    /// Short prompts that can join it at once, this one included, until a first
-    /// event is late.
-    double max_joining{ 0 };
-};
+}
 
-/// The option that `target` is for a short prompt with a prefill of
-/// `own_prefill_ms`.
 auto option_for( placement_demand const& demand,
                  engine_speed const& speed,
                  std::shared_ptr<target_entry> const& target,
@@ -110,13 +99,6 @@
     return option;
 }
 
-/// Requests that `t` may still get until it has `max_requests`.
-auto capacity_of( target_entry const& t, std::int64_t max_requests ) -> double
-{
-    return static_cast<double>( max_requests - t.load.requests );
-}
-
-/// The options with the earliest predicted first event, or an equal one.
 auto earliest_of( std::vector<short_option> options )
     -> std::vector<short_option>
 {
@@ -132,6 +114,47 @@
     return options;
 }
 
+auto packed_slots_of( engine_speed const& speed ) -> std::int64_t
+{
+    return static_cast<std::int64_t>(
+        std::ceil( static_cast<double>( speed.slots ) * packed_slot_share ) );
+}
+
+auto keeps_gap_objective( placement_demand const& demand, double pass ) -> bool
+{
+    return pass < ms_of( demand.gap_objective ) * max_pass_per_gap;
+}
+
+auto prefills_long_prompt( target_entry const& target, core::instant now )
+    -> bool
+{
+    return target.backlog_ms( now ) > long_backlog_ms;
+}
+
+auto choice_of( placement_demand const& demand,
+                engine_speed const& speed,
+                short_option const& option ) -> placement_choice
+{
+    auto choice = placement_choice{};
+    choice.targets.push_back( option.target );
+    choice.parts.push_back(
+        { option.target->properties.id,
+          prefill_ms( speed, demand.prompt_tokens ),
+          memory_need( demand.prompt_tokens, demand.output_tokens ),
+          option.target->properties.lifetime } );
+    choice.first_event_ms = option.first_event_ms;
+    return choice;
+}
+
+namespace
+{
+
+/// Requests that `t` may still get until it has `max_requests`.
+auto capacity_of( target_entry const& t, std::int64_t max_requests ) -> double
+{
+    return static_cast<double>( max_requests - t.load.requests );
+}
+
 /// False if the request must not be sent to `target` now: it accepts no work,
 /// was tried before, or is paused.
 auto is_eligible( placement_demand const& demand, target_entry const& target )
@@ -193,10 +216,14 @@
 
 placement::placement( load_table const& loads,
                       core::data_centre_id own_data_centre )
-    : load_table_( loads ), own_data_centre_( std::move( own_data_centre ) )
+    : load_table_( loads ), own_data_centre_( std::move( own_data_centre ) ),
+      packing_( std::make_unique<packing_chooser>( loads ) ),
+      spreading_( std::make_unique<spreading_chooser>( loads, *packing_ ) )
 {
 }
 
+placement::~placement() = default;
+
 auto placement::options( placement_demand const& demand,
                          core::instant now ) const -> target_options
 {
@@ -443,20 +470,25 @@
     return { choice, placement_obstacle::full };
 }
 
-/// Packs short prompts onto the first engines in order of rank that are
-/// predicted to be in time, and draws among these. If there are none, the
-/// engines with the earliest predicted first event are used.
 auto placement::choose_short( placement_demand const& demand,
                               engine_speed const& speed,
                               candidates const& targets,
                               core::instant now ) const -> placement_result
+{
+    auto const& chooser =
+        load_table_.mix().tracks( demand.service ) ? *spreading_ : *packing_;
+    return chooser.choose( demand, speed, targets, now );
+}
+
+auto packing_chooser::choose( placement_demand const& demand,
+                              engine_speed const& speed,
+                              engine_list const& targets,
+                              core::instant now ) const -> placement_result
 {
     auto const own_prefill = prefill_ms( speed, demand.prompt_tokens );
     auto const memory =
         memory_need( demand.prompt_tokens, demand.output_tokens );
-    auto const max_pass_ms = ms_of( demand.gap_objective ) * max_pass_per_gap;
-    auto const packed_slots = static_cast<std::int64_t>(
-        std::ceil( static_cast<double>( speed.slots ) * packed_slot_share ) );
+    auto const packed_slots = packed_slots_of( speed );
     auto const spread = std::max(
         min_spread, load_table_.arrivals_per_second( demand.service, now ) *
                         spread_window_seconds );
@@ -472,7 +504,8 @@
         auto option = option_for( demand, speed, t, own_prefill, now );
         auto const pass =
             t->backlog_ms( now ) + own_prefill + pass_ms( speed, *t );
-        if ( t->load.requests < packed_slots && pass < max_pass_ms &&
+        if ( t->load.requests < packed_slots &&
+             keeps_gap_objective( demand, pass ) &&
              ( long_prompts_first || option.max_joining >= 1 ) )
         {
             auto const max_here =
@@ -495,12 +528,7 @@
     if ( preferred.empty() )
         return not_placed( placement_obstacle::full );
     auto const& best = draw_from( preferred, demand.draw );
-    auto choice = placement_choice{};
-    choice.targets.push_back( best.target );
-    choice.parts.push_back( { best.target->properties.id, own_prefill, memory,
-                              best.target->properties.lifetime } );
-    choice.first_event_ms = best.first_event_ms;
-    return { choice, placement_obstacle::full };
+    return { choice_of( demand, speed, best ), placement_obstacle::full };
 }
 
 }
--- a/src/pollenstream/exchange/placement.hpp
+++ b/src/pollenstream/exchange/placement.hpp
@@ -87,6 +87,7 @@
 };
 
 struct prefill_candidate;
+class short_prompt_chooser;
 
 /// A result without a choice, with the reason.
 inline auto not_placed( placement_obstacle reason ) -> placement_result
@@ -130,6 +131,9 @@
 {
 public:
     placement( load_table const& loads, core::data_centre_id own_data_centre );
+    ~placement();
+    placement( placement const& ) = delete;
+    auto operator=( placement const& ) -> placement& = delete;
 
     /// Chooses targets for `demand` among those that accept work now.
     [[nodiscard]] auto choose( placement_demand const& demand,
@@ -215,6 +219,8 @@
 
     load_table const& load_table_;
     core::data_centre_id own_data_centre_;
+    std::unique_ptr<short_prompt_chooser> packing_;
+    std::unique_ptr<short_prompt_chooser> spreading_;
 };
 
 /// True if the prefill of the prompt would delay decoding requests with the
--- a/src/pollenstream/exchange/placement_long.cpp
+++ b/src/pollenstream/exchange/placement_long.cpp
@@ -10,9 +10,6 @@
 namespace
 {
 
-/// Prompts are divided until their parts are shorter than this. Even shorter
-/// parts gain little, as each of them also costs a decode pass.
-constexpr auto preferred_part_ms = 180.0;
 /// A prompt whose prefill makes more than this many preferred parts is a split
 /// prompt. Smaller ones mostly go to one engine.
 constexpr auto min_split_parts = 3.0;
--- a/src/pollenstream/exchange/prompt_division.hpp
+++ b/src/pollenstream/exchange/prompt_division.hpp
@@ -12,6 +12,10 @@
 namespace pollenstream::exchange
 {
 
+/// Prompts are divided until their parts are shorter than this. Even shorter
+/// parts gain little, as each of them also costs a decode pass.
+inline constexpr auto preferred_part_ms = 180.0;
+
 /// Largest backlog of an engine that may become the decode target of a long
 /// prompt. It prefills that prompt after all parts for other engines.
 inline constexpr auto max_decode_target_backlog_ms = 1'500.0;
--- a/tests/support/simulated_engines.cpp
+++ b/tests/support/simulated_engines.cpp
@@ -1,6 +1,7 @@
 #include "support/simulated_engines.hpp"
 
 #include <pollenstream/exchange/engine_model.hpp>
+#include <pollenstream/exchange/short_prompt_chooser.hpp>
 
 #include <algorithm>
 #include <iterator>
@@ -193,9 +194,13 @@
     }
     auto send_chunk( std::string bytes ) -> void override
     {
+        auto const now = owner_.fixture.scheduler.now();
         if ( !record_->first_event )
-            record_->first_event =
-                owner_.fixture.scheduler.now() - record_->arrived_at;
+            record_->first_event = now - record_->arrived_at;
+        else
+            record_->longest_gap =
+                std::max( record_->longest_gap, now - record_->last_event_at );
+        record_->last_event_at = now;
         recorded_channel::send_chunk( std::move( bytes ) );
     }
     auto end_stream() -> void override
@@ -236,29 +241,30 @@
     core::instant started_at_;
 };
 
-simulated_load::simulated_load( int engine_count, exchange::engine_speed speed )
-    : engines( fixture.scheduler, speed ), context_{
-                                               .scheduler = fixture.scheduler,
-                                               .targets = engines,
-                                               .encoder = encoder_,
-                                               .reservations =
-                                                   fixture.reservations,
-                                               .loads = fixture.loads,
-                                               .crashes = fixture.crashes,
-                                               .chooser = fixture.chooser,
-                                               .placements = fixture.router,
-                                               .retries = fixture.retries,
-                                               .queue = fixture.queue,
-                                               .log = fixture.log,
-                                               .announcer = fixture.announcer,
-                                               .self =
-                                                   core::instance_id( "self" ),
-                                               .configuration = nullptr,
-                                               .stop = std::nullopt,
-                                               .last_serial = 0,
-                                               .open = {},
-                                               .counters = {},
-                                               .random = std::minstd_rand( 1 ) }
+simulated_load::simulated_load( int engine_count,
+                                exchange::engine_speed speed,
+                                engine_kind kind )
+    : engines( fixture.scheduler, speed ),
+      engines_with_passes( fixture.scheduler, speed ),
+      context_{ .scheduler = fixture.scheduler,
+                .targets = targets_of( kind ),
+                .encoder = encoder_,
+                .reservations = fixture.reservations,
+                .loads = fixture.loads,
+                .crashes = fixture.crashes,
+                .chooser = fixture.chooser,
+                .placements = fixture.router,
+                .retries = fixture.retries,
+                .queue = fixture.queue,
+                .log = fixture.log,
+                .announcer = fixture.announcer,
+                .self = core::instance_id( "self" ),
+                .configuration = nullptr,
+                .stop = std::nullopt,
+                .last_serial = 0,
+                .open = {},
+                .counters = {},
+                .random = std::minstd_rand( 1 ) }
 {
     auto changed = std::make_shared<exchange::route_configuration>(
         *fixture.context.configuration );
@@ -266,6 +272,7 @@
     changed->index_routes();
     context_.configuration = changed;
     fixture.coordinator.set_configuration( changed );
+    fixture.loads.mix().configure( exchange::spread_services( *changed ) );
     fixture.reservations.answers_at_once = true;
     for ( auto const* id : { "m1", "m2", "m3" } )
         fixture.loads.remove( core::target_id( id ) );
@@ -280,6 +287,13 @@
 
 simulated_load::~simulated_load() = default;
 
+auto simulated_load::targets_of( engine_kind kind ) -> exchange::target_client&
+{
+    if ( kind == engine_kind::passes )
+        return engines_with_passes;
+    return engines;
+}
+
 auto simulated_load::schedule_request( core::duration after,
                                        std::string const& route,
                                        std::int64_t tokens )
--- a/tests/support/simulated_engines.hpp
+++ b/tests/support/simulated_engines.hpp
@@ -2,6 +2,7 @@
 #define TESTS_SUPPORT_SIMULATED_ENGINES_HPP
 
 #include "support/exchange_fixture.hpp"
+#include "support/pass_engines.hpp"
 
 #include <map>
 #include <memory>
@@ -76,17 +77,28 @@
     std::int64_t tokens{ 0 };
     core::instant arrived_at;
     std::optional<core::duration> first_event; ///< time since the arrival
+    core::instant last_event_at;
+    core::duration longest_gap{ 0 }; ///< between two events
     bool complete{ false };
     int refusals{ 0 };
     core::duration longest_refusal_wait{ 0 }; ///< until an attempt is refused
 };
 
+/// Which engines a `simulated_load` has.
+enum class engine_kind
+{
+    fixed_gaps, ///< `simulated_engines`
+    passes,     ///< `pass_engines`
+};
+
 /// One instance in front of simulated engines, with callers that retry once
 /// after a refusal.
 class simulated_load
 {
 public:
-    simulated_load( int engines, exchange::engine_speed speed );
+    simulated_load( int engines,
+                    exchange::engine_speed speed,
+                    engine_kind kind = engine_kind::fixed_gaps );
     ~simulated_load();
     simulated_load( simulated_load const& ) = delete;
     auto operator=( simulated_load const& ) -> simulated_load& = delete;
@@ -102,10 +114,12 @@
 
     exchange_fixture fixture;
     simulated_engines engines;
+    pass_engines engines_with_passes;
 
 private:
     class caller_channel;
 
+    auto targets_of( engine_kind kind ) -> exchange::target_client&;
     auto start_request( std::shared_ptr<simulated_request> const& record,
                         std::string const& route,
                         core::duration time_limit ) -> void;
