--- a/src/pollenstream/exchange/short_prompt_chooser.cpp
+++ b/src/pollenstream/exchange/short_prompt_chooser.cpp
@@ -119,10 +119,13 @@
                                 engine_list const& targets,
                                 core::instant now ) const -> placement_result
 {
+    // An instance that chooses without a coordinator knows only its own work. A
+    // split prompt that waits needs many engines at one moment.
+    if ( demand.limits != limit_use::coordinated || demand.others_in_time )
+        return packing_.choose( demand, speed, targets, now );
     auto const count =
         engines_for_short( load_table_, demand.service, targets, now );
-    // A split prompt that waits needs many engines at one moment.
-    if ( !count || demand.others_in_time )
+    if ( !count )
         return packing_.choose( demand, speed, targets, now );
     auto options = in_time_options( demand, speed, targets, *count, now );
     if ( options.empty() )
--- a/src/pollenstream/exchange/short_prompt_chooser.hpp
+++ b/src/pollenstream/exchange/short_prompt_chooser.hpp
@@ -99,7 +99,8 @@
 
 /// Spreads short prompts evenly over the engines that long prompts are not
 /// expected to need, so that few of them share a pass. Where none of these is
-/// in time, or long prompts need or await engines, it chooses like `packing`.
+/// in time, long prompts need or await engines, or there is no coordinator that
+/// knows the work of all, it chooses like `packing`.
 class spreading_chooser : public short_prompt_chooser
 {
 public:
--- a/tests/observation/observation_test.cpp
+++ b/tests/observation/observation_test.cpp
@@ -195,6 +195,21 @@
                            "asks waiting here 7\n" ) != std::string::npos );
 }
 
+TEST_CASE( "status prints over how many engines short prompts are spread",
+           "[status]" )
+{
+    auto const state = web::json::value::parse( R"({
+        "instance": "front-1", "configuration": 42, "open_requests": 3,
+        "waiting_requests": 1, "stopping": false,
+        "store": { "serves": true, "reads": false, "known_until": 99 },
+        "mix": [ { "service": "chat-model", "engines_for_short": 9 } ],
+        "invariants": {}, "targets": [], "peers": [] })" );
+    auto out = std::ostringstream{};
+    apps::tool::print_status( state, out );
+    CHECK( out.str().find( "engines_for_short" ) != std::string::npos );
+    CHECK( out.str().find( "chat-model" ) != std::string::npos );
+}
+
 TEST_CASE( "explain shows which instance chose the targets", "[explain]" )
 {
     auto log = std::istringstream(
--- a/tests/scheduling/spread_choice_test.cpp
+++ b/tests/scheduling/spread_choice_test.cpp
@@ -58,6 +58,7 @@
         demand.gap_objective = 200ms;
         demand.min_gap_objective = 200ms;
         demand.others_in_time = long_prompt_waits;
+        demand.limits = limits;
         for ( auto i = 0; i < count; ++i )
         {
             auto const result = chooser.choose( demand, service, now );
@@ -83,6 +84,7 @@
     core::instant now{ 100s };
     std::uint64_t serial{ 0 };
     bool long_prompt_waits{ false };
+    exchange::limit_use limits{ exchange::limit_use::coordinated };
 };
 
 }
@@ -109,6 +111,15 @@
     CHECK( f.place( 40 ).size() <= 4 );
 }
 
+// Guards against instances that all take the same engine for the emptiest, as
+// none of them knows the work of the others.
+TEST_CASE( "without a coordinator short prompts are packed", "[mix_forecast]" )
+{
+    auto f = spread_fixture{};
+    f.limits = exchange::limit_use::uncoordinated;
+    CHECK( f.place( 40 ).size() <= 4 );
+}
+
 // Guards against answers that a long part on their engine interrupts.
 TEST_CASE( "no short prompt is spread to an engine that prefills a long part",
            "[mix_forecast]" )
