Keep short prompts in their data centre where round trips are noticeable

Cause: prompts are placed without regard to the data centre, so that on a region whose data centres are 3.4 ms apart two thirds of the answers cross between them.

A new field in the placement request: the message names the sender's data centre already.

A service whose round trip takes more than 2% of the shortest latency objective of its streams places short prompts at engines of the requester's data centre first, while these are in time. Plain calls that the coordinator places are counted from the requester's data centre.

Not measured yet.

--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -186,6 +186,7 @@
     if ( may_outlast_stop( now ) )
         return refuse( status_unavailable, "stopping", retry_after_stop );
     set_deadlines();
+    demand_.data_centre = context_.chooser.own_data_centre();
     demand_.latency_objective = route_->latency_objective;
     demand_.gap_objective = route_->gap_objective;
     demand_.min_gap_objective =
--- a/src/pollenstream/exchange/placement.cpp
+++ b/src/pollenstream/exchange/placement.cpp
@@ -79,6 +79,19 @@
            long_engine_share * static_cast<double>( targets.size() );
 }
 
+/// The targets with those in `data_centre` first, each group in its order.
+auto local_first( std::vector<std::shared_ptr<target_entry>> targets,
+                  core::data_centre_id const& data_centre )
+    -> std::vector<std::shared_ptr<target_entry>>
+{
+    std::stable_partition( targets.begin(), targets.end(),
+                           [&]( auto const& t )
+                           {
+                               return t->properties.data_centre == data_centre;
+                           } );
+    return targets;
+}
+
 /// An engine that may take a short prompt.
 struct short_option
 {
@@ -390,7 +403,11 @@
                                   core::instant now ) const -> placement_result
 {
     if ( !service.engine || demand.prompt_tokens == 0 )
-        return choose_plain( targets, now );
+        return choose_plain( targets,
+                             demand.data_centre.str().empty()
+                                 ? own_data_centre_
+                                 : demand.data_centre,
+                             now );
     auto const& speed = *service.engine;
     auto const memory =
         memory_need( demand.prompt_tokens, demand.output_tokens );
@@ -408,11 +425,16 @@
         return fits_one_engine ? choose_long( demand, speed, targets, now )
                                : choose_reserved( demand, speed, targets, now );
     }
+    if ( service.prefers_own_data_centre )
+        return choose_short( demand, speed,
+                             local_first( targets, demand.data_centre ), now );
     return choose_short( demand, speed, targets, now );
 }
 
-/// The plain target with the lowest load relative to its slots.
+/// The plain target with the lowest load relative to its slots, preferably in
+/// the data centre `near`.
 auto placement::choose_plain( candidates const& targets,
+                              core::data_centre_id const& near,
                               core::instant now ) const -> placement_result
 {
     constexpr auto max_reported_load_age = core::duration( 100'000 );
@@ -428,7 +450,7 @@
                 std::max( busy, static_cast<double>( t->reported->running +
                                                      t->reported->waiting ) );
         auto load = busy / slots;
-        if ( t->properties.data_centre != own_data_centre_ )
+        if ( t->properties.data_centre != near )
             load += remote_load_penalty;
         if ( load < best_load )
         {
@@ -443,8 +465,8 @@
     return { choice, placement_obstacle::full };
 }
 
-/// Packs short prompts onto the first engines in order of rank that are
-/// predicted to be in time, and draws among these. If there are none, the
+/// Packs short prompts onto the first engines of `targets` that are predicted
+/// to be in time, and draws among these. If there are none, the
 /// engines with the earliest predicted first event are used.
 auto placement::choose_short( placement_demand const& demand,
                               engine_speed const& speed,
--- a/src/pollenstream/exchange/placement.hpp
+++ b/src/pollenstream/exchange/placement.hpp
@@ -19,6 +19,8 @@
 struct placement_demand
 {
     core::service_id service;
+    /// Of the instance that received the request; empty if it is not known.
+    core::data_centre_id data_centre;
     std::int64_t prompt_tokens{ 0 }; ///< 0 for a plain call
     std::int64_t output_tokens{ 0 };
     core::duration latency_objective{ 0 };
@@ -131,6 +133,12 @@
 public:
     placement( load_table const& loads, core::data_centre_id own_data_centre );
 
+    /// The data centre of this instance.
+    [[nodiscard]] auto own_data_centre() const -> core::data_centre_id const&
+    {
+        return own_data_centre_;
+    }
+
     /// Chooses targets for `demand` among those that accept work now.
     [[nodiscard]] auto choose( placement_demand const& demand,
                                service_settings const& service,
@@ -188,6 +196,7 @@
                                         core::instant now ) const
         -> placement_result;
     [[nodiscard]] auto choose_plain( candidates const& targets,
+                                     core::data_centre_id const& near,
                                      core::instant now ) const
         -> placement_result;
     [[nodiscard]] auto choose_short( placement_demand const& demand,
--- a/src/pollenstream/exchange/routes.cpp
+++ b/src/pollenstream/exchange/routes.cpp
@@ -5,6 +5,16 @@
 namespace pollenstream::exchange
 {
 
+namespace
+{
+
+/// A round trip to another data centre that takes more than this share of a
+/// latency objective is avoided. Below it, the free choice among all targets
+/// gains more than the shorter way.
+constexpr auto noticeable_round_trip_share = 0.02;
+
+}
+
 auto route_configuration::add_workspace( workspace_settings settings,
                                          std::vector<std::string> const& keys )
     -> void
@@ -18,6 +28,7 @@
 {
     by_host_.clear();
     index_gap_objectives();
+    set_data_centre_preferences();
     for ( auto i = std::size_t{ 0 }; i < routes.size(); ++i )
         by_host_[routes[i].host].push_back( i );
     for ( auto& [host, indexes] : by_host_ )
@@ -45,6 +56,26 @@
     }
 }
 
+auto route_configuration::set_data_centre_preferences() -> void
+{
+    for ( auto& [id, settings] : services )
+        settings.prefers_own_data_centre = false;
+    for ( auto const& r : routes )
+        for ( auto const& s : r.services )
+        {
+            auto const found = services.find( s.service );
+            if ( found == services.end() || r.kind != request_kind::stream )
+                continue;
+            auto& settings = found->second;
+            auto const round_trip =
+                core::seconds_of( settings.data_centre_delay * 2 );
+            settings.prefers_own_data_centre =
+                settings.prefers_own_data_centre ||
+                round_trip > core::seconds_of( r.latency_objective ) *
+                                 noticeable_round_trip_share;
+        }
+}
+
 auto route_configuration::find_route( std::string_view host,
                                       std::string_view path ) const
     -> route const*
--- a/src/pollenstream/exchange/routes.hpp
+++ b/src/pollenstream/exchange/routes.hpp
@@ -85,6 +85,11 @@
     /// Requests a second that a target takes from all instances together while
     /// it warms up after its start; empty if that is not limited.
     std::optional<double> warm_up_rate;
+    /// The longest one-way delay between two of the targets' data centres.
+    core::duration data_centre_delay{ 0 };
+    /// Prompts go to targets in the data centre of the instance that received
+    /// them while these can serve them in time. Set by `index_routes`.
+    bool prefers_own_data_centre{ false };
 };
 
 /// Limits on the size of callers' requests and on the time to send them.
@@ -137,6 +142,7 @@
 
 private:
     auto index_gap_objectives() -> void;
+    auto set_data_centre_preferences() -> void;
 
     std::unordered_map<std::string, std::vector<std::size_t>> by_host_;
     std::unordered_map<core::service_id, core::duration> min_gap_objective_;
--- a/src/pollenstream/peers/peer_group.cpp
+++ b/src/pollenstream/peers/peer_group.cpp
@@ -492,6 +492,7 @@
     for ( auto& request : message.placement_requests )
     {
         request.requester = message.sender;
+        request.demand.data_centre = message.data_centre;
         handler_->on_request( std::move( request ) );
     }
     for ( auto const& answer : message.answers )
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -279,7 +279,9 @@
          "timeout_ms":600,"service":"s2","max_attempts":1}],
       "services":[{"name":"s1","max_connections":424,"inference_engine":
          {"slots":16,"kv_capacity":450000,"stride":46,"step_ms":0.9,
-          "read_per_s":256000.0,"pairs_per_m":0.09,"chunk":2048},
+          "read_per_s":256000.0,"pairs_per_m":0.09,"chunk":2048,
+          "delays":[{"from":"a","target_version":"b","delay_ms":0.5},
+                    {"from":"a","target_version":"c","delay_ms":3.4}]},
           "cold_start_s":3.0,"cold_per_s":26.0},
          {"name":"s2","cold_start_s":0.0,"cold_per_s":0.0}],
       "limits":{"max_header_bytes":100,"max_body_bytes":200,
@@ -296,6 +298,8 @@
     CHECK( c.find_service( core::service_id( "s1" ) )->engine->slots == 16 );
     CHECK( c.find_service( core::service_id( "s1" ) )
                ->engine->prefill_tokens_per_ms == Approx( 256 ) );
+    CHECK( c.find_service( core::service_id( "s1" ) )->data_centre_delay ==
+           3'400us );
     CHECK( c.find_service( core::service_id( "s1" ) )->warm_up_rate == 26.0 );
     CHECK_FALSE( c.find_service( core::service_id( "s2" ) )->warm_up_rate );
     CHECK( c.limits.max_header_bytes == 100 );
