--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -7,6 +7,7 @@
 
 # Decisions of the gateway: no transport, no real clock.
 file(GLOB GATEWAY_CORE_SOURCES CONFIGURE_DEPENDS
+  src/pollenstream/scheduling/*.cpp
   src/pollenstream/exchange/*.cpp src/pollenstream/registry/*.cpp
   src/pollenstream/peers/*.cpp src/pollenstream/observation/*.cpp)
 add_library(gateway_core STATIC ${GATEWAY_CORE_SOURCES})
