Coordinators consider the shares of workspaces in the order of requests

Waiting requests were ordered by priority, lateness and due time, so that one workspace with ten times its load made all others wait. The placement request now carries the workspace's number (layout 10), the coordinator keeps scheduling::fair_shares, and the queue puts workspaces over their share behind the others of the same priority. A split prompt within its share is refused or yields only for one that is within its share too.

Ruled out: trying a new request of a workspace over its share at once. Ruled out as well: moving requests that have waited for half of their patience where they are over their share themselves, as they would pass requests within theirs.

With fewer than two workspaces in the configuration nothing is kept and the order is as before.

--- a/apps/gateway/node_state.cpp
+++ b/apps/gateway/node_state.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cmath>
 #include <sstream>
 
 namespace pollenstream::gateway
@@ -78,6 +79,26 @@
     return list;
 }
 
+/// Number of workspaces whose shares are described.
+constexpr auto max_shares_written = std::size_t{ 10 };
+
+auto describe_shares( exchange::placement_coordinator const& coordinator )
+    -> json
+{
+    auto list = json::array();
+    for ( auto const& s : coordinator.largest_shares( max_shares_written ) )
+        list.push_back(
+            { { "service", s.service.str() },
+              { "workspace", s.workspace.count() },
+              { "asked_per_second", std::llround( s.asked_per_second ) },
+              { "granted_per_second", std::llround( s.granted_per_second ) },
+              { "level_per_second",
+                s.level_per_second ? json( std::llround( *s.level_per_second ) )
+                                   : json() },
+              { "over_share", s.is_over } } );
+    return list;
+}
+
 auto describe_placement( node_parts const& node ) -> json
 {
     auto coordinators = json::array();
@@ -89,7 +110,8 @@
     }
     return { { "coordinators", std::move( coordinators ) },
              { "here", is_coordinator },
-             { "asks_waiting", node.coordinator.waiting() } };
+             { "asks_waiting", node.coordinator.waiting() },
+             { "shares", describe_shares( node.coordinator ) } };
 }
 
 /// Bounds the number of targets with a limit in the text.
@@ -185,6 +207,8 @@
     gauge( "pollenstream_quarantined_contents",
            context.crashes.quarantined_contents() );
     gauge( "pollenstream_asks_waiting", coordinator.waiting() );
+    gauge( "pollenstream_workspaces_over_share",
+           coordinator.workspaces_over_share() );
     auto const count =
         [&out]( char const* name, std::string const& labels, auto const& value )
     {
@@ -206,6 +230,8 @@
            decisions.refused.value() );
     count( "pollenstream_refused_for_limits_total", "",
            decisions.limited.value() );
+    count( "pollenstream_yielded_for_share_total", "",
+           decisions.yielded_for_share.value() );
     count( "pollenstream_asks_repeated_total", "", decisions.repeated.value() );
     count( "pollenstream_peer_datagrams_total", "",
            group.sent().datagrams.value() );
--- a/apps/tool/status.cpp
+++ b/apps/tool/status.cpp
@@ -22,6 +22,18 @@
         << '\n';
 }
 
+/// Prints the shares of the workspaces that ask this coordinator for the most.
+auto print_shares( web::json::value const& placing, std::ostream& out ) -> void
+{
+    if ( !placing.has_field( "shares" ) || placing.at( "shares" ).size() == 0 )
+        return;
+    out << '\n';
+    print_table( placing.at( "shares" ),
+                 { "service", "workspace", "asked_per_second",
+                   "granted_per_second", "level_per_second", "over_share" },
+                 out );
+}
+
 auto print_drained( web::json::value const& drained, std::ostream& out ) -> void
 {
     if ( drained.size() == 0 )
@@ -62,6 +74,8 @@
     if ( state.has_field( "drained_places" ) )
         print_drained( state.at( "drained_places" ), out );
     print_violations( state.at( "invariants" ), out );
+    if ( state.has_field( "placing" ) )
+        print_shares( state.at( "placing" ), out );
     out << '\n';
     print_table( state.at( "targets" ),
                  { "id", "service", "place", "leaving", "gone", "drained",
--- a/src/pollenstream/exchange/event_log.hpp
+++ b/src/pollenstream/exchange/event_log.hpp
@@ -90,7 +90,8 @@
 /// The state of something, as known to this process, has changed.
 struct state_change
 {
-    std::string what; ///< `target`, `store`, `peer`, `configuration`, `process`
+    /// `target`, `store`, `peer`, `workspace`, `configuration`, `process`
+    std::string what;
     std::string name;
     std::string now; ///< the new state
     std::string because;
--- a/src/pollenstream/exchange/exchange_waiting.cpp
+++ b/src/pollenstream/exchange/exchange_waiting.cpp
@@ -68,6 +68,7 @@
         request.crashed_at.push_back( run.target );
     request.demand = demand_;
     request.priority = priority_;
+    request.workspace = scheduling::number_of( workspace_ );
     request.may_be_refused = !may_have_run_;
     auto open = context_.placements.request(
         std::move( request ),
--- a/src/pollenstream/exchange/placement_client.hpp
+++ b/src/pollenstream/exchange/placement_client.hpp
@@ -4,6 +4,7 @@
 #include <pollenstream/exchange/message.hpp>
 #include <pollenstream/exchange/placement.hpp>
 #include <pollenstream/exchange/request_content.hpp>
+#include <pollenstream/scheduling/workspace_number.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -27,7 +28,8 @@
     /// What the choice depends on. Times are as of the request; the coordinator
     /// fills in what depends on its own queue.
     placement_demand demand;
-    int priority{ 0 }; ///< lower values go first
+    int priority{ 0 };                      ///< lower values go first
+    scheduling::workspace_number workspace; ///< 0 if there is none
     /// True where no part of the prompt has run yet.
     bool may_be_refused{ true };
 };
--- a/src/pollenstream/exchange/placement_coordinator.cpp
+++ b/src/pollenstream/exchange/placement_coordinator.cpp
@@ -3,6 +3,7 @@
 #include <pollenstream/exchange/placement_coordinator.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 #include <vector>
 
@@ -20,10 +21,47 @@
 /// Seconds added per priority level, so that the level outweighs due times and
 /// the penalty for lateness.
 constexpr auto priority_step = 100'000.0;
+/// Seconds added for a workspace that is over its share. It outweighs due times
+/// and the penalty for lateness, and is outweighed by the priority level.
+constexpr auto share_penalty = 10'000.0;
+/// Tokens that a plain call counts in the shares of workspaces: about a short
+/// prompt.
+constexpr auto plain_call_tokens = 1'000.0;
+/// Interval of reports on workspaces over their shares, which bounds the log
+/// lines to one a second for each workspace.
+constexpr auto share_report_interval = core::duration( 1s );
 /// Minimum Retry-After of a refusal for a limit: the caller must not repeat the
 /// request at once.
 constexpr auto min_retry_delay = core::duration( 20ms );
 
+/// Tokens that a request counts in the shares of workspaces.
+auto share_tokens( placement_request const& request ) -> double
+{
+    auto const& demand = request.demand;
+    return demand.prompt_tokens > 0
+               ? static_cast<double>( demand.prompt_tokens )
+               : plain_call_tokens;
+}
+
+auto share_change_event( scheduling::workspace_share const& share )
+    -> state_change
+{
+    auto const text = []( double per_second )
+    {
+        return std::to_string( std::llround( per_second ) );
+    };
+    auto because = share.service.str() + ", asked " +
+                   text( share.asked_per_second ) + ", granted " +
+                   text( share.granted_per_second );
+    if ( share.level_per_second )
+        because += ", level " + text( *share.level_per_second );
+    return { "workspace",
+             std::to_string( share.workspace.count() ),
+             share.is_over ? "over_share" : "within_share",
+             because + " tokens a second",
+             {} };
+}
+
 }
 
 /// A placement request that waits for capacity at a target.
@@ -69,6 +107,12 @@
         return is_held_back_ || limited_since_ ||
                !request.demand.tried.empty() || !request.demand.paused.empty();
     }
+    [[nodiscard]] auto share() const -> share_standing override;
+    auto on_yielded() -> void override
+    {
+        if ( !std::exchange( has_yielded_, true ) )
+            owner_.counters_.yielded_for_share.add();
+    }
 
     /// Replaces the listener when the request is repeated.
     auto set_listener( std::shared_ptr<placement_listener> listener ) -> void
@@ -106,6 +150,8 @@
     should_refuse_as_late( service_settings const& settings ) const -> bool;
     [[nodiscard]] auto should_yield( placement_choice const& choice ) const
         -> bool;
+    [[nodiscard]] auto has_split_prompt_within_share( core::instant now ) const
+        -> bool;
     auto enter_split_queue() -> void;
     auto leave_split_queue() -> void;
     auto grant( placement_choice choice ) -> bool;
@@ -122,6 +168,7 @@
     bool is_split_{ false };
     bool in_split_queue_{ false };
     bool was_tried_{ false };
+    bool has_yielded_{ false };  ///< to a workspace within its share
     bool is_held_back_{ false }; ///< until another run of the content ends
     /// Since when the limits of all remaining targets are used up.
     std::optional<core::instant> limited_since_;
@@ -131,10 +178,33 @@
 {
     auto const seconds = core::seconds_of( due().time_since_epoch() );
     auto const is_late = owner_.scheduler_.now() > due();
-    return seconds + ( is_late ? late_penalty : 0 ) +
+    return seconds + ( is_late ? late_penalty : 0 ) + share().penalty +
            request.priority * priority_step;
 }
 
+auto placement_coordinator::queued_request::share() const -> share_standing
+{
+    auto const waited = owner_.scheduler_.now() - received_;
+    auto const patience = patience_deadline_ - received_;
+    return { request.priority,
+             owner_.is_over_share( request ) ? share_penalty : 0.0,
+             waited > patience / 2 };
+}
+
+/// True if another split prompt that can be in time waits for a workspace
+/// within its share.
+auto placement_coordinator::queued_request::has_split_prompt_within_share(
+    core::instant now ) const -> bool
+{
+    return std::any_of( owner_.split_waiting_.begin(),
+                        owner_.split_waiting_.end(),
+                        [&]( auto const* other )
+                        {
+                            return other != this && other->due() >= now &&
+                                   !owner_.is_over_share( other->request );
+                        } );
+}
+
 auto placement_coordinator::queued_request::refresh_demand( core::instant now )
     -> void
 {
@@ -149,6 +219,10 @@
                           : split_prompts.size() ) == 0;
     demand.others_in_time = split_prompts.others_in_time(
         in_split_queue_ ? due() : core::instant::min(), now );
+    // Nothing is refused or put off in favour of a workspace over its share.
+    if ( demand.others_in_time && is_split_ && owner_.has_shares() &&
+         !owner_.is_over_share( request ) )
+        demand.others_in_time = has_split_prompt_within_share( now );
     demand.draw =
         std::uniform_real_distribution<double>( 0, 1 )( owner_.random_ );
 }
@@ -262,13 +336,19 @@
 auto placement_coordinator::queued_request::enter_split_queue() -> void
 {
     if ( is_split_ && !std::exchange( in_split_queue_, true ) )
+    {
         owner_.load_table_.split_prompts().enter( due() );
+        owner_.split_waiting_.insert( this );
+    }
 }
 
 auto placement_coordinator::queued_request::leave_split_queue() -> void
 {
     if ( std::exchange( in_split_queue_, false ) )
+    {
         owner_.load_table_.split_prompts().leave( due() );
+        owner_.split_waiting_.erase( this );
+    }
 }
 
 auto placement_coordinator::queued_request::start_waiting() -> void
@@ -331,6 +411,8 @@
     -> void
 {
     configuration_ = std::move( configuration );
+    if ( !has_shares() )
+        shares_.clear();
 }
 
 auto placement_coordinator::knows( core::service_id const& service ) const
@@ -341,6 +423,50 @@
     return settings != nullptr;
 }
 
+auto placement_coordinator::note_asked( placement_request const& asked ) -> void
+{
+    if ( !has_shares() )
+        return;
+    shares_.note_asked( asked.demand.service, asked.workspace,
+                        share_tokens( asked ), scheduler_.now() );
+    if ( !share_report_ )
+        report_shares();
+}
+
+auto placement_coordinator::is_over_share(
+    placement_request const& asked ) const -> bool
+{
+    return has_shares() &&
+           shares_.is_over_share( asked.demand.service, asked.workspace,
+                                  scheduler_.now() );
+}
+
+auto placement_coordinator::report_shares() -> void
+{
+    auto const keep_alive = std::move( share_report_ );
+    auto const now = scheduler_.now();
+    for ( auto const& change : shares_.take_changes( now ) )
+        log_.record( share_change_event( change ) );
+    if ( shares_.is_idle( now ) )
+        return;
+    share_report_ = scheduler_.call_after( share_report_interval,
+                                           [this]
+                                           {
+                                               report_shares();
+                                           } );
+}
+
+auto placement_coordinator::workspaces_over_share() const -> std::size_t
+{
+    return shares_.over_share( scheduler_.now() );
+}
+
+auto placement_coordinator::largest_shares( std::size_t count ) const
+    -> std::vector<scheduling::workspace_share>
+{
+    return shares_.largest( count, scheduler_.now() );
+}
+
 auto placement_coordinator::count_other_waiting(
     queued_request const& item ) const -> std::size_t
 {
@@ -431,6 +557,10 @@
     waiting_.erase( found );
     add_work( *kept_item, choice );
     counters_.granted.add();
+    if ( has_shares() )
+        shares_.note_granted(
+            kept_item->service(), kept_item->request.workspace,
+            share_tokens( kept_item->request ), scheduler_.now() );
     auto const is_suspect = kept_item->request.demand.crashes > 0;
     granted_[key] = { choice, kept_item->request.content, is_suspect };
     kept_item->listener().on_granted(
@@ -470,10 +600,17 @@
     auto const item = std::make_shared<queued_request>(
         *this, std::move( new_request ), *settings, std::move( listener ) );
     waiting_.emplace( key, item );
-    if ( item->try_start() )
+    note_asked( item->request );
+    // Capacity that has become free since the last round belongs to the
+    // requests that wait, if this one's workspace is over its share.
+    auto const joins_round =
+        waiting_.size() > 1 && is_over_share( item->request );
+    if ( !joins_round && item->try_start() )
         return;
     wait_queue_.add( item );
     item->start_waiting();
+    if ( joins_round )
+        wait_queue_.schedule_round();
 }
 
 auto placement_coordinator::release( core::instance_id const& requester,
--- a/src/pollenstream/exchange/placement_coordinator.hpp
+++ b/src/pollenstream/exchange/placement_coordinator.hpp
@@ -9,6 +9,7 @@
 #include <pollenstream/exchange/routes.hpp>
 #include <pollenstream/exchange/wait_queue.hpp>
 #include <pollenstream/ports/scheduler.hpp>
+#include <pollenstream/scheduling/fair_shares.hpp>
 
 #include <cstdint>
 #include <map>
@@ -16,6 +17,7 @@
 #include <random>
 #include <set>
 #include <utility>
+#include <vector>
 
 namespace pollenstream::exchange
 {
@@ -28,6 +30,8 @@
     core::counter refused;
     core::counter repeated; ///< received again; the answer may be lost
     core::counter limited;  ///< refused because of targets' limits
+    /// Tried later because their workspaces were over their shares.
+    core::counter yielded_for_share;
 };
 
 /// Chooses targets for the prompts of all instances that send it placement
@@ -73,6 +77,11 @@
     {
         return waiting_.size();
     }
+    /// Number of workspaces that are over their share of a service.
+    [[nodiscard]] auto workspaces_over_share() const -> std::size_t;
+    /// The `count` workspaces that ask for the most.
+    [[nodiscard]] auto largest_shares( std::size_t count ) const
+        -> std::vector<scheduling::workspace_share>;
     [[nodiscard]] auto counters() const -> coordinator_counters const&
     {
         return counters_;
@@ -96,6 +105,17 @@
     using retry_times = std::map<core::service_id, core::instant>;
 
     [[nodiscard]] auto is_running( content_id content ) const -> bool;
+    /// True where the shares of workspaces are considered.
+    [[nodiscard]] auto has_shares() const -> bool
+    {
+        return configuration_ && configuration_->workspaces() > 1;
+    }
+    auto note_asked( placement_request const& asked ) -> void;
+    [[nodiscard]] auto is_over_share( placement_request const& asked ) const
+        -> bool;
+    /// Logs which workspaces are over their share, and again after an interval
+    /// while requests arrive.
+    auto report_shares() -> void;
     /// Number of other requests that wait for the same service.
     [[nodiscard]] auto count_other_waiting( queued_request const& item ) const
         -> std::size_t;
@@ -122,6 +142,12 @@
     std::map<request_key, open_grant> granted_;
     retry_times retry_times_;
     coordinator_counters counters_;
+    /// Updates its levels when it is asked, hence mutable.
+    mutable scheduling::fair_shares shares_;
+    std::unique_ptr<ports::scheduled_call> share_report_;
+    /// The waiting split prompts, to tell whose workspaces are within their
+    /// shares.
+    std::set<queued_request const*> split_waiting_;
     std::minstd_rand random_;
 };
 
--- a/src/pollenstream/exchange/routes.hpp
+++ b/src/pollenstream/exchange/routes.hpp
@@ -125,6 +125,10 @@
         -> route const*;
     [[nodiscard]] auto find_workspace( std::string const& key ) const
         -> workspace_settings const*;
+    [[nodiscard]] auto workspaces() const -> std::size_t
+    {
+        return workspaces_.size();
+    }
     /// The shortest gap objective of the streams that the service serves; zero
     /// if it serves none.
     [[nodiscard]] auto min_gap_objective( core::service_id const& id ) const
--- a/src/pollenstream/exchange/wait_queue.cpp
+++ b/src/pollenstream/exchange/wait_queue.cpp
@@ -79,20 +79,72 @@
     return true;
 }
 
-auto wait_queue::run_round() -> void
+/// Requests that have waited long go before the first more urgent one whose
+/// workspace is over its share, so that such a workspace does not starve the
+/// less urgent requests of the others.
+auto wait_queue::entries_in_order() const -> std::vector<round_entry>
 {
-    auto round = waiting_;
-    in_round_ = true;
-    std::stable_sort( round.begin(), round.end(),
+    auto entries = std::vector<round_entry>{};
+    entries.reserve( waiting_.size() );
+    for ( auto const& item : waiting_ )
+        entries.push_back( { item, item->order(), item->share() } );
+    std::stable_sort( entries.begin(), entries.end(),
                       []( auto const& a, auto const& b )
                       {
-                          return a->order() < b->order();
+                          return a.order < b.order;
                       } );
+    auto const over = std::find_if( entries.begin(), entries.end(),
+                                    []( auto const& e )
+                                    {
+                                        return e.share.is_over();
+                                    } );
+    if ( over == entries.end() )
+        return entries;
+    auto const priority = over->share.priority;
+    std::stable_partition( over, entries.end(),
+                           [priority]( auto const& e )
+                           {
+                               return e.share.has_waited_long &&
+                                      !e.share.is_over() &&
+                                      e.share.priority > priority;
+                           } );
+    return entries;
+}
+
+/// Tells the items that would be tried earlier if shares were not considered.
+auto wait_queue::report_yielded( std::vector<round_entry> const& entries )
+    -> void
+{
+    auto latest_within = std::map<core::service_id, double>{};
+    for ( auto const& e : entries )
+    {
+        auto const order = e.order - e.share.penalty;
+        auto const at = latest_within.find( e.item->service() );
+        if ( !e.share.is_over() )
+        {
+            auto& latest =
+                at == latest_within.end()
+                    ? latest_within.emplace( e.item->service(), order )
+                          .first->second
+                    : at->second;
+            latest = std::max( latest, order );
+        }
+        else if ( at != latest_within.end() && at->second > order )
+            e.item->on_yielded();
+    }
+}
+
+auto wait_queue::run_round() -> void
+{
+    auto const round = entries_in_order();
+    in_round_ = true;
+    report_yielded( round );
     // Smallest item that found no capacity, by service and by `is_long()`.
     auto smallest_unplaced =
         std::map<std::pair<core::service_id, bool>, std::int64_t>{};
-    for ( auto const& item : round )
+    for ( auto const& entry : round )
     {
+        auto const& item = entry.item;
         if ( was_removed( item.get() ) )
             continue;
         if ( item->is_always_tried() )
--- a/src/pollenstream/exchange/wait_queue.hpp
+++ b/src/pollenstream/exchange/wait_queue.hpp
@@ -12,6 +12,21 @@
 namespace pollenstream::exchange
 {
 
+/// Where a waiting request stands in the order between workspaces.
+struct share_standing
+{
+    int priority{ 0 }; ///< lower values go first
+    /// Part of `waiting_item::order()` for a workspace that is over its share;
+    /// zero for all others.
+    double penalty{ 0 };
+    bool has_waited_long{ false }; ///< for more than half of its patience
+
+    [[nodiscard]] auto is_over() const -> bool
+    {
+        return penalty > 0;
+    }
+};
+
 /// A request that waits for capacity at a target.
 class waiting_item
 {
@@ -32,6 +47,13 @@
     /// True where it is tried in each round, even if a smaller request did not
     /// fit.
     [[nodiscard]] virtual auto is_always_tried() const -> bool = 0;
+    [[nodiscard]] virtual auto share() const -> share_standing
+    {
+        return {};
+    }
+    /// A request of a workspace within its share is tried before this one only
+    /// because this one's workspace is over its share.
+    virtual auto on_yielded() -> void {}
 };
 
 /// Requests that wait for capacity at targets: those of this instance, and the
@@ -51,6 +73,17 @@
     }
 
 private:
+    /// An item with its place in one round.
+    struct round_entry
+    {
+        std::shared_ptr<waiting_item> item;
+        double order{ 0 };
+        share_standing share;
+    };
+
+    [[nodiscard]] auto entries_in_order() const -> std::vector<round_entry>;
+    static auto report_yielded( std::vector<round_entry> const& entries )
+        -> void;
     auto run_round() -> void;
     auto try_item( std::shared_ptr<waiting_item> const& item ) -> bool;
     [[nodiscard]] auto was_removed( waiting_item const* item ) const -> bool;
--- a/src/pollenstream/peers/peer_message.cpp
+++ b/src/pollenstream/peers/peer_message.cpp
@@ -16,7 +16,7 @@
 
 /// Number of the message layout, to be raised with each change of it. Messages
 /// of another layout are ignored.
-constexpr auto layout = 9;
+constexpr auto layout = 10;
 
 auto ref_to_json( exchange::target_ref const& ref ) -> json
 {
@@ -104,17 +104,17 @@
     auto crashed_at = json::array();
     for ( auto const& target : request.crashed_at )
         crashed_at.push_back( ref_to_json( target ) );
-    return json::array( { request.serial, request.attempt.str(),
-                          d.service.str(), d.prompt_tokens, d.output_tokens,
-                          core::milliseconds_of( d.latency_objective ),
-                          core::milliseconds_of( d.gap_objective ),
-                          core::milliseconds_of( d.min_gap_objective ),
-                          core::milliseconds_of( d.waited ),
-                          core::milliseconds_of( d.time_left ),
-                          core::milliseconds_of( d.patience_left ),
-                          std::move( excluded ), request.priority,
-                          request.may_be_refused, request.content.count(),
-                          std::move( crashed_at ) } );
+    return json::array(
+        { request.serial, request.attempt.str(), d.service.str(),
+          d.prompt_tokens, d.output_tokens,
+          core::milliseconds_of( d.latency_objective ),
+          core::milliseconds_of( d.gap_objective ),
+          core::milliseconds_of( d.min_gap_objective ),
+          core::milliseconds_of( d.waited ),
+          core::milliseconds_of( d.time_left ),
+          core::milliseconds_of( d.patience_left ), std::move( excluded ),
+          request.priority, request.may_be_refused, request.content.count(),
+          std::move( crashed_at ), request.workspace.count() } );
 }
 
 auto placement_request_from_json( json const& object )
@@ -143,6 +143,8 @@
         exchange::content_id( object.at( at++ ).get<std::int64_t>() );
     for ( auto const& target : object.at( at++ ) )
         request.crashed_at.push_back( ref_from_json( target ) );
+    request.workspace =
+        scheduling::workspace_number( object.at( at++ ).get<std::int64_t>() );
     return request;
 }
 
--- a/tests/support/exchange_fleet.cpp
+++ b/tests/support/exchange_fleet.cpp
@@ -575,7 +575,8 @@
 
 exchange_fleet::exchange_fleet( int instances,
                                 int engine_count,
-                                int plain_count )
+                                int plain_count,
+                                exchange::configuration_ptr with )
     : engines(
           scheduler,
           "model",
@@ -598,7 +599,7 @@
           {
               unlist( id );
           } ),
-      configuration( sample_configuration( 1 ) )
+      configuration( std::move( with ) )
 {
     for ( auto i = 0; i < engine_count; ++i )
         engines.add();
@@ -729,12 +730,15 @@
     return address.ip == "model" ? engines : plain;
 }
 
-auto exchange_fleet::call( int number, std::string path, std::string body )
-    -> std::shared_ptr<fleet_call>
+auto exchange_fleet::call( int number,
+                           std::string path,
+                           std::string body,
+                           std::string key ) -> std::shared_ptr<fleet_call>
 {
     auto const started = std::make_shared<fleet_call>();
     started->path = std::move( path );
     started->body = std::move( body );
+    started->key = std::move( key );
     begin_attempt( number, started );
     return started;
 }
@@ -755,7 +759,7 @@
     r.method = "POST";
     r.target = call->path;
     r.host = "host";
-    r.key = "key";
+    r.key = call->key;
     r.body = call->body;
     r.time_limit = 10s;
     r.received = scheduler.now();
--- a/tests/support/exchange_fleet.hpp
+++ b/tests/support/exchange_fleet.hpp
@@ -196,6 +196,7 @@
 {
     std::string path;
     std::string body;
+    std::string key; ///< API key of the caller
     int attempts{ 0 };
     int status{ 0 }; ///< of the last attempt; 0 if its stream was aborted
     bool served{ false };
@@ -207,15 +208,21 @@
 class exchange_fleet
 {
 public:
-    exchange_fleet( int instances, int engines, int plain );
+    exchange_fleet(
+        int instances,
+        int engines,
+        int plain,
+        exchange::configuration_ptr with = sample_configuration( 1 ) );
     ~exchange_fleet();
     exchange_fleet( exchange_fleet const& ) = delete;
     auto operator=( exchange_fleet const& ) -> exchange_fleet& = delete;
 
     /// Sends a request to instance `number`. If it fails and may be retried,
     /// the caller retries it once at any instance.
-    auto call( int number, std::string path, std::string body )
-        -> std::shared_ptr<fleet_call>;
+    auto call( int number,
+               std::string path,
+               std::string body,
+               std::string key = "key" ) -> std::shared_ptr<fleet_call>;
     /// Ends the instance; its open requests are lost.
     auto kill( int number ) -> void;
     /// Starts the instance with the registry's targets and the store's records,
