--- a/tests/scheduling/share_order_test.cpp
+++ b/tests/scheduling/share_order_test.cpp
@@ -1,4 +1,5 @@
 #include "support/exchange_fixture.hpp"
+#include <pollenstream/peers/peer_message.hpp>
 
 #include <catch2/catch.hpp>
 
@@ -278,3 +279,22 @@
     CHECK( first->grants.size() == 1 );
     CHECK( second->grants.empty() );
 }
+
+TEST_CASE( "a placement request carries the number of the caller's workspace",
+           "[shares]" )
+{
+    auto placements = held_placements{};
+    auto f = exchange_fixture( placements );
+    auto const started = f.start( f.request( "/chat/x" ) );
+    REQUIRE( placements.all.size() == 1 );
+    auto const expected =
+        pollenstream::scheduling::number_of( core::workspace_id( "ws" ) );
+    CHECK( placements.all[0].request.workspace == expected );
+    auto message = peers::peer_message{};
+    message.placement_requests.push_back( placements.all[0].request );
+    auto const decoded = peers::decode( peers::encode( message ) );
+    REQUIRE( decoded.has_value() );
+    REQUIRE( decoded.value().placement_requests.size() == 1 );
+    CHECK( decoded.value().placement_requests[0].workspace == expected );
+    started->on_caller_gone();
+}
