--- a/tests/scheduling/fair_shares_load_test.cpp
+++ b/tests/scheduling/fair_shares_load_test.cpp
@@ -137,11 +137,14 @@
     CHECK( mean_wait( 10 ) <= 1.2 * mean_wait( 0 ) );
 }
 
-TEST_CASE( "two coordinators that both decide during a cut keep the shares",
-           "[shares][load]" )
+TEST_CASE(
+    "two coordinators that both decide during a cut make nobody wait longer",
+    "[shares][load]" )
 {
     // The first coordinator decides for its own callers while it is cut off,
-    // and the second one for all others.
+    // and the second one for all others. Both grant the same slots, so that
+    // there is little shortage: the test guards against shares that make it
+    // worse, and passes without them too.
     auto const cut = []( shared_load& load )
     {
         load.after( fault_at,
