--- a/tests/scheduling/share_order_test.cpp
+++ b/tests/scheduling/share_order_test.cpp
@@ -55,7 +55,7 @@
         r.demand.min_gap_objective = 200ms;
         r.demand.time_left = 15s;
         r.demand.patience_left = 2s;
-        auto const answer = std::make_shared<recorded_placement>();
+        auto answer = std::make_shared<recorded_placement>();
         answers[last_serial] = answer;
         coordinator.request( std::move( r ), answer );
         return answer;
@@ -232,7 +232,7 @@
         r.demand.min_gap_objective = 200ms;
         r.demand.time_left = 12s;
         r.demand.patience_left = 9s;
-        auto const answer = std::make_shared<recorded_placement>();
+        auto answer = std::make_shared<recorded_placement>();
         f.coordinator.request( std::move( r ), answer );
         return answer;
     };
