--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -267,7 +267,6 @@
             group_.on_datagram( bytes );
         } );
     group_.set_placement_handler( router_ );
-    coordinator_.set_booking_announcer( group_ );
     group_.on_load_changed = [this]
     {
         wait_queue_.schedule_round();
--- a/apps/gateway/node_state.cpp
+++ b/apps/gateway/node_state.cpp
@@ -81,11 +81,6 @@
 
 auto describe_placement( node_parts const& node ) -> json
 {
-    auto const now = node.context.scheduler.now();
-    auto const& bookings = node.coordinator.bookings();
-    auto const next = bookings.next( now );
-    auto const next_ms =
-        next ? json( core::milliseconds_of( *next - now ) ) : json();
     auto coordinators = json::array();
     auto is_coordinator = false;
     for ( auto const& id : node.group.coordinators() )
@@ -95,9 +90,7 @@
     }
     return { { "coordinators", std::move( coordinators ) },
              { "here", is_coordinator },
-             { "asks_waiting", node.coordinator.waiting() },
-             { "bookings", bookings.size( now ) },
-             { "next_booking_ms", next_ms } };
+             { "asks_waiting", node.coordinator.waiting() } };
 }
 
 /// Bounds the number of targets with a limit in the text.
@@ -122,25 +115,6 @@
         << "pollenstream_targets_limited " << limited << '\n';
 }
 
-auto write_bookings( scheduling::return_bookings const& bookings,
-                     core::instant now,
-                     std::ostream& out ) -> void
-{
-    out << "# TYPE pollenstream_bookings gauge\n"
-        << "pollenstream_bookings " << bookings.size( now ) << '\n';
-    auto const count = [&out]( char const* outcome, core::counter const& value )
-    {
-        out << "pollenstream_bookings_total{outcome=\"" << outcome << "\"} "
-            << value.value() << '\n';
-    };
-    auto const& counters = bookings.counters();
-    count( "made", counters.made );
-    count( "kept", counters.kept );
-    count( "early", counters.early );
-    count( "lapsed", counters.lapsed );
-    count( "dropped", counters.dropped );
-}
-
 auto invariant_counts() -> json
 {
     auto counts = json::object();
@@ -235,7 +209,6 @@
     count( "pollenstream_refused_for_limits_total", "",
            decisions.limited.value() );
     count( "pollenstream_asks_repeated_total", "", decisions.repeated.value() );
-    write_bookings( coordinator.bookings(), now, out );
     count( "pollenstream_peer_datagrams_total", "",
            group.sent().datagrams.value() );
     count( "pollenstream_peer_bytes_total", "", group.sent().bytes.value() );
--- a/apps/tool/status.cpp
+++ b/apps/tool/status.cpp
@@ -18,14 +18,8 @@
     out << "prompts are placed by";
     for ( auto const& id : placing.at( "coordinators" ).as_array() )
         out << ' ' << id.as_string();
-    out << ", asks waiting here " << placing.at( "asks_waiting" ).serialize();
-    // An instance of an earlier version has no bookings.
-    if ( placing.has_field( "bookings" ) )
-        out << ", returns booked " << placing.at( "bookings" ).serialize();
-    if ( placing.has_integer_field( "next_booking_ms" ) )
-        out << " (the next in " << placing.at( "next_booking_ms" ).serialize()
-            << " ms)";
-    out << '\n';
+    out << ", asks waiting here " << placing.at( "asks_waiting" ).serialize()
+        << '\n';
 }
 
 auto print_drained( web::json::value const& drained, std::ostream& out ) -> void
--- a/src/pollenstream/adapters/spdlog/structured_log.cpp
+++ b/src/pollenstream/adapters/spdlog/structured_log.cpp
@@ -77,7 +77,6 @@
         .milliseconds( "retry_after_ms", e.retry_after )
         .number( "prompt", e.prompt_tokens )
         .number( "waiting", static_cast<std::int64_t>( e.waiting ) )
-        .number( "booked", e.is_booked ? 1 : 0 )
         .number( "configuration", e.configuration.count() );
     return line;
 }
--- a/src/pollenstream/core/ids.hpp
+++ b/src/pollenstream/core/ids.hpp
@@ -26,9 +26,6 @@
 /// Identifies memory that an engine reserves for its span of a prompt that is
 /// split over several engines.
 using reservation_id = strong_id<struct reservation_id_tag>;
-/// Hash of what a request asks for; the same for all retries by a caller. Zero
-/// means none.
-using content_id = strong_number<struct content_id_tag>;
 /// Identifies a non-idempotent call; chosen by the caller.
 using idempotency_key = strong_id<struct idempotency_key_tag>;
 
--- a/src/pollenstream/exchange/event_log.hpp
+++ b/src/pollenstream/exchange/event_log.hpp
@@ -31,7 +31,6 @@
     core::revision configuration;
     std::int64_t prompt_tokens{ 0 };
     std::size_t waiting{ 0 }; ///< length of this instance's wait queue
-    bool is_booked{ false };  ///< engine time is booked for its return
 };
 
 /// A request was sent to a target.
--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -20,6 +20,9 @@
 constexpr auto min_patience = core::duration( 2s );
 constexpr auto patience_per_latency = 4;
 constexpr auto patience_per_gap = 8;
+/// A waiting request is refused this long before its caller would leave, so
+/// that the caller still receives the Retry-After header.
+constexpr auto refusal_margin = core::duration( 150ms );
 /// Retry-After if this instance has no configuration yet.
 constexpr auto retry_after_no_configuration = core::duration( 300ms );
 /// Longest wait for the first configuration of this instance. The store answers
@@ -226,15 +229,9 @@
     return std::min( deadline_, silent_since + patience_ );
 }
 
-/// When a waiting request is refused here. A prompt that has not run is refused
-/// by its coordinator before, which can book the caller's return.
 auto exchange::refusal_deadline() const -> core::instant
 {
-    auto const latest = patience_end() - refusal_margin;
-    if ( !needs_engine() || may_have_run_ || streaming_ || silent_ )
-        return latest;
-    return std::min( latest + coordinator_lead,
-                     request_.received + max_time_to_refusal );
+    return patience_end() - refusal_margin;
 }
 
 auto exchange::needs_engine() const -> bool
@@ -415,7 +412,7 @@
         route_ != nullptr ? route_->id.str() : "", reason,
         now - request_.received, retry_after.value_or( core::duration( 0 ) ),
         configuration_ ? configuration_->version : core::revision{},
-        demand_.prompt_tokens, context_.queue.size(), is_return_booked_ } );
+        demand_.prompt_tokens, context_.queue.size() } );
     close_all();
     answer_->send_whole( std::move( answer ) );
     context_.counters.refused.add();
--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -241,8 +241,7 @@
     placement_demand demand_;
     service_settings const* service_{ nullptr };
     bool is_split_{ false };
-    bool is_suspect_{ false };       ///< by the grant or by crashes seen here
-    bool is_return_booked_{ false }; ///< by the coordinator that refuses it
+    bool is_suspect_{ false }; ///< by the grant or by crashes seen here
     /// A plain call for which the coordinator was asked for a target.
     bool is_coordinated_{ false };
     /// It was granted a target that names a rate limit.
--- a/src/pollenstream/exchange/exchange_waiting.cpp
+++ b/src/pollenstream/exchange/exchange_waiting.cpp
@@ -280,7 +280,6 @@
          pending_placement_->serial != serial )
         return;
     stop_waiting();
-    is_return_booked_ = refusal.is_booked;
     auto const may_come_back = refusal.retry_after > core::duration( 0 );
     give_up( std::move( refusal.reason ),
              may_come_back ? std::optional( refusal.retry_after )
--- a/src/pollenstream/exchange/own_answers.cpp
+++ b/src/pollenstream/exchange/own_answers.cpp
@@ -17,6 +17,9 @@
 /// Upper bound of the pause for waiting requests. Among the routes for long
 /// prompts, the shortest latency objective is 1.5 s.
 constexpr auto max_queue_pause = core::duration( 1500ms );
+/// Pause of a split prompt, as a multiple of its shortest prefill. By then the
+/// engines have finished the prompts before it.
+constexpr auto pause_per_prefill = 2;
 /// The random part of the pause: requests that are refused together come back
 /// spread over this time.
 constexpr auto return_spread = core::duration( 300ms );
--- a/src/pollenstream/exchange/own_answers.hpp
+++ b/src/pollenstream/exchange/own_answers.hpp
@@ -34,24 +34,6 @@
 inline constexpr auto status_unavailable = 503;
 inline constexpr auto status_gateway_timeout = 504;
 
-/// Pause of a split prompt, as a multiple of its shortest prefill. By then the
-/// engines have finished the prompts before it.
-inline constexpr auto pause_per_prefill = 2;
-/// A waiting request is refused this long before its caller would leave, so
-/// that the caller still receives the Retry-After header.
-inline constexpr auto refusal_margin =
-    core::duration( std::chrono::milliseconds( 150 ) );
-/// A prompt that has found no engine is refused at the latest after this time.
-/// Callers have to know after 3 s, since one that is refused later has little
-/// time left to return; the rest covers the way of the answer.
-inline constexpr auto max_time_to_refusal =
-    core::duration( std::chrono::milliseconds( 2'950 ) );
-/// The coordinator refuses a waiting prompt this long before the instance that
-/// has the request does so itself. It covers a round of the wait queue and
-/// several round trips between data centres.
-inline constexpr auto coordinator_lead =
-    core::duration( std::chrono::milliseconds( 60 ) );
-
 /// Retry-After of a request for which no target had capacity. It grows with the
 /// number of requests that wait, and for a split prompt allows for the prefill
 /// of the prompts before it. `shortest_prefill` is the time that its own
--- a/src/pollenstream/exchange/placement_client.hpp
+++ b/src/pollenstream/exchange/placement_client.hpp
@@ -48,8 +48,6 @@
 {
     std::string reason;
     core::duration retry_after{ 0 }; ///< zero: a retry is pointless
-    /// Engine time is booked for the caller's return after `retry_after`.
-    bool is_booked{ false };
 };
 
 /// Receives the outcome of a placement request: any number of `on_queued`, then
--- a/src/pollenstream/exchange/placement_coordinator.cpp
+++ b/src/pollenstream/exchange/placement_coordinator.cpp
@@ -1,5 +1,4 @@
 #include <pollenstream/core/invariant.hpp>
-#include <pollenstream/exchange/engine_model.hpp>
 #include <pollenstream/exchange/own_answers.hpp>
 #include <pollenstream/exchange/placement_coordinator.hpp>
 
@@ -25,16 +24,6 @@
 /// request at once.
 constexpr auto min_retry_delay = core::duration( 20ms );
 
-/// Time of the prefill of a prompt on one engine; zero without an engine model.
-auto prefill_of( service_settings const& settings,
-                 placement_demand const& demand ) -> core::duration
-{
-    if ( !settings.engine || demand.prompt_tokens <= 0 )
-        return core::duration( 0 );
-    return core::duration_of(
-        prefill_ms( *settings.engine, demand.prompt_tokens ) / 1'000 );
-}
-
 }
 
 /// A placement request that waits for capacity at a target.
@@ -54,10 +43,8 @@
           is_long_( settings.engine &&
                     is_long_prompt( *settings.engine, request.demand ) ),
           is_split_( settings.engine &&
-                     is_split_prompt( *settings.engine, request.demand ) ),
-          prefill_( prefill_of( settings, request.demand ) )
+                     is_split_prompt( *settings.engine, request.demand ) )
     {
-        take_booking();
     }
 
     auto try_start() -> bool override;
@@ -79,9 +66,8 @@
     /// tried in each round to refuse it as soon as it cannot be in time.
     [[nodiscard]] auto is_always_tried() const -> bool override
     {
-        return is_held_back_ || limited_since_ || not_before_ ||
-               is_refusal_due() || !request.demand.tried.empty() ||
-               !request.demand.paused.empty();
+        return is_held_back_ || limited_since_ ||
+               !request.demand.tried.empty() || !request.demand.paused.empty();
     }
 
     /// Replaces the listener when the request is repeated.
@@ -93,36 +79,9 @@
     {
         return *listener_;
     }
-    /// Answers an attempt whose refusal was lost with the same booked time.
-    /// Returns false for any other request.
-    auto try_refuse_again() -> bool;
     auto start_waiting() -> void;
     /// Leaves the queue of split prompts without an answer to the listener.
     auto close() -> void;
-    /// The request is withdrawn undecided, so that its caller may return again.
-    auto release_booking() -> void;
-
-    /// True if the request needs the prefill of an engine, and none of it has
-    /// run. Only the callers of such requests are booked.
-    [[nodiscard]] auto can_be_booked() const -> bool
-    {
-        return prefill_ > core::duration( 0 ) && request.may_be_refused;
-    }
-    /// Time of its prefill on one engine; zero without an engine model.
-    [[nodiscard]] auto prefill() const -> core::duration
-    {
-        return prefill_;
-    }
-    [[nodiscard]] auto is_split() const -> bool
-    {
-        return is_split_;
-    }
-    /// True if it comes before `other` by priority and due time.
-    [[nodiscard]] auto is_before( queued_request const& other ) const -> bool
-    {
-        return std::pair( request.priority, queue_time() ) <=
-               std::pair( other.request.priority, other.queue_time() );
-    }
 
     placement_request request;
 
@@ -131,22 +90,6 @@
     {
         return received_ + request.demand.latency_objective;
     }
-    /// The time that determines its place among requests of its priority: a
-    /// returning caller's booked time precedes the due times of later requests.
-    [[nodiscard]] auto queue_time() const -> core::instant
-    {
-        return booked_at_.value_or( due() );
-    }
-    /// When a prompt that waits for capacity is refused.
-    [[nodiscard]] auto refusal_time() const -> core::instant
-    {
-        return std::min( patience_deadline_ - refusal_margin,
-                         received_ + max_time_to_refusal - coordinator_lead );
-    }
-    [[nodiscard]] auto is_refusal_due() const -> bool
-    {
-        return can_be_booked() && owner_.scheduler_.now() >= refusal_time();
-    }
     /// When the prompt stops waiting. A caller that has received part of the
     /// answer, or whose silent target may still answer, has no known patience:
     /// once the assumed one is over, the deadline of the request applies.
@@ -163,19 +106,10 @@
     should_refuse_as_late( service_settings const& settings ) const -> bool;
     [[nodiscard]] auto should_yield( placement_choice const& choice ) const
         -> bool;
-    [[nodiscard]] auto is_too_early( core::instant now ) -> bool;
-    [[nodiscard]] auto is_unservable( service_settings const& settings ) const
-        -> bool;
-    auto take_booking() -> void;
-    auto refuse_without_capacity( service_settings const& settings ) -> bool;
     auto enter_split_queue() -> void;
     auto leave_split_queue() -> void;
     auto grant( placement_choice choice ) -> bool;
-    auto refuse( std::string reason,
-                 core::duration retry_after,
-                 bool is_booked = false ) -> bool;
-    auto refuse_when_full( std::string reason,
-                           service_settings const& settings ) -> bool;
+    auto refuse( std::string reason, core::duration retry_after ) -> bool;
     auto retry_delay_when_full( service_settings const& settings ) const
         -> core::duration;
 
@@ -191,18 +125,12 @@
     bool is_held_back_{ false }; ///< until another run of the content ends
     /// Since when the limits of all remaining targets are used up.
     std::optional<core::instant> limited_since_;
-    core::duration prefill_;
-    /// Set if the caller has returned on time for a booking.
-    std::optional<core::instant> booked_at_;
-    /// Set if the caller has returned before its booked time, until then.
-    std::optional<core::instant> not_before_;
-    bool is_repeated_{ false }; ///< of a refused attempt whose answer was lost
 };
 
 auto placement_coordinator::queued_request::order() const -> double
 {
-    auto const seconds = core::seconds_of( queue_time().time_since_epoch() );
-    auto const is_late = !booked_at_ && owner_.scheduler_.now() > due();
+    auto const seconds = core::seconds_of( due().time_since_epoch() );
+    auto const is_late = owner_.scheduler_.now() > due();
     return seconds + ( is_late ? late_penalty : 0 ) +
            request.priority * priority_step;
 }
@@ -235,7 +163,6 @@
     if ( std::exchange( was_tried_, true ) && is_over )
     {
         close();
-        release_booking();
         owner_.waiting_.erase( { request.requester, request.serial } );
         return true;
     }
@@ -260,8 +187,6 @@
           owner_.is_running( request.content ) );
     if ( is_held_back_ )
         return false;
-    if ( is_too_early( now ) )
-        return refuse_without_capacity( *settings );
     auto result = owner_.chooser_.choose( request.demand, *settings, now );
     if ( result.choice && should_yield( *result.choice ) )
         result = not_placed( placement_obstacle::full );
@@ -282,87 +207,10 @@
     if ( !settings->engine && request.may_be_refused )
         return refuse( "no_targets", retry_after_no_target );
     if ( should_refuse_as_late( *settings ) )
-        return refuse_when_full( "no_room_in_time", *settings );
-    return refuse_without_capacity( *settings );
-}
-
-/// Refuses a prompt that has found no capacity and cannot be served any more,
-/// or has waited long enough. Without any engine that accepts work, nothing can
-/// be told of the capacity, and the instance that has the request refuses it.
-auto placement_coordinator::queued_request::refuse_without_capacity(
-    service_settings const& settings ) -> bool
-{
-    if ( !can_be_booked() )
-        return false;
-    if ( is_unservable( settings ) )
-        return refuse( "no_room", retry_delay_when_full( settings ) );
-    if ( !is_refusal_due() ||
-         owner_.prefill_capacity_for( *this ).engines == 0 )
-        return false;
-    return refuse_when_full( "no_room", settings );
-}
-
-/// Refuses a prompt with a booked return, or with an estimate if it can have
-/// none.
-auto placement_coordinator::queued_request::refuse_when_full(
-    std::string reason, service_settings const& settings ) -> bool
-{
-    auto const booked = owner_.book_return( *this, settings );
-    auto const delay = booked ? *booked : retry_delay_when_full( settings );
-    return refuse( std::move( reason ), delay, booked.has_value() );
-}
-
-/// True if even on as many engines as it can expect to get, the prefill ends
-/// after the caller's time.
-auto placement_coordinator::queued_request::is_unservable(
-    service_settings const& settings ) const -> bool
-{
-    return owner_.chooser_.shortest_prefill( request.demand, settings ) >
-           request.demand.time_left;
-}
-
-/// True for a caller that ignores its Retry-After, until its booked time. It
-/// would otherwise take the capacity that callers wait for who honour theirs.
-auto placement_coordinator::queued_request::is_too_early( core::instant now )
-    -> bool
-{
-    if ( !not_before_ )
-        return false;
-    if ( now < *not_before_ )
-        return true;
-    not_before_.reset();
-    enter_split_queue();
+        return refuse( "no_room_in_time", retry_delay_when_full( *settings ) );
     return false;
 }
 
-auto placement_coordinator::queued_request::take_booking() -> void
-{
-    using scheduling::return_kind;
-    if ( !can_be_booked() )
-        return;
-    auto const known =
-        owner_.bookings_.take( request.content, request.demand.service,
-                               received_, owner_.scheduler_.now() );
-    if ( known.kind == return_kind::on_time )
-        booked_at_ = known.booked_at;
-    else if ( known.kind != return_kind::none )
-        not_before_ = known.booked_at;
-    is_repeated_ = known.kind == return_kind::repeated;
-}
-
-auto placement_coordinator::queued_request::release_booking() -> void
-{
-    if ( booked_at_ )
-        owner_.bookings_.release( request.content );
-}
-
-auto placement_coordinator::queued_request::try_refuse_again() -> bool
-{
-    auto const now = owner_.scheduler_.now();
-    return is_repeated_ && not_before_ > now &&
-           refuse( "no_room", *not_before_ - now, true );
-}
-
 /// Refuses a request that the limits of the remaining targets do not let start
 /// in time. One that arrives while others wait has to start within its latency
 /// objective, since a late request takes the slot of one that is in time. Any
@@ -393,8 +241,7 @@
 auto placement_coordinator::queued_request::should_refuse_as_late(
     service_settings const& settings ) const -> bool
 {
-    auto const is_needed = booked_at_ && !is_unservable( settings );
-    return is_split_ && request.may_be_refused && !is_needed &&
+    return is_split_ && request.may_be_refused &&
            request.demand.others_in_time &&
            owner_.chooser_.is_too_late( request.demand, settings );
 }
@@ -407,7 +254,7 @@
 {
     auto const first = request.demand.waited +
                        core::duration_of( choice.first_event_ms / 1'000 );
-    return is_split_ && request.may_be_refused && !booked_at_ &&
+    return is_split_ && request.may_be_refused &&
            request.demand.others_in_time &&
            first > request.demand.latency_objective;
 }
@@ -426,8 +273,7 @@
 
 auto placement_coordinator::queued_request::start_waiting() -> void
 {
-    if ( !not_before_ )
-        enter_split_queue();
+    enter_split_queue();
     listener_->on_queued( owner_.waiting_.size() );
 }
 
@@ -445,16 +291,14 @@
 }
 
 auto placement_coordinator::queued_request::refuse( std::string reason,
-                                                    core::duration retry_after,
-                                                    bool is_booked ) -> bool
+                                                    core::duration retry_after )
+    -> bool
 {
     close();
-    if ( booked_at_ && !is_booked )
-        owner_.close_booking( request.content );
     owner_.counters_.refused.add();
     auto const listener = listener_;
     owner_.waiting_.erase( { request.requester, request.serial } );
-    listener->on_refused( { std::move( reason ), retry_after, is_booked } );
+    listener->on_refused( { std::move( reason ), retry_after } );
     return true;
 }
 
@@ -542,69 +386,6 @@
     return std::max( at - now, min_retry_delay );
 }
 
-auto placement_coordinator::prefill_capacity_for(
-    queued_request const& item ) const -> scheduling::prefill_capacity
-{
-    auto const now = scheduler_.now();
-    auto capacity = scheduling::prefill_capacity{};
-    for ( auto const& t : load_table_.of_service( item.service() ) )
-    {
-        if ( !t->may_get_work( now ) )
-            continue;
-        ++capacity.engines;
-        capacity.ahead += core::duration_of( t->backlog_ms( now ) / 1'000 );
-    }
-    for ( auto const& [key, other] : waiting_ )
-        if ( other.get() != &item && other->service() == item.service() &&
-             other->is_before( item ) )
-            capacity.ahead += other->prefill();
-    return capacity;
-}
-
-auto placement_coordinator::book_return( queued_request const& item,
-                                         service_settings const& settings )
-    -> std::optional<core::duration>
-{
-    if ( !item.can_be_booked() )
-        return std::nullopt;
-    auto const& demand = item.request.demand;
-    auto const now = scheduler_.now();
-    auto const shortest = chooser_.shortest_prefill( demand, settings );
-    auto refused = scheduling::refused_prompt{};
-    refused.content = item.request.content;
-    refused.service = demand.service;
-    refused.priority = item.request.priority;
-    refused.prefill = item.prefill();
-    refused.first_event = shortest;
-    refused.time_left = demand.time_left;
-    if ( item.is_split() )
-        refused.earliest = shortest * pause_per_prefill;
-    auto const made =
-        bookings_.book( refused, prefill_capacity_for( item ), now );
-    if ( !made )
-        return std::nullopt;
-    if ( booking_announcer_ != nullptr )
-        booking_announcer_->booked( *made );
-    return made->at - now;
-}
-
-auto placement_coordinator::close_booking( content_id content ) -> void
-{
-    if ( bookings_.close( content ) && booking_announcer_ != nullptr )
-        booking_announcer_->unbooked( content );
-}
-
-auto placement_coordinator::add_booking( scheduling::booking const& other )
-    -> void
-{
-    bookings_.add( other, scheduler_.now() );
-}
-
-auto placement_coordinator::remove_booking( content_id content ) -> void
-{
-    bookings_.remove( content );
-}
-
 auto placement_coordinator::add_work( queued_request const& item,
                                       placement_choice const& choice ) -> void
 {
@@ -650,7 +431,6 @@
     waiting_.erase( found );
     add_work( *kept_item, choice );
     counters_.granted.add();
-    close_booking( kept_item->request.content );
     auto const is_suspect = kept_item->request.demand.crashes > 0;
     granted_[key] = { choice, kept_item->request.content, is_suspect };
     kept_item->listener().on_granted(
@@ -690,7 +470,7 @@
     auto const item = std::make_shared<queued_request>(
         *this, std::move( new_request ), *settings, std::move( listener ) );
     waiting_.emplace( key, item );
-    if ( item->try_refuse_again() || item->try_start() )
+    if ( item->try_start() )
         return;
     wait_queue_.add( item );
     item->start_waiting();
@@ -706,7 +486,6 @@
         auto const item = found->second;
         waiting_.erase( found );
         item->close();
-        item->release_booking();
         wait_queue_.remove( item.get() );
     }
     granted_.erase( key );
--- a/src/pollenstream/exchange/placement_coordinator.hpp
+++ b/src/pollenstream/exchange/placement_coordinator.hpp
@@ -9,12 +9,10 @@
 #include <pollenstream/exchange/routes.hpp>
 #include <pollenstream/exchange/wait_queue.hpp>
 #include <pollenstream/ports/scheduler.hpp>
-#include <pollenstream/scheduling/return_bookings.hpp>
 
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <optional>
 #include <random>
 #include <set>
 #include <utility>
@@ -71,21 +69,6 @@
     /// Releases everything of `requester`, which has ended.
     auto forget( core::instance_id const& requester ) -> void;
 
-    /// Sets who is told of the bookings that this coordinator makes and ends.
-    auto set_booking_announcer( scheduling::booking_announcer& announcer )
-        -> void
-    {
-        booking_announcer_ = &announcer;
-    }
-    /// Another coordinator has made a booking.
-    auto add_booking( scheduling::booking const& other ) -> void;
-    /// Another coordinator has ended the booking for the content.
-    auto remove_booking( content_id content ) -> void;
-    [[nodiscard]] auto bookings() const -> scheduling::return_bookings const&
-    {
-        return bookings_;
-    }
-
     [[nodiscard]] auto waiting() const -> std::size_t
     {
         return waiting_.size();
@@ -119,16 +102,6 @@
     /// Those of them that are tried before `item`.
     [[nodiscard]] auto count_waiting_ahead( queued_request const& item ) const
         -> std::size_t;
-    /// Prefill capacity of the service for `item`, with the work before it.
-    [[nodiscard]] auto prefill_capacity_for( queued_request const& item ) const
-        -> scheduling::prefill_capacity;
-    /// Books a return for the caller of `item`, which is refused for lack of
-    /// capacity. Returns the delay until then.
-    auto book_return( queued_request const& item,
-                      service_settings const& settings )
-        -> std::optional<core::duration>;
-    /// Ends the booking for a content whose request is decided.
-    auto close_booking( content_id content ) -> void;
     [[nodiscard]] auto next_retry_delay( queued_request const& item,
                                          limited_capacity const& capacity )
         -> core::duration;
@@ -148,8 +121,6 @@
     /// Kept until release, also to answer repeated requests.
     std::map<request_key, open_grant> granted_;
     retry_times retry_times_;
-    scheduling::return_bookings bookings_;
-    scheduling::booking_announcer* booking_announcer_{ nullptr };
     coordinator_counters counters_;
     std::minstd_rand random_;
 };
--- a/src/pollenstream/peers/peer_group.cpp
+++ b/src/pollenstream/peers/peer_group.cpp
@@ -230,54 +230,6 @@
     arm_flush();
 }
 
-auto peer_group::booked( scheduling::booking const& what ) -> void
-{
-    // An instance that places its own requests because no coordinator answers
-    // reaches none that it could tell.
-    if ( !table_.is_coordinator( scheduler_.now() ) )
-        return;
-    pending_bookings_.push_back( what );
-    arm_flush();
-}
-
-auto peer_group::unbooked( core::content_id content ) -> void
-{
-    if ( !table_.is_coordinator( scheduler_.now() ) )
-        return;
-    std::erase_if( pending_bookings_,
-                   [content]( auto const& b )
-                   {
-                       return b.content == content;
-                   } );
-    pending_.unbooked.push_back( content );
-    arm_flush();
-}
-
-/// Moves the pending bookings to `message`, with times as of now.
-auto peer_group::add_bookings( peer_message& message ) -> void
-{
-    auto const now = scheduler_.now();
-    message.unbooked = std::exchange( pending_.unbooked, {} );
-    for ( auto const& b : std::exchange( pending_bookings_, {} ) )
-        message.booked.push_back( { b.content, b.service,
-                                    core::milliseconds_of( b.at - now ),
-                                    core::milliseconds_of( b.prefill ) } );
-}
-
-auto peer_group::apply_bookings( peer_message const& message ) -> void
-{
-    if ( handler_ == nullptr )
-        return;
-    auto const now = scheduler_.now();
-    // A content in both lists was booked again after its booking had ended.
-    for ( auto const content : message.unbooked )
-        handler_->on_unbooked( content );
-    for ( auto const& b : message.booked )
-        handler_->on_booked( { b.content, b.service,
-                               now + std::chrono::milliseconds( b.in_ms ),
-                               std::chrono::milliseconds( b.prefill_ms ) } );
-}
-
 auto peer_group::arm_flush() -> void
 {
     if ( !flush_call_ )
@@ -310,13 +262,11 @@
     message.failed = std::exchange( pending_.failed, {} );
     message.crashes = std::exchange( pending_.crashes, {} );
     message.cleared = std::exchange( pending_.cleared, {} );
-    add_bookings( message );
     auto const is_empty = message.work.empty() &&
                           message.prefill_ended.empty() &&
                           message.ended.empty() && message.served.empty() &&
                           message.failed.empty() && message.crashes.empty() &&
-                          message.cleared.empty() && message.booked.empty() &&
-                          message.unbooked.empty();
+                          message.cleared.empty();
     if ( is_empty )
         return;
     inform_new_coordinators();
@@ -479,7 +429,6 @@
     apply_leaving_targets( message );
     apply_limits( message );
     apply_work( message );
-    apply_bookings( message );
     dispatch_placement_requests( message );
     if ( !message.update.empty() && on_update )
         on_update( message.sender.str(), message.update );
--- a/src/pollenstream/peers/peer_group.hpp
+++ b/src/pollenstream/peers/peer_group.hpp
@@ -51,9 +51,7 @@
 /// to all. What an instance sends thus grows with its own requests and not with
 /// the number of instances. Sending open work to all would take 66 kB a second
 /// at each of 295 instances with less than one request a second each.
-class peer_group : public exchange::work_announcer,
-                   public placement_transport,
-                   public scheduling::booking_announcer
+class peer_group : public exchange::work_announcer, public placement_transport
 {
 public:
     peer_group( own_state self,
@@ -139,9 +137,6 @@
     /// content is quarantined, and which targets it has crashed.
     auto broadcast_quarantined( exchange::content_id content ) -> void;
 
-    auto booked( scheduling::booking const& what ) -> void override;
-    auto unbooked( core::content_id content ) -> void override;
-
     [[nodiscard]] auto coordinators() const
         -> std::vector<core::instance_id> override;
     auto send_request( core::instance_id const& to,
@@ -198,8 +193,6 @@
         -> crash_update;
     auto add_target_updates( peer_message& message ) -> void;
     auto dispatch_placement_requests( peer_message& message ) -> void;
-    auto add_bookings( peer_message& message ) -> void;
-    auto apply_bookings( peer_message const& message ) -> void;
     auto apply_work( peer_message const& message ) -> void;
     auto release( core::instance_id const& owner, std::uint64_t serial )
         -> void;
@@ -233,7 +226,6 @@
     /// Since when this instance is the first coordinator that the store serves.
     std::optional<core::instant> first_served_since_;
     peer_message pending_; ///< changes for the next flush
-    std::vector<scheduling::booking> pending_bookings_; ///< for the next flush
     /// Crashes that this instance has seen recently. Complete messages repeat
     /// them, since datagrams may be lost.
     std::vector<exchange::crashed_run> own_crashes_;
--- a/src/pollenstream/peers/peer_message.cpp
+++ b/src/pollenstream/peers/peer_message.cpp
@@ -16,7 +16,7 @@
 
 /// Number of the message layout, to be raised with each change of it. Messages
 /// of another layout are ignored.
-constexpr auto layout = 10;
+constexpr auto layout = 9;
 
 auto ref_to_json( exchange::target_ref const& ref ) -> json
 {
@@ -52,8 +52,8 @@
     return parts;
 }
 
-/// Clamps an age or a time from now to one hour, because a message from another
-/// instance can contain any number.
+/// Clamps an age to one hour, because a message from another instance can
+/// contain any number.
 auto age_ms_from_json( json const& number ) -> std::int64_t
 {
     constexpr auto max_age_ms = std::int64_t{ 3'600'000 };
@@ -153,7 +153,7 @@
           static_cast<std::int64_t>( a.first_event_ms ), a.needs_reservation,
           a.waiting, a.reason, a.retry_after_ms, a.basis.requests,
           a.basis.prefilling, static_cast<std::int64_t>( a.basis.backlog_ms ),
-          a.basis.limit_wait_ms, a.is_suspect, a.is_booked } );
+          a.basis.limit_wait_ms, a.is_suspect } );
 }
 
 auto answer_from_json( json const& object ) -> placement_answer
@@ -173,7 +173,6 @@
         object.at( 8 ).get<std::int64_t>(), object.at( 9 ).get<std::int64_t>(),
         object.at( 10 ).get<double>(), object.at( 11 ).get<std::int64_t>() };
     a.is_suspect = object.at( 12 ).get<bool>();
-    a.is_booked = object.at( 13 ).get<bool>();
     return a;
 }
 
@@ -244,20 +243,6 @@
     return exchange::content_id( number.get<std::int64_t>() );
 }
 
-auto booked_to_json( booked_return const& b ) -> json
-{
-    return json::array(
-        { b.content.count(), b.service.str(), b.in_ms, b.prefill_ms } );
-}
-
-auto booked_from_json( json const& object ) -> booked_return
-{
-    return { content_from_json( object.at( 0 ) ),
-             core::service_id( object.at( 1 ).get<std::string>() ),
-             age_ms_from_json( object.at( 2 ) ),
-             age_ms_from_json( object.at( 3 ) ) };
-}
-
 auto silent_to_json( silent_instance const& s ) -> json
 {
     return json::array( { s.id.str(), s.incarnation.count() } );
@@ -306,8 +291,6 @@
     list_leaving_targets,
     list_quarantined,
     list_limits,
-    list_booked,
-    list_unbooked,
 };
 
 auto lists_to_json( peer_message const& m ) -> json
@@ -335,8 +318,6 @@
     add( list_leaving_targets, list_to_json( m.leaving_targets, ref_to_json ) );
     add( list_limits, list_to_json( m.limits, limit_to_json ) );
     add( list_cleared, list_to_json( m.cleared, content_to_json ) );
-    add( list_booked, list_to_json( m.booked, booked_to_json ) );
-    add( list_unbooked, list_to_json( m.unbooked, content_to_json ) );
     return lists;
 }
 
@@ -383,10 +364,6 @@
         return list_from_json( list, m.limits, limit_from_json );
     case list_cleared:
         return list_from_json( list, m.cleared, content_from_json );
-    case list_booked:
-        return list_from_json( list, m.booked, booked_from_json );
-    case list_unbooked:
-        return list_from_json( list, m.unbooked, content_from_json );
     }
 }
 
--- a/src/pollenstream/peers/peer_message.hpp
+++ b/src/pollenstream/peers/peer_message.hpp
@@ -83,16 +83,6 @@
     std::string reason;               ///< refused
     std::int64_t retry_after_ms{ 0 }; ///< refused; 0: a retry is no use
     bool is_suspect{ false };         ///< granted: the content is suspect
-    bool is_booked{ false };          ///< refused: the return is booked
-};
-
-/// A booking of the sender for a refused caller.
-struct booked_return
-{
-    exchange::content_id content;
-    core::service_id service;
-    std::int64_t in_ms{ 0 }; ///< from now until the booked time
-    std::int64_t prefill_ms{ 0 };
 };
 
 /// One datagram between instances. Most datagrams contain only what has
@@ -136,10 +126,6 @@
     std::vector<exchange::content_id> quarantined;
     /// Contents that were suspect and have been served.
     std::vector<exchange::content_id> cleared;
-    /// Bookings that the sender has made, and contents whose bookings it has
-    /// ended.
-    std::vector<booked_return> booked;
-    std::vector<exchange::content_id> unbooked;
     std::vector<silent_instance> silent;
     std::vector<ejected_target> ejected;
     std::vector<std::string> known_ips; ///< of some other instances
--- a/src/pollenstream/peers/placement_router.cpp
+++ b/src/pollenstream/peers/placement_router.cpp
@@ -117,7 +117,6 @@
         answer_.decision = placement_decision::refused;
         answer_.reason = std::move( refusal.reason );
         answer_.retry_after_ms = core::milliseconds_of( refusal.retry_after );
-        answer_.is_booked = refusal.is_booked;
         transport_.send_answer( requester_, answer_ );
     }
     auto on_queued( std::size_t waiting ) -> void override
@@ -352,8 +351,8 @@
     case placement_decision::refused:
         close( which );
         return which->listener->on_refused(
-            { answer.reason, std::chrono::milliseconds( answer.retry_after_ms ),
-              answer.is_booked } );
+            { answer.reason,
+              std::chrono::milliseconds( answer.retry_after_ms ) } );
     case placement_decision::queued:
         which->is_queued = true;
         arm_timer( which, resend_delay );
@@ -390,16 +389,6 @@
             send_to_next_coordinator( p );
 }
 
-auto placement_router::on_booked( scheduling::booking const& what ) -> void
-{
-    coordinator_.add_booking( what );
-}
-
-auto placement_router::on_unbooked( core::content_id content ) -> void
-{
-    coordinator_.remove_booking( content );
-}
-
 auto placement_router::undecided() const -> std::vector<std::uint64_t>
 {
     auto serials = std::vector<std::uint64_t>{};
--- a/src/pollenstream/peers/placement_router.hpp
+++ b/src/pollenstream/peers/placement_router.hpp
@@ -61,8 +61,6 @@
                           std::set<std::uint64_t> const& serials )
         -> void override;
     auto on_lost( core::instance_id const& which ) -> void override;
-    auto on_booked( scheduling::booking const& what ) -> void override;
-    auto on_unbooked( core::content_id content ) -> void override;
     [[nodiscard]] auto undecided() const -> std::vector<std::uint64_t> override;
 
     [[nodiscard]] auto counters() const -> router_counters const&
--- a/src/pollenstream/peers/placement_transport.hpp
+++ b/src/pollenstream/peers/placement_transport.hpp
@@ -2,7 +2,6 @@
 #define POLLENSTREAM_PEERS_PLACEMENT_TRANSPORT_HPP
 
 #include <pollenstream/peers/peer_message.hpp>
-#include <pollenstream/scheduling/return_bookings.hpp>
 
 #include <cstdint>
 #include <set>
@@ -48,10 +47,6 @@
         -> void = 0;
     /// The instance has ended, is leaving, or is not heard from any more.
     virtual auto on_lost( core::instance_id const& which ) -> void = 0;
-    /// A coordinator has made a booking.
-    virtual auto on_booked( scheduling::booking const& what ) -> void = 0;
-    /// A coordinator has ended the booking for the content.
-    virtual auto on_unbooked( core::content_id content ) -> void = 0;
     /// Serials of this instance's placement requests that are not decided.
     [[nodiscard]] virtual auto undecided() const
         -> std::vector<std::uint64_t> = 0;
--- a/tests/peers/placement_router_test.cpp
+++ b/tests/peers/placement_router_test.cpp
@@ -281,33 +281,6 @@
                .empty() );
 }
 
-/// Guards against a refusal that is logged as booked at the wrong instance, and
-/// against bookings that do not reach the coordinator here.
-TEST_CASE( "bookings of other coordinators are passed on",
-           "[router][bookings]" )
-{
-    auto f = router_fixture{};
-    auto const open = f.request();
-    auto refusal = peers::placement_answer{};
-    refusal.serial = 1;
-    refusal.decision = peers::placement_decision::refused;
-    refusal.reason = "no_room";
-    refusal.retry_after_ms = 700;
-    refusal.is_booked = true;
-    f.tested_router.on_answer( core::instance_id( "c1" ), refusal );
-    REQUIRE( f.listener->refusals.size() == 1 );
-    CHECK( f.listener->refusals[0].is_booked );
-    CHECK( f.listener->refusals[0].retry_after == 700ms );
-
-    auto const now = f.scheduler.now();
-    auto const content = core::content_id( 9 );
-    f.tested_router.on_booked(
-        { content, core::service_id( "model" ), now + 700ms, 400ms } );
-    CHECK( f.coordinator.bookings().next( now ) == now + 700ms );
-    f.tested_router.on_unbooked( content );
-    CHECK( f.coordinator.bookings().size( now ) == 0 );
-}
-
 TEST_CASE( "overloaded coordinators get no more requests for a time",
            "[router][load]" )
 {
--- a/tests/support/exchange_fleet.cpp
+++ b/tests/support/exchange_fleet.cpp
@@ -496,7 +496,6 @@
 {
     coordinator_.set_configuration( fleet.configuration );
     group.set_placement_handler( router_ );
-    coordinator_.set_booking_announcer( group );
     group.on_load_changed = [this]
     {
         wait_queue_.schedule_round();
--- a/tests/support/exchange_fleet.hpp
+++ b/tests/support/exchange_fleet.hpp
@@ -154,11 +154,6 @@
 
     auto start( exchange::caller_request what,
                 std::shared_ptr<recorded_channel> answer ) -> void;
-    [[nodiscard]] auto coordinator() const
-        -> exchange::placement_coordinator const&
-    {
-        return coordinator_;
-    }
 
     std::string name;
     std::string ip;
--- a/tests/support/simulated_engines.cpp
+++ b/tests/support/simulated_engines.cpp
@@ -238,12 +238,10 @@
             std::max( record_->longest_refusal_wait, now - started_at_ );
         auto const time_left = time_limit_ - ( now - started_at_ );
         auto const retry_after = header( "Retry-After" );
-        auto const told_pause = std::min(
+        auto const pause = std::min(
             core::duration_of( retry_after.empty() ? 0.0
                                                    : std::stod( retry_after ) ),
             time_left / 3 );
-        auto const pause =
-            record_->ignores_retry_after ? core::duration( 0 ) : told_pause;
         if ( ++record_->refusals >= max_attempts_per_caller )
             return;
         owner_.timers_.push_back( owner_.fixture.scheduler.call_after(
@@ -327,7 +325,6 @@
 {
     auto const record = std::make_shared<simulated_request>();
     record->tokens = tokens;
-    record->number = timers_.size();
     timers_.push_back( fixture.scheduler.call_after(
         after,
         [this, record, route]
@@ -344,8 +341,7 @@
     std::string const& route,
     core::duration time_limit ) -> void
 {
-    auto request =
-        fixture.request( "/" + route + "/" + std::to_string( record->number ) );
+    auto request = fixture.request( "/" + route + "/x" );
     request.prompt = exchange::prompt_properties{ record->tokens, 800, 0 };
     request.time_limit = time_limit;
     auto const started = std::make_shared<exchange::exchange>(
--- a/tests/support/simulated_engines.hpp
+++ b/tests/support/simulated_engines.hpp
@@ -80,9 +80,6 @@
 struct simulated_request
 {
     std::int64_t tokens{ 0 };
-    std::size_t number{ 0 }; ///< each caller asks for content of its own
-    /// The caller returns at once after a refusal, not after its Retry-After.
-    bool ignores_retry_after{ false };
     core::instant arrived_at;
     std::optional<core::duration> first_event; ///< time since the arrival
     bool complete{ false };
