--- a/src/pollenstream/exchange/exchange_answers.cpp
+++ b/src/pollenstream/exchange/exchange_answers.cpp
@@ -281,8 +281,8 @@
     refuse( status_unavailable, "turned_away", retry_after_turned_away );
 }
 
-/// A target has not renewed its reservation and has aborted the request with
-/// it, or is unreachable. Waiting for its answer any longer is pointless.
+/// No renewal has reached the target in time: it has aborted the request, or is
+/// unreachable. Waiting for the answer any longer is pointless.
 auto exchange::on_reservation_expired( std::uint64_t serial,
                                        core::target_id const& target ) -> void
 {
--- a/src/pollenstream/exchange/reservation.cpp
+++ b/src/pollenstream/exchange/reservation.cpp
@@ -102,10 +102,9 @@
                                      } );
 }
 
-/// Releases the memory everywhere once one target has dropped its own. The
-/// request cannot be completed then, and a target that has lost its connection
-/// to the others would otherwise keep their memory reserved: its silence is
-/// tolerated for longer than operators tolerate memory without a request.
+/// Releases the memory everywhere once one target must have dropped its own.
+/// The request cannot be completed then. If that target is unreachable, its
+/// connection times out later than operators tolerate memory without a request.
 auto reservation_group::on_expiry_timer() -> void
 {
     auto const fired_timer = std::move( expiry_ );
