--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -335,8 +335,10 @@
     update_store_state();
     registry_.set_reader( group_.should_read_store() );
     fetch_from_peer();
-    load_table_.set_learns_speeds( group_.coordinator_position().has_value() );
-    load_table_.expire_slowdowns( scheduler_.now() );
+    auto const now = scheduler_.now();
+    load_table_.set_learns_speeds( group_.coordinator_position().has_value(),
+                                   now );
+    load_table_.expire_slowdowns( now );
     auto const period =
         context_.configuration == nullptr ? startup_tick_period : tick_period;
     tick_call_ = scheduler_.call_after( period,
--- a/apps/tool/explain.cpp
+++ b/apps/tool/explain.cpp
@@ -65,7 +65,7 @@
     return text;
 }
 
-/// Since when it was known that the request would be late, for the sentence.
+/// What the `late_expected` line of the request says, as a part of a sentence.
 auto lateness_in( std::vector<story_line> const& story ) -> std::string
 {
     for ( auto const& line : story )
@@ -73,13 +73,14 @@
         if ( value_of( line.fields, "event" ) != "late_expected" )
             continue;
         auto const predicted = value_of( line.fields, "predicted_ms" );
-        return "; expected late after " + value_of( line.fields, "waited_ms" ) +
-               " ms, " +
-               ( predicted.empty()
-                     ? std::string( "without a target" )
-                     : predicted + " ms before its first event" ) +
-               ", objective " + value_of( line.fields, "objective_ms" ) +
-               " ms, because of: " + value_of( line.fields, "reason" );
+        return "; expected to be late after waiting " +
+               value_of( line.fields, "waited_ms" ) + " ms" +
+               ( predicted.empty() ? std::string( " without a target" )
+                                   : ", as its first event was predicted in " +
+                                         predicted + " ms" ) +
+               ", with an objective of " +
+               value_of( line.fields, "objective_ms" ) +
+               " ms; reason: " + value_of( line.fields, "reason" );
     }
     return {};
 }
--- a/apps/tool/loss_groups.hpp
+++ b/apps/tool/loss_groups.hpp
@@ -12,11 +12,11 @@
 namespace apps::tool
 {
 
-/// What lost requests can be grouped by.
+/// The property of requests by which `losses` groups its sums.
 enum class loss_key
 {
-    workspace,   ///< of the `ended` line
-    data_centre, ///< of the instance that wrote the `ended` line
+    workspace,   ///< as named by the last line of the request that has it
+    data_centre, ///< of the instance that wrote the last line of the request
     kind,        ///< route of the prompt or call
 };
 
--- a/apps/tool/losses.cpp
+++ b/apps/tool/losses.cpp
@@ -84,7 +84,8 @@
 
 auto cause_of_failure( std::string const& error ) -> loss_cause
 {
-    if ( error.starts_with( "reservation" ) )
+    // "reservation expired at" ends a request that ran: its target was lost.
+    if ( error.starts_with( "reservation: " ) )
         return loss_cause::memory_not_there;
     if ( error.starts_with( "status" ) )
         return loss_cause::target_failed;
--- a/src/pollenstream/exchange/engine_capacity.hpp
+++ b/src/pollenstream/exchange/engine_capacity.hpp
@@ -16,8 +16,8 @@
     -> std::int64_t;
 /// True if `t` can start one more request.
 auto has_free_slot( engine_speed const& speed, target_entry const& t ) -> bool;
-/// Passes until the first event of a prompt: the rest of the current one and
-/// the one with its own prefill.
+/// Passes until the first event of a prompt: on average half of the current one
+/// and the one with its own prefill, which other prompts that join make longer.
 inline constexpr auto first_event_per_pass = 1.6;
 /// Time until the first event of a prompt per time of the prefills before it:
 /// the engine decodes between their chunks.
--- a/src/pollenstream/exchange/event_log.cpp
+++ b/src/pollenstream/exchange/event_log.cpp
@@ -60,10 +60,18 @@
 auto slowdown_state_change( slowdown_change const& change ) -> state_change
 {
     auto because = std::ostringstream{};
-    if ( change.reason == slowdown_reason::first_events )
+    switch ( change.reason )
+    {
+    case slowdown_reason::first_events:
         because << "first events";
-    else
+        break;
+    case slowdown_reason::no_samples:
         because << "no recent first events";
+        break;
+    case slowdown_reason::model_changed:
+        because << "engine model changed";
+        break;
+    }
     auto const is_slow = change.slowdown > 1;
     if ( is_slow )
         because << ", " << std::fixed << std::setprecision( 1 )
--- a/src/pollenstream/exchange/exchange_lateness.cpp
+++ b/src/pollenstream/exchange/exchange_lateness.cpp
@@ -25,9 +25,9 @@
 {
     if ( lateness_.is_done() || events_ > 0 )
         return;
-    auto const passes = request_.received + lateness_.objective();
+    auto const due = request_.received + lateness_.objective();
     objective_timer_ = context_.scheduler.call_after(
-        std::max( passes - context_.scheduler.now(), core::duration( 0 ) ),
+        std::max( due - context_.scheduler.now(), core::duration( 0 ) ),
         [this]
         {
             on_objective_passed();
@@ -50,8 +50,10 @@
     if ( events_ > 0 )
         return;
     auto own_prefill_ms = 0.0;
-    for ( auto const& part : choice.parts )
-        own_prefill_ms = std::max( own_prefill_ms, part.prefill_ms );
+    for ( auto i = std::size_t{ 0 }; i < choice.parts.size(); ++i )
+        own_prefill_ms =
+            std::max( own_prefill_ms, choice.parts[i].prefill_ms *
+                                          choice.targets[i]->slowdown );
     auto const predicted = duration_of_ms( choice.first_event_ms );
     auto const waited = context_.scheduler.now() - request_.received;
     if ( auto const reason = lateness_.on_choice(
--- a/src/pollenstream/exchange/exchange_waiting.cpp
+++ b/src/pollenstream/exchange/exchange_waiting.cpp
@@ -197,9 +197,10 @@
         {
             self->on_reservation_result( grant, reservation, status );
         },
-        [self = shared_from_this(), serial]( auto const& target )
+        [owner = weak_from_this(), serial]( auto const& target )
         {
-            self->on_reservation_expired( serial, target );
+            if ( auto const self = owner.lock() )
+                self->on_reservation_expired( serial, target );
         } );
 }
 
--- a/src/pollenstream/exchange/load_table.cpp
+++ b/src/pollenstream/exchange/load_table.cpp
@@ -240,7 +240,7 @@
             known.work.parts[i].prefill_ms * known.targets[i]->slowdown;
         load.prefill_until =
             std::max( load.prefill_until, now ) + from_ms( time_ms );
-        known.targets[i]->prefill_sum_ms += time_ms;
+        known.targets[i]->prefill_added_ms += time_ms;
     }
 }
 
--- a/src/pollenstream/exchange/load_table.hpp
+++ b/src/pollenstream/exchange/load_table.hpp
@@ -160,13 +160,14 @@
     bool data_centre_drained{ false }; ///< by the operator
     request_limit limit;
     bool reported_invalid_limit{ false }; ///< one that cannot be parsed
-    scheduling::speed_estimate first_events;
+    scheduling::speed_estimate speed;
     /// Times that prefills and passes take, relative to the configured ones.
     double slowdown{ 1 };
-    /// Sum of all prefills that were added in this lifetime.
-    double prefill_sum_ms{ 0 };
-    /// Work that was sent before gives no samples for `first_events`.
-    core::instant no_samples_before;
+    /// Prefill time added in this lifetime, at the slowdown of its time. Only
+    /// differences are used: the work that came between two moments.
+    double prefill_added_ms{ 0 };
+    /// Work has to be sent later to give a sample for `speed`.
+    core::instant samples_count_from;
 
     [[nodiscard]] auto ref() const -> target_ref
     {
@@ -202,11 +203,12 @@
     core::instant until;
 };
 
-/// What a target's slowdown follows from.
+/// Why the slowdown of a target changes.
 enum class slowdown_reason
 {
     first_events,
-    no_samples, ///< no first event has come for some seconds
+    no_samples,    ///< no first event has come for some seconds
+    model_changed, ///< the operator has changed or removed the engine model
 };
 
 /// A target that was as fast as configured is slower, or is as fast again.
@@ -361,11 +363,10 @@
         std::unordered_map<core::service_id, engine_speed> models,
         core::instant now ) -> void;
     /// Whether slowdowns are learned. Only coordinators are told of all work:
-    /// to another instance, an engine that works for others would seem slow.
-    auto set_learns_speeds( bool learns ) -> void
-    {
-        learns_speeds_ = learns;
-    }
+    /// to another instance, an engine that works for others would seem slow. An
+    /// instance that becomes a coordinator learns from work that is sent once
+    /// all others have had time to tell it of theirs.
+    auto set_learns_speeds( bool learns, core::instant now ) -> void;
     /// Treats targets without recent first events as configured again. To be
     /// called regularly, as there may be no work that would do so.
     auto expire_slowdowns( core::instant now ) -> void;
@@ -430,9 +431,9 @@
         std::vector<std::shared_ptr<target_entry>> targets;
         bool prefill_counted{ false };
         core::instant sent_at;
-        std::optional<scheduling::expected_first_event> first_event;
-        /// The first target's `prefill_sum_ms` when the work was added.
-        double prefill_before_ms{ 0 };
+        std::optional<scheduling::expected_first_event> expected;
+        /// The first target's `prefill_added_ms` when the work was added.
+        double prefill_added_before_ms{ 0 };
     };
     using work_map = std::unordered_map<std::uint64_t, known_work>;
 
@@ -493,7 +494,8 @@
     std::unordered_map<core::service_id, double> warm_up_rates_;
     std::unordered_map<core::service_id, engine_speed> engine_models_;
     std::set<core::target_id> slowed_; ///< usually empty
-    bool learns_speeds_{ true };
+    /// Since when slowdowns are learned; empty if they are not.
+    std::optional<core::instant> learns_speeds_since_{ core::instant::min() };
     limit_shares shares_;
 };
 
--- a/src/pollenstream/exchange/load_table_speeds.cpp
+++ b/src/pollenstream/exchange/load_table_speeds.cpp
@@ -15,14 +15,18 @@
 
 using namespace std::chrono_literals;
 
-/// Work that is older at its first report was learned of late. Instances report
-/// new work within 8 ms; older work was reported in a datagram that was lost,
-/// or before this instance became a coordinator.
+/// Work that is older at its first report was reported late. Instances report
+/// new work within 8 ms; the datagram with older work was lost, or sent before
+/// this instance became a coordinator.
 constexpr auto max_report_age = core::duration( 20ms );
 /// Time from an engine's first event until the coordinators know of it:
 /// instances report within 8 ms, and the rest is the way of the messages.
 constexpr auto first_event_report_time = core::duration( 10ms );
 
+/// Time in which all instances tell a new coordinator of their open work: they
+/// do so when they notice it, and again in their regular messages each 500 ms.
+constexpr auto time_to_hear_of_all_work = core::duration( 1s );
+
 /// Adds the prefills of prompts that joined the engine before its first event
 /// at `at`. Those that joined within the expected time share the pass of the
 /// event, which takes longer by them; the others came too late for it.
@@ -46,16 +50,27 @@
     std::unordered_map<core::service_id, engine_speed> models,
     core::instant now ) -> void
 {
-    engine_models_ = std::move( models );
+    auto const former = std::exchange( engine_models_, std::move( models ) );
     for ( auto const& [id, entry] : by_id_ )
     {
-        if ( engine_models_.contains( entry->properties.service ) )
+        auto const old = former.find( entry->properties.service );
+        auto const* const model = engine_model_of( *entry );
+        if ( model != nullptr && old != former.end() && *model == old->second )
             continue;
-        entry->first_events = {};
-        set_slowdown( entry, 1, slowdown_reason::no_samples, now );
+        entry->speed = {};
+        entry->samples_count_from = now;
+        set_slowdown( entry, 1, slowdown_reason::model_changed, now );
     }
 }
 
+auto load_table::set_learns_speeds( bool learns, core::instant now ) -> void
+{
+    if ( !learns )
+        learns_speeds_since_.reset();
+    else if ( !learns_speeds_since_ )
+        learns_speeds_since_ = now + time_to_hear_of_all_work;
+}
+
 auto load_table::engine_model_of( target_entry const& target ) const
     -> engine_speed const*
 {
@@ -91,41 +106,46 @@
     auto const slowed = slowed_;
     for ( auto const& id : slowed )
         if ( auto const entry = find( id ) )
-            set_slowdown( entry, entry->first_events.slowdown( now ),
+            set_slowdown( entry, entry->speed.slowdown( now ),
                           slowdown_reason::no_samples, now );
 }
 
-/// Excludes first events from the estimates that the known load of their
-/// engines doesn't explain: those of work that was sent before this instance
-/// learned of the late work `known`, or that is prefilled behind it.
+/// Excludes the work whose first event comes later because of `known`, which
+/// its expectation doesn't contain: work that was sent before a late report of
+/// `known` or is prefilled behind it, and prompts that the engine prefills
+/// after a part for another engine.
 auto load_table::exclude_samples( known_work const& known, core::instant now )
     -> void
 {
-    auto const is_late = now - known.sent_at > max_report_age;
+    auto const was_reported_late = now - known.sent_at > max_report_age;
     for ( auto i = std::size_t{ 0 }; i < known.targets.size(); ++i )
     {
         if ( !known.targets[i] )
             continue;
         auto& target = *known.targets[i];
-        auto& before = target.no_samples_before;
+        auto& from = target.samples_count_from;
         // An engine prefills parts for other engines before its own prompts.
-        auto const overtakes = i > 0 && known.work.prefilling &&
-                               target.load.own_parts_prefilling > 0;
-        if ( is_late )
-            before = std::max( { before, now, target.load.prefill_until } );
-        else if ( overtakes )
-            before = std::max( before, now );
+        auto const goes_before_prompts = i > 0 && known.work.prefilling &&
+                                         target.load.own_parts_prefilling > 0;
+        if ( was_reported_late )
+            from = std::max( { from, now, target.load.prefill_until } );
+        else if ( goes_before_prompts )
+            from = std::max( from, now );
     }
 }
 
 /// Expects the first event when the engines have finished all their prefills
 /// and the first one has made the passes that an event needs, by the factors
-/// with which the choosers predict it.
+/// with which short prompts are predicted. A split prompt is predicted without
+/// them: it may come later than predicted and still be in time here.
 auto load_table::expect_first_event( known_work& known, core::instant now )
     -> void
 {
     exclude_samples( known, now );
-    if ( !known.work.prefilling || !learns_speeds_ || !shares_.knows_all_work )
+    auto const learns = learns_speeds_since_ &&
+                        known.sent_at >= *learns_speeds_since_ &&
+                        shares_.knows_all_work;
+    if ( !known.work.prefilling || !learns )
         return;
     auto expected = scheduling::expected_first_event{ known.sent_at, {}, {} };
     auto prefills_ms = 0.0;
@@ -148,33 +168,33 @@
         pass_ms( *engine_model_of( first ), first ) * first_event_per_pass;
     expected.time = now - known.sent_at +
                     core::duration_of( ( prefills_ms + passes_ms ) / 1'000 );
-    known.first_event = std::move( expected );
-    known.prefill_before_ms = first.prefill_sum_ms;
+    known.expected = std::move( expected );
+    known.prefill_added_before_ms = first.prefill_added_ms;
 }
 
 auto load_table::note_first_event( known_work const& known, core::instant now )
     -> void
 {
-    if ( !known.first_event )
+    if ( !known.expected )
         return;
     auto const is_excluded = [&known]( auto const& target )
     {
-        return known.sent_at <= target->no_samples_before;
+        return known.sent_at <= target->samples_count_from;
     };
     auto const& targets = known.targets;
     if ( std::any_of( targets.begin(), targets.end(), is_excluded ) )
         return;
     auto const came_at = now - first_event_report_time;
     auto const samples = scheduling::samples_of(
-        with_joined_prefills( *known.first_event,
-                              targets.front()->prefill_sum_ms -
-                                  known.prefill_before_ms,
+        with_joined_prefills( *known.expected,
+                              targets.front()->prefill_added_ms -
+                                  known.prefill_added_before_ms,
                               came_at ),
         came_at );
     for ( auto i = std::size_t{ 0 }; i < samples.size(); ++i )
     {
-        targets[i]->first_events.add_sample( samples[i], now );
-        set_slowdown( targets[i], targets[i]->first_events.slowdown( now ),
+        targets[i]->speed.add_sample( samples[i], now );
+        set_slowdown( targets[i], targets[i]->speed.slowdown( now ),
                       slowdown_reason::first_events, now );
     }
 }
--- a/src/pollenstream/exchange/reservation.hpp
+++ b/src/pollenstream/exchange/reservation.hpp
@@ -78,8 +78,8 @@
     struct held_memory
     {
         target_memory memory;
-        core::instant
-            held_until; ///< as late as the target may have got the call
+        /// The latest time at which the target may still hold the memory.
+        core::instant held_until;
     };
 
     auto on_reserved( std::size_t index, core::result<void> const& status )
--- a/src/pollenstream/exchange/routes.hpp
+++ b/src/pollenstream/exchange/routes.hpp
@@ -73,6 +73,9 @@
     double hop_ms{ 0 }; ///< added to each step of a split prompt
     double typical_prompt_tokens{ 0 };
     double typical_output_tokens{ 0 };
+
+    friend auto operator==( engine_speed const&, engine_speed const& )
+        -> bool = default;
 };
 
 /// Configuration of a service.
--- a/src/pollenstream/observation/bounded_log.hpp
+++ b/src/pollenstream/observation/bounded_log.hpp
@@ -18,10 +18,10 @@
 /// until it ends: a served request is left out and counted, any other request
 /// is logged completely. State changes are always logged.
 ///
-/// An expected lateness is of use only at once. As many of them per second are
-/// logged immediately, beside the requests within the limit, with what is held
-/// back of their requests and what follows. Any further one is held back with
-/// its request, or left out and counted.
+/// Expected latenesses are logged immediately, up to the same number per
+/// second, together with all other events of their requests. Beyond that, one
+/// whose request is held back is logged or left out with it; any other one is
+/// left out and counted.
 class bounded_log : public exchange::event_log
 {
 public:
--- a/src/pollenstream/observation/lost_requests.hpp
+++ b/src/pollenstream/observation/lost_requests.hpp
@@ -18,8 +18,8 @@
 enum class loss_kind
 {
     late,    ///< its first event or a gap between events exceeded the objective
-    refused, ///< nothing has run
-    failed,  ///< it may have run
+    refused, ///< this gateway answered 503: nothing has run
+    failed,  ///< any other error, of this gateway or relayed from a target
     number_of_kinds,
 };
 
--- a/src/pollenstream/scheduling/engine_speeds.hpp
+++ b/src/pollenstream/scheduling/engine_speeds.hpp
@@ -23,9 +23,9 @@
     /// A sample is the ratio of the observed to the expected time of a first
     /// event, times the slowdown that the expectation assumed.
     auto add_sample( double slowdown, core::instant now ) -> void;
-    /// The median of the last three samples from 1 to 10; samples that are
-    /// missing count as 1. It is 1 if the median is within the variation of
-    /// first events, or if there was no sample lately.
+    /// The median of the last three samples, at most 10; missing samples count
+    /// as 1. A median below 2 counts as 1, since first events vary that much,
+    /// and so does an estimate without a sample for 5 s.
     [[nodiscard]] auto slowdown( core::instant now ) const -> double;
 
 private:
--- a/src/pollenstream/scheduling/lateness_watch.hpp
+++ b/src/pollenstream/scheduling/lateness_watch.hpp
@@ -11,7 +11,7 @@
 /// Why the first event of a request is expected after the latency objective.
 enum class lateness_reason
 {
-    waited,  ///< it would be in time if targets had been chosen at its arrival
+    waited,  ///< the prediction alone is in time, or there is no target yet
     backlog, ///< the prediction exceeds the objective, mostly by other prompts
     prompt,  ///< its own prefill exceeds the objective or outweighs the backlog
 };
@@ -19,7 +19,7 @@
 /// Stable name of `reason`, as in logs.
 auto name_of( lateness_reason reason ) -> char const*;
 
-/// What is known of the first event when the targets of a request are chosen.
+/// Prediction of a request's first event at the choice of its targets.
 struct first_event_prediction
 {
     core::duration waited{ 0 };      ///< from the arrival to the choice
--- a/tests/observation/losses_test.cpp
+++ b/tests/observation/losses_test.cpp
@@ -107,6 +107,13 @@
                            ended } ) == loss_cause::no_configuration );
     CHECK( single_cause( { "event=attempt_failed id=a error=\"status 500\"",
                            ended } ) == loss_cause::target_failed );
+    CHECK( single_cause( { "event=attempt_failed id=a "
+                           "error=\"reservation: memory is not free\"",
+                           ended } ) == loss_cause::memory_not_there );
+    // The request ran until a target could not be reached any more.
+    CHECK( single_cause( { "event=attempt_failed id=a "
+                           "error=\"reservation expired at e1\"",
+                           ended } ) == loss_cause::target_lost );
     CHECK( single_cause( { ended } ) == loss_cause::unknown );
     // No end is logged, as when the instance has crashed.
     CHECK( single_cause( { placed( "a", 3, 500 ) } ) ==
--- a/tests/observation/observation_test.cpp
+++ b/tests/observation/observation_test.cpp
@@ -283,11 +283,12 @@
     CHECK( cause_of( "time=1 event=late_expected id=x workspace=w route=r "
                      "reason=backlog waited_ms=50.0 objective_ms=300.0 "
                      "predicted_ms=400.0\n" ) ==
-           "still open at the end of these logs; expected late after 50.0 ms, "
-           "400.0 ms before its first event, objective 300.0 ms, because of: "
-           "backlog" );
+           "still open at the end of these logs; expected to be late after "
+           "waiting 50.0 ms, as its first event was predicted in 400.0 ms, "
+           "with an objective of 300.0 ms; reason: backlog" );
     CHECK( cause_of( "time=1 event=late_expected id=x workspace=w route=r "
                      "reason=waited waited_ms=300.0 objective_ms=300.0\n" ) ==
-           "still open at the end of these logs; expected late after 300.0 ms, "
-           "without a target, objective 300.0 ms, because of: waited" );
+           "still open at the end of these logs; expected to be late after "
+           "waiting 300.0 ms without a target, with an objective of 300.0 ms; "
+           "reason: waited" );
 }
--- a/tests/scheduling/learned_speeds_test.cpp
+++ b/tests/scheduling/learned_speeds_test.cpp
@@ -243,7 +243,7 @@
     }
     SECTION( "the instance knows only its own work" )
     {
-        f.loads.set_learns_speeds( false );
+        f.loads.set_learns_speeds( false, f.now );
         for ( auto i = 0; i < 3; ++i )
             f.serve( 3 );
     }
@@ -297,3 +297,43 @@
     CHECK( slow.choice->first_event_ms >
            undisturbed.choice->first_event_ms * 2 );
 }
+
+// Guards against an engine that counts as slow because its backlog is known to
+// the former coordinators only.
+TEST_CASE( "an instance that becomes a coordinator learns once all others have "
+           "told it of their work",
+           "[scheduling][speeds]" )
+{
+    auto f = played_engines{};
+    f.loads.set_learns_speeds( false, f.now );
+    auto const since = f.now;
+    f.loads.set_learns_speeds( true, since );
+    // Two late first events would be enough otherwise.
+    f.serve( 2.5 );
+    f.serve( 2.5 );
+    REQUIRE( f.now < since + 1s );
+    CHECK( f.entry()->slowdown == 1 );
+    f.now = since + 1s;
+    f.loads.set_learns_speeds( true, f.now );
+    f.serve( 3 );
+    f.serve( 3 );
+    CHECK( f.entry()->slowdown == Approx( 3 ).epsilon( 0.01 ) );
+}
+
+// Guards against samples that are relative to a model that no longer holds.
+TEST_CASE( "a changed engine model ends the estimate, an equal one does not",
+           "[scheduling][speeds]" )
+{
+    auto f = played_engines{};
+    f.slow_down( f.entry()->properties.id );
+    auto model = production_engine_speed();
+    auto const id = core::service_id( "model" );
+    f.loads.set_engine_models( { { id, model } }, f.now );
+    CHECK( f.entry()->slowdown > 2 );
+    model.prefill_tokens_per_ms /= 3;
+    f.loads.set_engine_models( { { id, model } }, f.now );
+    CHECK( f.entry()->slowdown == 1 );
+    REQUIRE( f.changes.size() == 2 );
+    CHECK( exchange::slowdown_state_change( f.changes[1] ).because ==
+           "engine model changed" );
+}
