--- a/apps/tool/loss_cause.hpp
+++ b/apps/tool/loss_cause.hpp
@@ -41,6 +41,13 @@
 {
     std::int64_t requests{ 0 };
     double weight{ 0 }; ///< by size, as placing values them
+
+    /// Adds one request.
+    auto add( double request_weight ) -> void
+    {
+        ++requests;
+        weight += request_weight;
+    }
 };
 
 /// Lost requests by `loss_cause`.
--- a/apps/tool/loss_groups.cpp
+++ b/apps/tool/loss_groups.cpp
@@ -8,12 +8,6 @@
 namespace
 {
 
-auto add_to( loss_sum& sum, double weight ) -> void
-{
-    ++sum.requests;
-    sum.weight += weight;
-}
-
 auto name_for( std::optional<std::string> const& key_value ) -> std::string
 {
     if ( !key_value )
@@ -57,11 +51,11 @@
         name = others;
     auto& group = groups_[name];
     group.name = name;
-    add_to( group.all, weight );
+    group.all.add( weight );
     if ( !lost )
         return;
-    add_to( group.lost, weight );
-    add_to( group.by_cause.at( static_cast<std::size_t>( *lost ) ), weight );
+    group.lost.add( weight );
+    group.by_cause.at( static_cast<std::size_t>( *lost ) ).add( weight );
 }
 
 auto loss_groups::by_lost_weight() const -> std::vector<loss_group>
--- a/apps/tool/losses.hpp
+++ b/apps/tool/losses.hpp
@@ -91,6 +91,9 @@
 
     auto open( std::string const& id ) -> story&;
     auto take_end( log_line const& line, std::string const& id ) -> void;
+    static auto cause_of_late( story const& told,
+                               double reached,
+                               double objective ) -> loss_cause;
     auto note_group( log_line const& line, story& told ) const -> void;
     auto count( story const& told, std::optional<loss_cause> lost ) -> void;
     auto row_of( double prompt ) -> size_row&;
--- a/src/pollenstream/core/units.hpp
+++ b/src/pollenstream/core/units.hpp
@@ -40,6 +40,13 @@
         std::chrono::duration<double>( seconds ) );
 }
 
+/// Converts milliseconds to a duration, truncated to whole microseconds.
+constexpr auto duration_of_ms( double ms ) noexcept -> duration
+{
+    constexpr auto ms_per_second = 1'000.0;
+    return duration_of( ms / ms_per_second );
+}
+
 /// Converts a duration to milliseconds, truncated.
 constexpr auto milliseconds_of( duration d ) noexcept -> std::int64_t
 {
--- a/src/pollenstream/exchange/exchange_lateness.cpp
+++ b/src/pollenstream/exchange/exchange_lateness.cpp
@@ -8,17 +8,6 @@
 namespace pollenstream::exchange
 {
 
-namespace
-{
-
-auto duration_of_ms( double ms ) -> core::duration
-{
-    constexpr auto ms_per_second = 1'000.0;
-    return core::duration_of( ms / ms_per_second );
-}
-
-}
-
 /// Checks the wait when the latency objective has passed, if the request still
 /// has no target then.
 auto exchange::arm_objective_timer() -> void
@@ -54,11 +43,12 @@
         own_prefill_ms =
             std::max( own_prefill_ms, choice.parts[i].prefill_ms *
                                           choice.targets[i]->slowdown );
-    auto const predicted = duration_of_ms( choice.first_event_ms );
+    auto const predicted = core::duration_of_ms( choice.first_event_ms );
     auto const waited = context_.scheduler.now() - request_.received;
     if ( auto const reason = lateness_.on_choice(
-             { waited, predicted, duration_of_ms( choice.basis.backlog_ms ),
-               duration_of_ms( own_prefill_ms ) } ) )
+             { waited, predicted,
+               core::duration_of_ms( choice.basis.backlog_ms ),
+               core::duration_of_ms( own_prefill_ms ) } ) )
         record_lateness( *reason, predicted );
 }
 
--- a/src/pollenstream/exchange/load_table_speeds.cpp
+++ b/src/pollenstream/exchange/load_table_speeds.cpp
@@ -40,7 +40,7 @@
     auto const share = observed_seconds > expected_seconds
                            ? expected_seconds / observed_seconds
                            : 1.0;
-    expected.time += core::duration_of( joined_ms * share / 1'000 );
+    expected.time += core::duration_of_ms( joined_ms * share );
     return expected;
 }
 
@@ -166,8 +166,8 @@
     auto const& first = *known.targets.front();
     auto const passes_ms =
         pass_ms( *engine_model_of( first ), first ) * first_event_per_pass;
-    expected.time = now - known.sent_at +
-                    core::duration_of( ( prefills_ms + passes_ms ) / 1'000 );
+    expected.time =
+        now - known.sent_at + core::duration_of_ms( prefills_ms + passes_ms );
     known.expected = std::move( expected );
     known.prefill_added_before_ms = first.prefill_added_ms;
 }
