Log and metrics of the retry budget

Nothing told when an instance had used up its part of the retry budget, among how many instances it divided the constant, or how old its process was, so the hypotheses of the incident could not be told apart in the field. A state line at each change and three metrics say it now.

No logic is changed.

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -282,6 +282,10 @@
         if ( update.has_value() )
             registry_.apply_update( update.value(), from );
     };
+    retries_.on_changed = [this]( auto const& change )
+    {
+        record_retry_budget( change );
+    };
     group_.on_size_changed = [this]
     {
         retries_.set_instances( group_.size() );
@@ -294,6 +298,7 @@
         quarantine_records_.on_changed( content );
     };
     quarantine_.start();
+    started_ = scheduler_.now();
     tick();
     record_process( "started", "incarnation" );
 }
@@ -477,6 +482,18 @@
     io_.stop();
 }
 
+auto gateway_node::record_retry_budget(
+    exchange::retry_budget_change const& change ) -> void
+{
+    auto because = std::to_string( change.retries ) +
+                   " in the window, one of " +
+                   std::to_string( change.instances ) + " instances";
+    log_.record( exchange::state_change{
+        "retry_budget", change.service.str(),
+        change.is_used_up ? "used_up" : "available", std::move( because ),
+        scheduler_.now() - started_ } );
+}
+
 auto gateway_node::record_process( std::string now, std::string because )
     -> void
 {
--- a/apps/gateway/gateway_node.hpp
+++ b/apps/gateway/gateway_node.hpp
@@ -67,6 +67,9 @@
     auto check_stopped() -> void;
     auto abandon_open() -> void;
     auto end_process( std::string because ) -> void;
+    /// Logs the change with the age of this process.
+    auto record_retry_budget( exchange::retry_budget_change const& change )
+        -> void;
     auto record_process( std::string now, std::string because ) -> void;
 
     adapters::asio::net::io_context& io_;
@@ -106,6 +109,7 @@
     std::unique_ptr<adapters::asio::caller_listener> peer_listener_;
     std::unique_ptr<adapters::asio::caller_listener> metrics_;
 
+    core::instant started_;
     bool stopping_{ false };
     bool fetching_{ false };
     core::instant lagging_since_;
--- a/apps/gateway/node_state.cpp
+++ b/apps/gateway/node_state.cpp
@@ -201,6 +201,9 @@
            routed.sent_to_next.value() );
     count( "pollenstream_own_choices_total", "",
            routed.uncoordinated_choices.value() );
+    gauge( "pollenstream_retry_budget_instances", context.retries.instances() );
+    count( "pollenstream_retries_total", "", context.counters.retries.value() );
+    count( "pollenstream_retries_denied_total", "", context.retries.denied() );
     auto const& decisions = coordinator.counters();
     count( "pollenstream_decisions_total", "{decision=\"granted\"}",
            decisions.granted.value() );
--- a/src/pollenstream/exchange/shared_retry_budget.cpp
+++ b/src/pollenstream/exchange/shared_retry_budget.cpp
@@ -1,6 +1,7 @@
 #include <pollenstream/exchange/shared_retry_budget.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace pollenstream::exchange
 {
@@ -62,7 +63,21 @@
 {
     auto& recent = windows_[service];
     drop_expired( recent, now );
-    return has_budget( recent );
+    auto const is_allowed = has_budget( recent );
+    note_decision( service, recent, is_allowed );
+    return is_allowed;
+}
+
+auto shared_retry_budget::note_decision( core::service_id const& service,
+                                         window& recent,
+                                         bool is_allowed ) -> void
+{
+    denied_ += is_allowed ? 0 : 1;
+    if ( std::exchange( recent.is_used_up, !is_allowed ) == !is_allowed )
+        return;
+    if ( on_changed )
+        on_changed(
+            { service, !is_allowed, instances_, recent.retries.size() } );
 }
 
 auto shared_retry_budget::take( core::service_id const& service,
@@ -70,7 +85,9 @@
 {
     auto& recent = windows_[service];
     drop_expired( recent, now );
-    if ( !has_budget( recent ) )
+    auto const is_allowed = has_budget( recent );
+    note_decision( service, recent, is_allowed );
+    if ( !is_allowed )
         return false;
     recent.retries.push_back( now );
     return true;
--- a/src/pollenstream/exchange/shared_retry_budget.hpp
+++ b/src/pollenstream/exchange/shared_retry_budget.hpp
@@ -4,8 +4,10 @@
 #include <pollenstream/core/ids.hpp>
 #include <pollenstream/core/units.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <unordered_map>
 
 namespace pollenstream::exchange
@@ -19,6 +21,16 @@
     core::duration window{ std::chrono::seconds( 10 ) };
 };
 
+/// The retry budget of a service, when it has been used up or is available
+/// again.
+struct retry_budget_change
+{
+    core::service_id service;
+    bool is_used_up{ false };
+    std::size_t instances{ 1 }; ///< among which the constant is divided
+    std::size_t retries{ 0 };   ///< taken by this process in the window
+};
+
 /// This instance's part of the retry budget of each service. The part is the
 /// ratio of its own requests plus its share of the constant. The parts of all
 /// instances stay within the whole, so that no counter has to be shared.
@@ -39,17 +51,37 @@
     [[nodiscard]] auto can_take( core::service_id const& service,
                                  core::instant now ) -> bool;
 
+    [[nodiscard]] auto instances() const -> std::size_t
+    {
+        return instances_;
+    }
+    /// Number of times that a retry was asked for and this instance's part was
+    /// used up.
+    [[nodiscard]] auto denied() const -> std::uint64_t
+    {
+        return denied_;
+    }
+
+    /// Called when the part of a service is used up, with the first retry that
+    /// is denied, and when one is allowed again.
+    std::function<void( retry_budget_change const& )> on_changed;
+
 private:
     struct window
     {
         std::deque<core::instant> requests;
         std::deque<core::instant> retries;
+        bool is_used_up{ false };
     };
     auto drop_expired( window& recent, core::instant now ) const -> void;
     [[nodiscard]] auto has_budget( window const& recent ) const -> bool;
+    auto note_decision( core::service_id const& service,
+                        window& recent,
+                        bool is_allowed ) -> void;
 
     retry_allowance allowance_;
     std::size_t instances_{ 1 };
+    std::uint64_t denied_{ 0 };
     std::unordered_map<core::service_id, window> windows_;
 };
 
