Failing tests of the retry budget over restarts and cuts

Callers' requests were repeated more often than all instances together may. The stand-in fleet learns targets that fail most requests and the store's records of instances.

--- a/tests/support/exchange_fleet.cpp
+++ b/tests/support/exchange_fleet.cpp
@@ -37,6 +37,11 @@
     return records;
 }
 
+auto ip_of( int number ) -> std::string
+{
+    return "10.0.0." + std::to_string( number );
+}
+
 /// Encodes the path, the last event and the body, as `fleet_targets` reads
 /// them.
 class body_encoder : public exchange::request_encoder
@@ -139,10 +144,10 @@
                    owner_.crash( target_ );
                } );
     }
-    auto head() -> void
+    auto head( int status = 200 ) -> void
     {
         auto h = exchange::answer_head{};
-        h.status = 200;
+        h.status = status;
         h.has_seal = true;
         h.announces_leaving = owner_.targets_.at( target_ ).leaving;
         h.limit = owner_.targets_.at( target_ ).limit;
@@ -150,6 +155,11 @@
     }
     auto answer() -> void
     {
+        if ( owner_.next_run_fails() )
+        {
+            head( 500 );
+            return complete();
+        }
         head();
         if ( streams_ )
             return send_event();
@@ -207,6 +217,11 @@
     calls_.push_back( scheduler_.call_after( delay, std::move( what ) ) );
 }
 
+auto fleet_targets::next_run_fails() -> bool
+{
+    return answered_++ % 10 < failures_in_ten;
+}
+
 auto fleet_targets::add() -> void
 {
     auto const number = ++last_;
@@ -244,8 +259,8 @@
                } );
         return started;
     }
-    runs.push_back(
-        { started->body(), request.target, instance, scheduler_.now() } );
+    runs.push_back( { started->body(), request.target, instance,
+                      scheduler_.now(), request.id } );
     auto const pause = found->second.pauses.extract( instance );
     if ( !pause.empty() )
     {
@@ -426,12 +441,10 @@
 fleet_instance::fleet_instance( exchange_fleet& fleet,
                                 int number,
                                 int incarnation )
-    : name( "n" + std::to_string( number ) ),
-      ip( "10.0.0." + std::to_string( number ) ), fleet_( fleet ),
-      encoder_( std::make_unique<body_encoder>() ),
+    : name( "n" + std::to_string( number ) ), ip( ip_of( number ) ),
+      fleet_( fleet ), encoder_( std::make_unique<body_encoder>() ),
       chooser_( loads, core::data_centre_id( "a" ) ),
-      retries_( { 0.2, 100, std::chrono::seconds( 10 ) } ),
-      wait_queue_( fleet.scheduler ),
+      retries_( fleet.retry_allowance ), wait_queue_( fleet.scheduler ),
       sender_( std::make_unique<sender>( fleet, ip ) ),
       targets_( std::make_unique<targets>( fleet, name ) ),
       group( { core::instance_id( name ), core::incarnation( incarnation ), ip,
@@ -575,8 +588,10 @@
 
 exchange_fleet::exchange_fleet( int instances,
                                 int engine_count,
-                                int plain_count )
-    : engines(
+                                int plain_count,
+                                double retry_constant )
+    : retry_allowance{ 0.2, retry_constant, 10s },
+      engines(
           scheduler,
           "model",
           [this]( auto const& properties )
@@ -641,8 +656,13 @@
         for ( auto const& properties : service->properties() )
             instance->loads.put( properties );
     tell_warm_up( *instance );
+    if ( store.is_unavailable )
+        return;
     for ( auto const& [key, value] : store.records )
         instance->records.apply_record( key, value );
+    // The store has a record of each instance.
+    for ( auto i = 1; i <= size(); ++i )
+        instance->group.add_ip( ip_of( i ) );
 }
 
 auto exchange_fleet::warm_up_all( double per_second, core::duration left )
@@ -745,6 +765,7 @@
 {
     auto& instance = instances_.at( static_cast<std::size_t>( number ) );
     ++call->attempts;
+    attempts[call->path].push_back( scheduler.now() );
     if ( !instance )
     {
         call->status = 0;
--- a/tests/support/exchange_fleet.hpp
+++ b/tests/support/exchange_fleet.hpp
@@ -24,6 +24,7 @@
     core::target_id target;
     std::string instance; ///< the instance that sent it
     core::instant sent_at;
+    exchange::attempt_id attempt; ///< the caller's attempt
 };
 
 /// Simulated targets of one service, shared by the instances of an
@@ -85,6 +86,8 @@
 
     std::vector<fleet_run> runs;
     int crashes{ 0 };
+    /// Of ten requests that run, this many are answered with a failure.
+    int failures_in_ten{ 0 };
     times time;
     bool answers_probes{ true };
 
@@ -100,6 +103,7 @@
     };
 
     auto after( core::duration delay, std::function<void()> what ) -> void;
+    auto next_run_fails() -> bool;
 
     held_scheduler& scheduler_;
     std::string service_;
@@ -109,6 +113,7 @@
     std::vector<exchange::target_properties> listed_; ///< in the registry
     std::vector<std::unique_ptr<ports::scheduled_call>> calls_;
     int last_{ 0 };
+    int answered_{ 0 };
 };
 
 class exchange_fleet;
@@ -207,7 +212,10 @@
 class exchange_fleet
 {
 public:
-    exchange_fleet( int instances, int engines, int plain );
+    exchange_fleet( int instances,
+                    int engines,
+                    int plain,
+                    double retry_constant = 100 );
     ~exchange_fleet();
     exchange_fleet( exchange_fleet const& ) = delete;
     auto operator=( exchange_fleet const& ) -> exchange_fleet& = delete;
@@ -252,6 +260,9 @@
         -> void;
 
     int drop_every{ 0 }; ///< each n-th datagram is lost; 0: none
+    exchange::retry_allowance const retry_allowance;
+    /// Attempts of callers by path, also at instances that do not run.
+    std::map<std::string, std::vector<core::instant>> attempts;
     held_scheduler scheduler;
     fleet_store store{ *this };
     fleet_targets engines;
