A process that has just started takes no retries of the one before it

Callers' requests reached targets more often than all instances together may repeat them, as soon as instances were killed while targets failed. Cause: the window of the retry budget lives in the process. A process that starts again had its whole share of the constant and the whole ratio, while the retries of its predecessor still counted in the fleet's window; three processes in ten seconds took three shares. Ruled out: windows that do not match, alone (without kills the sum held). Change: until a whole window has passed since its start a process takes only its share of a reserve of a fifth of the constant, which accrues with time. Two processes of an instance can then never spend the same part, and any number of restarts shares one reserve. Nobody has to be asked, so that it also holds when all coordinators are lost at once.

--- a/src/pollenstream/exchange/shared_retry_budget.cpp
+++ b/src/pollenstream/exchange/shared_retry_budget.cpp
@@ -9,15 +9,18 @@
 namespace
 {
 
-/// Fraction of the constant that is divided among the instances. The rest is a
-/// reserve: the windows of instances do not start together, and instances that
-/// have just died still count until they are forgotten.
+/// Fraction of the constant that is divided among the instances.
 constexpr auto distributed_share = 0.75;
+/// Fraction of the constant that accrues, in a window, to instances that have
+/// just started. The rest remains unused, since the windows of instances do not
+/// start together.
+constexpr auto restart_share = 0.2;
 
 }
 
-shared_retry_budget::shared_retry_budget( retry_allowance allowance )
-    : allowance_( allowance )
+shared_retry_budget::shared_retry_budget( retry_allowance allowance,
+                                          core::instant started )
+    : allowance_( allowance ), started_( started )
 {
 }
 
@@ -49,13 +52,23 @@
     recent.requests.push_back( now );
 }
 
-auto shared_retry_budget::has_budget( window const& recent ) const -> bool
+auto shared_retry_budget::allowed( window const& recent,
+                                   core::instant now ) const -> double
 {
-    auto const allowed =
-        allowance_.ratio * static_cast<double>( recent.requests.size() ) +
-        allowance_.constant * distributed_share /
-            static_cast<double>( instances_ );
-    return static_cast<double>( recent.retries.size() + 1 ) <= allowed;
+    auto const share = allowance_.constant / static_cast<double>( instances_ );
+    auto const age = now - started_;
+    if ( age < allowance_.window )
+        return share * restart_share * core::seconds_of( age ) /
+               core::seconds_of( allowance_.window );
+    return allowance_.ratio * static_cast<double>( recent.requests.size() ) +
+           share * distributed_share;
+}
+
+auto shared_retry_budget::has_budget( window const& recent,
+                                      core::instant now ) const -> bool
+{
+    return static_cast<double>( recent.retries.size() + 1 ) <=
+           allowed( recent, now );
 }
 
 auto shared_retry_budget::can_take( core::service_id const& service,
@@ -63,7 +76,7 @@
 {
     auto& recent = windows_[service];
     drop_expired( recent, now );
-    auto const is_allowed = has_budget( recent );
+    auto const is_allowed = has_budget( recent, now );
     note_decision( service, recent, is_allowed );
     return is_allowed;
 }
@@ -85,7 +98,7 @@
 {
     auto& recent = windows_[service];
     drop_expired( recent, now );
-    auto const is_allowed = has_budget( recent );
+    auto const is_allowed = has_budget( recent, now );
     note_decision( service, recent, is_allowed );
     if ( !is_allowed )
         return false;
--- a/src/pollenstream/exchange/shared_retry_budget.hpp
+++ b/src/pollenstream/exchange/shared_retry_budget.hpp
@@ -33,11 +33,17 @@
 
 /// This instance's part of the retry budget of each service. The part is the
 /// ratio of its own requests plus its share of the constant. The parts of all
-/// instances stay within the whole, so that no counter has to be shared.
+/// instances, over all their processes, stay within the whole, so that no
+/// counter has to be shared.
+///
+/// A process does not know what the one before it on the same instance has
+/// taken. Until a whole window has passed since its start it takes no more than
+/// its share of a reserve, which accrues with time.
 class shared_retry_budget
 {
 public:
-    explicit shared_retry_budget( retry_allowance allowance );
+    /// `started`: when this process started.
+    shared_retry_budget( retry_allowance allowance, core::instant started );
 
     auto set_allowance( retry_allowance allowance ) -> void;
     /// The number of instances among which the constant is divided.
@@ -74,12 +80,17 @@
         bool is_used_up{ false };
     };
     auto drop_expired( window& recent, core::instant now ) const -> void;
-    [[nodiscard]] auto has_budget( window const& recent ) const -> bool;
+    /// Number of retries that may be taken in the window that ends now.
+    [[nodiscard]] auto allowed( window const& recent, core::instant now ) const
+        -> double;
+    [[nodiscard]] auto has_budget( window const& recent,
+                                   core::instant now ) const -> bool;
     auto note_decision( core::service_id const& service,
                         window& recent,
                         bool is_allowed ) -> void;
 
     retry_allowance allowance_;
+    core::instant started_;
     std::size_t instances_{ 1 };
     std::uint64_t denied_{ 0 };
     std::unordered_map<core::service_id, window> windows_;
--- a/tests/exchange/parts_test.cpp
+++ b/tests/exchange/parts_test.cpp
@@ -57,7 +57,8 @@
     constexpr auto instances = 7;
     for ( auto i = 0; i < instances; ++i )
     {
-        auto budget = exchange::shared_retry_budget( { 0.2, 102, 10s } );
+        auto budget =
+            exchange::shared_retry_budget( { 0.2, 102, 10s }, now - 10s );
         budget.set_instances( instances );
         for ( auto r = 0; r < 100; ++r )
             budget.note_request( service, now );
@@ -71,7 +72,8 @@
 TEST_CASE( "a retry counts against the budget for the whole window",
            "[retries]" )
 {
-    auto budget = exchange::shared_retry_budget( { 0, 4, 10s } );
+    auto budget =
+        exchange::shared_retry_budget( { 0, 4, 10s }, core::instant{} );
     auto const service = core::service_id( "s" );
     auto const start = core::instant( 100s );
     CHECK( budget.take( service, start ) );
--- a/tests/support/exchange_fleet.cpp
+++ b/tests/support/exchange_fleet.cpp
@@ -440,11 +440,13 @@
 
 fleet_instance::fleet_instance( exchange_fleet& fleet,
                                 int number,
-                                int incarnation )
+                                int incarnation,
+                                core::instant started )
     : name( "n" + std::to_string( number ) ), ip( ip_of( number ) ),
       fleet_( fleet ), encoder_( std::make_unique<body_encoder>() ),
       chooser_( loads, core::data_centre_id( "a" ) ),
-      retries_( fleet.retry_allowance ), wait_queue_( fleet.scheduler ),
+      retries_( fleet.retry_allowance, started ),
+      wait_queue_( fleet.scheduler ),
       sender_( std::make_unique<sender>( fleet, ip ) ),
       targets_( std::make_unique<targets>( fleet, name ) ),
       group( { core::instance_id( name ), core::incarnation( incarnation ), ip,
@@ -649,8 +651,11 @@
 auto exchange_fleet::restart( int number ) -> void
 {
     auto& instance = instances_.at( static_cast<std::size_t>( number ) );
-    instance = std::make_unique<fleet_instance>( *this, number + 1,
-                                                 ++last_incarnation_ );
+    // A first process has no predecessor whose retries may still count.
+    auto const is_first = last_incarnation_ < size();
+    instance = std::make_unique<fleet_instance>(
+        *this, number + 1, ++last_incarnation_,
+        is_first ? core::instant{} : scheduler.now() );
     disconnected_.erase( instance->ip );
     for ( auto const* service : { &engines, &plain } )
         for ( auto const& properties : service->properties() )
--- a/tests/support/exchange_fleet.hpp
+++ b/tests/support/exchange_fleet.hpp
@@ -152,7 +152,11 @@
 class fleet_instance
 {
 public:
-    fleet_instance( exchange_fleet& fleet, int number, int incarnation );
+    /// `started`: when the process started, or long ago.
+    fleet_instance( exchange_fleet& fleet,
+                    int number,
+                    int incarnation,
+                    core::instant started );
     ~fleet_instance();
     fleet_instance( fleet_instance const& ) = delete;
     auto operator=( fleet_instance const& ) -> fleet_instance& = delete;
