The constant of the retry budget is divided among all instances heard of

Instances that started again in a cut repeated each request: 14 to 23 retries in ten seconds where others had 11 at most. Cause: the divisor was the number of peers in the table: one until the first peer was heard, one side's in a cut after 30 s of silence. Each side, and each isolated instance, took the whole constant. Ruled out: more requests there (they had a third of the others'). Change: addresses heard of in messages or in the store's records are remembered for ten minutes and count, also while silent. Addresses of the settings count once an instance is heard there, since they may be stale.

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -422,7 +422,7 @@
         std::min( directory_ttl, next.longest_directory_ttl ) );
     settings_.seed_ips = next.seed_ips;
     for ( auto const& ip : next.seed_ips )
-        group_.add_ip( ip );
+        group_.add_seed_ip( ip );
     return deferred;
 }
 
--- a/src/pollenstream/peers/peer_group.cpp
+++ b/src/pollenstream/peers/peer_group.cpp
@@ -48,7 +48,7 @@
 auto peer_group::start() -> void
 {
     for ( auto const& ip : seed_ips_ )
-        add_ip( ip );
+        add_seed_ip( ip );
     greets_new_ips_ = true;
     send_heartbeat();
 }
@@ -80,6 +80,14 @@
 }
 
 auto peer_group::add_ip( std::string const& ip ) -> void
+{
+    if ( ip == self_.ip || ip.empty() )
+        return;
+    remember_address( ip );
+    add_seed_ip( ip );
+}
+
+auto peer_group::add_seed_ip( std::string const& ip ) -> void
 {
     if ( ip == self_.ip || ip.empty() || table_.has_ip( ip ) )
         return;
@@ -93,7 +101,13 @@
 
 auto peer_group::size() const -> std::size_t
 {
-    return table_.all().size() + 1;
+    return known_addresses_.size() + 1;
+}
+
+auto peer_group::remember_address( std::string const& ip ) -> void
+{
+    if ( known_addresses_.note( ip, scheduler_.now() ) && on_size_changed )
+        on_size_changed();
 }
 
 auto peer_group::base_message() const -> peer_message
@@ -398,7 +412,8 @@
     }
     if ( !silent.empty() && table_.is_coordinator( now ) )
         send_to_all( message );
-    if ( table_.remove_long_silent( now ) && on_size_changed )
+    table_.remove_long_silent( now );
+    if ( known_addresses_.forget_old( now ) && on_size_changed )
         on_size_changed();
     std::erase_if( unconfirmed_ips_,
                    [now]( auto const& entry )
@@ -450,6 +465,7 @@
             handler_->on_lost( message.sender );
     }
     unconfirmed_ips_.erase( p.ip );
+    remember_address( p.ip );
     if ( change.is_new || change.has_recovered )
         log_peer_state( p, "alive", "heard" );
     if ( change.starts_leaving )
@@ -460,8 +476,6 @@
     }
     for ( auto const& ip : message.known_ips )
         add_ip( ip );
-    if ( change.is_new && on_size_changed )
-        on_size_changed();
     if ( change.is_new || change.has_recovered || change.starts_leaving )
         update_limit_shares();
     // The sender needs the state of this instance and, if it is a coordinator,
--- a/src/pollenstream/peers/peer_group.hpp
+++ b/src/pollenstream/peers/peer_group.hpp
@@ -5,6 +5,7 @@
 #include <pollenstream/exchange/context.hpp>
 #include <pollenstream/exchange/event_log.hpp>
 #include <pollenstream/exchange/load_table.hpp>
+#include <pollenstream/peers/address_memory.hpp>
 #include <pollenstream/peers/peer_message.hpp>
 #include <pollenstream/peers/peer_table.hpp>
 #include <pollenstream/peers/placement_transport.hpp>
@@ -91,6 +92,9 @@
         -> std::map<core::instance_id, std::string>;
     /// Adds the address of an instance, from the registry or from a peer.
     auto add_ip( std::string const& ip ) -> void;
+    /// Adds an address from the settings. It may be stale, so that no budget is
+    /// divided with it until an instance is heard there.
+    auto add_seed_ip( std::string const& ip ) -> void;
 
     auto on_datagram( std::string_view bytes ) -> void;
 
@@ -104,8 +108,9 @@
         handler_ = &handler;
     }
     /// Number of instances among which budgets are divided, such as that of
-    /// retries: this one and all peers, of which silent ones are removed after
-    /// some time.
+    /// retries: this one and all that were heard of in the last minutes. It
+    /// also counts instances that are silent or cut off, or whose address is
+    /// all that is known.
     [[nodiscard]] auto size() const -> std::size_t;
     /// An alive instance that has seen a later revision of the store than `at`,
     /// chosen anew at each call; null if there is none.
@@ -197,6 +202,7 @@
     auto release( core::instance_id const& owner, std::uint64_t serial )
         -> void;
     auto reconcile_open_work( peer_message const& message ) -> bool;
+    auto remember_address( std::string const& ip ) -> void;
     auto next_gossip_ips() -> std::vector<std::string>;
     auto addresses() const -> std::vector<std::string>;
     auto log_peer_state( peer const& which,
@@ -213,6 +219,7 @@
     placement_handler* handler_{ nullptr };
 
     peer_table table_;
+    address_memory known_addresses_; ///< of all other instances
     core::instant started_;
     /// Addresses without a known instance, with when each was last added.
     std::map<std::string, core::instant> unconfirmed_ips_;
--- a/src/pollenstream/peers/peer_table.cpp
+++ b/src/pollenstream/peers/peer_table.cpp
@@ -26,7 +26,7 @@
 /// the report of another instance.
 constexpr auto direct_contact_time = core::duration( 500ms );
 /// A silent peer is removed this long after it was last heard, and then no
-/// longer counts in the division of limits and budgets among instances.
+/// longer counts in the division of limits among instances.
 constexpr auto removal_time = core::duration( 30s );
 
 }
@@ -134,15 +134,14 @@
     return silent;
 }
 
-auto peer_table::remove_long_silent( core::instant now ) -> bool
+auto peer_table::remove_long_silent( core::instant now ) -> void
 {
-    return std::erase_if( peers_,
-                          [now]( auto const& entry )
-                          {
-                              auto const& p = entry.second;
-                              return !p.alive &&
-                                     now - p.last_heard > removal_time;
-                          } ) > 0;
+    std::erase_if( peers_,
+                   [now]( auto const& entry )
+                   {
+                       auto const& p = entry.second;
+                       return !p.alive && now - p.last_heard > removal_time;
+                   } );
 }
 
 auto peer_table::find( core::instance_id const& id ) const -> peer const*
--- a/src/pollenstream/peers/peer_table.hpp
+++ b/src/pollenstream/peers/peer_table.hpp
@@ -85,8 +85,8 @@
     auto detect_silent_peers( core::instant now,
                               core::duration heartbeat_period )
         -> std::vector<core::instance_id>;
-    /// Removes peers that have been silent for long; true if there were any.
-    auto remove_long_silent( core::instant now ) -> bool;
+    /// Removes peers that have been silent for long.
+    auto remove_long_silent( core::instant now ) -> void;
     auto set_leaving() -> void
     {
         leaving_ = true;
