A retry that reached no target is returned to the retry budget

Callers were refused for want of retries although the budget was not spent. Cause: an attempt whose connection could not be established no longer counted as a target reached, but the retry taken for it stayed in the window, so that it was stricter than intended. 'Nothing was sent' is known: the client sets its mark before the first write, so no request that may have arrived is returned. Change: the budget gets the retry back.

--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -78,6 +78,7 @@
         std::string body; ///< of an answer that is not a stream
         event_splitter splitter;
         bool prefilling{ true };
+        bool is_retry{ false }; ///< has taken a retry from the budget
         double predicted_ms{ 0 };
         core::instant sent_at;
         core::instant last_heard_at;
--- a/src/pollenstream/exchange/exchange_attempts.cpp
+++ b/src/pollenstream/exchange/exchange_attempts.cpp
@@ -146,6 +146,7 @@
     current_ = target_attempt{};
     auto& opened = *current_;
     opened.serial = serial;
+    opened.is_retry = targets_reached_ > 1;
     opened.target = first.ref();
     opened.address = first.properties.address;
     opened.reservation = std::move( reservation );
--- a/src/pollenstream/exchange/exchange_evidence.cpp
+++ b/src/pollenstream/exchange/exchange_evidence.cpp
@@ -132,6 +132,8 @@
         context_.announcer.target_ejected( which.target,
                                            unreachable_ejection_time );
     --targets_reached_;
+    if ( which.is_retry )
+        context_.retries.give_back( demand_.service );
     ++connects_failed_;
 }
 
--- a/src/pollenstream/exchange/shared_retry_budget.cpp
+++ b/src/pollenstream/exchange/shared_retry_budget.cpp
@@ -106,4 +106,11 @@
     return true;
 }
 
+auto shared_retry_budget::give_back( core::service_id const& service ) -> void
+{
+    auto& retries = windows_[service].retries;
+    if ( !retries.empty() )
+        retries.pop_back();
+}
+
 }
--- a/src/pollenstream/exchange/shared_retry_budget.hpp
+++ b/src/pollenstream/exchange/shared_retry_budget.hpp
@@ -53,6 +53,8 @@
         -> void;
     /// Takes one retry; false where this instance's part is used up.
     auto take( core::service_id const& service, core::instant now ) -> bool;
+    /// Returns the last retry that was taken, because it reached no target.
+    auto give_back( core::service_id const& service ) -> void;
     /// True where a retry could be taken now.
     [[nodiscard]] auto can_take( core::service_id const& service,
                                  core::instant now ) -> bool;
--- a/tests/exchange/exchange_test.cpp
+++ b/tests/exchange/exchange_test.cpp
@@ -188,6 +188,18 @@
     CHECK( f.answer->whole.status == 200 );
 }
 
+TEST_CASE( "a retry that reached no target does not use up the retry budget",
+           "[exchange][repeat]" )
+{
+    auto f = exchange_fixture{};
+    f.retries.set_allowance( { 0, 2, 10s } );
+    f.start( f.request( "/chat/x" ) );
+    f.targets.all[0]->lose( true );
+    REQUIRE( f.targets.all.size() == 2 );
+    f.targets.all[1]->lose( false );
+    CHECK( f.targets.all.size() == 3 );
+}
+
 TEST_CASE( "a call that every target rejected as not run gets 503",
            "[exchange][repeat]" )
 {
