Fractions of the retry budget's parts are used by all instances together

With 66 instances a part is some seven retries in ten seconds, and rounding it down left half a retry at each unused: a fourteenth of the whole, more with more instances. Change: each instance rounds at another fraction, from a hash of its id, so that the sum of the parts is the whole.

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -2,6 +2,7 @@
 
 #include "node_state.hpp"
 #include <pollenstream/adapters/asio/http_text.hpp>
+#include <pollenstream/core/hash.hpp>
 #include <pollenstream/exchange/exchange.hpp>
 #include <pollenstream/peers/caller_directory.hpp>
 #include <pollenstream/peers/state_transfer.hpp>
@@ -89,7 +90,8 @@
       placement_( load_table_, settings_.data_centre ),
       retries_( { settings_.retry_ratio, settings_.retry_constant,
                   settings_.retry_window },
-                scheduler_.now() ),
+                scheduler_.now(),
+                core::stable_fraction( settings_.instance.str() ) ),
       wait_queue_( scheduler_ ), datagrams_( io, settings_.peers ),
       group_( own_state_of( settings_ ),
               settings_.seed_ips,
@@ -283,9 +285,9 @@
         if ( update.has_value() )
             registry_.apply_update( update.value(), from );
     };
-    retries_.on_changed = [this]( auto const& change )
+    retries_.on_used_up = [this]( auto const& state )
     {
-        record_retry_budget( change );
+        record_retry_budget( state );
     };
     group_.on_size_changed = [this]
     {
@@ -484,15 +486,13 @@
 }
 
 auto gateway_node::record_retry_budget(
-    exchange::retry_budget_change const& change ) -> void
+    exchange::used_up_retry_budget const& state ) -> void
 {
-    auto because = std::to_string( change.retries ) +
-                   " in the window, one of " +
-                   std::to_string( change.instances ) + " instances";
-    log_.record( exchange::state_change{
-        "retry_budget", change.service.str(),
-        change.is_used_up ? "used_up" : "available", std::move( because ),
-        scheduler_.now() - started_ } );
+    auto because = std::to_string( state.retries ) + " in the window, one of " +
+                   std::to_string( state.instances ) + " instances";
+    log_.record( exchange::state_change{ "retry_budget", state.service.str(),
+                                         "used_up", std::move( because ),
+                                         scheduler_.now() - started_ } );
 }
 
 auto gateway_node::record_process( std::string now, std::string because )
--- a/apps/gateway/gateway_node.hpp
+++ b/apps/gateway/gateway_node.hpp
@@ -67,8 +67,8 @@
     auto check_stopped() -> void;
     auto abandon_open() -> void;
     auto end_process( std::string because ) -> void;
-    /// Logs the change with the age of this process.
-    auto record_retry_budget( exchange::retry_budget_change const& change )
+    /// Logs the state with the age of this process.
+    auto record_retry_budget( exchange::used_up_retry_budget const& state )
         -> void;
     auto record_process( std::string now, std::string because ) -> void;
 
--- a/src/pollenstream/core/hash.cpp
+++ b/src/pollenstream/core/hash.cpp
@@ -12,6 +12,14 @@
     return XXH3_64bits_withSeed( text.data(), text.size(), seed );
 }
 
+auto stable_fraction( std::string_view text ) -> double
+{
+    // A double holds 53 bits exactly.
+    constexpr auto bits = 53U;
+    return static_cast<double>( stable_hash( text ) >> ( 64U - bits ) ) /
+           static_cast<double>( std::uint64_t{ 1 } << bits );
+}
+
 auto content_hash( std::string_view text ) -> std::string
 {
     constexpr auto digits = 32;
--- a/src/pollenstream/core/hash.hpp
+++ b/src/pollenstream/core/hash.hpp
@@ -12,6 +12,9 @@
 auto stable_hash( std::string_view text, std::uint64_t seed = 0 )
     -> std::uint64_t;
 
+/// Fraction in [0, 1) from the stable hash of `text`, evenly distributed.
+auto stable_fraction( std::string_view text ) -> double;
+
 /// 128-bit hash of `text` as 32 hexadecimal digits; identifies a document by
 /// its content.
 auto content_hash( std::string_view text ) -> std::string;
--- a/src/pollenstream/exchange/shared_retry_budget.cpp
+++ b/src/pollenstream/exchange/shared_retry_budget.cpp
@@ -1,7 +1,6 @@
 #include <pollenstream/exchange/shared_retry_budget.hpp>
 
 #include <algorithm>
-#include <utility>
 
 namespace pollenstream::exchange
 {
@@ -19,8 +18,9 @@
 }
 
 shared_retry_budget::shared_retry_budget( retry_allowance allowance,
-                                          core::instant started )
-    : allowance_( allowance ), started_( started )
+                                          core::instant started,
+                                          double rounding )
+    : allowance_( allowance ), started_( started ), rounding_( rounding )
 {
 }
 
@@ -68,7 +68,7 @@
                                       core::instant now ) const -> bool
 {
     return static_cast<double>( recent.retries.size() + 1 ) <=
-           allowed( recent, now );
+           allowed( recent, now ) + rounding_;
 }
 
 auto shared_retry_budget::can_take( core::service_id const& service,
@@ -77,20 +77,21 @@
     auto& recent = windows_[service];
     drop_expired( recent, now );
     auto const is_allowed = has_budget( recent, now );
-    note_decision( service, recent, is_allowed );
+    if ( !is_allowed )
+        note_denied( service, recent, now );
     return is_allowed;
 }
 
-auto shared_retry_budget::note_decision( core::service_id const& service,
-                                         window& recent,
-                                         bool is_allowed ) -> void
+auto shared_retry_budget::note_denied( core::service_id const& service,
+                                       window& recent,
+                                       core::instant now ) -> void
 {
-    denied_ += is_allowed ? 0 : 1;
-    if ( std::exchange( recent.is_used_up, !is_allowed ) == !is_allowed )
+    ++denied_;
+    if ( recent.last_used_up && now - *recent.last_used_up < allowance_.window )
         return;
-    if ( on_changed )
-        on_changed(
-            { service, !is_allowed, instances_, recent.retries.size() } );
+    recent.last_used_up = now;
+    if ( on_used_up )
+        on_used_up( { service, instances_, recent.retries.size() } );
 }
 
 auto shared_retry_budget::take( core::service_id const& service,
@@ -98,10 +99,11 @@
 {
     auto& recent = windows_[service];
     drop_expired( recent, now );
-    auto const is_allowed = has_budget( recent, now );
-    note_decision( service, recent, is_allowed );
-    if ( !is_allowed )
+    if ( !has_budget( recent, now ) )
+    {
+        note_denied( service, recent, now );
         return false;
+    }
     recent.retries.push_back( now );
     return true;
 }
--- a/src/pollenstream/exchange/shared_retry_budget.hpp
+++ b/src/pollenstream/exchange/shared_retry_budget.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <optional>
 #include <unordered_map>
 
 namespace pollenstream::exchange
@@ -21,12 +22,10 @@
     core::duration window{ std::chrono::seconds( 10 ) };
 };
 
-/// The retry budget of a service, when it has been used up or is available
-/// again.
-struct retry_budget_change
+/// This instance's part of the retry budget of a service is used up.
+struct used_up_retry_budget
 {
     core::service_id service;
-    bool is_used_up{ false };
     std::size_t instances{ 1 }; ///< among which the constant is divided
     std::size_t retries{ 0 };   ///< taken by this process in the window
 };
@@ -42,8 +41,12 @@
 class shared_retry_budget
 {
 public:
-    /// `started`: when this process started.
-    shared_retry_budget( retry_allowance allowance, core::instant started );
+    /// `started`: when this process started. `rounding`: fraction below one
+    /// that is added to the part before it is rounded down. It should differ
+    /// between instances, so that together they use the fractions of all parts.
+    shared_retry_budget( retry_allowance allowance,
+                         core::instant started,
+                         double rounding );
 
     auto set_allowance( retry_allowance allowance ) -> void;
     /// The number of instances among which the constant is divided.
@@ -70,16 +73,16 @@
         return denied_;
     }
 
-    /// Called when the part of a service is used up, with the first retry that
-    /// is denied, and when one is allowed again.
-    std::function<void( retry_budget_change const& )> on_changed;
+    /// Called when a retry is denied because the part of a service is used up,
+    /// at most once in a window.
+    std::function<void( used_up_retry_budget const& )> on_used_up;
 
 private:
     struct window
     {
         std::deque<core::instant> requests;
         std::deque<core::instant> retries;
-        bool is_used_up{ false };
+        std::optional<core::instant> last_used_up;
     };
     auto drop_expired( window& recent, core::instant now ) const -> void;
     /// Number of retries that may be taken in the window that ends now.
@@ -87,12 +90,13 @@
         -> double;
     [[nodiscard]] auto has_budget( window const& recent,
                                    core::instant now ) const -> bool;
-    auto note_decision( core::service_id const& service,
-                        window& recent,
-                        bool is_allowed ) -> void;
+    auto note_denied( core::service_id const& service,
+                      window& recent,
+                      core::instant now ) -> void;
 
     retry_allowance allowance_;
     core::instant started_;
+    double rounding_;
     std::size_t instances_{ 1 };
     std::uint64_t denied_{ 0 };
     std::unordered_map<core::service_id, window> windows_;
--- a/src/pollenstream/peers/peer_group_targets.cpp
+++ b/src/pollenstream/peers/peer_group_targets.cpp
@@ -138,9 +138,7 @@
         alive_instances += p.leaving || !p.alive ? 0 : 1;
     }
     auto const hears_majority = alive_instances * 2 > known_instances;
-    auto const phase =
-        static_cast<double>( core::stable_hash( self_.id.str() ) >> 11U ) /
-        static_cast<double>( std::uint64_t{ 1 } << 53U );
+    auto const phase = core::stable_fraction( self_.id.str() );
     load_table_.set_limit_shares(
         { hears_majority ? 1.0 : alive_instances / known_instances,
           uncoordinated_share / known_instances, phase,
--- a/tests/exchange/parts_test.cpp
+++ b/tests/exchange/parts_test.cpp
@@ -58,7 +58,7 @@
     for ( auto i = 0; i < instances; ++i )
     {
         auto budget =
-            exchange::shared_retry_budget( { 0.2, 102, 10s }, now - 10s );
+            exchange::shared_retry_budget( { 0.2, 102, 10s }, now - 10s, 0.5 );
         budget.set_instances( instances );
         for ( auto r = 0; r < 100; ++r )
             budget.note_request( service, now );
@@ -73,7 +73,7 @@
            "[retries]" )
 {
     auto budget =
-        exchange::shared_retry_budget( { 0, 4, 10s }, core::instant{} );
+        exchange::shared_retry_budget( { 0, 4, 10s }, core::instant{}, 0 );
     auto const service = core::service_id( "s" );
     auto const start = core::instant( 100s );
     CHECK( budget.take( service, start ) );
--- a/tests/support/exchange_fixture.hpp
+++ b/tests/support/exchange_fixture.hpp
@@ -392,7 +392,7 @@
     exchange::crash_history crashes{ std::chrono::seconds( 6 ) };
     exchange::placement chooser{ loads, core::data_centre_id( "a" ) };
     exchange::shared_retry_budget retries{
-        { 0.2, 100, std::chrono::seconds( 10 ) }, core::instant{} };
+        { 0.2, 100, std::chrono::seconds( 10 ) }, core::instant{}, 0 };
     exchange::wait_queue queue{ scheduler };
     recorded_events log;
     recorded_announcements announcer;
--- a/tests/support/exchange_fleet.cpp
+++ b/tests/support/exchange_fleet.cpp
@@ -1,6 +1,7 @@
 #include "support/exchange_fleet.hpp"
 
 #include "../../platform/registry_records.hpp"
+#include <pollenstream/core/hash.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -445,7 +446,7 @@
     : name( "n" + std::to_string( number ) ), ip( ip_of( number ) ),
       fleet_( fleet ), encoder_( std::make_unique<body_encoder>() ),
       chooser_( loads, core::data_centre_id( "a" ) ),
-      retries_( fleet.retry_allowance, started ),
+      retries_( fleet.retry_allowance, started, core::stable_fraction( name ) ),
       wait_queue_( fleet.scheduler ),
       sender_( std::make_unique<sender>( fleet, ip ) ),
       targets_( std::make_unique<targets>( fleet, name ) ),
