A log line for each target that is ejected, with who saw its failures

The logs could not tell whether a cut instance's failures take sound targets from the others, or whether a cut coordinator places by what it sees alone. Each instance now logs when a target gets no work for a while and which instance saw the failures.

No logic is changed.

--- a/src/pollenstream/exchange/event_log.cpp
+++ b/src/pollenstream/exchange/event_log.cpp
@@ -43,6 +43,16 @@
 
 }
 
+auto ejection_state_change( target_ref const& target, std::string seen_by )
+    -> state_change
+{
+    return { "target",
+             target.id.str(),
+             "ejected",
+             "failures seen by " + std::move( seen_by ),
+             {} };
+}
+
 auto limit_state_change( target_ref const& target,
                          limit_change change,
                          std::optional<double> per_second,
--- a/src/pollenstream/exchange/event_log.hpp
+++ b/src/pollenstream/exchange/event_log.hpp
@@ -116,6 +116,11 @@
     core::duration age{ 0 }; ///< of the data that the state is known from
 };
 
+/// The event for a target that gets no work for a while because of failures,
+/// which `seen_by` has seen.
+auto ejection_state_change( target_ref const& target, std::string seen_by )
+    -> state_change;
+
 /// The event for a change of a target's limit. `because` names the source of
 /// the limit, to which the rate is appended.
 auto limit_state_change( target_ref const& target,
--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -198,6 +198,7 @@
     auto on_patience_expired() -> void;
 
     auto note_failure( target_ref const& target ) -> void;
+    auto record_ejection( target_ref const& target ) -> void;
     auto note_broken_attempt( target_attempt const& which,
                               attempt_end const& end ) -> void;
     auto record_failure( target_attempt const& which,
--- a/src/pollenstream/exchange/exchange_evidence.cpp
+++ b/src/pollenstream/exchange/exchange_evidence.cpp
@@ -95,7 +95,8 @@
     {
         // The target has ended or is of no use to any instance. One answer is
         // proof, so it is ejected everywhere at once.
-        context_.loads.eject( at_fault, now + fault_ejection_time );
+        if ( context_.loads.eject( at_fault, now, now + fault_ejection_time ) )
+            record_ejection( at_fault );
         context_.announcer.target_ejected( at_fault, fault_ejection_time );
     }
     else
@@ -105,7 +106,10 @@
                                               target_failure::turned_away );
         else if ( context_.loads.note_failure( at_fault, now,
                                                target_failure::turned_away ) )
+        {
+            record_ejection( at_fault );
             context_.announcer.target_ejected( at_fault, fault_ejection_time );
+        }
     }
     return at_fault;
 }
@@ -114,11 +118,17 @@
 /// the coordinators.
 auto exchange::note_failure( target_ref const& target ) -> void
 {
-    context_.loads.note_failure( target, context_.scheduler.now() );
+    if ( context_.loads.note_failure( target, context_.scheduler.now() ) )
+        record_ejection( target );
     if ( needs_engine() )
         context_.announcer.target_failed( target, target_failure::failed );
 }
 
+auto exchange::record_ejection( target_ref const& target ) -> void
+{
+    context_.log.record( ejection_state_change( target, context_.self.str() ) );
+}
+
 /// Records that an attempt ended without a complete answer.
 auto exchange::note_broken_attempt( target_attempt const& which,
                                     attempt_end const& end ) -> void
@@ -128,9 +138,14 @@
         return note_crash( which.target, end.error );
     // Nothing was sent, so nothing listens there. This is stronger evidence
     // than a broken answer and counts as a second failure.
-    if ( context_.loads.note_failure( which.target, context_.scheduler.now() ) )
+    auto const is_ejected =
+        context_.loads.note_failure( which.target, context_.scheduler.now() );
+    if ( is_ejected )
+    {
+        record_ejection( which.target );
         context_.announcer.target_ejected( which.target,
                                            unreachable_ejection_time );
+    }
     --targets_reached_;
     if ( which.is_retry )
         context_.retries.give_back( demand_.service );
--- a/src/pollenstream/exchange/load_table.cpp
+++ b/src/pollenstream/exchange/load_table.cpp
@@ -200,9 +200,7 @@
                             health.failure_share >= failure_share_to_eject;
     if ( !is_failing )
         return false;
-    auto const was_ejected = health.ejected_until > now;
-    eject( ref, now + ejection_time( health.failures_in_a_row ) );
-    return !was_ejected;
+    return eject( ref, now, now + ejection_time( health.failures_in_a_row ) );
 }
 
 auto load_table::note_success( target_ref const& ref ) -> void
@@ -220,12 +218,17 @@
     return entry && !std::exchange( entry->announced_leaving, true );
 }
 
-auto load_table::eject( target_ref const& ref, core::instant until ) -> void
+auto load_table::eject( target_ref const& ref,
+                        core::instant now,
+                        core::instant until ) -> bool
 {
     auto const entry = find_lifetime( ref );
-    if ( entry )
-        entry->health.ejected_until =
-            std::max( entry->health.ejected_until, until );
+    if ( !entry )
+        return false;
+    auto& ejected_until = entry->health.ejected_until;
+    auto const was_ejected = ejected_until > now;
+    ejected_until = std::max( ejected_until, until );
+    return !was_ejected;
 }
 
 auto load_table::pause( target_ref const& ref, core::instant until ) -> void
--- a/src/pollenstream/exchange/load_table.hpp
+++ b/src/pollenstream/exchange/load_table.hpp
@@ -407,7 +407,10 @@
     /// Targets that have reported a limit, including those whose limit has
     /// ended since.
     [[nodiscard]] auto limited() const -> std::vector<target_ref>;
-    auto eject( target_ref const& ref, core::instant until ) -> void;
+    /// Gives the target no work before `until`. Returns true if it was not
+    /// ejected at `now`.
+    auto eject( target_ref const& ref, core::instant now, core::instant until )
+        -> bool;
     /// The target has asked this instance to send nothing before `until`. The
     /// pause concerns this instance only, so it is not part of the entry that
     /// placement for all instances uses.
--- a/src/pollenstream/peers/peer_group.cpp
+++ b/src/pollenstream/peers/peer_group.cpp
@@ -560,11 +560,7 @@
         release( message.sender, serial );
     if ( message.complete )
         load_decreased = reconcile_open_work( message ) || load_decreased;
-    for ( auto const& f : message.failed )
-        load_table_.note_failure( f.target, now, f.failure );
-    for ( auto const& s : message.ejected )
-        load_table_.eject( s.target,
-                           now + std::chrono::milliseconds( s.duration_ms ) );
+    apply_failures( message );
     if ( load_decreased && on_load_changed )
         on_load_changed();
 }
--- a/src/pollenstream/peers/peer_group.hpp
+++ b/src/pollenstream/peers/peer_group.hpp
@@ -187,6 +187,7 @@
     auto apply_sender_state( peer_message const& message ) -> bool;
     auto apply_silent_reports( peer_message const& message ) -> void;
     auto apply_crashes( peer_message const& message ) -> void;
+    auto apply_failures( peer_message const& message ) -> void;
     auto apply_leaving_targets( peer_message const& message ) -> void;
     auto apply_limits( peer_message const& message ) -> void;
     [[nodiscard]] auto limit_to_send( exchange::target_ref const& ref ) const
--- a/src/pollenstream/peers/peer_group_targets.cpp
+++ b/src/pollenstream/peers/peer_group_targets.cpp
@@ -45,6 +45,24 @@
     arm_flush();
 }
 
+auto peer_group::apply_failures( peer_message const& message ) -> void
+{
+    auto const now = scheduler_.now();
+    auto const record = [&]( exchange::target_ref const& target )
+    {
+        log_.record(
+            exchange::ejection_state_change( target, message.sender.str() ) );
+    };
+    for ( auto const& f : message.failed )
+        if ( load_table_.note_failure( f.target, now, f.failure ) )
+            record( f.target );
+    for ( auto const& e : message.ejected )
+        if ( load_table_.eject(
+                 e.target, now,
+                 now + std::chrono::milliseconds( e.duration_ms ) ) )
+            record( e.target );
+}
+
 auto peer_group::target_leaves( exchange::target_ref const& ref ) -> void
 {
     own_leaving_targets_.push_back( { ref, scheduler_.now() } );
--- a/tests/exchange/placement_test.cpp
+++ b/tests/exchange/placement_test.cpp
@@ -247,7 +247,8 @@
 TEST_CASE( "ejected and gone targets are not chosen", "[placement]" )
 {
     auto f = exchange_fixture{};
-    f.loads.eject( core::target_id( "p1" ), f.scheduler.now() + 1s );
+    f.loads.eject( core::target_id( "p1" ), f.scheduler.now(),
+                   f.scheduler.now() + 1s );
     auto demand = exchange::placement_demand{};
     demand.service = core::service_id( "plain" );
     auto const settings = exchange::service_settings{};
--- a/tests/registry/target_entries_test.cpp
+++ b/tests/registry/target_entries_test.cpp
@@ -70,7 +70,7 @@
     auto work = work_at( "i-1", 1 );
     work.parts[0].lifetime = core::target_lifetime( 1'000 );
     f.loads.add_work( self, work, now );
-    f.loads.eject( f.loads.find( id )->ref(), now + 5s );
+    f.loads.eject( f.loads.find( id )->ref(), now, now + 5s );
     REQUIRE( f.loads.find( id )->load.requests == 1 );
 
     f.write( "i-1", entry_of_lifetime( 2'000 ) );
@@ -102,7 +102,7 @@
     // Late responses, and updates of other instances.
     f.loads.note_failure( former, now );
     f.loads.note_failure( former, now );
-    f.loads.eject( former, now + 5s );
+    f.loads.eject( former, now, now + 5s );
     f.loads.note_reported_load( former, { 9, 9, 16 }, now );
     auto work = work_at( "i-1", 7 );
     work.parts[0].lifetime = core::target_lifetime( 1'000 );
