--- a/tests/support/exchange_fixture.hpp
+++ b/tests/support/exchange_fixture.hpp
@@ -315,6 +315,22 @@
         return {};
     }
 
+    /// Number of changes of a `what` to the state `now`.
+    [[nodiscard]] auto count_changes( std::string const& what,
+                                      std::string const& now ) const
+        -> std::ptrdiff_t
+    {
+        return std::count_if( all.begin(), all.end(),
+                              [&]( auto const& e )
+                              {
+                                  auto const* change =
+                                      std::get_if<exchange::state_change>( &e );
+                                  return change != nullptr &&
+                                         change->what == what &&
+                                         change->now == now;
+                              } );
+    }
+
     std::vector<exchange::event> all;
 };
 
--- a/tests/support/exchange_fleet.cpp
+++ b/tests/support/exchange_fleet.cpp
@@ -15,6 +15,7 @@
 using namespace std::chrono_literals;
 
 constexpr auto datagram_time = core::duration( 1ms );
+constexpr auto connect_timeout = core::duration( 400ms );
 constexpr auto events_per_stream = 15;
 constexpr auto max_caller_attempts = 2;
 constexpr auto pause_before_retry = core::duration( 60ms );
@@ -67,11 +68,12 @@
 {
 public:
     run( fleet_targets& owner,
+         std::string instance,
          core::target_id target,
          std::string const& text,
          std::shared_ptr<exchange::attempt_listener> listener )
-        : owner_( owner ), target_( std::move( target ) ),
-          listener_( std::move( listener ) )
+        : owner_( owner ), instance_( std::move( instance ) ),
+          target_( std::move( target ) ), listener_( std::move( listener ) )
     {
         auto const first = text.find( ' ' );
         auto const second = text.find( ' ', first + 1 );
@@ -123,14 +125,26 @@
     }
     [[nodiscard]] auto sent() const -> bool override
     {
-        return true;
+        return is_sent;
     }
+    [[nodiscard]] auto instance() const -> std::string const&
+    {
+        return instance_;
+    }
+    /// Nothing of this run arrives any more.
+    auto mute() -> void
+    {
+        timer_.reset();
+    }
+
+    bool is_sent{ true };
 
 private:
     auto later( core::duration delay, std::function<void()> step ) -> void
     {
+        auto const silent_until = owner_.targets_.at( target_ ).silent_until;
         timer_ = owner_.scheduler_.call_after(
-            delay,
+            std::max( delay, silent_until - owner_.scheduler_.now() ),
             [self = shared_from_this(), step = std::move( step )]
             {
                 auto const done = std::move( self->timer_ );
@@ -192,6 +206,7 @@
     }
 
     fleet_targets& owner_;
+    std::string instance_;
     core::target_id target_;
     std::shared_ptr<exchange::attempt_listener> listener_;
     std::unique_ptr<ports::scheduled_call> timer_;
@@ -247,7 +262,7 @@
     -> std::shared_ptr<exchange::open_attempt>
 {
     auto const started = std::make_shared<run>(
-        *this, request.target, *request.text, std::move( listener ) );
+        *this, instance, request.target, *request.text, std::move( listener ) );
     auto const found = targets_.find( request.target );
     if ( found == targets_.end() )
     {
@@ -260,6 +275,17 @@
                } );
         return started;
     }
+    auto const link = link_of( instance );
+    if ( link != target_link::sound &&
+         !has_connection( instance, request.target ) )
+    {
+        fail_to_connect( started, link );
+        return started;
+    }
+    found->second.open.push_back( started );
+    ++found->second.connections[instance];
+    if ( link == target_link::hangs )
+        return started;
     runs.push_back( { started->body(), request.target, instance,
                       scheduler_.now(), request.id } );
     auto const pause = found->second.pauses.extract( instance );
@@ -272,11 +298,88 @@
                } );
         return started;
     }
-    found->second.open.push_back( started );
     started->begin();
     return started;
 }
 
+auto fleet_targets::link_of( std::string const& instance ) const -> target_link
+{
+    auto const found = links_.find( instance );
+    return found == links_.end() ? target_link::sound : found->second;
+}
+
+auto fleet_targets::has_connection( std::string const& instance,
+                                    core::target_id const& id ) -> bool
+{
+    if ( link_of( instance ) == target_link::resets )
+        return false;
+    auto& target = targets_.at( id );
+    auto const is_closed = []( auto const& weak )
+    {
+        return weak.expired();
+    };
+    std::erase_if( target.open, is_closed );
+    auto const in_use =
+        std::count_if( target.open.begin(), target.open.end(),
+                       [&]( auto const& weak )
+                       {
+                           return weak.lock()->instance() == instance;
+                       } );
+    constexpr auto kept_connections = 2;
+    return in_use < std::min( kept_connections, target.connections[instance] );
+}
+
+auto fleet_targets::fail_to_connect( std::shared_ptr<run> const& attempt,
+                                     target_link link ) -> void
+{
+    attempt->is_sent = false;
+    after( link == target_link::hangs ? connect_timeout : 1ms,
+           [attempt]
+           {
+               attempt->lose( false );
+           } );
+}
+
+auto fleet_targets::set_link( std::string const& instance, target_link link )
+    -> void
+{
+    links_[instance] = link;
+    if ( link != target_link::resets && link != target_link::hangs )
+        return;
+    for ( auto& [id, target] : targets_ )
+        for ( auto const& weak : std::vector( target.open ) )
+        {
+            auto const open_run = weak.lock();
+            if ( !open_run || open_run->instance() != instance )
+                continue;
+            if ( link == target_link::hangs )
+                open_run->mute();
+            else
+                open_run->lose();
+        }
+}
+
+auto fleet_targets::fall_silent( core::target_id const& id,
+                                 core::duration time ) -> void
+{
+    targets_.at( id ).silent_until = scheduler_.now() + time;
+}
+
+auto fleet_targets::probe_from( std::string const& instance,
+                                core::address const& address,
+                                done callback ) -> void
+{
+    auto const link = link_of( instance );
+    if ( link == target_link::sound )
+        return probe( address, std::move( callback ) );
+    auto const hangs = link == target_link::hangs;
+    after( hangs ? connect_timeout : 1ms,
+           [hangs, callback = std::move( callback )]
+           {
+               callback( hangs ? std::nullopt : std::optional( false ) );
+           } );
+}
+
 auto fleet_targets::probe( core::address const& address, done callback ) -> void
 {
     auto const listens =
@@ -431,7 +534,8 @@
 
     auto probe( core::address const& address, done callback ) -> void override
     {
-        fleet_.targets_of( address ).probe( address, std::move( callback ) );
+        fleet_.targets_of( address ).probe_from( instance_, address,
+                                                 std::move( callback ) );
     }
 
 private:
@@ -731,6 +835,13 @@
         disconnected_.erase( ip );
 }
 
+auto exchange_fleet::set_target_link( int number, target_link link ) -> void
+{
+    auto const name = "n" + std::to_string( number + 1 );
+    engines.set_link( name, link );
+    plain.set_link( name, link );
+}
+
 auto exchange_fleet::deliver( std::string const& from,
                               std::string const& to,
                               std::string bytes ) -> void
--- a/tests/support/exchange_fleet.hpp
+++ b/tests/support/exchange_fleet.hpp
@@ -27,6 +27,15 @@
     exchange::attempt_id attempt; ///< the caller's attempt
 };
 
+/// What happens to connections between an instance and all targets.
+enum class target_link
+{
+    sound,
+    resets,      ///< open connections are reset, new ones refused
+    hangs,       ///< nothing arrives in either direction
+    refuses_new, ///< open connections live on, new ones are refused
+};
+
 /// Simulated targets of one service, shared by the instances of an
 /// `exchange_fleet`. A request whose body begins with "fatal" crashes its
 /// target shortly after it has begun to run. A crash closes the target's
@@ -62,6 +71,13 @@
                std::shared_ptr<exchange::attempt_listener> listener )
         -> std::shared_ptr<exchange::open_attempt>;
     auto probe( core::address const& address, done callback ) -> void override;
+    /// Probes over the link of `instance`.
+    auto probe_from( std::string const& instance,
+                     core::address const& address,
+                     done callback ) -> void;
+    auto set_link( std::string const& instance, target_link link ) -> void;
+    /// The target sends nothing for `time` and then goes on.
+    auto fall_silent( core::target_id const& id, core::duration time ) -> void;
     /// Crashes the target together with all requests that run there.
     auto crash( core::target_id const& id ) -> void;
     /// From now on the target's answers announce that it is leaving.
@@ -97,6 +113,8 @@
     {
         exchange::target_properties properties;
         std::vector<std::weak_ptr<run>> open;
+        core::instant silent_until;
+        std::map<std::string, int> connections; ///< made so far, by instance
         bool leaving{ false };
         std::map<std::string, core::duration> pauses; ///< to request
         std::optional<double> limit;                  ///< requests a second
@@ -104,12 +122,20 @@
 
     auto after( core::duration delay, std::function<void()> what ) -> void;
     auto next_run_fails() -> bool;
+    [[nodiscard]] auto link_of( std::string const& instance ) const
+        -> target_link;
+    /// True if `instance` has an idle connection to the target.
+    auto has_connection( std::string const& instance,
+                         core::target_id const& id ) -> bool;
+    auto fail_to_connect( std::shared_ptr<run> const& attempt,
+                          target_link link ) -> void;
 
     held_scheduler& scheduler_;
     std::string service_;
     listed_callback on_listed_;
     unlisted_callback on_unlisted_;
     std::map<core::target_id, target_state> targets_;
+    std::map<std::string, target_link> links_; ///< those that are not sound
     std::vector<exchange::target_properties> listed_; ///< in the registry
     std::vector<std::unique_ptr<ports::scheduled_call>> calls_;
     int last_{ 0 };
@@ -236,6 +262,8 @@
     /// Disconnects the instance from the other instances and the records of the
     /// store, or reconnects it.
     auto cut( int number, bool is_disconnected ) -> void;
+    /// Sets the link between the instance and all targets.
+    auto set_target_link( int number, target_link link ) -> void;
     [[nodiscard]] auto is_running( int number ) const -> bool
     {
         return instances_.at( static_cast<std::size_t>( number ) ) != nullptr;
