An instance that reaches no target leaves the directory and withdraws its word

Callers of instances that had lost the path to all targets were refused at their first attempt until the path was back, 0 of 64 and 5 of 61 served in the users' record, and sound instances refused callers too. Cause: an instance was ready while it had a configuration, so that every directory went on to name it; and what it saw of targets was believed by all: connections that broke at the cut ejected sound targets 22 to 26 times at each sound instance in held time, and its own table, by which it places for others if it coordinates. Ruled out: a lack of engines (the sound instances served 181 of 185). Change: target_path decides from what an instance sees and what others report. Two targets that fail or stay silent without an answer of any make the path doubtful: a few connections are opened at once, and reports on targets wait. If they fail as well, and some instance has had an answer of a target since, the instance is cut: it tells all others, which name it no longer unless there is nobody else, refuses at once what it has not sent, and withdraws its failures and suspects. An accepted connection or any answer ends it. An outage of all targets, a silent engine or a cut of all instances does not meet the second condition.

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -133,6 +133,7 @@
                          : std::nullopt;
           },
           log ),
+      path_watch_( context_, group_, target_calls_ ),
       quarantine_( context_,
                    group_,
                    target_calls_,
@@ -185,6 +186,7 @@
         .chooser = placement_,
         .placements = router_,
         .retries = retries_,
+        .path = path_,
         .queue = wait_queue_,
         .log = log_,
         .announcer = group_,
@@ -301,6 +303,7 @@
         quarantine_records_.on_changed( content );
     };
     quarantine_.start();
+    path_watch_.start();
     started_ = scheduler_.now();
     tick();
     record_process( "started", "incarnation" );
--- a/apps/gateway/gateway_node.hpp
+++ b/apps/gateway/gateway_node.hpp
@@ -22,6 +22,7 @@
 #include <pollenstream/peers/peer_group.hpp>
 #include <pollenstream/peers/placement_router.hpp>
 #include <pollenstream/peers/quarantine.hpp>
+#include <pollenstream/peers/target_path_watch.hpp>
 #include <pollenstream/registry/instance_records.hpp>
 #include <pollenstream/registry/quarantine_records.hpp>
 #include <pollenstream/registry/registry_watch.hpp>
@@ -87,6 +88,7 @@
     exchange::crash_history crashes_;
     exchange::placement placement_;
     exchange::shared_retry_budget retries_;
+    exchange::target_path path_;
     exchange::wait_queue wait_queue_;
     adapters::asio::datagram_socket datagrams_;
     peers::peer_group group_;
@@ -95,6 +97,7 @@
     exchange::exchange_context context_;
     registry::registry_watch registry_;
     registry::instance_records instance_records_;
+    peers::target_path_watch path_watch_;
     peers::quarantine quarantine_;
     registry::quarantine_records quarantine_records_;
 
--- a/src/pollenstream/exchange/context.hpp
+++ b/src/pollenstream/exchange/context.hpp
@@ -12,6 +12,7 @@
 #include <pollenstream/exchange/reservation.hpp>
 #include <pollenstream/exchange/routes.hpp>
 #include <pollenstream/exchange/shared_retry_budget.hpp>
+#include <pollenstream/exchange/target_path.hpp>
 #include <pollenstream/exchange/wait_queue.hpp>
 #include <pollenstream/ports/scheduler.hpp>
 
@@ -92,6 +93,7 @@
     placement& chooser;           ///< chooses targets without the coordinator
     placement_client& placements; ///< requests targets from the coordinator
     shared_retry_budget& retries;
+    target_path& path;
     wait_queue& queue;
     event_log& log;
     work_announcer& announcer;
--- a/src/pollenstream/exchange/crash_history.cpp
+++ b/src/pollenstream/exchange/crash_history.cpp
@@ -119,6 +119,15 @@
     note_alive( target, sent );
 }
 
+auto crash_history::forget_since( core::instant since ) -> void
+{
+    erase_runs(
+        [since]( auto const& run )
+        {
+            return run.at >= since;
+        } );
+}
+
 auto crash_history::prune( core::instant now, is_listed const& listed ) -> void
 {
     erase_runs(
--- a/src/pollenstream/exchange/crash_history.hpp
+++ b/src/pollenstream/exchange/crash_history.hpp
@@ -63,6 +63,9 @@
     /// The target has answered a request that was sent at `sent`, so it had not
     /// ended before.
     auto note_answer( target_ref const& target, core::instant sent ) -> void;
+    /// Removes the runs that broke off at `since` or later, since not their
+    /// targets ended but the network path to them.
+    auto forget_since( core::instant since ) -> void;
     /// Removes old crashes, and those at targets that are still listed after
     /// their registry records would have expired.
     auto prune( core::instant now, is_listed const& listed ) -> void;
--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -283,6 +283,8 @@
     if ( current_ )
         return true;
     auto const now = context_.scheduler.now();
+    if ( end_if_cut() )
+        return true;
     if ( now < not_before_ )
         return false;
     refresh_demand( now );
@@ -321,6 +323,15 @@
     return true;
 }
 
+/// Ends the request if this instance reaches no target. Returns true if so.
+auto exchange::end_if_cut() -> bool
+{
+    if ( !context_.path.is_cut() || streaming_ )
+        return false;
+    give_up( cut_reason, retry_after_cut );
+    return true;
+}
+
 auto exchange::release( std::uint64_t serial, work_outcome outcome ) -> void
 {
     context_.loads.end_work( context_.self, serial, context_.scheduler.now() );
@@ -395,6 +406,18 @@
     end_as_quarantined();
 }
 
+auto exchange::on_cut_from_targets() -> void
+{
+    auto const keep = shared_from_this();
+    if ( finished_ || route_ == nullptr || streaming_ || silent_ ||
+         may_have_run_ )
+        return;
+    if ( current_ && current_->call && current_->call->sent() )
+        return;
+    close_all();
+    give_up( cut_reason, retry_after_cut );
+}
+
 auto exchange::refuse( int status,
                        std::string reason,
                        std::optional<core::duration> retry_after ) -> void
--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -38,6 +38,8 @@
     /// Ends the request if it has this content, which was just quarantined. An
     /// attempt whose answer has begun is left to finish.
     auto on_quarantined( content_id content ) -> void;
+    /// Refuses the request unless it may have run: no target can be reached.
+    auto on_cut_from_targets() -> void;
 
     auto try_start() -> bool override;
     [[nodiscard]] auto order() const -> double override;
@@ -198,6 +200,8 @@
     auto on_patience_expired() -> void;
 
     auto note_failure( target_ref const& target ) -> void;
+    auto note_path_failure( target_ref const& target ) -> void;
+    auto end_if_cut() -> bool;
     auto record_ejection( target_ref const& target ) -> void;
     auto note_broken_attempt( target_attempt const& which,
                               attempt_end const& end ) -> void;
--- a/src/pollenstream/exchange/exchange_answers.cpp
+++ b/src/pollenstream/exchange/exchange_answers.cpp
@@ -71,6 +71,7 @@
         return;
     from->last_heard_at = context_.scheduler.now();
     from->silent_from = from->last_heard_at;
+    context_.path.note_answer( from->last_heard_at );
     if ( head.load )
         context_.loads.note_reported_load( from->target, *head.load,
                                            from->last_heard_at );
@@ -86,6 +87,7 @@
     auto* const from = find_attempt( serial );
     if ( from == nullptr )
         return;
+    context_.path.note_answer( context_.scheduler.now() );
     if ( !is_stream( *from ) )
     {
         from->body += bytes;
--- a/src/pollenstream/exchange/exchange_attempts.cpp
+++ b/src/pollenstream/exchange/exchange_attempts.cpp
@@ -155,6 +155,7 @@
     opened.last_heard_at = now;
     opened.silent_from = now;
     last_target_ = first.properties.id;
+    context_.path.note_sent( first.properties.id, now );
     auto out = outgoing_request{};
     out.id = request_.id;
     out.target = first.properties.id;
--- a/src/pollenstream/exchange/exchange_evidence.cpp
+++ b/src/pollenstream/exchange/exchange_evidence.cpp
@@ -129,11 +129,29 @@
     context_.log.record( ejection_state_change( target, context_.self.str() ) );
 }
 
+/// Records a failure that may be one of the network path of this instance. The
+/// coordinators hear of it once another target has answered.
+auto exchange::note_path_failure( target_ref const& target ) -> void
+{
+    auto const now = context_.scheduler.now();
+    if ( context_.loads.note_failure( target, now ) )
+        record_ejection( target );
+    context_.path.note_failure( target.id, now );
+    if ( !needs_engine() )
+        return;
+    context_.path.report_when_sound( now,
+                                     [&announcer = context_.announcer, target]
+                                     {
+                                         announcer.target_failed(
+                                             target, target_failure::failed );
+                                     } );
+}
+
 /// Records that an attempt ended without a complete answer.
 auto exchange::note_broken_attempt( target_attempt const& which,
                                     attempt_end const& end ) -> void
 {
-    note_failure( which.target );
+    note_path_failure( which.target );
     if ( end.sent )
         return note_crash( which.target, end.error );
     // Nothing was sent, so nothing listens there. This is stronger evidence
@@ -143,8 +161,12 @@
     if ( is_ejected )
     {
         record_ejection( which.target );
-        context_.announcer.target_ejected( which.target,
-                                           unreachable_ejection_time );
+        context_.path.report_when_sound(
+            context_.scheduler.now(),
+            [&announcer = context_.announcer, target = which.target]
+            {
+                announcer.target_ejected( target, unreachable_ejection_time );
+            } );
     }
     --targets_reached_;
     if ( which.is_retry )
@@ -162,7 +184,11 @@
         return;
     auto const run = crashed_run{ content_, target, context_.scheduler.now() };
     context_.crashes.note_crash( run );
-    context_.announcer.run_crashed( run );
+    context_.path.report_when_sound( run.at,
+                                     [&announcer = context_.announcer, run]
+                                     {
+                                         announcer.run_crashed( run );
+                                     } );
 }
 
 }
--- a/src/pollenstream/exchange/exchange_silence.cpp
+++ b/src/pollenstream/exchange/exchange_silence.cpp
@@ -40,7 +40,7 @@
 {
     may_have_run_ = true;
     if ( !std::exchange( current_->is_silence_noted, true ) )
-        note_failure( current_->target );
+        note_path_failure( current_->target );
     auto const again = may_retry() && has_retry_budget();
     record_failure( *current_, "silent", true,
                     again ? "look_elsewhere" : "wait" );
--- a/src/pollenstream/exchange/load_table.cpp
+++ b/src/pollenstream/exchange/load_table.cpp
@@ -212,6 +212,12 @@
     entry->health.failure_share *= failure_decay;
 }
 
+auto load_table::forget_failures() -> void
+{
+    for ( auto const& [id, target] : by_id_ )
+        target->health = {};
+}
+
 auto load_table::note_announced_leaving( target_ref const& ref ) -> bool
 {
     auto const entry = find_lifetime( ref );
--- a/src/pollenstream/exchange/load_table.hpp
+++ b/src/pollenstream/exchange/load_table.hpp
@@ -322,6 +322,9 @@
                        target_failure failure = target_failure::failed )
         -> bool;
     auto note_success( target_ref const& ref ) -> void;
+    /// Withdraws all failures and ejections, because what this instance has
+    /// seen of targets says nothing about them.
+    auto forget_failures() -> void;
     /// The target has announced in an answer that it leaves. Returns true the
     /// first time.
     auto note_announced_leaving( target_ref const& ref ) -> bool;
--- a/src/pollenstream/exchange/own_answers.hpp
+++ b/src/pollenstream/exchange/own_answers.hpp
@@ -24,6 +24,12 @@
 /// requests that would be refused again.
 inline constexpr auto retry_after_drained =
     core::duration( std::chrono::seconds( 1 ) );
+/// Retry-After when this instance is cut off from all targets. Another one
+/// serves the request at once.
+inline constexpr auto retry_after_cut =
+    core::duration( std::chrono::milliseconds( 20 ) );
+/// Reason for refusing a request because no target can be reached from here.
+inline constexpr auto cut_reason = "cut_from_targets";
 /// Reason for refusing a request whose targets are all in drained data centres.
 inline constexpr auto drained_reason = "drained";
 /// Reason for refusing a request because of the rate limits that targets name.
--- a/src/pollenstream/peers/peer_group.cpp
+++ b/src/pollenstream/peers/peer_group.cpp
@@ -66,10 +66,30 @@
     leaving_ = true;
     ready_ = false;
     table_.set_leaving();
-    auto const message = base_message();
-    send_to_all( message );
-    // Repeated, since datagrams may be lost: an instance that gets none of them
-    // keeps naming this one to callers, which are then turned away here.
+    broadcast_state();
+}
+
+auto peer_group::set_cut_from_targets( bool cut ) -> void
+{
+    if ( std::exchange( cut_from_targets_, cut ) != cut )
+        broadcast_state();
+}
+
+auto peer_group::fleet_answered_at() const -> core::instant
+{
+    auto latest = own_target_answer_at_;
+    for ( auto const& [id, p] : table_.all() )
+        latest = std::max( latest, p.target_answered_at );
+    return latest;
+}
+
+/// Sends the state of this instance to all others. Repeated, since datagrams
+/// may be lost: an instance that gets none of them keeps naming this one to
+/// callers, which are then turned away here.
+auto peer_group::broadcast_state() -> void
+{
+    send_to_all( base_message() );
+    retransmissions_.clear();
     for ( auto const delay : { 40ms, 120ms, 300ms } )
         retransmissions_.push_back(
             scheduler_.call_after( delay,
@@ -121,6 +141,9 @@
     message.known_until = known_until_;
     message.ready = ready_;
     message.leaving = leaving_;
+    message.cut_from_targets = cut_from_targets_;
+    message.answered_age_ms =
+        core::milliseconds_of( scheduler_.now() - fleet_answered_at() );
     message.store_age_ms = core::milliseconds_of( store_age_ );
     message.store_served_ms = core::milliseconds_of( store_served_for_ );
     message.capacity = self_.capacity;
@@ -143,6 +166,9 @@
     message.uptime_ms = core::milliseconds_of( now - p.started );
     message.ready = p.ready;
     message.leaving = p.leaving;
+    message.cut_from_targets = p.cut_from_targets;
+    message.answered_age_ms =
+        core::milliseconds_of( now - p.target_answered_at );
     message.store_age_ms = core::milliseconds_of( now - p.store_answered_at );
     return message;
 }
--- a/src/pollenstream/peers/peer_group.hpp
+++ b/src/pollenstream/peers/peer_group.hpp
@@ -65,6 +65,20 @@
 
     auto start() -> void;
     auto set_ready( bool ready ) -> void;
+    /// Sets whether this instance reaches no target, while others do, and tells
+    /// all others immediately.
+    auto set_cut_from_targets( bool cut ) -> void;
+    [[nodiscard]] auto is_cut_from_targets() const -> bool
+    {
+        return cut_from_targets_;
+    }
+    /// Sets when a target last answered this instance.
+    auto set_last_target_answer( core::instant at ) -> void
+    {
+        own_target_answer_at_ = at;
+    }
+    /// When a target last answered any instance, as far as known here.
+    [[nodiscard]] auto fleet_answered_at() const -> core::instant;
     /// Asks all others immediately to send no more callers to this instance.
     auto announce_leaving() -> void;
     /// Sets the last revision that this instance has seen, the time since the
@@ -163,6 +177,7 @@
     }
 
 private:
+    auto broadcast_state() -> void;
     auto base_message() const -> peer_message;
     auto relayed_message( peer const& p ) const -> peer_message;
     auto complete_message() -> peer_message;
@@ -226,6 +241,8 @@
     std::map<std::string, core::instant> unconfirmed_ips_;
     bool ready_{ false };
     bool leaving_{ false };
+    bool cut_from_targets_{ false };
+    core::instant own_target_answer_at_;
     bool greets_new_ips_{ false };    ///< sends to each new address at once
     bool broadcast_pending_{ false }; ///< the next flush also goes to all
     ports::store_revision known_until_;
--- a/src/pollenstream/peers/peer_message.cpp
+++ b/src/pollenstream/peers/peer_message.cpp
@@ -16,7 +16,7 @@
 
 /// Number of the message layout, to be raised with each change of it. Messages
 /// of another layout are ignored.
-constexpr auto layout = 9;
+constexpr auto layout = 10;
 
 auto ref_to_json( exchange::target_ref const& ref ) -> json
 {
@@ -372,8 +372,9 @@
     return json::array(
         { layout, m.sender.str(), m.incarnation.count(), m.ip,
           m.data_centre.str(), m.callers, m.known_until.count(), m.capacity,
-          m.uptime_ms, m.ready, m.leaving, m.complete, m.store_served_ms,
-          m.store_age_ms, lists_to_json( m ),
+          m.uptime_ms, m.ready, m.leaving, m.cut_from_targets,
+          m.answered_age_ms, m.complete, m.store_served_ms, m.store_age_ms,
+          lists_to_json( m ),
           json::binary( { m.update.begin(), m.update.end() } ) } );
 }
 
@@ -393,6 +394,8 @@
     m.uptime_ms = object.at( at++ ).get<std::int64_t>();
     m.ready = object.at( at++ ).get<bool>();
     m.leaving = object.at( at++ ).get<bool>();
+    m.cut_from_targets = object.at( at++ ).get<bool>();
+    m.answered_age_ms = age_ms_from_json( object.at( at++ ) );
     m.complete = object.at( at++ ).get<bool>();
     m.store_served_ms = object.at( at++ ).get<std::int64_t>();
     m.store_age_ms = object.at( at++ ).get<std::int64_t>();
--- a/src/pollenstream/peers/peer_message.hpp
+++ b/src/pollenstream/peers/peer_message.hpp
@@ -101,7 +101,11 @@
     std::int64_t uptime_ms{ 0 }; ///< of the sender's process
     bool ready{ false };         ///< callers may be directed to the sender
     bool leaving{ false };       ///< the sender is about to stop
-    bool complete{ false };      ///< `work` is all of the sender's open work
+    /// The sender reaches no target, while other instances do.
+    bool cut_from_targets{ false };
+    /// Time since a target last answered any instance, as known to the sender.
+    std::int64_t answered_age_ms{ 0 };
+    bool complete{ false }; ///< `work` is all of the sender's open work
     std::vector<exchange::open_work> work;
     /// Serials of the sender's work whose prefill has ended.
     std::vector<std::uint64_t> prefill_ended;
--- a/src/pollenstream/peers/peer_table.cpp
+++ b/src/pollenstream/peers/peer_table.cpp
@@ -64,6 +64,9 @@
     p.capacity = message.capacity;
     p.ready = message.ready;
     p.leaving = message.leaving;
+    p.cut_from_targets = message.cut_from_targets;
+    p.target_answered_at =
+        now - std::chrono::milliseconds( message.answered_age_ms );
     p.alive = true;
     p.last_heard = now;
     p.store_answered_at =
--- a/src/pollenstream/peers/peer_table.hpp
+++ b/src/pollenstream/peers/peer_table.hpp
@@ -30,10 +30,13 @@
     core::duration store_served_for{ 0 };
     std::int64_t capacity{ 0 }; ///< in thousandths of a core
     core::instant started;
-    std::uint64_t rank{ 0 }; ///< hash of the id, equal at every instance
-    bool ready{ false };     ///< callers may be sent to it
-    bool leaving{ false };   ///< in a planned stop
-    bool alive{ false };     ///< not silent
+    std::uint64_t rank{ 0 };        ///< hash of the id, equal at every instance
+    bool ready{ false };            ///< callers may be sent to it
+    bool leaving{ false };          ///< in a planned stop
+    bool cut_from_targets{ false }; ///< reaches no target
+    /// When a target last answered any instance, as known to this peer.
+    core::instant target_answered_at;
+    bool alive{ false }; ///< not silent
     core::instant last_heard;
 };
 
--- a/tests/support/exchange_fixture.cpp
+++ b/tests/support/exchange_fixture.cpp
@@ -102,6 +102,7 @@
                .chooser = chooser,
                .placements = placement_client,
                .retries = retries,
+               .path = path,
                .queue = queue,
                .log = log,
                .announcer = announcer,
@@ -113,6 +114,7 @@
                .counters = {},
                .random = std::minstd_rand( 1 ) }
 {
+    update_path();
     coordinator.set_configuration( context.configuration );
     for ( auto const* id : { "m1", "m2", "m3" } )
         loads.put( make_target( id, "model" ) );
@@ -120,6 +122,19 @@
         loads.put( make_target( id, "plain" ) );
 }
 
+auto exchange_fixture::update_path() -> void
+{
+    constexpr auto period = core::duration( 50ms );
+    path.update( scheduler.now(), core::instant{}, 1 );
+    path_call_ = scheduler.call_after( period,
+                                       [this]
+                                       {
+                                           auto const done =
+                                               std::move( path_call_ );
+                                           update_path();
+                                       } );
+}
+
 auto exchange_fixture::request( std::string const& path )
     -> exchange::caller_request
 {
--- a/tests/support/exchange_fixture.hpp
+++ b/tests/support/exchange_fixture.hpp
@@ -409,6 +409,7 @@
     exchange::placement chooser{ loads, core::data_centre_id( "a" ) };
     exchange::shared_retry_budget retries{
         { 0.2, 100, std::chrono::seconds( 10 ) }, core::instant{}, 0 };
+    exchange::target_path path;
     exchange::wait_queue queue{ scheduler };
     recorded_events log;
     recorded_announcements announcer;
@@ -433,6 +434,12 @@
     std::shared_ptr<recorded_channel> answer{
         std::make_shared<recorded_channel>() };
     int last_attempt{ 0 };
+
+private:
+    /// Updates `path` at regular intervals, without word of other instances.
+    auto update_path() -> void;
+
+    std::unique_ptr<ports::scheduled_call> path_call_;
 };
 
 /// Speed of the engines in production: 16 requests at once, memory for 450,000
--- a/tests/support/exchange_fleet.hpp
+++ b/tests/support/exchange_fleet.hpp
@@ -4,6 +4,7 @@
 #include "support/exchange_fixture.hpp"
 #include <pollenstream/peers/peer_group.hpp>
 #include <pollenstream/peers/quarantine.hpp>
+#include <pollenstream/peers/target_path_watch.hpp>
 #include <pollenstream/registry/quarantine_records.hpp>
 
 #include <functional>
@@ -76,6 +77,8 @@
                      core::address const& address,
                      done callback ) -> void;
     auto set_link( std::string const& instance, target_link link ) -> void;
+    /// Resets or mutes the open connections of `instance`, as its link does.
+    auto apply_link( std::string const& instance ) -> void;
     /// The target sends nothing for `time` and then goes on.
     auto fall_silent( core::target_id const& id, core::duration time ) -> void;
     /// Crashes the target together with all requests that run there.
@@ -205,6 +208,7 @@
     recorded_reservations reservations_;
     exchange::placement chooser_;
     exchange::shared_retry_budget retries_;
+    exchange::target_path path_;
     exchange::wait_queue wait_queue_;
     std::unique_ptr<sender> sender_;
     std::unique_ptr<targets> targets_;
@@ -220,6 +224,7 @@
     exchange::exchange_context context;
 
 private:
+    peers::target_path_watch path_watch_;
     peers::quarantine quarantine_;
 
 public:
--- a/tests/support/simulated_engines.cpp
+++ b/tests/support/simulated_engines.cpp
@@ -273,6 +273,7 @@
                                                .chooser = fixture.chooser,
                                                .placements = fixture.router,
                                                .retries = fixture.retries,
+                                               .path = fixture.path,
                                                .queue = fixture.queue,
                                                .log = fixture.log,
                                                .announcer = fixture.announcer,
