--- a/src/pollenstream/adapters/asio/caller_connection.cpp
+++ b/src/pollenstream/adapters/asio/caller_connection.cpp
@@ -263,7 +263,7 @@
 {
     if ( !is_current( number ) )
         return;
-    request_keeps_alive_ = keeps_alive();
+    request_keeps_alive_ = keeps_alive() && !answer.closes_connection;
     write( write_answer( answer, request_keeps_alive_ ) );
     after_answer();
 }
--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -427,6 +427,7 @@
                                request_.id.str() );
     auto answer = whole_answer{ status, {}, reason + "\n" };
     answer.headers.push_back( { "Content-Type", "text/plain" } );
+    answer.closes_connection = context_.path.is_cut();
     if ( retry_after )
         answer.headers.push_back( retry_after_header( *retry_after ) );
     auto const now = context_.scheduler.now();
--- a/src/pollenstream/exchange/message.hpp
+++ b/src/pollenstream/exchange/message.hpp
@@ -58,6 +58,8 @@
     int status{ 200 };
     header_list headers;
     std::string body;
+    /// The caller's next request should come over a new connection.
+    bool closes_connection{ false };
 };
 
 /// Sends one answer to a caller. Calls have no effect once the caller has
