--- a/src/pollenstream/exchange/target_path.cpp
+++ b/src/pollenstream/exchange/target_path.cpp
@@ -16,6 +16,9 @@
 /// Time for which all targets are silent before their silence is doubtful. An
 /// engine prefills a long prompt silently for about as long.
 constexpr auto silence_for_doubt = core::duration( 600ms );
+/// Between the beginnings of two doubts, as each costs some connections. Many
+/// targets that fail while others answer raise one after the other.
+constexpr auto min_doubt_period = core::duration( 500ms );
 /// Allowance for the delay of the message that tells of an answer.
 constexpr auto message_delay = core::duration( 100ms );
 /// Reports are held back no longer than this while the path is sound, and no
@@ -64,7 +67,7 @@
     if ( state_ == path_state::sound && is_silent( now ) )
         begin_doubt( now );
     auto const others_reach =
-        fleet_answered_at > doubtful_since_ + message_delay;
+        fleet_answered_at > doubtful_since() + message_delay;
     if ( state_ == path_state::doubtful && failed_probes_ >= probes_needed &&
          others_reach )
     {
@@ -88,7 +91,9 @@
 
 auto target_path::begin_doubt( core::instant since ) -> void
 {
-    if ( state_ != path_state::sound )
+    auto const is_too_soon =
+        doubtful_since_ && since - *doubtful_since_ < min_doubt_period;
+    if ( state_ != path_state::sound || is_too_soon )
         return;
     doubtful_since_ = since;
     failed_probes_ = 0;
--- a/src/pollenstream/exchange/target_path.hpp
+++ b/src/pollenstream/exchange/target_path.hpp
@@ -71,7 +71,7 @@
     /// When the evidence began that led to the present state, if not sound.
     [[nodiscard]] auto doubtful_since() const -> core::instant
     {
-        return doubtful_since_;
+        return doubtful_since_.value_or( core::instant{} );
     }
 
     /// Called with each new state, from `update`, `note_answer` and
@@ -91,7 +91,7 @@
 
     path_state state_{ path_state::sound };
     core::instant last_answer_;
-    core::instant doubtful_since_;
+    std::optional<core::instant> doubtful_since_;
     std::size_t failed_probes_{ 0 };
     // Both since the last answer of any target.
     std::set<core::target_id> failed_;
