Logs name the shared parts of prompts and how far a broken attempt was

Answers that end with their connection count as whole, and are counted nowhere. Change: the parts of a prompt but the last are decoded (at most 32, invalid ones left out, the request is accepted all the same), and stand in placed and attempt_failed lines, the first eight of them; own_events, has_head and pollenstream_answers_ended_by_close_total. No decision reads them yet. Result: tests of decoding; nothing else changes.

--- a/apps/gateway/node_state.cpp
+++ b/apps/gateway/node_state.cpp
@@ -204,6 +204,8 @@
     gauge( "pollenstream_retry_budget_instances", context.retries.instances() );
     count( "pollenstream_retries_total", "", context.counters.retries.value() );
     count( "pollenstream_retries_denied_total", "", context.retries.denied() );
+    count( "pollenstream_answers_ended_by_close_total", "",
+           context.counters.ended_by_close.value() );
     auto const& decisions = coordinator.counters();
     count( "pollenstream_decisions_total", "{decision=\"granted\"}",
            decisions.granted.value() );
--- a/src/pollenstream/adapters/asio/http_client.cpp
+++ b/src/pollenstream/adapters/asio/http_client.cpp
@@ -292,7 +292,7 @@
         return false;
     }
 
-    auto complete() -> void
+    auto complete( bool is_delimited_by_close = false ) -> void
     {
         auto const can_keep = written_ && !had_stray_ &&
                               parser_->keep_alive() && buffer_.size() == 0 &&
@@ -313,6 +313,7 @@
         }
         auto end = exchange::attempt_end{};
         end.complete = true;
+        end.is_delimited_by_close = is_delimited_by_close;
         end.sent = true;
         listener->on_end( end );
     }
@@ -325,7 +326,7 @@
             auto end_error = error_code{};
             parser_->put_eof( end_error );
             if ( !end_error && deliver_progress() )
-                return complete();
+                return complete( true );
         }
         fail( error_of( ec ) );
     }
--- a/src/pollenstream/adapters/spdlog/structured_log.cpp
+++ b/src/pollenstream/adapters/spdlog/structured_log.cpp
@@ -4,6 +4,7 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <iterator>
 
 namespace pollenstream::adapters::spdlog
@@ -90,6 +91,18 @@
     return names;
 }
 
+/// Comma-separated ids of the first parts; `+` where some are left out.
+auto parts_text( std::vector<exchange::prompt_part_id> const& parts )
+    -> std::string
+{
+    constexpr auto max_logged_parts = std::size_t{ 8 };
+    auto text = std::string{};
+    for ( auto i = std::size_t{ 0 };
+          i < std::min( parts.size(), max_logged_parts ); ++i )
+        text += ( i > 0 ? "," : "" ) + exchange::to_string( parts[i] );
+    return parts.size() > max_logged_parts ? text + "+" : text;
+}
+
 auto line_of( exchange::request_placed const& e ) -> line_builder
 {
     auto line = line_builder( "placed" );
@@ -115,6 +128,8 @@
         line.number( "limit_ms", e.basis.limit_wait_ms );
     if ( e.parts.size() > 1 )
         line.text( "helpers", helpers_of( e.parts ) );
+    if ( !e.shared_parts.empty() )
+        line.text( "shared_parts", parts_text( e.shared_parts ) );
     return line;
 }
 
@@ -144,7 +159,11 @@
         .text( "decision", e.decision )
         .milliseconds( "silent_ms", e.silent_for )
         .number( "events", e.events )
+        .number( "own_events", e.own_events )
+        .number( "has_head", e.has_head ? 1 : 0 )
         .milliseconds( "timer_late_ms", e.timer_late );
+    if ( !e.shared_parts.empty() )
+        line.text( "shared_parts", parts_text( e.shared_parts ) );
     return line;
 }
 
--- a/src/pollenstream/exchange/context.hpp
+++ b/src/pollenstream/exchange/context.hpp
@@ -69,6 +69,8 @@
     core::counter caller_gone; ///< the caller closed its connection
     core::counter retries;
     core::counter resumed;
+    /// Answers without a length or chunks, which end with their connection.
+    core::counter ended_by_close;
     /// Unknown headers in the answers of targets, by name.
     core::name_counts unknown_headers;
 };
--- a/src/pollenstream/exchange/event_log.hpp
+++ b/src/pollenstream/exchange/event_log.hpp
@@ -51,6 +51,7 @@
     core::instance_id decided_by; ///< the instance that chose the targets
     /// From the placement request to its grant.
     core::duration placement_time{ 0 };
+    std::vector<prompt_part_id> shared_parts; ///< of the prompt
 };
 
 /// The first event of a request is expected after its latency objective.
@@ -79,6 +80,9 @@
     std::string decision;
     core::duration silent_for{ 0 }; ///< since data last came from the target
     std::int64_t events{ 0 };       ///< received for this request until then
+    std::int64_t own_events{ 0 };   ///< received from this target
+    bool has_head{ false };         ///< the answer had begun
+    std::vector<prompt_part_id> shared_parts; ///< of the prompt
     /// How late the timer fired that detected a silence. Data that the target
     /// sent during this delay has not been read yet.
     core::duration timer_late{ 0 };
--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -80,7 +80,8 @@
         std::string body; ///< of an answer that is not a stream
         event_splitter splitter;
         bool prefilling{ true };
-        bool is_retry{ false }; ///< has taken a retry from the budget
+        std::int64_t events{ 0 }; ///< received from the target
+        bool is_retry{ false };   ///< has taken a retry from the budget
         double predicted_ms{ 0 };
         core::instant sent_at;
         core::instant last_heard_at;
@@ -205,6 +206,7 @@
     auto record_ejection( target_ref const& target ) -> void;
     auto note_broken_attempt( target_attempt const& which,
                               attempt_end const& end ) -> void;
+    [[nodiscard]] auto shared_parts() const -> std::vector<prompt_part_id>;
     auto record_failure( target_attempt const& which,
                          std::string why,
                          bool may_have_run,
--- a/src/pollenstream/exchange/exchange_answers.cpp
+++ b/src/pollenstream/exchange/exchange_answers.cpp
@@ -169,6 +169,7 @@
     current_->last_heard_at = now;
     current_->silent_from = now;
     current_->is_silence_noted = false;
+    ++current_->events;
     if ( current_->prefilling )
     {
         current_->prefilling = false;
@@ -191,6 +192,8 @@
         return;
     if ( end.sent && !( from->head && from->head->proves_not_run ) )
         may_have_run_ = may_have_run_ || !end.complete;
+    if ( end.is_delimited_by_close )
+        context_.counters.ended_by_close.add();
     if ( is_silent_attempt( from ) )
     {
         if ( !can_relay( *from, end ) )
--- a/src/pollenstream/exchange/exchange_attempts.cpp
+++ b/src/pollenstream/exchange/exchange_attempts.cpp
@@ -141,7 +141,7 @@
         choice.parts, targets_reached_, now - request_.received,
         deadline_ - now, choice.first_event_ms, demand_.prompt_tokens,
         choice.basis, configuration_->version, grant.decided_by,
-        last_placement_time_ } );
+        last_placement_time_, shared_parts() } );
 
     current_ = target_attempt{};
     auto& opened = *current_;
@@ -230,7 +230,14 @@
     context_.log.record( attempt_failed{
         request_.id, content_, which.target.id, std::move( why ), may_have_run,
         std::move( decision ), context_.scheduler.now() - which.last_heard_at,
-        events_, std::exchange( silence_timer_delay_, {} ) } );
+        events_, which.events, which.head.has_value(), shared_parts(),
+        std::exchange( silence_timer_delay_, {} ) } );
+}
+
+auto exchange::shared_parts() const -> std::vector<prompt_part_id>
+{
+    return request_.prompt ? request_.prompt->shared_parts
+                           : std::vector<prompt_part_id>{};
 }
 
 auto exchange::retry( std::string const& why,
--- a/src/pollenstream/exchange/message.hpp
+++ b/src/pollenstream/exchange/message.hpp
@@ -28,14 +28,25 @@
 };
 using header_list = std::vector<header_field>;
 
-/// Sizes of a prompt and its answer, as the caller states them.
+/// Identifies a part of a prompt, such as a system prompt, which may occur in
+/// the prompts of many requests.
+using prompt_part_id = core::strong_number<struct prompt_part_tag>;
+
+/// Sizes and parts of a prompt, and the size of its answer, as the caller
+/// states them.
 struct prompt_properties
 {
     std::int64_t prompt_tokens{ 0 };
     std::int64_t max_output_tokens{ 0 };
     std::int64_t expected_output_tokens{ 0 }; ///< 0: not stated
+    /// The first parts in their order, without the last one, which belongs to
+    /// the request or its conversation alone. Each part is listed once.
+    std::vector<prompt_part_id> shared_parts;
 };
 
+/// Number of parts of a prompt that are considered; further ones are ignored.
+inline constexpr auto max_shared_parts = std::size_t{ 32 };
+
 /// A complete request of a caller.
 struct caller_request
 {
@@ -128,6 +139,9 @@
 struct attempt_end
 {
     bool complete{ false };
+    /// Complete only in that the target closed the connection: the answer has
+    /// neither a length nor chunks, so it may have been cut short.
+    bool is_delimited_by_close{ false };
     core::error error;  ///< if not complete
     bool sent{ false }; ///< bytes may have reached the target
 };
--- a/src/pollenstream/exchange/request_content.cpp
+++ b/src/pollenstream/exchange/request_content.cpp
@@ -20,13 +20,28 @@
     return content_id( static_cast<std::int64_t>( hash ) );
 }
 
+namespace
+{
+
+auto formatted( char const* format, std::int64_t value ) -> std::string
+{
+    constexpr auto max_digits = std::size_t{ 16 };
+    auto out = std::array<char, max_digits + 1>{};
+    std::snprintf( out.data(), out.size(), format,
+                   static_cast<unsigned long long>( value ) );
+    return { out.data() };
+}
+
+}
+
 auto to_string( content_id id ) -> std::string
 {
-    constexpr auto digits = std::size_t{ 16 };
-    auto out = std::array<char, digits + 1>{};
-    std::snprintf( out.data(), out.size(), "%016llx",
-                   static_cast<unsigned long long>( id.count() ) );
-    return std::string( out.data(), digits );
+    return formatted( "%016llx", id.count() );
+}
+
+auto to_string( prompt_part_id id ) -> std::string
+{
+    return formatted( "%llx", id.count() );
 }
 
 }
--- a/src/pollenstream/exchange/request_content.hpp
+++ b/src/pollenstream/exchange/request_content.hpp
@@ -21,6 +21,8 @@
 
 /// The id as 16 hexadecimal digits, as it appears in logs.
 auto to_string( content_id id ) -> std::string;
+/// The id in hexadecimal, as callers write it.
+auto to_string( prompt_part_id id ) -> std::string;
 
 }
 
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -95,6 +95,42 @@
     CHECK( platform::decode_base64( "a$cd" ).has_error() );
 }
 
+TEST_CASE( "the parts of a prompt are decoded without the last one",
+           "[platform][headers]" )
+{
+    auto const parts_of = []( std::vector<std::string> const& values )
+    {
+        auto fields = exchange::header_list{ { "Token-Usage", "1460,80" } };
+        for ( auto const& value : values )
+            fields.push_back( { "Prompt-Prefix", value } );
+        auto const decoded = platform::decode_request(
+            request_with( std::move( fields ) ), core::instant( 1s ) );
+        REQUIRE( decoded.has_value() );
+        auto ids = std::vector<std::string>{};
+        for ( auto const id : decoded.value().prompt->shared_parts )
+            ids.push_back( exchange::to_string( id ) );
+        return ids;
+    };
+    using ids = std::vector<std::string>;
+    CHECK( parts_of( {} ).empty() );
+    CHECK( parts_of( { "" } ).empty() );
+    CHECK( parts_of( { "5c1e07a2:800" } ).empty() );
+    CHECK( parts_of( { "5c1e07a2:800,91BD3f06:410,e4402b7d:250" } ) ==
+           ids{ "5c1e07a2", "91bd3f06" } );
+    CHECK( parts_of( { "a:1, b:2", "c:3" } ) == ids{ "a", "b" } );
+    CHECK( parts_of( { "a:1,a:1,A:2,b:3" } ) == ids{ "a" } );
+    // Invalid entries are left out and the request is accepted.
+    CHECK( parts_of( { "x:1,,:5,-1:2,a,c:9,b:" } ) == ids{ "a", "c" } );
+    auto const long_id = std::string( 64, 'f' );
+    CHECK( parts_of( { long_id + ":1,a:1" } ).size() == 1 );
+    CHECK( parts_of( { long_id + ":1,a:1" } ) !=
+           parts_of( { long_id + "0:1,a:1" } ) );
+    auto many = std::string{};
+    for ( auto i = 0; i < 5'000; ++i )
+        many += std::to_string( i ) + ":1,";
+    CHECK( parts_of( { many } ).size() == exchange::max_shared_parts );
+}
+
 TEST_CASE( "a caller's request is decoded and its other headers are forwarded",
            "[platform][headers]" )
 {
