Failing tests of a prompt part that crashes engines

The simulated targets of the held-time fleet learn fatal parts of prompts (crash shortly after the answer has begun, or after its first event) and answers that end with their connection, which a crash cuts between two events or inside one.

--- a/tests/support/exchange_fleet.cpp
+++ b/tests/support/exchange_fleet.cpp
@@ -4,6 +4,7 @@
 #include <pollenstream/core/hash.hpp>
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 namespace tests
@@ -44,8 +45,8 @@
     return "10.0.0." + std::to_string( number );
 }
 
-/// Encodes the path, the last event and the body, as `fleet_targets` reads
-/// them.
+/// Encodes the path, the last event, the parts of the prompt and the body, as
+/// `fleet_targets` reads them.
 class body_encoder : public exchange::request_encoder
 {
 public:
@@ -55,11 +56,24 @@
         -> std::string override
     {
         auto const last = directions.last_event.value_or( 0 );
-        return request.target + " " + std::to_string( last ) + " " +
-               request.body;
+        auto text = request.target + " " + std::to_string( last ) + " ";
+        if ( request.prompt )
+            for ( auto const part : request.prompt->shared_parts )
+                text += std::to_string( part.count() ) + ",";
+        return text + " " + request.body;
     }
 };
 
+auto parts_in( std::string const& text )
+    -> std::vector<exchange::prompt_part_id>
+{
+    auto parts = std::vector<exchange::prompt_part_id>{};
+    auto in = std::istringstream( text );
+    for ( auto number = std::string{}; std::getline( in, number, ',' ); )
+        parts.emplace_back( std::stoll( number ) );
+    return parts;
+}
+
 }
 
 /// One request at one target; its timer keeps it alive.
@@ -77,9 +91,19 @@
     {
         auto const first = text.find( ' ' );
         auto const second = text.find( ' ', first + 1 );
+        auto const third = text.find( ' ', second + 1 );
         streams_ = is_stream( text.substr( 0, first ) );
         next_ = std::stoi( text.substr( first + 1, second - first - 1 ) ) + 1;
-        body_ = text.substr( second + 1 );
+        parts_ = parts_in( text.substr( second + 1, third - second - 1 ) );
+        body_ = text.substr( third + 1 );
+        for ( auto const part : parts_ )
+            if ( owner_.fatal_parts.contains( part ) )
+                fatal_part_ = part;
+    }
+    [[nodiscard]] auto parts() const
+        -> std::vector<exchange::prompt_part_id> const&
+    {
+        return parts_;
     }
 
     [[nodiscard]] auto body() const -> std::string const&
@@ -105,6 +129,17 @@
         listener_->on_head( std::move( h ) );
         complete();
     }
+    /// The target's process has ended, which closes the connection.
+    auto crash() -> void
+    {
+        if ( !listener_ || !has_head_ ||
+             owner_.end_of_answers == answer_end::by_length )
+            return lose();
+        timer_.reset();
+        if ( owner_.end_of_answers == answer_end::by_close_inside )
+            listener_->on_body( "id: " + std::to_string( next_ ) );
+        complete();
+    }
     auto lose( bool sent = true ) -> void
     {
         timer_.reset();
@@ -166,6 +201,7 @@
         h.has_seal = true;
         h.announces_leaving = owner_.targets_.at( target_ ).leaving;
         h.limit = owner_.targets_.at( target_ ).limit;
+        has_head_ = true;
         listener_->on_head( std::move( h ) );
     }
     auto answer() -> void
@@ -176,16 +212,30 @@
             return complete();
         }
         head();
+        if ( fatal_part_ && owner_.events_before_crash == 0 )
+            return crash_soon();
         if ( streams_ )
             return send_event();
         listener_->on_body( "done" );
         complete();
     }
+    auto crash_soon() -> void
+    {
+        later( owner_.time.until_crash,
+               [this]
+               {
+                   owner_.part_crashes[*fatal_part_].push_back(
+                       owner_.scheduler_.now() );
+                   owner_.crash( target_ );
+               } );
+    }
     auto send_event() -> void
     {
         listener_->on_body( event_text( next_ ) );
         if ( !listener_ )
             return;
+        if ( fatal_part_ && ++events_sent_ >= owner_.events_before_crash )
+            return crash_soon();
         if ( next_++ >= events_per_stream )
             return complete();
         later( owner_.time.event_gap,
@@ -201,6 +251,8 @@
             return;
         auto end = exchange::attempt_end{};
         end.complete = true;
+        end.is_delimited_by_close =
+            has_head_ && owner_.end_of_answers != answer_end::by_length;
         end.sent = true;
         listener->on_end( end );
     }
@@ -211,8 +263,12 @@
     std::shared_ptr<exchange::attempt_listener> listener_;
     std::unique_ptr<ports::scheduled_call> timer_;
     std::string body_;
+    std::vector<exchange::prompt_part_id> parts_;
+    std::optional<exchange::prompt_part_id> fatal_part_;
     bool streams_{ false };
+    bool has_head_{ false };
     int next_{ 1 };
+    int events_sent_{ 0 };
 };
 
 fleet_targets::fleet_targets( held_scheduler& scheduler,
@@ -287,7 +343,7 @@
     if ( link == target_link::hangs )
         return started;
     runs.push_back( { started->body(), request.target, instance,
-                      scheduler_.now(), request.id } );
+                      scheduler_.now(), request.id, started->parts() } );
     auto const pause = found->second.pauses.extract( instance );
     if ( !pause.empty() )
     {
@@ -387,6 +443,7 @@
 
 auto fleet_targets::probe( core::address const& address, done callback ) -> void
 {
+    ++probes;
     auto const listens =
         std::any_of( targets_.begin(), targets_.end(),
                      [&address]( auto const& entry )
@@ -437,7 +494,7 @@
     ++crashes;
     for ( auto const& weak : open )
         if ( auto const open_run = weak.lock() )
-            open_run->lose();
+            open_run->crash();
     after( time.until_entry_expiry,
            [this, id]
            {
@@ -665,6 +722,7 @@
     }
     auto end_stream() -> void override
     {
+        call_->cut_short = !stream.ends_with( event_text( events_per_stream ) );
         end( 200, false );
     }
     auto abort() -> void override
@@ -875,12 +933,17 @@
     return address.ip == "model" ? engines : plain;
 }
 
-auto exchange_fleet::call( int number, std::string path, std::string body )
+auto exchange_fleet::call( int number,
+                           std::string path,
+                           std::string body,
+                           std::vector<exchange::prompt_part_id> parts )
     -> std::shared_ptr<fleet_call>
 {
     auto const started = std::make_shared<fleet_call>();
     started->path = std::move( path );
     started->body = std::move( body );
+    started->parts = std::move( parts );
+    started->began = scheduler.now();
     begin_attempt( number, started );
     return started;
 }
@@ -907,7 +970,7 @@
     r.time_limit = 10s;
     r.received = scheduler.now();
     if ( is_stream( call->path ) )
-        r.prompt = exchange::prompt_properties{ 5'000, 1'600, 0 };
+        r.prompt = exchange::prompt_properties{ 5'000, 1'600, 0, call->parts };
     instance->start( std::move( r ), std::make_shared<caller>( *this, call ) );
 }
 
--- a/tests/support/exchange_fleet.hpp
+++ b/tests/support/exchange_fleet.hpp
@@ -25,7 +25,16 @@
     core::target_id target;
     std::string instance; ///< the instance that sent it
     core::instant sent_at;
-    exchange::attempt_id attempt; ///< the caller's attempt
+    exchange::attempt_id attempt;                ///< the caller's attempt
+    std::vector<exchange::prompt_part_id> parts; ///< of the prompt
+};
+
+/// How the answers of targets end.
+enum class answer_end
+{
+    by_length,
+    by_close,       ///< also those that a crash cuts between two events
+    by_close_inside ///< the same, but a crash cuts them inside an event
 };
 
 /// What happens to connections between an instance and all targets.
@@ -39,7 +48,8 @@
 
 /// Simulated targets of one service, shared by the instances of an
 /// `exchange_fleet`. A request whose body begins with "fatal" crashes its
-/// target shortly after it has begun to run. A crash closes the target's
+/// target shortly after it has begun to run, and one with a fatal part of the
+/// prompt shortly after its answer has begun. A crash closes the target's
 /// connections; its registry entry expires later, and a replacement starts.
 class fleet_targets : public exchange::target_probe
 {
@@ -105,10 +115,17 @@
 
     std::vector<fleet_run> runs;
     int crashes{ 0 };
+    /// When requests with each fatal part have crashed targets.
+    std::map<exchange::prompt_part_id, std::vector<core::instant>> part_crashes;
+    std::set<exchange::prompt_part_id> fatal_parts;
+    answer_end end_of_answers{ answer_end::by_length };
+    /// Events that the answer on a fatal part has before its target crashes.
+    int events_before_crash{ 0 };
     /// Of ten requests that run, this many are answered with a failure.
     int failures_in_ten{ 0 };
     times time;
     bool answers_probes{ true };
+    int probes{ 0 };
 
 private:
     class run;
@@ -236,9 +253,13 @@
 {
     std::string path;
     std::string body;
+    std::vector<exchange::prompt_part_id> parts; ///< of the prompt
+    core::instant began;
     int attempts{ 0 };
     int status{ 0 }; ///< of the last attempt; 0 if its stream was aborted
     bool served{ false };
+    /// Passed on as whole although events were missing at the end.
+    bool cut_short{ false };
     core::duration longest_attempt{ 0 };
 };
 
@@ -257,7 +278,10 @@
 
     /// Sends a request to instance `number`. If it fails and may be retried,
     /// the caller retries it once at any instance.
-    auto call( int number, std::string path, std::string body )
+    auto call( int number,
+               std::string path,
+               std::string body,
+               std::vector<exchange::prompt_part_id> parts = {} )
         -> std::shared_ptr<fleet_call>;
     /// Ends the instance; its open requests are lost.
     auto kill( int number ) -> void;
