An answer that ends with its connection is whole only if its target lives

Cause: the client of targets takes the end of the connection for the end of an answer without length or chunks, and the exchange relays it and counts it as proof. A crash closes connections in the same way. An answer that ended inside an event was told from a whole one, but as malformed, which is no evidence of a crash. Class: an absence of further data taken for completion. Ruled out: the chunked answers, whose end is marked; resets, which are errors. Change: such an answer is relayed as whole, and proves anything, only once its target is seen to listen; else the attempt has broken off. If the target refuses connections, this counts as a crash; if nothing can be told, it does not, and the answer is not relayed either. One that ends inside an event has been cut whatever its target does. Failures are passed on without a check. The daemon is not affected: a stream is complete there with its last event only.

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -179,6 +179,7 @@
     return exchange::exchange_context{
         .scheduler = scheduler_,
         .targets = target_calls_,
+        .probe = target_calls_,
         .encoder = encoder_,
         .reservations = reservation_client_,
         .loads = load_table_,
--- a/src/pollenstream/exchange/context.hpp
+++ b/src/pollenstream/exchange/context.hpp
@@ -90,6 +90,7 @@
 {
     ports::scheduler& scheduler;
     target_client& targets;
+    target_probe& probe;
     request_encoder const& encoder;
     reservation_client& reservations;
     load_table& loads;
--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -154,6 +154,9 @@
                               answer_head const& head ) -> void;
     auto on_body( std::uint64_t serial, std::string const& bytes ) -> void;
     auto on_end( std::uint64_t serial, attempt_end const& end ) -> void;
+    auto check_if_cut_short( target_attempt const& from ) -> void;
+    auto on_checked( std::uint64_t serial, std::optional<bool> target_listens )
+        -> void;
     auto on_complete() -> void;
     auto on_not_run() -> void;
     auto on_broken_attempt( attempt_end const& end ) -> void;
--- a/src/pollenstream/exchange/exchange_answers.cpp
+++ b/src/pollenstream/exchange/exchange_answers.cpp
@@ -197,6 +197,9 @@
         may_have_run_ = may_have_run_ || !end.complete;
     if ( end.is_delimited_by_close )
         context_.counters.ended_by_close.add();
+    if ( end.is_delimited_by_close && from->head &&
+         is_success( from->head->status ) )
+        return check_if_cut_short( *from );
     if ( is_silent_attempt( from ) )
     {
         if ( !can_relay( *from, end ) )
@@ -213,6 +216,35 @@
     on_complete();
 }
 
+/// The answer has ended with its connection. If the target's process has ended
+/// too, the answer may have been cut short, also between two events, so it is
+/// whole only if the target still listens.
+auto exchange::check_if_cut_short( target_attempt const& from ) -> void
+{
+    if ( is_stream( from ) && from.splitter.pending() > 0 )
+        return on_checked( from.serial, false );
+    context_.probe.probe(
+        from.address,
+        [self = shared_from_this(), serial = from.serial]( auto listens )
+        {
+            self->on_checked( serial, listens );
+        } );
+}
+
+auto exchange::on_checked( std::uint64_t serial,
+                           std::optional<bool> target_listens ) -> void
+{
+    auto const keep = shared_from_this();
+    auto end = attempt_end{};
+    end.sent = true;
+    end.complete = target_listens.value_or( false );
+    if ( !end.complete )
+        end.error = { target_listens ? core::error_code::connection_lost
+                                     : core::error_code::timed_out,
+                      "the answer may have been cut short" };
+    on_end( serial, end );
+}
+
 auto exchange::on_complete() -> void
 {
     auto const& head = *current_->head;
--- a/tests/support/exchange_fixture.cpp
+++ b/tests/support/exchange_fixture.cpp
@@ -95,6 +95,7 @@
     exchange::placement_client& placement_client )
     : context{ .scheduler = scheduler,
                .targets = targets,
+               .probe = probe,
                .encoder = encoder,
                .reservations = reservations,
                .loads = loads,
--- a/tests/support/exchange_fixture.hpp
+++ b/tests/support/exchange_fixture.hpp
@@ -105,6 +105,15 @@
         end.sent = true;
         listener->on_end( end );
     }
+    /// The target closes the connection after an answer without a length.
+    auto close() -> void
+    {
+        auto end = exchange::attempt_end{};
+        end.complete = true;
+        end.is_delimited_by_close = true;
+        end.sent = true;
+        listener->on_end( end );
+    }
     auto answer( int status, std::string body ) -> void
     {
         head( status );
@@ -276,6 +285,31 @@
     std::vector<core::target_id> ejected;
 };
 
+/// Records the addresses that are probed, and answers with `listens`.
+class recorded_probe : public exchange::target_probe
+{
+public:
+    auto probe( core::address const& address, done callback ) -> void override
+    {
+        probed.push_back( address );
+        callback_ = std::move( callback );
+        if ( answers_at_once )
+            answer();
+    }
+    /// Answers the last probe.
+    auto answer() -> void
+    {
+        std::exchange( callback_, nullptr )( listens );
+    }
+
+    std::optional<bool> listens{ true };
+    bool answers_at_once{ true };
+    std::vector<core::address> probed;
+
+private:
+    done callback_;
+};
+
 /// Placement transport of the only instance, which is its own coordinator.
 class no_other_instances : public peers::placement_transport
 {
@@ -405,6 +439,7 @@
 
     held_scheduler scheduler;
     recorded_targets targets;
+    recorded_probe probe;
     plain_encoder encoder;
     recorded_reservations reservations;
     exchange::load_table loads;
--- a/tests/support/simulated_engines.cpp
+++ b/tests/support/simulated_engines.cpp
@@ -265,6 +265,7 @@
     : engines( fixture.scheduler, speed ), context_{
                                                .scheduler = fixture.scheduler,
                                                .targets = engines,
+                                               .probe = fixture.probe,
                                                .encoder = encoder_,
                                                .reservations =
                                                    fixture.reservations,
