--- a/scripts/platform_check.py
+++ b/scripts/platform_check.py
@@ -23,6 +23,7 @@
 # A gateway that was killed or stopped knows all again after this time.
 TIME_TO_KNOW_MS = 3000
 CRASHES_THAT_PROVE = 3
+PART_CRASHES_THAT_PROVE = 5
 RUNS_ALLOWED_LATER = 3
 PAUSE_BEGINS_MS = 500
 REQUESTS_IN_PAUSE = 2
@@ -41,31 +42,39 @@
     gateways."""
     sender = {attempt: seen["address"] for attempt, seen in callers.seen.items()}
     return (crash_violations(record, sender, trouble) +
+            crash_violations(record, sender, trouble, "fatal_part",
+                             PART_CRASHES_THAT_PROVE) +
             leaving_violations(callers, record, sender, trouble) +
             pause_violations(record, sender, trouble))
 
 
-def crash_violations(record, sender, trouble):
+def crash_violations(record, sender, trouble, key="body",
+                     proof=CRASHES_THAT_PROVE):
+    """Requests that are alike in `key` ended runners `proof` times, and still
+    run. A body counts only where no part of the prompt is the cause."""
     found = []
-    for body in sorted({crash["body"] for crash in record["crashes"]}):
+    causes = {crash[key] for crash in record["crashes"]
+              if crash[key] and (key == "fatal_part" or
+                                 not crash["fatal_part"])}
+    for cause in sorted(causes):
         # An end that its gateway did not live to see tells nobody anything.
         seen = [crash["at_ms"] for crash in record["crashes"]
-                if crash["body"] == body and not in_trouble(
+                if crash[key] == cause and not in_trouble(
                     sender[crash["attempt"]], crash["at_ms"] + 1000, trouble,
                     2000)]
-        if len(seen) < CRASHES_THAT_PROVE:
+        if len(seen) < proof:
             continue
-        proved = sorted(seen)[CRASHES_THAT_PROVE - 1] + TIME_TO_KNOW_MS
+        proved = sorted(seen)[proof - 1] + TIME_TO_KNOW_MS
         # Where all were killed nobody is left who knows.
         if all_in_trouble(sender, proved - TIME_TO_KNOW_MS, trouble):
             continue
         later = [run for run in record["runs"]
-                 if run["ran"] and run["body"] == body and
+                 if run["ran"] and run[key] == cause and
                  run["at_ms"] > proved and not in_trouble(
                      sender[run["attempt"]], run["at_ms"], trouble,
                      TIME_TO_KNOW_MS)]
         if len(later) > RUNS_ALLOWED_LATER:
-            found.append(f"{body!r} ran {len(later)} times after its third end")
+            found.append(f"{cause!r} ran {len(later)} times after end {proof}")
     return found
 
 
--- a/scripts/platform_fleet.py
+++ b/scripts/platform_fleet.py
@@ -17,6 +17,55 @@
 KEY = "secret-key"
 
 
+class CloseDelimited:
+    """Turns answers into such without length or chunks, which end with their
+    connection, as some targets send them. `feed` returns the bytes to pass on;
+    `ended` is set after the first whole answer."""
+
+    def __init__(self):
+        self.raw = b""
+        self.left = None        # of a body with a length; None: chunks
+        self.in_body = False
+        self.ended = False
+
+    def feed(self, data):
+        self.raw += data
+        out = b"" if self.in_body else self.head()
+        return out + self.body() if self.in_body else out
+
+    def head(self):
+        head, separator, rest = self.raw.partition(b"\r\n\r\n")
+        if not separator:
+            return b""
+        kept, self.raw, self.in_body = [], rest, True
+        for line in head.split(b"\r\n"):
+            name, _, value = line.partition(b":")
+            if name.lower() == b"content-length":
+                self.left = int(value)
+            elif name.lower() not in (b"transfer-encoding", b"connection"):
+                kept.append(line)
+        return b"\r\n".join(kept) + b"\r\nConnection: close\r\n\r\n"
+
+    def body(self):
+        if self.left is None:
+            return self.chunks()
+        out, self.raw = self.raw[:self.left], b""
+        self.left -= len(out)
+        self.ended = self.left == 0
+        return out
+
+    def chunks(self):
+        out = b""
+        while not self.ended:
+            size, separator, rest = self.raw.partition(b"\r\n")
+            if not separator or len(rest) < int(size, 16) + 2:
+                break
+            out += rest[:int(size, 16)]
+            self.raw = rest[int(size, 16) + 2:]
+            self.ended = int(size, 16) == 0
+        return out
+
+
 class Proxy:
     """Passes connections on to one address, and does to them what a network
     does: delays, resets, cuts one way, silence."""
@@ -27,6 +76,7 @@
         self.silent_to = False      # nothing reaches the target
         self.silent_from = False    # nothing comes back
         self.refuse = False
+        self.close_delimited = False    # answers on new connections
         self.harmed = []            # begin and end in ms: cut or silent
         self.pairs = set()
         self.address = None
@@ -49,13 +99,15 @@
         pair = (writer, to_writer)
         self.pairs.add(pair)
         try:
+            rewritten = CloseDelimited() if self.close_delimited else None
             await asyncio.gather(self.pump(reader, to_writer, "silent_to"),
-                                 self.pump(to_reader, writer, "silent_from"))
+                                 self.pump(to_reader, writer, "silent_from",
+                                           rewritten))
         except asyncio.CancelledError:
             pass    # the run is over
         self.pairs.discard(pair)
 
-    async def pump(self, reader, writer, silent):
+    async def pump(self, reader, writer, silent, rewritten=None):
         try:
             while True:
                 data = await reader.read(65536)
@@ -65,8 +117,10 @@
                     break
                 if getattr(self, silent):
                     continue
-                writer.write(data)
+                writer.write(rewritten.feed(data) if rewritten else data)
                 await writer.drain()
+                if rewritten and rewritten.ended:
+                    break
             writer.close()
         except OSError:
             writer.transport.abort()
@@ -387,15 +441,26 @@
                 del kept[address]
             await asyncio.sleep(self.draw.random() * 0.05)
 
+    def prompt_headers(self, attempt, path, fatal_part):
+        """Streams share a first and a few middle parts; the last is their
+        own."""
+        if "stream" not in path:
+            return {}
+        parts = ["aa01:40", f"bb0{self.draw.randint(0, 7)}:300"]
+        if fatal_part:
+            parts.insert(self.draw.randint(0, 2), f"{fatal_part}:200")
+        return {"Token-Usage": "1000,100",
+                "Prompt-Prefix": ",".join([*parts, f"{attempt[1:]}:100"])}
+
     async def send(self, address, connection, path=None, body=None,
-                   time_ms=4000):
+                   time_ms=4000, fatal_part=""):
         self.serial += 1
         attempt = f"a{self.serial}"
         path = path or self.draw.choice(self.KINDS)
         # A status is asked for again and again; all else is asked for once.
         body = body or ("body" if path == "/safe/x" else f"body {attempt}")
         entry = {"path": path, "status": None, "address": address,
-                 "body": body, "time_ms": time_ms}
+                 "body": body, "time_ms": time_ms, "fatal_part": fatal_part}
         self.seen[attempt] = entry
         started = asyncio.get_running_loop().time()
         entry["began"] = started
@@ -404,7 +469,9 @@
         try:
             reply = await call(address, "POST", path,
                                {"Attempt-Id": attempt, "Deadline-Ms": time_ms,
-                                "Api-Key": KEY, "Tenant": "forged"},
+                                "Api-Key": KEY, "Tenant": "forged",
+                                **self.prompt_headers(attempt, path,
+                                                      fatal_part)},
                                body, limit=time_ms / 1000 + 2,
                                connection=connection, reply=seen)
             entry["status"] = reply.status
--- a/scripts/soak_processes.py
+++ b/scripts/soak_processes.py
@@ -44,12 +44,14 @@
             self.silent_beside_planned_work, self.silent_beside_planned_work,
             self.silent_beside_planned_work, self.configurations,
             self.reload_changed, self.runner_lost, self.runner_limited,
-            self.engines_limited]
+            self.engines_limited, self.fatal_part, self.fatal_part,
+            self.answers_end_by_close, self.answers_end_by_close]
         self.wrong = {}          # runner: what is wrong with it, by fault
         self.ways_to_leave = ["says", "silently"]
         if not as_first_played:
             self.ways_to_leave.append("answers")
         self.fatal = 0           # requests that end the runners that run them
+        self.fatal_parts = 0     # parts of prompts that do so
         self.gateway_trouble = []    # address, begin and end
 
     async def run(self, seconds):
@@ -288,6 +290,29 @@
             await self.callers.send(address, {}, path, body)
             await asyncio.sleep(self.draw.random() * 0.4)
 
+    async def fatal_part(self):
+        """Requests that share a part that ends runners, no two alike, at any
+        gateway."""
+        self.fatal_parts += 1
+        part = f"dead{self.fatal_parts:04x}"
+        end = self.loop.time() + 6 + self.draw.random() * 3
+        sent = 0
+        while self.loop.time() < end:
+            sent += 1
+            address = self.one().addresses["front"]
+            path = self.draw.choice(["/stream/x", "/once-stream/x"])
+            await self.callers.send(address, {}, path,
+                                    f"own {part} {sent}", fatal_part=part)
+            await asyncio.sleep(self.draw.random() * 0.4)
+
+    async def answers_end_by_close(self):
+        """The answers of some runners have neither length nor chunks."""
+        for proxy in self.fleet.proxies.values():
+            proxy.close_delimited = self.draw.random() < 0.5
+        await asyncio.sleep(2 + self.draw.random() * 3)
+        for proxy in self.fleet.proxies.values():
+            proxy.close_delimited = False
+
     async def leave(self):
         engines = [n for n in self.fleet.proxies if n.startswith("i-model")]
         if self.runners_left + 2 >= len(engines):
@@ -489,7 +514,8 @@
         found += answer_violations(callers, record,
                                    disturbances(fleet, faults))
         after = [one for one in list(callers.seen.values())[before:]
-                 if not one["body"].startswith("fatal")]
+                 if not one["body"].startswith("fatal") and
+                 not one["fatal_part"]]
         served = sum(one["status"] == 200 for one in after)
         if served < 0.5 * len(after):
             found.append(f"only {served} of {len(after)} served after the "
--- a/src/pollenstream/exchange/exchange_evidence.cpp
+++ b/src/pollenstream/exchange/exchange_evidence.cpp
@@ -86,7 +86,7 @@
     auto const is_urgent = was_suspect || is_suspect_;
     if ( is_urgent )
         context_.announcer.suspects_served( suspects, true );
-    else if ( needs_engine() && !parts_are_sound_ )
+    else if ( !parts_are_sound_ )
         context_.announcer.suspects_served( prompt_parts_of( suspects ),
                                             false );
 }
--- a/src/pollenstream/peers/peer_group.cpp
+++ b/src/pollenstream/peers/peer_group.cpp
@@ -343,6 +343,8 @@
 
 auto peer_group::send_heartbeat() -> void
 {
+    if ( !pending_.cleared.empty() )
+        arm_flush();
     auto const message = complete_message();
     if ( table_.is_coordinator( scheduler_.now() ) || peers().empty() )
     {
--- a/standins/platform/main.cpp
+++ b/standins/platform/main.cpp
@@ -198,6 +198,7 @@
                               { "target", r.target },
                               { "path", r.path },
                               { "body", r.body },
+                              { "fatal_part", r.fatal_part },
                               { "pause_s", r.pause_s },
                               { "workspace", r.workspace },
                               { "ran", r.ran },
@@ -214,6 +215,7 @@
         auto crashes = json::array();
         for ( auto const& c : crashes_ )
             crashes.push_back( { { "body", c.body },
+                                 { "fatal_part", c.fatal_part },
                                  { "attempt", c.attempt },
                                  { "target", c.target },
                                  { "at_ms", c.at_ms } } );
--- a/standins/platform/runner.cpp
+++ b/standins/platform/runner.cpp
@@ -33,6 +33,22 @@
     return {};
 }
 
+/// The first part of the prompt that ends runners, without the last part.
+auto fatal_part_of( asio::raw_request const& request ) -> std::string
+{
+    auto const parts = field( request, "Prompt-Prefix" );
+    auto at = std::size_t{ 0 };
+    for ( auto comma = parts.find( ',' ); comma != std::string::npos;
+          comma = parts.find( ',', at ) )
+    {
+        auto const id = parts.substr( at, parts.find( ':', at ) - at );
+        if ( id.starts_with( "dead" ) )
+            return id;
+        at = comma + 1;
+    }
+    return {};
+}
+
 auto seal_of( std::string const& id, std::string const& body ) -> std::string
 {
     return id + "." + pollenstream::core::content_hash( body );
@@ -65,7 +81,8 @@
           asio::raw_request request,
           std::shared_ptr<exchange::answer_channel> answer )
         : owner_( owner ), request_( std::move( request ) ),
-          answer_( std::move( answer ) ), record_( owner.records_.size() - 1 )
+          answer_( std::move( answer ) ), record_( owner.records_.size() - 1 ),
+          is_fatal_( !fatal_part_of( request_ ).empty() )
     {
         ++owner_.open_;
         owner_.works_.insert( this );
@@ -172,6 +189,8 @@
         auto const event = "id: " + std::to_string( id ) +
                            "\ndata: " + field( request_, "Attempt-Id" ) + " " +
                            std::to_string( id ) + "\n\n";
+        if ( is_fatal_ )
+            return end_inside_event( event );
         if ( id == breaks_at_ )
         {
             answer_->send_chunk( event.substr( 0, event.size() / 2 ) );
@@ -190,6 +209,17 @@
                    write_event();
                } );
     }
+    auto end_inside_event( std::string const& event ) -> void
+    {
+        if ( owner_.drawn( 0.5 ) )
+            answer_->send_chunk( event );
+        answer_->send_chunk( event.substr( 0, event.size() / 2 ) );
+        later( time_to_crash,
+               [this]
+               {
+                   owner_.crash( request_ );
+               } );
+    }
     auto end( run_end how ) -> void
     {
         call_.reset();
@@ -205,7 +235,8 @@
     asio::raw_request request_;
     std::shared_ptr<exchange::answer_channel> answer_;
     std::unique_ptr<ports::scheduled_call> call_;
-    std::size_t record_; ///< its place in the runner's records
+    std::size_t record_;     ///< its place in the runner's records
+    bool is_fatal_{ false }; ///< by a part of the prompt
     int next_{ 1 };
     int breaks_at_{ 0 };
     bool ended_{ false };
@@ -303,8 +334,9 @@
 
 auto runner::crash( asio::raw_request const& cause ) -> void
 {
-    crashes_.push_back(
-        { cause.body, field( cause, "Attempt-Id" ), settings_.id, now_ms() } );
+    crashes_.push_back( { cause.body, fatal_part_of( cause ),
+                          field( cause, "Attempt-Id" ), settings_.id,
+                          now_ms() } );
     end_now();
 }
 
@@ -364,6 +396,7 @@
     r.path = request.target;
     r.workspace = field( request, "Tenant" );
     r.body = request.body;
+    r.fatal_part = fatal_part_of( request );
     r.ran = ran;
     r.leaked_key = !field( request, "Api-Key" ).empty();
     r.at_ms = now_ms();
--- a/standins/platform/runner.hpp
+++ b/standins/platform/runner.hpp
@@ -45,6 +45,7 @@
     std::string path;
     std::string workspace;
     std::string body;
+    std::string fatal_part; ///< of the prompt; empty: none
     bool ran{ false };
     bool leaked_key{ false };
     std::int64_t at_ms{ 0 };
@@ -65,6 +66,7 @@
 struct crash_record
 {
     std::string body;
+    std::string fatal_part; ///< the cause, if it is not the body
     std::string attempt;
     std::string target;
     std::int64_t at_ms{ 0 };
@@ -79,7 +81,9 @@
 /// held lives and keeps its entry, but its open and new answers go on only when
 /// the hold is over. A request whose body begins with `fatal` ends the runner a
 /// moment after it has begun to run: all that is open breaks off, the entry
-/// lapses, and after some seconds the runner is back under another id.
+/// lapses, and after some seconds the runner is back under another id. A stream
+/// with a part of the prompt whose id begins with `dead`, unless it is the
+/// last, does so once its answer has begun, inside its first or second event.
 class runner : public asio::request_handler
 {
 public:
