--- a/apps/gateway/node_state.cpp
+++ b/apps/gateway/node_state.cpp
@@ -184,7 +184,13 @@
     gauge( "pollenstream_engines_slow", context.loads.slowed().size() );
     gauge( "pollenstream_places_drained",
            context.loads.drained_data_centres().size() );
-    gauge( "pollenstream_quarantines", context.crashes.quarantined_groups() );
+    auto contents = 0;
+    auto parts = 0;
+    for ( auto const& group : context.crashes.quarantined() )
+        ++( exchange::prompt_parts_of( group.suspects ).empty() ? contents
+                                                                : parts );
+    gauge( "pollenstream_quarantined_contents", contents );
+    gauge( "pollenstream_quarantined_parts", parts );
     gauge( "pollenstream_asks_waiting", coordinator.waiting() );
     auto const count =
         [&out]( char const* name, std::string const& labels, auto const& value )
--- a/apps/tool/explain.cpp
+++ b/apps/tool/explain.cpp
@@ -125,6 +125,41 @@
     std::multimap<std::string, log_line> changes_; ///< by time
 };
 
+/// Why suspects were quarantined, by the state changes that all logs tell of.
+class quarantine_history
+{
+public:
+    auto note( log_line const& line ) -> void
+    {
+        if ( value_of( line, "now" ) == "quarantined" )
+            begins_.emplace( value_of( line, "name" ), line );
+    }
+
+    /// What led to the quarantine for which the request was refused, for the
+    /// sentence.
+    [[nodiscard]] auto text_for( std::vector<story_line> const& story ) const
+        -> std::string
+    {
+        for ( auto const& line : story )
+        {
+            auto const name = value_of( line.fields, "quarantine" );
+            if ( name.empty() )
+                continue;
+            auto const found = begins_.find( name );
+            return "; not sent because of " + name +
+                   ( found == begins_.end()
+                         ? std::string( ", quarantined before these logs" )
+                         : ", quarantined since " +
+                               value_of( found->second, "time" ) + " as " +
+                               value_of( found->second, "because" ) );
+        }
+        return {};
+    }
+
+private:
+    std::map<std::string, log_line> begins_; ///< the first, by suspects
+};
+
 auto cause_of( std::vector<story_line> const& story ) -> std::string
 {
     if ( story.empty() )
@@ -162,7 +197,8 @@
 
 auto read_story( std::string const& id,
                  std::vector<std::istream*> const& logs,
-                 drain_history& drains ) -> std::vector<story_line>
+                 drain_history& drains,
+                 quarantine_history& quarantines ) -> std::vector<story_line>
 {
     auto story = std::vector<story_line>{};
     auto text = std::string{};
@@ -171,6 +207,8 @@
         {
             if ( text.find( "what=data_centre" ) != std::string::npos )
                 drains.note( read_log_line( text ) );
+            if ( text.find( "now=quarantined" ) != std::string::npos )
+                quarantines.note( read_log_line( text ) );
             if ( text.find( id ) == std::string::npos )
                 continue;
             auto fields = read_log_line( text );
@@ -214,12 +252,13 @@
     -> explanation
 {
     auto drains = drain_history{};
-    auto const story = read_story( id, logs, drains );
+    auto quarantines = quarantine_history{};
+    auto const story = read_story( id, logs, drains, quarantines );
     auto result = explanation{};
     for ( auto const& line : story )
         result.lines.push_back( line.text );
-    result.cause =
-        cause_of( story ) + decision_in( story ) + lateness_in( story );
+    result.cause = cause_of( story ) + quarantines.text_for( story ) +
+                   decision_in( story ) + lateness_in( story );
     if ( !story.empty() )
         result.cause += drains.text_at( story.back().time );
     return result;
--- a/src/pollenstream/exchange/suspect.cpp
+++ b/src/pollenstream/exchange/suspect.cpp
@@ -58,7 +58,7 @@
 {
     if ( is_prompt_part( id ) )
         return "part-" + to_string( prompt_part_id( id.count() & ~part_flag ) );
-    return "content-" + to_string( content_id( id.count() ) );
+    return to_string( content_id( id.count() ) );
 }
 
 auto to_string( suspect_list const& all ) -> std::string
--- a/src/pollenstream/exchange/suspect.hpp
+++ b/src/pollenstream/exchange/suspect.hpp
@@ -33,7 +33,7 @@
 /// True if `all` contains each of `some`.
 auto contains_all( suspect_list const& all, suspect_list const& some ) -> bool;
 
-/// The content or part as other log lines name it, after `content-` or `part-`.
+/// A content as other log lines name it, or a part after `part-`.
 auto to_string( suspect_id id ) -> std::string;
 /// Comma-separated names of all suspects.
 auto to_string( suspect_list const& all ) -> std::string;
--- a/src/pollenstream/peers/quarantine.cpp
+++ b/src/pollenstream/peers/quarantine.cpp
@@ -151,8 +151,11 @@
                              std::string state,
                              std::string reason ) -> void
 {
+    auto const* const what = exchange::prompt_parts_of( suspects ).empty()
+                                 ? "content"
+                                 : "prompt_part";
     context_.log.record(
-        exchange::state_change{ "quarantine",
+        exchange::state_change{ what,
                                 exchange::to_string( suspects ),
                                 std::move( state ),
                                 std::move( reason ),
--- a/tests/exchange/crashing_part_test.cpp
+++ b/tests/exchange/crashing_part_test.cpp
@@ -190,6 +190,21 @@
     CHECK( load.fatal.back()->longest_attempt < 50ms );
 }
 
+TEST_CASE( "a crashing prompt part is found by hundreds of instances",
+           "[exchange][crash]" )
+{
+    // Each instance has less than one request in ten seconds, so that no other
+    // answer shows soon that its own path to targets is sound.
+    auto fleet = exchange_fleet( 300, 100, 2 );
+    auto load = part_load( fleet );
+    load.fatal_period = 250ms;
+    load.send_for( 11s );
+    fleet.scheduler.run( 4s );
+    REQUIRE( crash_count( fleet.engines, fatal_part ) >= crashes_before_known );
+    CHECK( late_runs( fleet.engines, fatal_part ) <= allowed_late_runs );
+    CHECK( not_served_at_once( load, settled( load ) ) == 0 );
+}
+
 TEST_CASE( "a crashing prompt part is found although answers end by close",
            "[exchange][crash]" )
 {
--- a/tests/observation/observation_test.cpp
+++ b/tests/observation/observation_test.cpp
@@ -221,6 +221,28 @@
     CHECK( explained_at( "06" ).find( "left out" ) == std::string::npos );
 }
 
+TEST_CASE( "explain leads from a refused request to the crashes behind it",
+           "[explain][crash]" )
+{
+    auto log = std::istringstream(
+        "time=1 event=belief what=prompt_part name=part-fa now=quarantined "
+        "because=\"attempts broke off at i-1,i-2,i-3\"\n"
+        "time=2 event=belief what=prompt_part name=part-fa now=quarantined "
+        "because=\"attempts broke off at i-1,i-2,i-3,i-4\"\n"
+        "time=3 event=refused id=x reason=quarantined status=503 "
+        "waited_ms=0.1 waiting=0 quarantine=part-fa\n" );
+    auto const cause = apps::tool::explain( "x", { &log } ).cause;
+    CHECK( cause.find( "not sent because of part-fa, quarantined since 1 as "
+                       "attempts broke off at i-1,i-2,i-3" ) !=
+           std::string::npos );
+    auto late_log = std::istringstream(
+        "time=3 event=refused id=x reason=quarantined status=503 "
+        "waited_ms=0.1 waiting=0 quarantine=part-fa\n" );
+    CHECK( apps::tool::explain( "x", { &late_log } )
+               .cause.find( "quarantined before these logs" ) !=
+           std::string::npos );
+}
+
 TEST_CASE( "status prints the state of a gateway and its violations",
            "[status]" )
 {
