--- a/scripts/soak_processes.py
+++ b/scripts/soak_processes.py
@@ -3,7 +3,7 @@
 overlapping. What must hold is checked from what callers and runners saw.
 
     scripts/soak-processes [BUILD] [--seeds=A-B] [--seconds=N] [--gateways=N]
-    scripts/soak-processes BUILD --scenario=silent-engine|limits [--seeds=A-B]
+    scripts/soak-processes BUILD --scenario=silent-engine|limits|fatal-parts [--seeds=A-B]
 
 Each seed draws its faults from itself; how processes interleave it cannot
 fix. Logs of a seed that fails are kept and their folder is printed. A scenario
@@ -293,9 +293,12 @@
     async def fatal_part(self):
         """Requests that share a part that ends runners, no two alike, at any
         gateway."""
+        await self.send_fatal_part(6 + self.draw.random() * 3)
+
+    async def send_fatal_part(self, seconds):
         self.fatal_parts += 1
         part = f"dead{self.fatal_parts:04x}"
-        end = self.loop.time() + 6 + self.draw.random() * 3
+        end = self.loop.time() + seconds
         sent = 0
         while self.loop.time() < end:
             sent += 1
@@ -473,6 +476,51 @@
                   f"{len(callers.seen)} requests, {len(found)} violations")
 
 
+FATAL_PART_SECONDS = 12
+
+
+async def fatal_parts(build, seed):
+    """Requests with a part that ends runners come all the time, no two alike;
+    at even seeds a gateway is killed or frozen every two seconds. Few of them
+    run, and the others are served once the part is known."""
+    draw = random.Random(seed)
+    fleet = PlatformFleet(build, seed, gateways=4, engines=8, plain=2)
+    try:
+        await fleet.start()
+        callers = Callers(fleet, draw, count=12)
+        load = asyncio.create_task(callers.run())
+        faults = Faults(fleet, callers, draw, False)
+        sender = asyncio.create_task(
+            faults.send_fatal_part(FATAL_PART_SECONDS))
+        for _ in range(FATAL_PART_SECONDS // 2):
+            if seed % 2 == 0:
+                await draw.choice([faults.kill, faults.pause])()
+            await asyncio.sleep(2)
+        before = len(callers.seen)
+        await asyncio.sleep(2)
+        callers.stop = True
+        await asyncio.gather(load, sender)
+        record = await fleet.control("/record")
+        found = platform_check.told_state_violations(
+            callers, record, faults.gateway_trouble)
+        found += callers.violations
+        if not any(crash["fatal_part"] for crash in record["crashes"]):
+            found.append("no runner ended by a part")
+        after = [one for one in list(callers.seen.values())[before:]
+                 if not one["fatal_part"]]
+        served = sum(one["status"] == 200 for one in after)
+        if served < 0.9 * len(after):
+            found.append(f"only {served} of {len(after)} sound ones served")
+        found += [f"{g.name}: invariant" for g in fleet.gateways
+                  if "invariant" in g.log()]
+        ended = sum(bool(c["fatal_part"]) for c in record["crashes"])
+    finally:
+        fleet.stop()
+    return report(seed, fleet, found, f"seed {seed}: {ended} runners ended by "
+                  f"a part, {len(callers.seen)} requests, {len(found)} "
+                  "violations")
+
+
 def report(seed, fleet, found, text, faults=()):
     """Prints what came of a seed; its folder is kept where something broke."""
     print(text, flush=True)
@@ -551,7 +599,7 @@
     return seeds
 
 
-SCENARIOS = {"silent-engine": silent_engine, "limits": limits}
+SCENARIOS = {"silent-engine": silent_engine, "limits": limits, "fatal-parts": fatal_parts}
 
 
 def main():
