--- a/apps/gateway/node_state.cpp
+++ b/apps/gateway/node_state.cpp
@@ -115,6 +115,20 @@
         << "pollenstream_targets_limited " << limited << '\n';
 }
 
+auto write_quarantines( exchange::crash_history const& crashes,
+                        std::ostream& out ) -> void
+{
+    auto contents = 0;
+    auto parts = 0;
+    for ( auto const& group : crashes.quarantined() )
+        ++( exchange::prompt_parts_of( group.suspects ).empty() ? contents
+                                                                : parts );
+    out << "# TYPE pollenstream_quarantined_contents gauge\n"
+        << "pollenstream_quarantined_contents " << contents << '\n'
+        << "# TYPE pollenstream_quarantined_parts gauge\n"
+        << "pollenstream_quarantined_parts " << parts << '\n';
+}
+
 auto invariant_counts() -> json
 {
     auto counts = json::object();
@@ -184,13 +198,7 @@
     gauge( "pollenstream_engines_slow", context.loads.slowed().size() );
     gauge( "pollenstream_places_drained",
            context.loads.drained_data_centres().size() );
-    auto contents = 0;
-    auto parts = 0;
-    for ( auto const& group : context.crashes.quarantined() )
-        ++( exchange::prompt_parts_of( group.suspects ).empty() ? contents
-                                                                : parts );
-    gauge( "pollenstream_quarantined_contents", contents );
-    gauge( "pollenstream_quarantined_parts", parts );
+    write_quarantines( context.crashes, out );
     gauge( "pollenstream_asks_waiting", coordinator.waiting() );
     auto const count =
         [&out]( char const* name, std::string const& labels, auto const& value )
--- a/standins/platform/runner.cpp
+++ b/standins/platform/runner.cpp
@@ -41,7 +41,7 @@
     for ( auto comma = parts.find( ',' ); comma != std::string::npos;
           comma = parts.find( ',', at ) )
     {
-        auto const id = parts.substr( at, parts.find( ':', at ) - at );
+        auto id = parts.substr( at, parts.find( ':', at ) - at );
         if ( id.starts_with( "dead" ) )
             return id;
         at = comma + 1;
