A change of coordinators revives no cleared suspects and loses no quarantine

Cause: instances that are no coordinators hear of served parts only from their own answers, and hand all crashes that they remember to a new coordinator, up to ten minutes old; parts that had long been cleared could so be quarantined. A coordinator that becomes none lifted its quarantines with the first message of another one that had not adopted them yet. Class: evidence of one instance taken for that of all; state that a change of roles resets. Change: an instance that judges nothing forgets parts 10 s after their crash; a coordinator's own quarantines stay as new until it is none. Result: a test of each in crash_history_test; tests of crashes pass.

--- a/src/pollenstream/exchange/crash_history.cpp
+++ b/src/pollenstream/exchange/crash_history.cpp
@@ -24,6 +24,9 @@
 /// If more than `max_served` were served, they are remembered for this time,
 /// within which the reports of a crash arrive from all instances.
 constexpr auto min_served_time = core::duration( 10s );
+/// Instances that hear only of their own answers remember for this time at
+/// which crashes a part was present. Others may have served it since.
+constexpr auto unjudged_part_time = core::duration( 10s );
 /// A quarantine is kept while this many of its crashes have no other cause.
 constexpr auto crashes_to_keep = std::size_t{ 2 };
 
@@ -278,9 +281,30 @@
                    {
                        return is_old( entry.second );
                    } );
+    if ( may_quarantine && !may_quarantine() )
+        return forget_unjudged_parts( now );
+    // Once this instance judges no more, others need time to adopt these.
+    for ( auto& group : groups_ )
+        group.adopted_at = now;
     find_causes();
 }
 
+/// Coordinators are told which parts were served. This instance is not, so that
+/// it would hand on crashes of parts that have long been cleared.
+auto crash_history::forget_unjudged_parts( core::instant now ) -> void
+{
+    for ( auto at = crashes_.begin(); at != crashes_.end(); )
+    {
+        if ( is_prompt_part( at->first ) && !is_member( at->first ) )
+            std::erase_if( at->second,
+                           [now]( auto const& crash )
+                           {
+                               return now - crash.at > unjudged_part_time;
+                           } );
+        at = at->second.empty() ? crashes_.erase( at ) : std::next( at );
+    }
+}
+
 auto crash_history::lift( suspect_list const& suspects ) -> void
 {
     // Without its crashes, a single suspect is not quarantined again at once.
--- a/src/pollenstream/exchange/crash_history.hpp
+++ b/src/pollenstream/exchange/crash_history.hpp
@@ -164,6 +164,7 @@
 
     auto add_crash( suspect_id id, target_crash const& crash ) -> void;
     auto note_parts( suspect_list const& request ) -> void;
+    auto forget_unjudged_parts( core::instant now ) -> void;
     auto evict_if_full() -> void;
     auto
     erase_crashes( std::function<bool( target_crash const& )> const& which )
--- a/tests/exchange/crash_history_test.cpp
+++ b/tests/exchange/crash_history_test.cpp
@@ -303,3 +303,42 @@
         CHECK_FALSE( history.is_quarantined( { part( 9 ) } ) );
     }
 }
+
+TEST_CASE( "an instance that hears of its own answers only forgets parts soon",
+           "[exchange][crash]" )
+{
+    auto history = exchange::crash_history( expiry_time );
+    auto judges = false;
+    history.may_quarantine = [&judges]
+    {
+        return judges;
+    };
+    add_ended( history, "a", { request( 1 ), part( 9 ) } );
+    history.prune( start + 9s, nothing_listed );
+    CHECK( history.count( part( 9 ) ) == 1 );
+    SECTION( "others may have served them since" )
+    {
+        history.prune( start + 11s, nothing_listed );
+        CHECK( history.count( part( 9 ) ) == 0 );
+        CHECK( history.count( request( 1 ) ) == 1 );
+    }
+    SECTION( "unless it is told what was served" )
+    {
+        judges = true;
+        history.prune( start + 11s, nothing_listed );
+        CHECK( history.count( part( 9 ) ) == 1 );
+    }
+}
+
+TEST_CASE( "a former coordinator keeps its quarantines until others adopt them",
+           "[exchange][crash]" )
+{
+    auto history = exchange::crash_history( expiry_time );
+    for ( auto const* target : { "a", "b", "c" } )
+        add_ended( history, target, { part( 9 ) } );
+    history.prune( start + 60s, nothing_listed );
+    history.lift_not_adopted_since( start + 58s );
+    CHECK( history.is_quarantined( { part( 9 ) } ) );
+    history.lift_not_adopted_since( start + 61s );
+    CHECK_FALSE( history.is_quarantined( { part( 9 ) } ) );
+}
