What was served before is held back only after crashes that go on

Cause: traced by the logs that were kept. Two fatal requests and a fatal part ended all six runners within 0.9 s. The part that all streams share was at each of these crashes and served by nobody meanwhile, had therefore the most crashes, was quarantined, and explained those of the true cause. As all streams have it, nothing could clear it. Streams of the soak take 0.15 s, so that none went on for the 500 ms after which an answer clears its parts. Class: absence of proof taken for proof. Ruled out: load, the order of messages (all four gateways agree). Change: a suspect that was served before the crashes is a cause only after five of them over five seconds without an answer; what was never served, as a fatal part, after three as before.

--- a/src/pollenstream/exchange/crash_history.cpp
+++ b/src/pollenstream/exchange/crash_history.cpp
@@ -30,6 +30,21 @@
 /// A quarantine is kept while this many of its crashes have no other cause.
 constexpr auto crashes_to_keep = std::size_t{ 2 };
 
+/// Crashes after which a suspect is a cause although it was served before, and
+/// the least time between the first and the last of them. When all targets of a
+/// service crash at once, what most requests share is present at every crash
+/// and served by none until targets have restarted.
+constexpr auto crashes_after_service = std::size_t{ 5 };
+constexpr auto time_after_service = core::duration( 5s );
+
+/// True if these crashes, without an answer in between, outweigh that a suspect
+/// was served before them.
+auto outweighs_service( std::vector<target_crash> const& crashes ) -> bool
+{
+    return crashes.size() >= crashes_after_service &&
+           crashes.back().at - crashes.front().at >= time_after_service;
+}
+
 auto has_target( std::vector<target_crash> const& crashes,
                  target_ref const& target ) -> bool
 {
@@ -371,6 +386,8 @@
         auto open = unexplained( { id } );
         if ( open.size() < crashes_to_quarantine )
             continue;
+        if ( served_.contains( id ) && !outweighs_service( open ) )
+            continue;
         auto const same =
             std::find_if( causes.begin(), causes.end(),
                           [&open]( auto const& cause )
--- a/tests/exchange/crash_history_test.cpp
+++ b/tests/exchange/crash_history_test.cpp
@@ -342,3 +342,29 @@
     history.lift_not_adopted_since( start + 61s );
     CHECK_FALSE( history.is_quarantined( { part( 9 ) } ) );
 }
+
+TEST_CASE( "what was served before is no cause of crashes that follow closely",
+           "[exchange][crash]" )
+{
+    auto history = exchange::crash_history( expiry_time );
+    history.note_served( { part( 1 ), part( 2 ) }, start - 1s );
+    auto at = start;
+    // All targets of the service crash, and none serves meanwhile.
+    for ( auto i = 0; i < 8; ++i )
+    {
+        add_ended( history, "t" + std::to_string( i ),
+                   { request( i ), part( 1 ), part( i < 5 ? 9 : 2 ) }, at );
+        at += 200ms;
+    }
+    CHECK_FALSE( history.is_quarantined( { request( 50 ), part( 1 ) } ) );
+    CHECK_FALSE( history.is_quarantined( { request( 50 ), part( 2 ) } ) );
+    CHECK( history.is_quarantined( { request( 50 ), part( 9 ) } ) );
+    // Crashes that go on for long without an answer are evidence.
+    for ( auto i = 8; i < 13; ++i )
+    {
+        add_ended( history, "t" + std::to_string( i ),
+                   { request( i ), part( 2 ) }, at );
+        at += 1500ms;
+    }
+    CHECK( history.is_quarantined( { request( 50 ), part( 2 ) } ) );
+}
