--- a/apps/tool/explain.cpp
+++ b/apps/tool/explain.cpp
@@ -135,7 +135,7 @@
             begins_.emplace( value_of( line, "name" ), line );
     }
 
-    /// What led to the quarantine for which the request was refused, for the
+    /// Cause of the quarantine for which the request was refused, for the
     /// sentence.
     [[nodiscard]] auto text_for( std::vector<story_line> const& story ) const
         -> std::string
--- a/src/pollenstream/exchange/exchange_evidence.cpp
+++ b/src/pollenstream/exchange/exchange_evidence.cpp
@@ -77,7 +77,7 @@
         limit_state_change( target, change, head.limit, "its own answer" ) );
 }
 
-/// What has been served is no longer suspect, at any instance. Coordinators are
+/// Clears the suspects of a served request, at all instances. Coordinators are
 /// told of the parts of all prompts, since they may hear of a crash later.
 auto exchange::note_served( suspect_list const& suspects ) -> void
 {
