--- a/review/standins.py
+++ b/review/standins.py
@@ -281,16 +281,20 @@
     """One runner. It drops a request when its channel closes."""
 
     def __init__(self, record, store, name, service, zone="hall", slots=16,
-                 read_per_s=256000.0, memory=450000, gap_s=0.05):
+                 read_per_s=256000.0, memory=450000, gap_s=0.05,
+                 pairs_per_m=0.0):
         super().__init__()
         self.record, self.store = record, store
         self.name, self.service, self.zone, self.slots = name, service, zone, slots
         self.read_per_s, self.memory, self.gap_s = read_per_s, memory, gap_s
+        self.pairs_per_m = pairs_per_m
+        self.proxy = None        # if others reach it through one
         self.lives = 0
         self.id = None
         self.running = 0
         self.runs = []           # (time, id, attempt, ...)
         self.tickets = {}        # id: {tokens, ends, users}
+        self.reserved = set()    # ids of all tickets so far
         self.shared = []         # (time, ticket, attempts): used by two at once
         self.state = "ready"
         self.listed = False
@@ -305,10 +309,14 @@
         self.register()
 
     def entry(self):
-        return {"service": self.service, "address": self.address,
+        address = self.proxy.address if self.proxy else self.address
+        return {"service": self.service, "address": address,
                 "zone": self.zone, "version": "v1", "slots": self.slots,
                 "state": self.state, "cold_remaining_ms": 0, "sequence": 1}
 
+    def names(self):
+        return {self.address, self.proxy.address if self.proxy else ""}
+
     def register(self):
         self.listed = True
         self.store.put(f"servers/{self.id}", self.entry())
@@ -363,8 +371,12 @@
             return await connection.reply(
                 200, [*own, ("Server-Seal", "s." + attempt)], body)
         prompt, _ = (int(n) for n in usage.split(","))
-        parts = 1 + len([h for h in message.get("Helpers").split(",") if h])
-        await self.pause(connection, prompt / parts / self.read_per_s + 0.05)
+        helpers = [h for h in message.get("Helpers").split(",") if h]
+        lists_own = any(h.split("/")[0] in self.names() for h in helpers)
+        parts = len(helpers) + (0 if lists_own else 1)
+        pairs_s = self.pairs_per_m * prompt * prompt / 2e9
+        read_s = (prompt / self.read_per_s + pairs_s) / parts
+        await self.pause(connection, read_s + 0.05)
         first = int(message.get("Last-Event-Id") or 0) + 1
         await connection.send(encode("HTTP/1.1 200 OK", [
             *own, ("Server-Seal", "s." + attempt),
@@ -396,6 +408,7 @@
             self.tickets.pop(name, None)
             return await connection.reply(200, (), b'{"free_slots":0}')
         tokens, hold = body["token_count"], body["hold_ms"] / 1000
+        self.reserved.add(name)
         if name in self.tickets:
             self.tickets[name]["ends"] = now() + hold
         else:
@@ -436,51 +449,84 @@
 # --- proxy -----------------------------------------------------------------
 
 class Proxy:
-    """Passes connections on to one address. `silence()` makes the present ones
-    as those of a machine without power: neither bytes nor an end pass."""
+    """Passes connections on to one address. `power_off()` makes the present
+    ones as those of a machine without power: no byte and no end passes. Once
+    the machine is back (`power_on`), it resets a channel that it no longer
+    knows as soon as something arrives on it."""
 
     def __init__(self, target):
         self.target = target
-        self.open = set()
+        self.open = []
         self.address = None
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
 
-    def silence(self):
-        for channel in self.open:
-            channel["silent"] = True
+    def power_off(self):
+        self.lost = [c for c in self.open if not c["lost"]]
+        for channel in self.lost:
+            channel["lost"] = True
+
+    def power_on(self):
+        for channel in self.lost:
+            channel["resets"] = True
+            if channel["unread"]:
+                channel["runner"].transport.abort()
 
     async def serve(self, reader, writer):
-        host, port = self.target().split(":")
-        channel = {"silent": False}
+        host, port = self.target.split(":")
         try:
             to_reader, to_writer = await asyncio.open_connection(host, int(port))
         except OSError:
             writer.transport.abort()
             return
-        self.open.add(channel)
+        channel = {"lost": False, "resets": False, "unread": False,
+                   "runner": to_writer}
+        self.open.append(channel)
         try:
-            await asyncio.gather(self.pump(reader, to_writer, channel),
-                                 self.pump(to_reader, writer, channel))
-        finally:
-            self.open.discard(channel)
+            await asyncio.gather(self.to_runner(reader, to_writer, channel),
+                                 self.to_gateway(to_reader, writer, channel))
+        except asyncio.CancelledError:
+            pass        # the script ends
+        self.open.remove(channel)
+
+    @staticmethod
+    async def to_runner(reader, writer, channel):
+        try:
+            while True:
+                data = await reader.read(65536)
+                if channel["lost"]:
+                    return
+                if not data:
+                    break
+                writer.write(data)
+                await writer.drain()
+            writer.close()
+        except OSError:
+            if not channel["lost"]:
+                writer.transport.abort()
 
     @staticmethod
-    async def pump(reader, writer, channel):
+    async def to_gateway(reader, writer, channel):
         try:
             while True:
                 data = await reader.read(65536)
-                if channel["silent"]:
-                    return      # nothing passes any more, not even the end
+                if channel["lost"]:
+                    channel["unread"] = True
+                    if channel["resets"]:
+                        channel["runner"].transport.abort()
+                        return
+                    if not data:
+                        return
+                    continue
                 if not data:
                     break
                 writer.write(data)
                 await writer.drain()
             writer.close()
         except OSError:
-            if not channel["silent"]:
+            if not channel["lost"]:
                 writer.transport.abort()
 
 
