--- a/review/standins.py
+++ b/review/standins.py
@@ -296,6 +296,7 @@
         self.tickets = {}        # id: {tokens, ends, users}
         self.reserved = set()    # ids of all tickets so far
         self.shared = []         # (time, ticket, attempts): used by two at once
+        self.held = {}           # attempt: tokens that it holds here
         self.state = "ready"
         self.listed = False
 
@@ -352,6 +353,7 @@
                     helpers=message.get("Helpers") or "-")
         tickets = self.take_tickets(message, attempt)
         try:
+            await self.check_memory(tickets)
             await self.work(message, connection, attempt, own)
             run["end"] = "answered"
         except (OSError, asyncio.CancelledError, ConnectionError):
@@ -430,6 +432,7 @@
             if ticket is None:
                 continue
             taken.append((runner, name, ticket))
+            runner.held[attempt] = ticket["tokens"]
             ticket["users"].add(attempt)
             if len(ticket["users"]) > 1:
                 self.shared.append((now(), runner.id, name,
@@ -438,10 +441,21 @@
                             attempts=",".join(sorted(ticket["users"])))
         return taken
 
+    @staticmethod
+    async def check_memory(taken):
+        """A runner crashes if the requests that it holds exceed its memory."""
+        for runner, _, _ in taken:
+            if sum(runner.held.values()) > runner.memory:
+                runner.record("memory_exceeded", runner=runner.id,
+                              held=sum(runner.held.values()),
+                              memory=runner.memory)
+                await runner.crash()
+
     @staticmethod
     def return_tickets(taken, attempt):
-        for _, _, ticket in taken:
+        for runner, _, ticket in taken:
             ticket["users"].discard(attempt)
+            runner.held.pop(attempt, None)
 
     by_address = {}
 
