--- a/review/standins.py
+++ b/review/standins.py
@@ -646,7 +646,7 @@
         with open(self.log, "ab") as log:
             self.child = subprocess.Popen(
                 RUN, cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
-                env={"PATH": os.environ["PATH"], "HOME": "/tmp",
+                env={"PATH": os.environ["PATH"], "HOME": str(self.fleet.folder),
                      "LANG": "C", "POLLENSTREAM_NODE_FILE": str(self.path)})
         self.fleet.record("gateway_starts", name=self.name)
 
