Instances record when they first serve, and what they waited for

Cause: the logs of an instance that serves nothing after a restart did not say so, nor what it waited for; `losses` took "quarantined" and "cut_from_targets" for unknown causes.

Ruled out: a line for each stage (configuration, targets, placed), which is four lines a start that nobody reads where all is well.

Change: one line `what=process now=serving` with the time until the configuration, a target, the first request and its placement, and what was refused before, by reason; `now=not_serving` once if a request is refused and none was served in five seconds. Metrics: uptime, readiness with its age, seconds to the first served request; the dump has both. `losses` adds the starts up and names the two causes.

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -84,8 +84,10 @@
                             exchange::event_log& log )
     : io_( io ), settings_( std::move( settings ) ), scheduler_( io ),
       bounded_log_( log, scheduler_, max_logged_requests_per_second ),
-      log_( bounded_log_ ), http_( io ), store_( http_, settings_.store ),
-      target_calls_( http_ ), reservation_client_( http_ ),
+      log_( bounded_log_ ),
+      first_service_( log_, scheduler_, settings_.instance ), http_( io ),
+      store_( http_, settings_.store ), target_calls_( http_ ),
+      reservation_client_( http_ ),
       crashes_( registry_expiry_time( settings_ ) ),
       placement_( load_table_, settings_.data_centre ),
       retries_( { settings_.retry_ratio, settings_.retry_constant,
@@ -189,7 +191,7 @@
         .retries = retries_,
         .path = path_,
         .queue = wait_queue_,
-        .log = log_,
+        .log = first_service_,
         .announcer = group_,
         .self = settings_.instance,
         .configuration = nullptr,
@@ -202,7 +204,8 @@
 
 auto gateway_node::parts() const -> node_parts
 {
-    return { context_, group_, registry_, coordinator_, router_, store_ };
+    return { context_, group_, registry_,      coordinator_,
+             router_,  store_, first_service_, ready_state_ };
 }
 
 auto gateway_node::make_registry_events() -> registry::registry_events
@@ -216,6 +219,7 @@
         load_table_.set_engine_models( configuration->engine_models(),
                                        scheduler_.now() );
         context_.configuration = std::move( configuration );
+        first_service_.note( observation::start_stage::configuration );
         update_ready();
         wait_queue_.schedule_round();
     };
@@ -243,6 +247,8 @@
     };
     events.on_targets_changed = [this]
     {
+        if ( !load_table_.all().empty() )
+            first_service_.note( observation::start_stage::targets );
         wait_queue_.schedule_round();
     };
     events.on_instance = [this]( auto const&, auto const& ip )
@@ -306,6 +312,7 @@
     quarantine_.start();
     path_watch_.start();
     started_ = scheduler_.now();
+    ready_state_.since = started_;
     tick();
     record_process( "started", "incarnation" );
 }
@@ -334,6 +341,13 @@
 auto gateway_node::update_ready() -> void
 {
     group_.set_ready( is_ready() );
+    note_readiness();
+}
+
+auto gateway_node::note_readiness() -> void
+{
+    if ( std::exchange( ready_state_.is_ready, is_ready() ) != is_ready() )
+        ready_state_.since = scheduler_.now();
 }
 
 auto gateway_node::update_store_state() -> void
@@ -437,6 +451,7 @@
     if ( std::exchange( stopping_, true ) )
         return;
     record_process( "stopping", "signal" );
+    note_readiness();
     auto const now = scheduler_.now();
     auto const directory_expired_at = now + directory_ttl * caller_ttl_factor;
     context_.stop =
--- a/apps/gateway/gateway_node.hpp
+++ b/apps/gateway/gateway_node.hpp
@@ -19,6 +19,7 @@
 #include <pollenstream/exchange/placement_coordinator.hpp>
 #include <pollenstream/observation/bounded_log.hpp>
 #include <pollenstream/observation/event_metrics.hpp>
+#include <pollenstream/observation/first_service.hpp>
 #include <pollenstream/peers/peer_group.hpp>
 #include <pollenstream/peers/placement_router.hpp>
 #include <pollenstream/peers/quarantine.hpp>
@@ -62,6 +63,7 @@
     auto is_ready() const -> bool;
     auto registry_is_current() const -> bool;
     auto update_ready() -> void;
+    auto note_readiness() -> void;
     auto tick() -> void;
     auto update_store_state() -> void;
     auto fetch_from_peer() -> void;
@@ -78,6 +80,7 @@
     adapters::asio::asio_scheduler scheduler_;
     observation::bounded_log bounded_log_;
     observation::event_metrics log_;
+    observation::first_service first_service_;
     adapters::asio::http_client http_;
     platform::store_client store_;
     platform::registry_records records_;
@@ -113,6 +116,7 @@
     std::unique_ptr<adapters::asio::caller_listener> metrics_;
 
     core::instant started_;
+    ready_state ready_state_;
     bool stopping_{ false };
     bool fetching_{ false };
     core::instant lagging_since_;
--- a/apps/gateway/node_state.cpp
+++ b/apps/gateway/node_state.cpp
@@ -129,6 +129,25 @@
         << "pollenstream_quarantined_parts " << parts << '\n';
 }
 
+/// How long this process has run, has been ready or not, and took until it
+/// served its first request. The last is missing until it has served one.
+auto write_start( node_parts const& node, std::ostream& out ) -> void
+{
+    auto const write = [&out]( char const* name, auto value )
+    {
+        out << "# TYPE " << name << " gauge\n" << name << ' ' << value << '\n';
+    };
+    auto const now = node.context.scheduler.now();
+    write( "pollenstream_uptime_seconds",
+           core::seconds_of( node.first_service.age() ) );
+    write( "pollenstream_ready", node.ready.is_ready ? 1 : 0 );
+    write( "pollenstream_ready_age_seconds",
+           core::seconds_of( now - node.ready.since ) );
+    if ( auto const served = node.first_service.served_after() )
+        write( "pollenstream_first_served_seconds",
+               core::seconds_of( *served ) );
+}
+
 auto invariant_counts() -> json
 {
     auto counts = json::object();
@@ -149,13 +168,18 @@
 
 auto describe_node( node_parts const& node ) -> std::string
 {
-    auto const& [context, group, registry, coordinator, router, store] = node;
+    auto const& [context, group, registry, coordinator, router, store,
+                 first_service, ready] = node;
     auto const version =
         context.configuration ? context.configuration->version.count() : 0;
+    auto const served = first_service.served_after();
     auto const state =
         json{ { "instance", context.self.str() },
               { "configuration", version },
               { "stopping", context.stop.has_value() },
+              { "ready", ready.is_ready },
+              { "first_served_ms",
+                served ? json( core::milliseconds_of( *served ) ) : json() },
               { "open_requests", context.open.size() },
               { "waiting_requests", context.queue.size() },
               { "store",
@@ -172,8 +196,10 @@
 
 auto node_metrics( node_parts const& node ) -> std::string
 {
-    auto const& [context, group, registry, coordinator, router, store] = node;
+    auto const& [context, group, registry, coordinator, router, store,
+                 first_service, ready] = node;
     auto out = std::ostringstream{};
+    write_start( node, out );
     auto const gauge = [&out]( char const* name, auto value )
     {
         out << "# TYPE " << name << " gauge\n" << name << ' ' << value << '\n';
--- a/apps/gateway/node_state.hpp
+++ b/apps/gateway/node_state.hpp
@@ -4,6 +4,7 @@
 #include "../../platform/store_client.hpp"
 #include <pollenstream/exchange/context.hpp>
 #include <pollenstream/exchange/placement_coordinator.hpp>
+#include <pollenstream/observation/first_service.hpp>
 #include <pollenstream/peers/peer_group.hpp>
 #include <pollenstream/peers/placement_router.hpp>
 #include <pollenstream/registry/registry_watch.hpp>
@@ -13,6 +14,13 @@
 namespace pollenstream::gateway
 {
 
+/// Whether callers may be directed to an instance.
+struct ready_state
+{
+    bool is_ready{ false };
+    core::instant since; ///< start of this state
+};
+
 /// The components of an instance whose state is reported.
 struct node_parts
 {
@@ -22,6 +30,8 @@
     exchange::placement_coordinator const& coordinator;
     peers::placement_router const& router;
     platform::store_client const& store;
+    observation::first_service const& first_service;
+    ready_state ready;
 };
 
 /// The present state of an instance as indented JSON for operators.
--- a/apps/tool/loss_cause.cpp
+++ b/apps/tool/loss_cause.cpp
@@ -29,6 +29,10 @@
         return "target_limit";
     case loss_cause::place_drained:
         return "place_drained";
+    case loss_cause::quarantined:
+        return "quarantined";
+    case loss_cause::cut_from_targets:
+        return "cut_from_targets";
     case loss_cause::late_ask:
         return "late_ask";
     case loss_cause::late_by_waiting:
--- a/apps/tool/loss_cause.hpp
+++ b/apps/tool/loss_cause.hpp
@@ -23,6 +23,8 @@
     no_room,           ///< it found no targets while its caller waited
     target_limit,      ///< targets had got as much as they take
     place_drained,     ///< all its targets were in drained data centres
+    quarantined,       ///< its content or a part had ended targets
+    cut_from_targets,  ///< its instance reached no target
     late_ask,          ///< the answer to its ask for targets took long
     late_by_waiting,   ///< it waited for room, and was then read as predicted
     late_as_predicted, ///< the choice itself said that it would be late
--- a/apps/tool/losses.cpp
+++ b/apps/tool/losses.cpp
@@ -62,6 +62,10 @@
         return loss_cause::target_limit;
     if ( reason == "drained" )
         return loss_cause::place_drained;
+    if ( reason == "quarantined" )
+        return loss_cause::quarantined;
+    if ( reason == "cut_from_targets" )
+        return loss_cause::cut_from_targets;
     if ( reason == "no_configuration" )
         return loss_cause::no_configuration;
     if ( reason == "stopping" || reason == "process_ends" )
@@ -145,7 +149,7 @@
     auto const event = text_of( line, "event" );
     auto const id = text_of( line, "id" );
     if ( event == "belief" )
-        return;
+        return starts_.take( line );
     if ( id.empty() )
     {
         ++unreadable_;
--- a/apps/tool/losses.hpp
+++ b/apps/tool/losses.hpp
@@ -4,6 +4,7 @@
 #include "explain.hpp"
 #include "loss_cause.hpp"
 #include "loss_groups.hpp"
+#include "start_account.hpp"
 #include <pollenstream/metrics/distribution.hpp>
 
 #include <array>
@@ -65,6 +66,12 @@
         return unreadable_;
     }
 
+    /// Of the processes whose lines were taken.
+    [[nodiscard]] auto starts() const -> start_account const&
+    {
+        return starts_;
+    }
+
     /// Sums by the key; empty if no key was given.
     [[nodiscard]] auto groups() const -> loss_groups const&
     {
@@ -101,6 +108,7 @@
     cause_sums by_cause_{};
     std::optional<loss_key> key_;
     loss_groups groups_;
+    start_account starts_;
     std::vector<size_row> by_size_;
     std::unordered_map<std::string, story> open_;
     std::uint64_t last_number_{ 0 };
--- a/apps/tool/losses_report.cpp
+++ b/apps/tool/losses_report.cpp
@@ -125,6 +125,57 @@
     return rows;
 }
 
+/// What kept processes from serving after their start: the longest time until
+/// each thing that they wait for, and the requests refused until they served.
+auto start_rows( start_account const& starts ) -> value
+{
+    auto rows = value::array();
+    for ( auto const& [stage, longest] : starts.longest_stages_ms() )
+    {
+        auto row = value::object();
+        row["waited_for"] = value( stage );
+        row["longest_ms"] = rounded( longest );
+        rows[rows.size()] = row;
+    }
+    for ( auto const& [reason, requests] : starts.refused() )
+    {
+        auto row = value::object();
+        row["waited_for"] = value( "refused: " + reason );
+        row["requests"] = value( requests );
+        rows[rows.size()] = row;
+    }
+    return rows;
+}
+
+auto starts_as_json( start_account const& starts ) -> value
+{
+    auto const served = starts.served_after_ms();
+    auto whole = value::object();
+    whole["starts"] = value( starts.starts() );
+    whole["overdue"] = value( starts.overdue() );
+    whole["never_served"] = value( starts.never_served() );
+    whole["median_ms"] =
+        rounded( served.empty() ? 0 : served[served.size() / 2] );
+    whole["longest_ms"] = rounded( served.empty() ? 0 : served.back() );
+    whole["before"] = start_rows( starts );
+    return whole;
+}
+
+auto print_starts( start_account const& starts ) -> void
+{
+    if ( starts.starts() == 0 )
+        return;
+    auto const whole = starts_as_json( starts );
+    std::cout << '\n'
+              << starts.starts() << " starts, " << starts.never_served()
+              << " never served; first served after "
+              << whole.at( "median_ms" ).serialize() << " ms (median), "
+              << whole.at( "longest_ms" ).serialize() << " ms at most; "
+              << starts.overdue() << " overdue\n\n";
+    print_table( whole.at( "before" ),
+                 { "waited_for", "longest_ms", "requests" }, std::cout );
+}
+
 auto print_groups( loss_account const& account, char const* key ) -> void
 {
     std::cout << '\n';
@@ -152,6 +203,7 @@
         whole["causes"] = cause_rows( account );
         whole["sizes"] = size_rows( account );
         whole["later_than_told"] = prediction_rows( account );
+        whole["starts"] = starts_as_json( account.starts() );
         if ( key )
         {
             whole["by"] = value( key );
@@ -176,6 +228,7 @@
     print_table( prediction_rows( account ),
                  { "size", "first_events", "p50_ms", "p95_ms", "p99_ms" },
                  std::cout );
+    print_starts( account.starts() );
 }
 
 auto read_all( std::istream& log,
