A quarantine lets single requests through and ends when one is served

Cause: the absence of an answer was taken for a proof of guilt. What was served before is each process's memory and gone with it, so the first crashes accuse what all open requests share. Nothing led out: the request that would clear the suspect was never sent, and the record in the store outlived further restarts. A new coordinator, or a part or content that had never been served, met the same.

Ruled out: keeping what was served in the store (a write for each part, and no help for parts that are new); other reasons of refusal (the not_serving lines count none).

Change: a quarantine is a circuit breaker with a half-open state. The first coordinator lets one request through as a trial 0.3 s after the quarantine began, then after 2 s, 10 s, 50 s and 250 s; one that is served ends the quarantine, a rejected one goes on, one that shows nothing is repeated soon. The state of the trials is in the peers' messages and in the record in the store, so that a restart of all resets none of it. Later than 3 s after the fifth crash there are three trials at most in the ten minutes for which crashes count. Requests that have another suspect in common with the crashes come later. Plain calls go through the coordinator too where they are quarantined. Refused callers get Retry-After while a trial is near.

One write to the store is now one for the quarantine and one for each of its trials.

--- a/src/pollenstream/exchange/crash_history.hpp
+++ b/src/pollenstream/exchange/crash_history.hpp
@@ -4,6 +4,7 @@
 #include <pollenstream/core/units.hpp>
 #include <pollenstream/exchange/load_table.hpp>
 #include <pollenstream/exchange/suspect.hpp>
+#include <pollenstream/exchange/trial_schedule.hpp>
 
 #include <cstddef>
 #include <functional>
@@ -37,6 +38,9 @@
 {
     suspect_list suspects;
     std::vector<target_crash> crashes; ///< the oldest first
+    trial_schedule trials;
+    /// False if `crashes` have the time at which they became known here.
+    bool has_crash_times{ true };
 };
 
 /// Finds contents and parts of prompts that crash their targets, from the
@@ -53,6 +57,10 @@
 /// A crash counts for one cause only: once its cause is quarantined, it is no
 /// evidence against anything else. The quarantine of a content does not clear
 /// the parts of its prompt, since one of them may be the cause.
+///
+/// Little is known of what is sound where processes are new, so a quarantine
+/// may be a mistake. Single requests are sent all the same, as trials; one that
+/// is served ends it.
 class crash_history
 {
 public:
@@ -95,6 +103,22 @@
     /// Lifts the quarantines that were last adopted before `since`.
     auto lift_not_adopted_since( core::instant since ) -> void;
 
+    /// When a request with these suspects may be sent as a trial at the
+    /// earliest; nullopt if it is not quarantined.
+    [[nodiscard]] auto next_trial( suspect_list const& suspects ) const
+        -> std::optional<core::instant>;
+    /// True if this instance may send a request with these suspects as a trial.
+    [[nodiscard]] auto is_trial_due( suspect_list const& suspects,
+                                     core::instant now ) const -> bool;
+    /// A request with these suspects, which are quarantined, is sent as a
+    /// trial.
+    auto begin_trial( suspect_list const& suspects, core::instant now ) -> void;
+    /// The trial that began at `began` has ended. Unless a crash was noted
+    /// since, it has shown nothing. To be called once crashes are reported.
+    auto end_trial( suspect_list const& suspects,
+                    core::instant began,
+                    core::instant now ) -> void;
+
     /// Number of crashes at which the suspect was present and that have no
     /// other known cause.
     [[nodiscard]] auto count( suspect_id id ) const -> std::size_t;
@@ -139,6 +163,11 @@
     /// True where this instance knows enough to quarantine suspects; else it
     /// only adopts what others have quarantined. Null: always.
     std::function<bool()> may_quarantine;
+    /// True where this instance knows the others that begin trials. Null:
+    /// always.
+    std::function<bool()> may_begin_trials;
+    /// Called when the state of the trials of a quarantine has changed here.
+    std::function<void( quarantined_group const& )> on_trial;
     /// Called with a target of which has to be confirmed that it has ended.
     std::function<void( target_ref const& )> on_confirmation_needed;
     /// Called when a quarantine may have begun or ended.
@@ -160,6 +189,8 @@
     {
         suspect_list suspects;
         core::instant adopted_at;
+        trial_schedule trials;
+        bool has_crash_times{ true };
     };
 
     auto add_crash( suspect_id id, target_crash const& crash ) -> void;
@@ -174,7 +205,14 @@
     auto find_causes() -> void;
     [[nodiscard]] auto next_cause() const -> std::optional<quarantined_group>;
     [[nodiscard]] auto confirm_last( quarantined_group const& cause ) -> bool;
-    auto add_group( suspect_list suspects, core::instant now ) -> void;
+    auto add_group( group_state added ) -> void;
+    [[nodiscard]] auto describe( group_state const& group ) const
+        -> quarantined_group;
+    [[nodiscard]] auto is_free_trial( group_state const& group,
+                                      core::instant now ) const -> bool;
+    [[nodiscard]] auto may_have_other_cause( group_state const& group,
+                                             suspect_list const& request ) const
+        -> bool;
     auto drop_invalid_groups() -> void;
     [[nodiscard]] auto is_valid( suspect_list const& group ) const -> bool;
     [[nodiscard]] auto common_crashes( suspect_list const& suspects ) const
--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -177,7 +177,7 @@
         return;
     content_ = content_of( request_, workspace_ );
     suspects_ = suspects_of( content_, shared_parts() );
-    if ( is_quarantined() )
+    if ( is_held_back() && !may_be_trial() )
         return end_as_quarantined();
     pick_service();
     if ( service_ == nullptr )
@@ -289,8 +289,10 @@
     if ( now < not_before_ )
         return false;
     refresh_demand( now );
-    if ( needs_engine() )
+    // Only a coordinator decides which request is a trial of a quarantine.
+    if ( needs_engine() || context_.crashes.is_quarantined( suspects_ ) )
     {
+        is_coordinated_ = !needs_engine();
         request_placement();
         return true;
     }
@@ -376,21 +378,32 @@
     give_up( std::move( reason ), retry_after_stop );
 }
 
-auto exchange::is_quarantined() const -> bool
+auto exchange::is_held_back() const -> bool
 {
-    return context_.crashes.is_quarantined( suspects_ );
+    return !is_trial_ && context_.crashes.is_quarantined( suspects_ );
+}
+
+auto exchange::may_be_trial() const -> bool
+{
+    auto const next = context_.crashes.next_trial( suspects_ );
+    return next && *next <= context_.scheduler.now();
 }
 
-/// Sends no Retry-After, since the same request would be refused again.
 auto exchange::end_as_quarantined() -> void
 {
-    give_up( quarantined_reason, std::nullopt );
+    auto const next = context_.crashes.next_trial( suspects_ );
+    give_up( quarantined_reason,
+             next ? retry_after_quarantined( *next - context_.scheduler.now() )
+                  : std::nullopt );
 }
 
 auto exchange::on_quarantine_changed() -> void
 {
     auto const keep = shared_from_this();
-    if ( finished_ || route_ == nullptr || !is_quarantined() )
+    if ( finished_ || route_ == nullptr || !is_held_back() )
+        return;
+    // It waits for the coordinator, which decides whether it is a trial.
+    if ( !current_ && !silent_ && may_be_trial() )
         return;
     auto const runs = current_ && !current_->prefilling;
     if ( runs )
--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -220,7 +220,9 @@
                          std::string decision ) -> void;
     auto note_crash( target_attempt const& which, core::error const& why )
         -> void;
-    [[nodiscard]] auto is_quarantined() const -> bool;
+    /// True if the request is quarantined and is no trial.
+    [[nodiscard]] auto is_held_back() const -> bool;
+    [[nodiscard]] auto may_be_trial() const -> bool;
     auto end_as_quarantined() -> void;
     auto
     end_if_quarantined( placement_grant const& grant,
@@ -260,6 +262,7 @@
     bool is_split_{ false };
     bool is_suspect_{ false };      ///< by the grant or by crashes seen here
     bool parts_are_sound_{ false }; ///< reported already
+    bool is_trial_{ false };        ///< sent although it is quarantined
     /// A plain call for which the coordinator was asked for a target.
     bool is_coordinated_{ false };
     /// It was granted a target that names a rate limit.
--- a/src/pollenstream/exchange/exchange_answers.cpp
+++ b/src/pollenstream/exchange/exchange_answers.cpp
@@ -350,7 +350,9 @@
     close_attempt( true );
     if ( may_have_run_ || streaming_ )
         return fail( status_bad_gateway,
-                     is_quarantined() ? quarantined_reason : "target_lost" );
+                     context_.crashes.is_quarantined( suspects_ )
+                         ? quarantined_reason
+                         : "target_lost" );
     refuse( status_unavailable, "not_reached", retry_after_turned_away );
 }
 
--- a/src/pollenstream/exchange/exchange_attempts.cpp
+++ b/src/pollenstream/exchange/exchange_attempts.cpp
@@ -126,7 +126,7 @@
                            !context_.loads.is_paused( first.ref(), now ),
                            "target " + first.properties.id.str() +
                                " got a request during its pause" );
-    core::check_invariant( core::invariant::quarantine_holds, !is_quarantined(),
+    core::check_invariant( core::invariant::quarantine_holds, !is_held_back(),
                            "quarantined request sent: " +
                                to_string( suspects_ ) );
     ++targets_reached_;
@@ -176,7 +176,8 @@
 {
     if ( may_have_run_ && !route_->is_idempotent() )
         return false;
-    if ( is_quarantined() )
+    // A trial goes on only where its target has proved not to have run it.
+    if ( is_held_back() || ( is_trial_ && may_have_run_ ) )
         return false;
     auto const now = context_.scheduler.now();
     auto const connects_left =
--- a/src/pollenstream/exchange/exchange_waiting.cpp
+++ b/src/pollenstream/exchange/exchange_waiting.cpp
@@ -68,6 +68,7 @@
     request.demand = demand_;
     request.priority = priority_;
     request.may_be_refused = !may_have_run_;
+    request.continues_trial = is_trial_;
     auto open = context_.placements.request(
         std::move( request ),
         std::make_shared<placement_handler>( shared_from_this(), serial ) );
@@ -157,7 +158,7 @@
     placement_grant const& grant,
     std::shared_ptr<reservation_group> const& reservation ) -> bool
 {
-    if ( !is_quarantined() )
+    if ( !is_held_back() )
         return false;
     release( grant.serial, work_outcome::none );
     if ( reservation )
@@ -168,6 +169,7 @@
 
 auto exchange::begin( placement_grant grant ) -> void
 {
+    is_trial_ = is_trial_ || grant.is_trial;
     if ( end_if_quarantined( grant, nullptr ) )
         return;
     is_suspect_ = grant.is_suspect || context_.crashes.has_suspect( suspects_ );
@@ -280,6 +282,8 @@
          pending_placement_->serial != serial )
         return;
     stop_waiting();
+    if ( refusal.reason == quarantined_reason )
+        return end_as_quarantined();
     auto const may_come_back = refusal.retry_after > core::duration( 0 );
     give_up( std::move( refusal.reason ),
              may_come_back ? std::optional( refusal.retry_after )
--- a/src/pollenstream/exchange/own_answers.cpp
+++ b/src/pollenstream/exchange/own_answers.cpp
@@ -23,9 +23,21 @@
 /// The random part of the pause: requests that are refused together come back
 /// spread over this time.
 constexpr auto return_spread = core::duration( 300ms );
+/// Callers are not asked to wait longer for the next trial of a quarantine.
+constexpr auto longest_wait_for_trial = core::duration( 3s );
+/// Until a trial has shown that its suspects are sound.
+constexpr auto trial_answer_time = core::duration( 1s );
 
 }
 
+auto retry_after_quarantined( core::duration until_trial )
+    -> std::optional<core::duration>
+{
+    if ( until_trial > longest_wait_for_trial )
+        return std::nullopt;
+    return std::max( until_trial, core::duration( 0 ) ) + trial_answer_time;
+}
+
 auto retry_after_no_capacity( std::size_t waiting,
                               core::duration shortest_prefill,
                               std::minstd_rand& random ) -> core::duration
--- a/src/pollenstream/exchange/own_answers.hpp
+++ b/src/pollenstream/exchange/own_answers.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <optional>
 #include <random>
 
 namespace pollenstream::exchange
@@ -40,6 +41,12 @@
 inline constexpr auto status_unavailable = 503;
 inline constexpr auto status_gateway_timeout = 504;
 
+/// Retry-After of a quarantined request: when the next trial of the quarantine
+/// has probably been answered. `until_trial`: time until that trial may begin.
+/// Nullopt if it is too far away to invite the caller.
+auto retry_after_quarantined( core::duration until_trial )
+    -> std::optional<core::duration>;
+
 /// Retry-After of a request for which no target had capacity. It grows with the
 /// number of requests that wait, and for a split prompt allows for the prefill
 /// of the prompts before it. `shortest_prefill` is the time that its own
--- a/src/pollenstream/exchange/placement_client.hpp
+++ b/src/pollenstream/exchange/placement_client.hpp
@@ -28,6 +28,8 @@
     int priority{ 0 }; ///< lower values go first
     /// True where no part of the prompt has run yet.
     bool may_be_refused{ true };
+    /// The request is a trial of a quarantine that a target has rejected.
+    bool continues_trial{ false };
 };
 
 /// The targets that a prompt was granted.
@@ -37,8 +39,10 @@
     placement_choice choice;
     core::instance_id decided_by;
     /// The content or a part of the prompt may have crashed targets. If the
-    /// request is served, the requester reports this to the coordinators.
+    /// is served, the requester reports this to the coordinators.
     bool is_suspect{ false };
+    /// The request is sent although it is quarantined.
+    bool is_trial{ false };
 };
 
 /// Why a prompt was refused.
--- a/src/pollenstream/exchange/placement_coordinator.cpp
+++ b/src/pollenstream/exchange/placement_coordinator.cpp
@@ -23,6 +23,8 @@
 /// Minimum Retry-After of a refusal for a limit: the caller must not repeat the
 /// request at once.
 constexpr auto min_retry_delay = core::duration( 20ms );
+/// Time after the end of a request within which its crash is reported.
+constexpr auto crash_report_time = core::duration( 2500ms );
 
 }
 
@@ -67,7 +69,7 @@
     /// tried in each round to refuse it as soon as it cannot be in time.
     [[nodiscard]] auto is_always_tried() const -> bool override
     {
-        return is_held_back_ || limited_since_ ||
+        return is_held_back_ || is_trial_ || limited_since_ ||
                !request.demand.tried.empty() || !request.demand.paused.empty();
     }
 
@@ -84,6 +86,12 @@
     /// Leaves the queue of split prompts without an answer to the listener.
     auto close() -> void;
 
+    /// The request is quarantined and is to be sent as a trial.
+    [[nodiscard]] auto is_trial() const -> bool
+    {
+        return is_trial_;
+    }
+
     placement_request request;
     suspect_list suspects;
 
@@ -125,6 +133,7 @@
     bool in_split_queue_{ false };
     bool was_tried_{ false };
     bool is_held_back_{ false }; ///< until another run of the content ends
+    bool is_trial_{ false };
     /// Since when the limits of all remaining targets are used up.
     std::optional<core::instant> limited_since_;
 };
@@ -178,7 +187,9 @@
         owner_.configuration_->find_service( request.demand.service );
     if ( settings == nullptr )
         return refuse( "unknown_service", 0ms );
-    if ( owner_.crashes_.is_quarantined( suspects ) )
+    is_trial_ = owner_.crashes_.is_quarantined( suspects );
+    if ( is_trial_ && !request.continues_trial &&
+         !owner_.crashes_.is_trial_due( suspects, now ) )
         return refuse( quarantined_reason, 0ms );
     refresh_demand( now );
     // The next run may crash its target, and its outcome decides on the
@@ -434,9 +445,37 @@
     add_work( *kept_item, choice );
     counters_.granted.add();
     auto const is_suspect = crashes_.has_suspect( kept_item->suspects );
-    granted_[key] = { choice, kept_item->request.content, is_suspect };
+    auto const is_trial = kept_item->is_trial();
+    granted_[key] = { choice, kept_item->request.content, is_suspect,
+                      is_trial };
+    if ( is_trial && !kept_item->request.continues_trial )
+        begin_trial( key, kept_item->suspects );
     kept_item->listener().on_granted(
-        { key.second, std::move( choice ), self_, is_suspect } );
+        { key.second, std::move( choice ), self_, is_suspect, is_trial } );
+}
+
+auto placement_coordinator::begin_trial( request_key const& key,
+                                         suspect_list const& suspects ) -> void
+{
+    auto const now = scheduler_.now();
+    crashes_.begin_trial( suspects, now );
+    trials_[key] = { suspects, now, nullptr };
+}
+
+/// Waits for the reports of crashes before it judges the trial.
+auto placement_coordinator::end_trial( request_key const& key ) -> void
+{
+    auto const found = trials_.find( key );
+    if ( found == trials_.end() || found->second.end_call )
+        return;
+    found->second.end_call = scheduler_.call_after(
+        crash_report_time,
+        [this, key]
+        {
+            auto const ended = trials_.extract( key );
+            crashes_.end_trial( ended.mapped().suspects, ended.mapped().began,
+                                scheduler_.now() );
+        } );
 }
 
 auto placement_coordinator::request(
@@ -448,8 +487,9 @@
     if ( granted != granted_.end() )
     {
         counters_.repeated.add();
-        return listener->on_granted( { key.second, granted->second.choice,
-                                       self_, granted->second.is_suspect } );
+        auto const& grant = granted->second;
+        return listener->on_granted( { key.second, grant.choice, self_,
+                                       grant.is_suspect, grant.is_trial } );
     }
     auto const queued = waiting_.find( key );
     if ( queued != waiting_.end() )
@@ -488,6 +528,7 @@
         wait_queue_.remove( item.get() );
     }
     granted_.erase( key );
+    end_trial( key );
     load_table_.end_work( requester, serial, scheduler_.now() );
 }
 
--- a/src/pollenstream/exchange/placement_coordinator.hpp
+++ b/src/pollenstream/exchange/placement_coordinator.hpp
@@ -89,6 +89,15 @@
         placement_choice choice;
         content_id content;
         bool is_suspect{ false };
+        bool is_trial{ false };
+    };
+
+    /// A trial of a quarantine that this coordinator has granted.
+    struct open_trial
+    {
+        suspect_list suspects;
+        core::instant began;
+        std::unique_ptr<ports::scheduled_call> end_call; ///< once it has ended
     };
 
     /// The latest retry time that was given to a refused caller of a service;
@@ -106,6 +115,9 @@
                                          limited_capacity const& capacity )
         -> core::duration;
     auto grant( queued_request const& item, placement_choice choice ) -> void;
+    auto begin_trial( request_key const& key, suspect_list const& suspects )
+        -> void;
+    auto end_trial( request_key const& key ) -> void;
     auto add_work( queued_request const& item, placement_choice const& choice )
         -> void;
 
@@ -120,6 +132,7 @@
     std::map<request_key, std::shared_ptr<queued_request>> waiting_;
     /// Kept until release, also to answer repeated requests.
     std::map<request_key, open_grant> granted_;
+    std::map<request_key, open_trial> trials_;
     retry_times retry_times_;
     coordinator_counters counters_;
     std::minstd_rand random_;
--- a/src/pollenstream/peers/peer_group.cpp
+++ b/src/pollenstream/peers/peer_group.cpp
@@ -225,6 +225,12 @@
     return table_.own_position( now );
 }
 
+auto peer_group::is_warm_coordinator() const -> bool
+{
+    auto const now = scheduler_.now();
+    return table_.has_warmed_up( now ) && table_.is_coordinator( now );
+}
+
 /// The coordinator has to know of crashes with the same content before it
 /// chooses the next target.
 auto peer_group::send_request( core::instance_id const& to,
--- a/src/pollenstream/peers/peer_group.hpp
+++ b/src/pollenstream/peers/peer_group.hpp
@@ -171,6 +171,10 @@
     /// is none.
     [[nodiscard]] auto coordinator_position() const -> std::optional<int>;
 
+    /// True if this instance is a coordinator and has had the time to hear of
+    /// the others.
+    [[nodiscard]] auto is_warm_coordinator() const -> bool;
+
     /// Datagrams and bytes that this instance has sent to others.
     [[nodiscard]] auto sent() const -> sent_counters const&
     {
--- a/src/pollenstream/peers/peer_group_targets.cpp
+++ b/src/pollenstream/peers/peer_group_targets.cpp
@@ -211,11 +211,17 @@
 auto peer_group::quarantine_to_send(
     exchange::quarantined_group const& group ) const -> quarantine_update
 {
-    auto update = quarantine_update{ group.suspects, {} };
+    auto const age_ms = [now = scheduler_.now()]( core::instant at )
+    {
+        return core::milliseconds_of( now - at );
+    };
+    auto update = quarantine_update{ group.suspects,
+                                     {},
+                                     group.trials.step(),
+                                     age_ms( group.trials.since() ),
+                                     group.has_crash_times };
     for ( auto const& crash : group.crashes )
-        update.crashes.push_back(
-            { crash.target,
-              core::milliseconds_of( scheduler_.now() - crash.at ) } );
+        update.crashes.push_back( { crash.target, age_ms( crash.at ) } );
     return update;
 }
 
@@ -244,11 +250,18 @@
     auto const now = scheduler_.now();
     for ( auto const& update : message.quarantined )
     {
-        auto group = exchange::quarantined_group{ update.suspects, {} };
+        auto const ago = [now]( std::int64_t ms )
+        {
+            return now - std::chrono::milliseconds( ms );
+        };
+        auto group = exchange::quarantined_group{
+            update.suspects,
+            {},
+            exchange::trial_schedule( ago( update.trial_age_ms ),
+                                      update.trial_step ),
+            update.has_crash_times };
         for ( auto const& crash : update.crashes )
-            group.crashes.push_back(
-                { crash.target,
-                  now - std::chrono::milliseconds( crash.age_ms ) } );
+            group.crashes.push_back( { crash.target, ago( crash.age_ms ) } );
         crashes_.adopt( group, now );
     }
     // Coordinators repeat their quarantines, and lift those that were a
--- a/src/pollenstream/peers/peer_message.cpp
+++ b/src/pollenstream/peers/peer_message.cpp
@@ -132,7 +132,7 @@
                           core::milliseconds_of( d.patience_left ),
                           std::move( excluded ), request.priority,
                           request.may_be_refused, request.content.count(),
-                          std::move( parts ) } );
+                          std::move( parts ), request.continues_trial } );
 }
 
 auto placement_request_from_json( json const& object )
@@ -161,6 +161,7 @@
         exchange::content_id( object.at( at++ ).get<std::int64_t>() );
     for ( auto const& part : object.at( at++ ) )
         request.shared_parts.emplace_back( part.get<std::int64_t>() );
+    request.continues_trial = object.at( at++ ).get<bool>();
     return request;
 }
 
@@ -171,7 +172,7 @@
           static_cast<std::int64_t>( a.first_event_ms ), a.needs_reservation,
           a.waiting, a.reason, a.retry_after_ms, a.basis.requests,
           a.basis.prefilling, static_cast<std::int64_t>( a.basis.backlog_ms ),
-          a.basis.limit_wait_ms, a.is_suspect } );
+          a.basis.limit_wait_ms, a.is_suspect, a.is_trial } );
 }
 
 auto answer_from_json( json const& object ) -> placement_answer
@@ -191,6 +192,7 @@
         object.at( 8 ).get<std::int64_t>(), object.at( 9 ).get<std::int64_t>(),
         object.at( 10 ).get<double>(), object.at( 11 ).get<std::int64_t>() };
     a.is_suspect = object.at( 12 ).get<bool>();
+    a.is_trial = object.at( 13 ).get<bool>();
     return a;
 }
 
@@ -257,8 +259,8 @@
     for ( auto const& crash : q.crashes )
         crashes.push_back(
             json::array( { ref_to_json( crash.target ), crash.age_ms } ) );
-    return json::array(
-        { suspects_to_json( q.suspects ), std::move( crashes ) } );
+    return json::array( { suspects_to_json( q.suspects ), std::move( crashes ),
+                          q.trial_step, q.trial_age_ms, q.has_crash_times } );
 }
 
 auto quarantine_from_json( json const& object ) -> quarantine_update
@@ -268,6 +270,10 @@
     for ( auto const& crash : object.at( 1 ) )
         q.crashes.push_back( { ref_from_json( crash.at( 0 ) ),
                                age_ms_from_json( crash.at( 1 ) ) } );
+    q.trial_step =
+        std::max( std::int64_t{ 0 }, object.at( 2 ).get<std::int64_t>() );
+    q.trial_age_ms = age_ms_from_json( object.at( 3 ) );
+    q.has_crash_times = object.at( 4 ).get<bool>();
     return q;
 }
 
--- a/src/pollenstream/peers/peer_message.hpp
+++ b/src/pollenstream/peers/peer_message.hpp
@@ -65,6 +65,9 @@
 
     exchange::suspect_list suspects;
     std::vector<crash> crashes;
+    std::int64_t trial_step{ 0 };   ///< see `exchange::trial_schedule`
+    std::int64_t trial_age_ms{ 0 }; ///< since that step began
+    bool has_crash_times{ true };   ///< false: ages are those of a record
 };
 
 /// An instance from which the sender has received nothing for too long.
@@ -97,6 +100,7 @@
     std::string reason;               ///< refused
     std::int64_t retry_after_ms{ 0 }; ///< refused; 0: a retry is no use
     bool is_suspect{ false };         ///< granted: the content is suspect
+    bool is_trial{ false };           ///< granted: although quarantined
 };
 
 /// One datagram between instances. Most datagrams contain only what has
--- a/src/pollenstream/peers/placement_router.cpp
+++ b/src/pollenstream/peers/placement_router.cpp
@@ -110,6 +110,7 @@
         answer_.needs_reservation = grant.choice.needs_reservation;
         answer_.basis = grant.choice.basis;
         answer_.is_suspect = grant.is_suspect;
+        answer_.is_trial = grant.is_trial;
         transport_.send_answer( requester_, answer_ );
     }
     auto on_refused( exchange::placement_refusal refusal ) -> void override
@@ -347,7 +348,7 @@
     {
     case placement_decision::granted:
         return grant( which, { answer.serial, choice_of( answer ), from,
-                               answer.is_suspect } );
+                               answer.is_suspect, answer.is_trial } );
     case placement_decision::refused:
         close( which );
         return which->listener->on_refused(
--- a/src/pollenstream/peers/quarantine.cpp
+++ b/src/pollenstream/peers/quarantine.cpp
@@ -31,6 +31,14 @@
     {
         return group_.coordinator_position().has_value();
     };
+    context_.crashes.may_begin_trials = [this]
+    {
+        return group_.is_warm_coordinator();
+    };
+    context_.crashes.on_trial = [this]( auto const& group )
+    {
+        on_trial( group );
+    };
     context_.crashes.on_confirmation_needed = [this]( auto const& target )
     {
         probe_target( target );
@@ -104,6 +112,18 @@
         on_changed( group.suspects );
 }
 
+/// The other coordinators have to know of a trial before they grant another.
+auto quarantine::on_trial( exchange::quarantined_group const& group ) -> void
+{
+    auto const pause = group.trials.next() - context_.scheduler.now();
+    log_change( group.suspects, "trial",
+                "the next in " +
+                    std::to_string( core::milliseconds_of( pause ) ) + " ms" );
+    group_.broadcast_quarantined( group );
+    if ( on_changed )
+        on_changed( group.suspects );
+}
+
 auto quarantine::end_requests() -> void
 {
     // Ending one can end other exchanges.
--- a/src/pollenstream/peers/quarantine.hpp
+++ b/src/pollenstream/peers/quarantine.hpp
@@ -18,8 +18,8 @@
 /// crashed is probed first; unless it accepts connections, the quarantine
 /// begins: this instance ends its requests that no target decodes yet and, if
 /// it is a coordinator, informs the others. The quarantine ends when a suspect
-/// is served, its targets turn out to be alive, another cause explains the
-/// crashes, or they are too old.
+/// is served, as in a trial, its targets turn out to be alive, another cause
+/// explains the crashes, or they are too old.
 class quarantine
 {
 public:
@@ -36,7 +36,7 @@
     auto start() -> void;
 
     /// Called with the suspects of each quarantine that begins or ends at this
-    /// instance.
+    /// instance, or has a trial that this instance grants.
     std::function<void( exchange::suspect_list const& )> on_changed;
 
 private:
@@ -45,6 +45,7 @@
     auto update() -> void;
     auto probe_target( exchange::target_ref const& target ) -> void;
     auto begin_quarantine( exchange::quarantined_group const& group ) -> void;
+    auto on_trial( exchange::quarantined_group const& group ) -> void;
     auto lift_ended_quarantines() -> void;
     auto end_requests() -> void;
     auto log_change( exchange::suspect_list const& suspects,
--- a/src/pollenstream/registry/quarantine_records.cpp
+++ b/src/pollenstream/registry/quarantine_records.cpp
@@ -35,7 +35,20 @@
 auto quarantine_records::is_recorded(
     exchange::suspect_list const& suspects ) const -> bool
 {
-    return recorded_.contains( suspects ) == crashes_.is_group( suspects );
+    auto const group = find_group( suspects );
+    auto const recorded = recorded_.find( suspects );
+    if ( !group || recorded == recorded_.end() )
+        return !group && recorded == recorded_.end();
+    return recorded->second >= group->trials.step();
+}
+
+auto quarantine_records::find_group( exchange::suspect_list const& suspects )
+    const -> std::optional<exchange::quarantined_group>
+{
+    for ( auto& current : crashes_.quarantined() )
+        if ( current.suspects == suspects )
+            return current;
+    return std::nullopt;
 }
 
 auto quarantine_records::on_changed( exchange::suspect_list const& suspects )
@@ -75,24 +88,23 @@
 auto quarantine_records::put( exchange::suspect_list const& suspects,
                               ports::lease_id lease ) -> void
 {
-    auto group = exchange::quarantined_group{ suspects, {} };
-    for ( auto& current : crashes_.quarantined() )
-        if ( current.suspects == suspects )
-            group = std::move( current );
+    auto const group =
+        find_group( suspects )
+            .value_or( exchange::quarantined_group{ suspects, {}, {} } );
     auto changes = ports::record_changes{};
     changes.puts.push_back( { codec_.quarantine_key( suspects ),
                               codec_.write_quarantine( group ) } );
-    store_.write(
-        changes, lease,
-        [this, suspects, is_quarantined = !group.crashes.empty()]( auto status )
-        {
-            if ( status.has_error() )
-                return schedule_write( suspects, retry_pause );
-            if ( is_quarantined )
-                recorded_.insert( suspects );
-            else
-                recorded_.erase( suspects );
-        } );
+    store_.write( changes, lease,
+                  [this, suspects, is_quarantined = !group.crashes.empty(),
+                   step = group.trials.step()]( auto status )
+                  {
+                      if ( status.has_error() )
+                          return schedule_write( suspects, retry_pause );
+                      if ( is_quarantined )
+                          recorded_[suspects] = step;
+                      else
+                          recorded_.erase( suspects );
+                  } );
 }
 
 auto quarantine_records::apply_record( std::string const& value ) -> void
@@ -110,7 +122,7 @@
         recorded_.erase( suspects );
         return crashes_.lift( suspects );
     }
-    recorded_.insert( suspects );
+    recorded_[suspects] = group.value().trials.step();
     crashes_.adopt( group.value(), now );
 }
 
--- a/src/pollenstream/registry/quarantine_records.hpp
+++ b/src/pollenstream/registry/quarantine_records.hpp
@@ -6,11 +6,11 @@
 #include <pollenstream/ports/scheduler.hpp>
 #include <pollenstream/registry/registry_codec.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 
 namespace pollenstream::registry
 {
@@ -43,6 +43,9 @@
 private:
     [[nodiscard]] auto
     is_recorded( exchange::suspect_list const& suspects ) const -> bool;
+    [[nodiscard]] auto
+    find_group( exchange::suspect_list const& suspects ) const
+        -> std::optional<exchange::quarantined_group>;
     auto schedule_write( exchange::suspect_list const& suspects,
                          core::duration delay ) -> void;
     auto write( exchange::suspect_list const& suspects ) -> void;
@@ -54,7 +57,8 @@
     exchange::crash_history& crashes_;
     registry_codec const& codec_;
     rank_source own_rank_;
-    std::set<exchange::suspect_list> recorded_; ///< quarantined in the store
+    /// Quarantined in the store, with the step of the trials there.
+    std::map<exchange::suspect_list, std::int64_t> recorded_;
     std::map<exchange::suspect_list, std::unique_ptr<ports::scheduled_call>>
         pending_writes_;
 };
--- a/tests/peers/peer_group_test.cpp
+++ b/tests/peers/peer_group_test.cpp
@@ -729,6 +729,12 @@
     fleet.scheduler.run( 1s );
     CHECK( late.crashes.is_quarantined( content ) );
 
+    // A trial is known to all instances.
+    fleet.all[0]->crashes.begin_trial( content, fleet.scheduler.now() );
+    fleet.scheduler.run( 1s );
+    for ( auto const& one : fleet.all )
+        CHECK( one->crashes.quarantined().at( 0 ).trials.step() == 1 );
+
     // A run of the content is served, which lifts the quarantine everywhere.
     auto& any = *fleet.all[4];
     any.crashes.note_served( content, fleet.scheduler.now() );
--- a/tests/support/part_load.cpp
+++ b/tests/support/part_load.cpp
@@ -58,6 +58,15 @@
                                  "f" + std::to_string( number ), parts ) );
 }
 
+auto restart_all( exchange_fleet& fleet, core::duration down ) -> void
+{
+    for ( auto i = 0; i < fleet.size(); ++i )
+        fleet.kill( i );
+    fleet.scheduler.run( down );
+    for ( auto i = 0; i < fleet.size(); ++i )
+        fleet.restart( i );
+}
+
 /// The sound requests that began at `since` or later and were not served at the
 /// first attempt.
 auto not_served_at_once( part_load const& load, core::instant since ) -> int
--- a/tests/support/part_load.hpp
+++ b/tests/support/part_load.hpp
@@ -45,6 +45,9 @@
     int sent{ 0 };
 };
 
+/// Kills all instances and restarts them after `down`.
+auto restart_all( exchange_fleet& fleet, core::duration down ) -> void;
+
 /// The sound requests that began at `since` or later and were not served at the
 /// first attempt.
 auto not_served_at_once( part_load const& load, core::instant since ) -> int;
