Targets that crash at one moment accuse a shared part only once

What callers saw: beside a crash of several runners at one moment, the part that all prompts share was quarantined for about a second, and the prompts that other runners were still reading were ended with 502.

Cause: three targets that crash at one moment counted as three pieces of evidence. What is open at all of them is what most requests share; the cause may well be outside of the requests.

Ruled out: the same for contents.

Change: crashes of a part within 100 ms of each other count once. The time is what the reports of one crash take to arrive at the coordinators.

Result: the unit test failed before (quarantined after eight crashes in 84 ms). No part is quarantined in the held-time restarts at 1, 3, 30 and 63 instances.

--- a/src/pollenstream/exchange/crash_history.cpp
+++ b/src/pollenstream/exchange/crash_history.cpp
@@ -41,6 +41,35 @@
 constexpr auto crashes_after_service = std::size_t{ 5 };
 constexpr auto time_after_service = core::duration( 5s );
 
+/// Targets that crash within this time of each other may have a cause outside,
+/// as a machine that they share. It covers the delay of the reports.
+constexpr auto one_moment = core::duration( 100ms );
+
+/// Number of moments at which there were crashes.
+auto count_moments( std::vector<target_crash> const& crashes ) -> std::size_t
+{
+    auto moments = std::size_t{ 0 };
+    auto last = core::instant::min();
+    for ( auto const& crash : crashes )
+    {
+        if ( moments > 0 && crash.at - last < one_moment )
+            continue;
+        ++moments;
+        last = crash.at;
+    }
+    return moments;
+}
+
+/// Number of crashes that count as evidence against the suspect. Coordinators
+/// keep the runs of a suspect content apart, so that each of its crashes
+/// counts. The requests that share a part run at many targets at the same time:
+/// what crashes several of these at one moment is evidence only once.
+auto count_evidence( suspect_id id, std::vector<target_crash> const& crashes )
+    -> std::size_t
+{
+    return is_prompt_part( id ) ? count_moments( crashes ) : crashes.size();
+}
+
 /// True if these crashes, without an answer in between, outweigh that a suspect
 /// was served before them.
 auto outweighs_service( std::vector<target_crash> const& crashes ) -> bool
@@ -391,7 +420,7 @@
         if ( crashes.size() < crashes_to_quarantine )
             continue;
         auto open = unexplained( { id } );
-        if ( open.size() < crashes_to_quarantine )
+        if ( count_evidence( id, open ) < crashes_to_quarantine )
             continue;
         if ( served_.contains( id ) && !outweighs_service( open ) )
             continue;
--- a/tests/exchange/crash_history_test.cpp
+++ b/tests/exchange/crash_history_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <optional>
 
 using namespace tests;
 using namespace std::chrono_literals;
@@ -32,15 +33,24 @@
     return exchange::suspect_of( exchange::content_id( id ) );
 }
 
+/// Targets `a`, `b` and so on, or those with numbers, crash one after the
+/// other.
+auto moment_of( std::string const& target ) -> core::instant
+{
+    auto const letter = target.back();
+    auto const number = letter >= 'a' ? letter - 'a' : letter - '0';
+    return start + number * 200ms;
+}
+
 /// Adds a crash with the suspects and confirms that the target has ended.
 auto add_ended( exchange::crash_history& history,
                 std::string const& target,
                 exchange::suspect_list suspects,
-                core::instant at = start ) -> void
+                std::optional<core::instant> at = std::nullopt ) -> void
 {
     std::sort( suspects.begin(), suspects.end() );
-    history.note_crash(
-        { std::move( suspects ), core::target_id( target ), at } );
+    history.note_crash( { std::move( suspects ), core::target_id( target ),
+                          at.value_or( moment_of( target ) ) } );
     history.note_ended( core::target_id( target ) );
 }
 
@@ -343,6 +353,20 @@
     CHECK_FALSE( history.is_quarantined( { part( 9 ) } ) );
 }
 
+TEST_CASE( "targets that crash at one moment accuse a shared part only once",
+           "[exchange][crash]" )
+{
+    auto history = exchange::crash_history( expiry_time );
+    for ( auto i = 0; i < 8; ++i )
+        add_ended( history, "t" + std::to_string( i ),
+                   { request( i ), part( 1 ) }, start + i * 12ms );
+    CHECK_FALSE( history.is_quarantined( { request( 50 ), part( 1 ) } ) );
+    add_ended( history, "u", { request( 20 ), part( 1 ) }, start + 150ms );
+    CHECK_FALSE( history.is_quarantined( { request( 50 ), part( 1 ) } ) );
+    add_ended( history, "v", { request( 21 ), part( 1 ) }, start + 300ms );
+    CHECK( history.is_quarantined( { request( 50 ), part( 1 ) } ) );
+}
+
 TEST_CASE( "what was served before is no cause of crashes that follow closely",
            "[exchange][crash]" )
 {
--- a/tests/exchange/mistaken_quarantine_test.cpp
+++ b/tests/exchange/mistaken_quarantine_test.cpp
@@ -52,6 +52,17 @@
     return found;
 }
 
+/// Number of parts of prompts that all instances have held back.
+auto count_quarantined_parts( exchange_fleet& fleet ) -> int
+{
+    auto found = 0;
+    for ( auto i = 0; i < fleet.size(); ++i )
+        for ( auto const& e : fleet.at( i ).log.all )
+            if ( auto const* c = std::get_if<exchange::state_change>( &e ) )
+                found += c->what == "prompt_part" && c->now == "quarantined";
+    return found;
+}
+
 /// Sends a plain call that is asked for again and again.
 auto send_hot_call( exchange_fleet& fleet, core::duration time )
     -> std::vector<std::shared_ptr<fleet_call>>
@@ -87,6 +98,7 @@
     auto const late = outcome_since( load.sound, crashed_at + longest_mistake );
     CHECK( late.all > 60 );
     CHECK( late.served == late.all );
+    CHECK( count_quarantined_parts( fleet ) == 0 );
 }
 
 TEST_CASE( "a crash of targets holds back no prompt part that is new for long",
