--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -39,9 +39,6 @@
 constexpr auto tick_period = core::duration( 100ms );
 /// Shorter until there is a configuration, as callers are waiting for it.
 constexpr auto startup_tick_period = core::duration( 15ms );
-/// How long another instance may know a newer state of the store before this
-/// one fetches it. Most changes arrive in datagrams within a few milliseconds.
-constexpr auto max_update_lag = core::duration( 80ms );
 /// Larger updates (compressed size) are not broadcast; other instances fetch
 /// them over a connection. Large datagrams to many instances would saturate a
 /// slow link.
@@ -135,6 +132,18 @@
                          : std::nullopt;
           },
           log ),
+      record_fetch_(
+          scheduler_,
+          [this]( auto const& except )
+          {
+              auto const* const p = group_.better_informed_peer(
+                  registry_.known_until(), except );
+              return p ? std::optional( p->id ) : std::nullopt;
+          },
+          [this]( auto const& from, auto ended )
+          {
+              fetch_records( from, std::move( ended ) );
+          } ),
       path_watch_( context_, group_, target_calls_ ),
       quarantine_( context_,
                    group_,
@@ -194,6 +203,7 @@
         .log = first_service_,
         .announcer = group_,
         .self = settings_.instance,
+        .incarnation = group_.incarnation(),
         .configuration = nullptr,
         .stop = std::nullopt,
         .last_serial = 0,
@@ -360,7 +370,7 @@
 {
     update_store_state();
     registry_.set_reader( group_.should_read_store() );
-    fetch_from_peer();
+    record_fetch_.update( context_.configuration == nullptr );
     auto const now = scheduler_.now();
     load_table_.set_learns_speeds( group_.coordinator_position().has_value(),
                                    now );
@@ -376,35 +386,21 @@
                                         } );
 }
 
-/// Fetches the records of an instance that knows a newer state of the store, as
-/// when the store is unavailable to this one.
-auto gateway_node::fetch_from_peer() -> void
+auto gateway_node::fetch_records( core::instance_id const& from,
+                                  std::function<void()> ended ) -> void
 {
-    auto const now = scheduler_.now();
-    auto const* const better_informed =
-        group_.better_informed_peer( registry_.known_until() );
-    if ( better_informed == nullptr )
-    {
-        lagging_since_ = now;
-        return;
-    }
-    // Without a configuration there is no reason to wait for datagrams.
-    auto const is_lagging = context_.configuration == nullptr ||
-                            now - lagging_since_ > max_update_lag;
-    if ( fetching_ || !is_lagging )
-        return;
-    fetching_ = true;
+    auto const& ip = group_.peers().at( from ).ip;
     auto call = adapters::asio::http_call{};
-    call.address = { better_informed->ip, settings_.peers.port };
-    call.pool = "peer " + better_informed->ip;
+    call.address = { ip, settings_.peers.port };
+    call.pool = "peer " + ip;
     call.text =
         std::make_shared<std::string const>( adapters::asio::write_request(
             "GET", peers::state_request_path( registry_.known_until() ),
-            { { "Host", better_informed->ip } }, "" ) );
+            { { "Host", ip } }, "" ) );
     http_.fetch( std::move( call ), fetch_timeout,
-                 [this, from = better_informed->id]( auto reply )
+                 [this, from, ended = std::move( ended )]( auto reply )
                  {
-                     fetching_ = false;
+                     ended();
                      if ( reply.has_error() )
                          return;
                      auto const update =
--- a/apps/gateway/gateway_node.hpp
+++ b/apps/gateway/gateway_node.hpp
@@ -23,6 +23,7 @@
 #include <pollenstream/peers/peer_group.hpp>
 #include <pollenstream/peers/placement_router.hpp>
 #include <pollenstream/peers/quarantine.hpp>
+#include <pollenstream/peers/record_fetch.hpp>
 #include <pollenstream/peers/target_path_watch.hpp>
 #include <pollenstream/registry/instance_records.hpp>
 #include <pollenstream/registry/quarantine_records.hpp>
@@ -66,7 +67,9 @@
     auto note_readiness() -> void;
     auto tick() -> void;
     auto update_store_state() -> void;
-    auto fetch_from_peer() -> void;
+    /// Fetches the records that another instance knows, and applies them.
+    auto fetch_records( core::instance_id const& from,
+                        std::function<void()> ended ) -> void;
     auto check_stopped() -> void;
     auto abandon_open() -> void;
     auto end_process( std::string because ) -> void;
@@ -100,6 +103,7 @@
     exchange::exchange_context context_;
     registry::registry_watch registry_;
     registry::instance_records instance_records_;
+    peers::record_fetch record_fetch_;
     peers::target_path_watch path_watch_;
     peers::quarantine quarantine_;
     registry::quarantine_records quarantine_records_;
@@ -118,8 +122,6 @@
     core::instant started_;
     ready_state ready_state_;
     bool stopping_{ false };
-    bool fetching_{ false };
-    core::instant lagging_since_;
     core::instant callers_left_at_;
     std::unique_ptr<ports::scheduled_call> tick_call_;
     std::unique_ptr<ports::scheduled_call> stop_call_;
--- a/src/pollenstream/exchange/context.hpp
+++ b/src/pollenstream/exchange/context.hpp
@@ -103,6 +103,7 @@
     event_log& log;
     work_announcer& announcer;
     core::instance_id self;
+    core::incarnation incarnation;   ///< of this process
     configuration_ptr configuration; ///< null until one is known
     std::optional<planned_stop> stop;
     std::uint64_t last_serial{ 0 };
--- a/src/pollenstream/peers/peer_group.cpp
+++ b/src/pollenstream/peers/peer_group.cpp
@@ -29,6 +29,11 @@
 /// An address without a known instance is tried for this long.
 constexpr auto contact_time = core::duration( 20s );
 
+auto silent_report( peer const& p, core::instant now ) -> silent_instance
+{
+    return { p.id, p.incarnation, core::milliseconds_of( now - p.last_heard ) };
+}
+
 }
 
 peer_group::peer_group( own_state self,
@@ -333,6 +338,7 @@
     message.work = load_table_.works_of( self_.id, scheduler_.now() );
     if ( handler_ != nullptr )
         message.undecided = handler_->undecided();
+    message.silent = silent_to_report();
     message.known_ips = next_gossip_ips();
     add_target_updates( message );
     return message;
@@ -398,6 +404,13 @@
     next_round_peer_ = count == 0 ? 0 : ( next_round_peer_ + batch ) % count;
 }
 
+/// The peers that this instance has found silent of late. A coordinator repeats
+/// them, since others may miss the first report and notice the silence late.
+auto peer_group::silent_to_report() const -> std::vector<silent_instance>
+{
+    return {};
+}
+
 auto peer_group::next_gossip_ips() -> std::vector<std::string>
 {
     auto alive = std::vector<std::string>{};
@@ -429,7 +442,7 @@
     for ( auto const& id : silent )
     {
         handle_lost_peer( id, "no messages received in time" );
-        message.silent.push_back( { id, table_.find( id )->incarnation } );
+        message.silent.push_back( silent_report( *table_.find( id ), now ) );
     }
     if ( !silent.empty() && table_.is_coordinator( now ) )
         send_to_all( message );
--- a/src/pollenstream/peers/peer_group.hpp
+++ b/src/pollenstream/peers/peer_group.hpp
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -121,14 +122,21 @@
     {
         handler_ = &handler;
     }
+    /// Of this process.
+    [[nodiscard]] auto incarnation() const -> core::incarnation
+    {
+        return self_.incarnation;
+    }
     /// Number of instances among which budgets are divided, such as that of
     /// retries: this one and all that were heard of in the last minutes. It
     /// also counts instances that are silent or cut off, or whose address is
     /// all that is known.
     [[nodiscard]] auto size() const -> std::size_t;
     /// An alive instance that has seen a later revision of the store than `at`,
-    /// chosen anew at each call; null if there is none.
-    [[nodiscard]] auto better_informed_peer( ports::store_revision at ) const
+    /// chosen anew at each call, none of `except`; null if there is none.
+    [[nodiscard]] auto
+    better_informed_peer( ports::store_revision at,
+                          std::set<core::instance_id> const& except = {} ) const
         -> peer const*;
 
     /// Called when load that other instances caused has ended.
@@ -233,6 +241,7 @@
     auto reconcile_open_work( peer_message const& message ) -> bool;
     auto remember_address( std::string const& ip ) -> void;
     auto next_gossip_ips() -> std::vector<std::string>;
+    [[nodiscard]] auto silent_to_report() const -> std::vector<silent_instance>;
     auto addresses() const -> std::vector<std::string>;
     auto log_peer_state( peer const& which,
                          std::string state,
--- a/src/pollenstream/peers/peer_group_store.cpp
+++ b/src/pollenstream/peers/peer_group_store.cpp
@@ -140,12 +140,13 @@
     return all;
 }
 
-auto peer_group::better_informed_peer( ports::store_revision at ) const
+auto peer_group::better_informed_peer(
+    ports::store_revision at, std::set<core::instance_id> const& except ) const
     -> peer const*
 {
     auto candidates = std::vector<peer const*>{};
     for ( auto const& [id, p] : table_.all() )
-        if ( p.alive && p.known_until > at )
+        if ( p.alive && p.known_until > at && !except.contains( id ) )
             candidates.push_back( &p );
     if ( candidates.empty() )
         return nullptr;
--- a/src/pollenstream/peers/peer_message.cpp
+++ b/src/pollenstream/peers/peer_message.cpp
@@ -279,13 +279,14 @@
 
 auto silent_to_json( silent_instance const& s ) -> json
 {
-    return json::array( { s.id.str(), s.incarnation.count() } );
+    return json::array( { s.id.str(), s.incarnation.count(), s.unheard_ms } );
 }
 
 auto silent_from_json( json const& object ) -> silent_instance
 {
     return { core::instance_id( object.at( 0 ).get<std::string>() ),
-             core::incarnation( object.at( 1 ).get<std::int64_t>() ) };
+             core::incarnation( object.at( 1 ).get<std::int64_t>() ),
+             age_ms_from_json( object.at( 2 ) ) };
 }
 
 template <typename T, typename Write>
--- a/src/pollenstream/peers/peer_message.hpp
+++ b/src/pollenstream/peers/peer_message.hpp
@@ -75,6 +75,7 @@
 {
     core::instance_id id;
     core::incarnation incarnation;
+    std::int64_t unheard_ms{ 0 }; ///< since the sender last heard it
 };
 
 /// The decision on a placement request.
--- a/tests/exchange/reservation_test.cpp
+++ b/tests/exchange/reservation_test.cpp
@@ -262,3 +262,21 @@
     f.scheduler.run( 15s );
     CHECK( f.answer->whole.status != 503 );
 }
+
+TEST_CASE( "an instance that restarts reserves under names of its own",
+           "[reservation]" )
+{
+    auto first_name = []
+    {
+        auto f = exchange_fixture{};
+        for ( auto i = 4; i < 10; ++i )
+            f.loads.put( make_target( "m" + std::to_string( i ), "model" ) );
+        auto const split_request = start_split_request( f );
+        REQUIRE( f.reservations.reserved.size() >= 2 );
+        auto const name = f.reservations.reserved.front().id;
+        split_request->on_caller_gone();
+        return name;
+    };
+    auto const former = first_name();
+    CHECK( first_name() != former );
+}
--- a/tests/peers/peer_group_test.cpp
+++ b/tests/peers/peer_group_test.cpp
@@ -764,3 +764,44 @@
         if ( one->is_coordinator() )
             CHECK( one->crashes.count( content ) == 1 );
 }
+
+TEST_CASE( "an instance that misses the report of a silent one learns it soon",
+           "[peers]" )
+{
+    auto fleet = small_fleet( 30 );
+    auto others = std::vector<instance*>{};
+    for ( auto const& one : fleet.all )
+        if ( !one->is_coordinator() )
+            others.push_back( one.get() );
+    auto const lost = core::instance_id( others.at( 0 )->name );
+    auto& cut = *others.at( 1 );
+    fleet.network.unreachable.insert( others.at( 0 )->ip );
+    fleet.scheduler.run( 600ms );
+    fleet.network.unreachable.insert( cut.ip );
+    fleet.scheduler.run( 900ms );
+    fleet.network.unreachable.erase( cut.ip );
+    fleet.scheduler.run( 2s );
+    CHECK_FALSE( cut.group.peers().at( lost ).alive );
+    for ( auto const& one : fleet.all )
+        if ( one->ip != others.at( 0 )->ip )
+            CHECK( one->group.peers().size() == 29 );
+}
+
+TEST_CASE( "an instance that hears another itself does not take it for silent",
+           "[peers]" )
+{
+    auto fleet = small_fleet( 6 );
+    auto& one = *fleet.all[3];
+    auto const other = core::instance_id( fleet.all[4]->name );
+    auto report = peers::peer_message{};
+    report.sender = core::instance_id( fleet.all[1]->name );
+    report.incarnation = core::incarnation( 1 );
+    report.ip = fleet.all[1]->ip;
+    auto const unheard_ms = GENERATE( 900, 5'000 );
+    report.silent = { { other, core::incarnation( 1 ), unheard_ms } };
+    fleet.network.unreachable.insert( fleet.all[4]->ip );
+    fleet.scheduler.run( 700ms );
+    REQUIRE( one.group.peers().at( other ).alive );
+    one.group.on_datagram( peers::encode( report ) );
+    CHECK( one.group.peers().at( other ).alive == ( unheard_ms == 5'000 ) );
+}
--- a/tests/support/exchange_fixture.cpp
+++ b/tests/support/exchange_fixture.cpp
@@ -27,6 +27,18 @@
 
 }
 
+namespace
+{
+
+/// Each fixture is another process of the same instance.
+auto next_incarnation() -> core::incarnation
+{
+    static auto last = std::int64_t{ 0 };
+    return core::incarnation( ++last );
+}
+
+}
+
 auto production_engine_speed() -> exchange::engine_speed
 {
     auto s = exchange::engine_speed{};
@@ -108,6 +120,7 @@
                .log = log,
                .announcer = announcer,
                .self = core::instance_id( "self" ),
+               .incarnation = next_incarnation(),
                .configuration = sample_configuration( 1 ),
                .stop = std::nullopt,
                .last_serial = 0,
--- a/tests/support/simulated_engines.cpp
+++ b/tests/support/simulated_engines.cpp
@@ -262,30 +262,29 @@
 };
 
 simulated_load::simulated_load( int engine_count, exchange::engine_speed speed )
-    : engines( fixture.scheduler, speed ), context_{
-                                               .scheduler = fixture.scheduler,
-                                               .targets = engines,
-                                               .probe = fixture.probe,
-                                               .encoder = encoder_,
-                                               .reservations =
-                                                   fixture.reservations,
-                                               .loads = fixture.loads,
-                                               .crashes = fixture.crashes,
-                                               .chooser = fixture.chooser,
-                                               .placements = fixture.router,
-                                               .retries = fixture.retries,
-                                               .path = fixture.path,
-                                               .queue = fixture.queue,
-                                               .log = fixture.log,
-                                               .announcer = fixture.announcer,
-                                               .self =
-                                                   core::instance_id( "self" ),
-                                               .configuration = nullptr,
-                                               .stop = std::nullopt,
-                                               .last_serial = 0,
-                                               .open = {},
-                                               .counters = {},
-                                               .random = std::minstd_rand( 1 ) }
+    : engines( fixture.scheduler, speed ),
+      context_{ .scheduler = fixture.scheduler,
+                .targets = engines,
+                .probe = fixture.probe,
+                .encoder = encoder_,
+                .reservations = fixture.reservations,
+                .loads = fixture.loads,
+                .crashes = fixture.crashes,
+                .chooser = fixture.chooser,
+                .placements = fixture.router,
+                .retries = fixture.retries,
+                .path = fixture.path,
+                .queue = fixture.queue,
+                .log = fixture.log,
+                .announcer = fixture.announcer,
+                .self = core::instance_id( "self" ),
+                .incarnation = core::incarnation( 1 ),
+                .configuration = nullptr,
+                .stop = std::nullopt,
+                .last_serial = 0,
+                .open = {},
+                .counters = {},
+                .random = std::minstd_rand( 1 ) }
 {
     auto changed = std::make_shared<exchange::route_configuration>(
         *fixture.context.configuration );
