A fetch of records that is not answered soon is repeated at another instance

Cause: changes over 2,000 bytes are fetched from an instance that announces them. One that freezes right after it has accepts the connection and never answers, and one fetch was open at a time, for up to 2.5 s.

Ruled out: a shorter timeout.

Change: a fetch that has not been answered after 500 ms is repeated at another instance that knows more, beside the first; three at most, each at an instance of its own.

--- a/src/pollenstream/peers/record_fetch.cpp
+++ b/src/pollenstream/peers/record_fetch.cpp
@@ -14,7 +14,10 @@
 /// How long another instance may know a newer state before this one fetches it.
 /// Most changes arrive in datagrams within a few milliseconds.
 constexpr auto max_lag = core::duration( 80ms );
-constexpr auto max_open_fetches = std::size_t{ 1 };
+/// A fetch that is not answered after this time is repeated elsewhere. An
+/// answer takes some milliseconds, more where many instances ask at once.
+constexpr auto hedge_delay = core::duration( 500ms );
+constexpr auto max_open_fetches = std::size_t{ 3 };
 
 }
 
@@ -44,7 +47,10 @@
 {
     if ( !is_urgent && now - lagging_since_ <= max_lag )
         return false;
-    return open_.size() < max_open_fetches;
+    if ( open_.empty() )
+        return true;
+    return open_.size() < max_open_fetches &&
+           now - open_.back().since >= hedge_delay;
 }
 
 auto record_fetch::sources_in_use() const -> instance_set
