Coordinators repeat for a while which instances are silent

Cause: the coordinators told of a silent instance in one datagram. An instance that was cut off at that moment missed it and noticed only after three rounds of 200 ms for each peer, 37 s at 63 instances.

Ruled out: shorter rounds (datagrams grow with the square of the instances); a report that is repeated as it was, since a coordinator behind a cut between two data centres would tell again and again that the other side is silent.

Change: coordinators repeat the report in their periodic messages until the instance was last heard 8 s ago. A report says when the reporter last heard the instance; whoever has heard it later itself, by more than a heartbeat, does not believe it.

Result: two tests failed before (alive 2 s after the end of the cut; silent on the word of one that is cut off).

--- a/src/pollenstream/peers/peer_group.cpp
+++ b/src/pollenstream/peers/peer_group.cpp
@@ -28,6 +28,10 @@
 constexpr auto max_gossiped_ips = std::size_t{ 8 };
 /// An address without a known instance is tried for this long.
 constexpr auto contact_time = core::duration( 20s );
+/// Coordinators report an instance as silent until it was last heard this long
+/// ago: longer than short cuts last, behind which the report is missed.
+constexpr auto silent_report_time = core::duration( 8s );
+constexpr auto max_silent_reports = std::size_t{ 32 };
 
 auto silent_report( peer const& p, core::instant now ) -> silent_instance
 {
@@ -404,11 +408,19 @@
     next_round_peer_ = count == 0 ? 0 : ( next_round_peer_ + batch ) % count;
 }
 
-/// The peers that this instance has found silent of late. A coordinator repeats
-/// them, since others may miss the first report and notice the silence late.
+/// The peers that have been silent for a short time. A coordinator repeats its
+/// report of them, since others may miss the first one and notice late.
 auto peer_group::silent_to_report() const -> std::vector<silent_instance>
 {
-    return {};
+    auto const now = scheduler_.now();
+    auto reports = std::vector<silent_instance>{};
+    if ( !table_.is_coordinator( now ) )
+        return reports;
+    for ( auto const& [id, p] : peers() )
+        if ( !p.alive && now - p.last_heard < silent_report_time &&
+             reports.size() < max_silent_reports )
+            reports.push_back( silent_report( p, now ) );
+    return reports;
 }
 
 auto peer_group::next_gossip_ips() -> std::vector<std::string>
--- a/src/pollenstream/peers/peer_table.cpp
+++ b/src/pollenstream/peers/peer_table.cpp
@@ -22,9 +22,10 @@
 /// to each other only once in a round.
 constexpr auto max_missed_rounds = 3;
 constexpr auto round_time_per_peer = core::duration( 200ms );
-/// A peer that was heard directly within this time is not marked as silent on
-/// the report of another instance.
-constexpr auto direct_contact_time = core::duration( 500ms );
+/// A peer that was heard directly later than the reporter last heard it, by more
+/// than this, is not marked as silent: a link between the two is cut. Two
+/// instances hear the same peer up to one heartbeat apart.
+constexpr auto direct_contact_time = core::duration( 600ms );
 /// A silent peer is removed this long after it was last heard, and then no
 /// longer counts in the division of limits among instances.
 constexpr auto removal_time = core::duration( 30s );
@@ -82,8 +83,10 @@
     if ( found == peers_.end() )
         return false;
     auto& p = found->second;
+    auto const reporter_heard =
+        now - std::chrono::milliseconds( which.unheard_ms );
     if ( !p.alive || p.incarnation > which.incarnation ||
-         now - p.last_heard < direct_contact_time )
+         p.last_heard > reporter_heard + direct_contact_time )
         return false;
     p.alive = false;
     return true;
