--- a/src/pollenstream/exchange/exchange_waiting.cpp
+++ b/src/pollenstream/exchange/exchange_waiting.cpp
@@ -185,10 +185,10 @@
                             choice.targets[i]->properties.address,
                             choice.parts[i].memory_tokens } );
     // A reservation may outlive the process, whose successor counts anew.
-    auto const id = core::reservation_id(
-        context_.self.str() + "." +
-        std::to_string( context_.incarnation.count() ) + "." +
-        std::to_string( ++context_.last_serial ) );
+    auto const id =
+        core::reservation_id( context_.self.str() + "." +
+                              std::to_string( context_.incarnation.count() ) +
+                              "." + std::to_string( ++context_.last_serial ) );
     auto const max_hold = deadline_ - context_.scheduler.now() + 500ms;
     auto reservation = std::make_shared<reservation_group>(
         context_.reservations, context_.scheduler, id, std::move( places ),
--- a/src/pollenstream/peers/peer_table.cpp
+++ b/src/pollenstream/peers/peer_table.cpp
@@ -22,8 +22,8 @@
 /// to each other only once in a round.
 constexpr auto max_missed_rounds = 3;
 constexpr auto round_time_per_peer = core::duration( 200ms );
-/// A peer that was heard directly later than the reporter last heard it, by more
-/// than this, is not marked as silent: a link between the two is cut. Two
+/// A peer that was heard directly later than the reporter last heard it, by
+/// more than this, is not marked as silent: a link between the two is cut. Two
 /// instances hear the same peer up to one heartbeat apart.
 constexpr auto direct_contact_time = core::duration( 600ms );
 /// A silent peer is removed this long after it was last heard, and then no
