--- a/src/pollenstream/exchange/trial_schedule.hpp
+++ b/src/pollenstream/exchange/trial_schedule.hpp
@@ -60,7 +60,7 @@
 private:
     core::instant since_;
     std::int64_t step_{ 0 };
-    std::int64_t step_before_{ 0 }; ///< the last trial
+    std::int64_t step_before_{ 0 }; ///< step before the last trial
 };
 
 }
