Answers without their target's digest do not reach callers

Cause: a success counts only with its target's digest, which was checked at the end of an answer. Events are relayed as they arrive, and whether an answer is relayed was decided by its route and status.

Ruled out: a digest that is lost on the way.

Change: the head of an answer is checked as it arrives. One that does not count ends its attempt there: a new run, a resumed part, a silent target, a call. An empty digest or several are none. A success of another type on a streaming route is kept until it is complete. An invalid answer is a failure of its target, not of the network path.

--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -157,6 +157,10 @@
     auto check_if_cut_short( target_attempt const& from ) -> void;
     auto on_checked( std::uint64_t serial, std::optional<bool> target_listens )
         -> void;
+    [[nodiscard]] auto defect_of( answer_head const& head ) const
+        -> char const*;
+    auto on_invalid_answer( target_attempt const& from, std::string detail )
+        -> void;
     auto on_complete() -> void;
     auto on_not_run() -> void;
     auto on_broken_attempt( attempt_end const& end ) -> void;
--- a/src/pollenstream/exchange/exchange_answers.cpp
+++ b/src/pollenstream/exchange/exchange_answers.cpp
@@ -34,16 +34,29 @@
 auto exchange::is_stream( target_attempt const& which ) const -> bool
 {
     return route_->kind == request_kind::stream && which.head &&
-           is_success( which.head->status );
+           is_success( which.head->status ) && which.head->is_event_stream &&
+           !which.head->proves_not_run;
 }
 
-/// True for a success that carries the target's digest and, if it is a stream,
-/// ends with a complete event. Answers with other statuses need neither.
+/// What makes an answer invalid as a success, or null. A head is checked as it
+/// arrives, since the events that follow are relayed at once.
+auto exchange::defect_of( answer_head const& head ) const -> char const*
+{
+    if ( !is_success( head.status ) || head.proves_not_run )
+        return nullptr;
+    if ( !head.has_seal )
+        return "success without a digest";
+    if ( streaming_ && !head.is_event_stream )
+        return "no event stream to continue with";
+    return nullptr;
+}
+
+/// False for a success that is invalid, or a stream that ends inside an event.
 auto exchange::is_whole( target_attempt const& from ) const -> bool
 {
-    return !is_success( from.head->status ) ||
-           ( from.head->has_seal &&
-             !( is_stream( from ) && from.splitter.pending() > 0 ) );
+    auto const ends_inside_event =
+        is_stream( from ) && from.splitter.pending() > 0;
+    return defect_of( *from.head ) == nullptr && !ends_inside_event;
 }
 
 /// True if the target's answer is complete and can be relayed to the caller.
@@ -80,6 +93,21 @@
     if ( !head.proves_not_run && !head.wrong_target )
         may_have_run_ = true;
     from->head = std::move( head );
+    if ( auto const* const defect = defect_of( *from->head ) )
+        on_invalid_answer( *from, defect );
+}
+
+/// Ends an attempt whose answer does not count, without waiting for its rest.
+/// The target may have processed the request.
+auto exchange::on_invalid_answer( target_attempt const& from,
+                                  std::string detail ) -> void
+{
+    auto end = attempt_end{};
+    end.error = { core::error_code::malformed, std::move( detail ) };
+    end.sent = true;
+    if ( is_silent_attempt( &from ) )
+        return on_silent_target_failed( end );
+    on_broken_attempt( end );
 }
 
 auto exchange::on_body( std::uint64_t serial, std::string const& bytes ) -> void
@@ -249,12 +277,7 @@
 {
     auto const& head = *current_->head;
     if ( !is_whole( *current_ ) )
-    {
-        auto failure = attempt_end{};
-        failure.error = { core::error_code::malformed, "incomplete answer" };
-        failure.sent = true;
-        return on_broken_attempt( failure );
-    }
+        return on_invalid_answer( *current_, "incomplete answer" );
     context_.loads.note_success( current_->target );
     if ( is_success( head.status ) )
         note_served( suspects_ );
--- a/src/pollenstream/exchange/exchange_evidence.cpp
+++ b/src/pollenstream/exchange/exchange_evidence.cpp
@@ -176,6 +176,9 @@
 auto exchange::note_broken_attempt( target_attempt const& which,
                                     attempt_end const& end ) -> void
 {
+    // An invalid answer has arrived, so the network path is sound.
+    if ( end.error.code == core::error_code::malformed )
+        return note_failure( which.target );
     note_path_failure( which.target );
     if ( end.sent )
         return note_crash( which, end.error );
--- a/src/pollenstream/exchange/message.hpp
+++ b/src/pollenstream/exchange/message.hpp
@@ -109,7 +109,8 @@
     header_list headers;          ///< end-to-end headers, forwarded unchanged
     bool proves_not_run{ false }; ///< the request has not been executed
     bool wrong_target{ false };   ///< another target has the address now
-    bool has_seal{ false };       ///< has the target's digest header
+    bool has_seal{ false };       ///< has exactly one digest, not empty
+    bool is_event_stream{ true }; ///< false if it states another type
     std::string failed_target;    ///< the target that caused a failure
     bool announces_leaving{ false }; ///< the target accepts no new work
     /// How long this instance should send the target nothing.
