An answer with a content coding is not passed on

Cause: bodies are asked for without a coding, and an answer that has one does not count; its header was passed on like any other.

Change: the check at the head of an answer covers it. "identity" is no coding.

--- a/src/pollenstream/exchange/exchange_answers.cpp
+++ b/src/pollenstream/exchange/exchange_answers.cpp
@@ -46,6 +46,9 @@
         return nullptr;
     if ( !head.has_seal )
         return "success without a digest";
+    // Callers and targets agree on bodies without a coding.
+    if ( head.has_coding )
+        return "success with a content coding";
     if ( streaming_ && !head.is_event_stream )
         return "no event stream to continue with";
     return nullptr;
--- a/src/pollenstream/exchange/message.hpp
+++ b/src/pollenstream/exchange/message.hpp
@@ -110,6 +110,7 @@
     bool proves_not_run{ false }; ///< the request has not been executed
     bool wrong_target{ false };   ///< another target has the address now
     bool has_seal{ false };       ///< has exactly one digest, not empty
+    bool has_coding{ false };     ///< the body is encoded, as with gzip
     bool is_event_stream{ true }; ///< false if it states another type
     std::string failed_target;    ///< the target that caused a failure
     bool announces_leaving{ false }; ///< the target accepts no new work
--- a/tests/exchange/answer_without_digest_test.cpp
+++ b/tests/exchange/answer_without_digest_test.cpp
@@ -110,6 +110,22 @@
     CHECK( f.answer->whole.body == "whole" );
 }
 
+TEST_CASE( "a success with a content coding is not passed on",
+           "[exchange][digest]" )
+{
+    auto f = exchange_fixture{};
+    auto head = exchange::answer_head{};
+    head.status = 200;
+    head.has_seal = true;
+    head.has_coding = true;
+    auto const path = GENERATE( as<std::string>{}, "/safe/x", "/chat/x" );
+    f.start( f.request( path ) );
+    f.targets.all.at( 0 )->listener->on_head( head );
+    CHECK( f.targets.all[0]->cancelled );
+    CHECK( f.targets.all.size() == 2 );
+    CHECK( f.answer->stream_status == 0 );
+}
+
 TEST_CASE( "an answer of another type on a streaming route is passed on whole",
            "[exchange][digest]" )
 {
--- a/tests/platform/answer_head_test.cpp
+++ b/tests/platform/answer_head_test.cpp
@@ -30,6 +30,16 @@
                          .has_seal );
 }
 
+// Guards against passing on a body that is not the target's own.
+TEST_CASE( "an answer with a content coding is recognized",
+           "[platform][headers]" )
+{
+    CHECK( head_with( { { "content-encoding", "gzip" } } ).has_coding );
+    CHECK_FALSE(
+        head_with( { { "Content-Encoding", "identity" } } ).has_coding );
+    CHECK_FALSE( head_with( {} ).has_coding );
+}
+
 TEST_CASE( "an answer of another type is no stream of events",
            "[platform][headers]" )
 {
