Memory for received bytes follows what has arrived, and is bounded

Cause: the body reserved the length that the head announced, and nothing limited what is kept of an answer, an event, a chunk header, a trailer, or answers that are skipped.

Change: bodies take memory for bytes that have arrived. An answer that is kept until it is complete may be as large as the configuration lets requests be, all of them together an eighth of the process's memory; the same for replies of the store and of other instances. Limits on an event (64 KiB; events have some hundred bytes), on heads, chunk headers and trailers (16 KiB), and on what may be skipped before an answer (256 KiB). What exceeds them is no answer: the call ends, its connection is closed, and the target has failed. The same body and limits serve the listeners for callers and for other instances.

Ruled out: a limit alone on what heads announce; chunks announce nothing.

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -44,6 +44,23 @@
 /// slow link.
 constexpr auto max_broadcast_update_bytes = std::size_t{ 2'000 };
 constexpr auto fetch_timeout = core::duration( 2500ms );
+/// Limit on the records that are fetched from another instance, compressed.
+constexpr auto max_fetched_bytes = std::size_t{ 16 } * 1024 * 1024;
+/// Part of the process's memory that incomplete answers of targets may take,
+/// and the same for replies of the store and of other instances. Most of the
+/// memory is for the requests of callers.
+constexpr auto received_part_of_memory = 8;
+/// If the settings state no limit on the memory.
+constexpr auto default_memory_mb = std::int64_t{ 256 };
+
+/// Bytes that received answers of one kind may take together.
+auto received_memory( platform::gateway_settings const& s ) -> std::size_t
+{
+    constexpr auto megabyte = std::int64_t{ 1024 } * 1024;
+    auto const total = s.memory_mb > 0 ? s.memory_mb : default_memory_mb;
+    return static_cast<std::size_t>( total * megabyte /
+                                     received_part_of_memory );
+}
 
 /// Time after which a target that has ended is no longer in the registry: its
 /// entry expires after three missed heartbeats, and the update has to arrive.
@@ -82,7 +99,7 @@
     : io_( io ), settings_( std::move( settings ) ), scheduler_( io ),
       bounded_log_( log, scheduler_, max_logged_requests_per_second ),
       log_( bounded_log_ ),
-      first_service_( log_, scheduler_, settings_.instance ), http_( io ),
+      first_service_( log_, scheduler_, settings_.instance ), http_( io, received_memory( settings_ ) ),
       store_( http_, settings_.store ), target_calls_( http_ ),
       reservation_client_( http_ ),
       crashes_( registry_expiry_time( settings_ ) ),
@@ -199,6 +216,8 @@
         .placements = router_,
         .retries = retries_,
         .path = path_,
+        .answer_memory = std::make_shared<core::memory_budget>(
+            received_memory( settings_ ) ),
         .queue = wait_queue_,
         .log = first_service_,
         .announcer = group_,
@@ -397,6 +416,7 @@
         std::make_shared<std::string const>( adapters::asio::write_request(
             "GET", peers::state_request_path( registry_.known_until() ),
             { { "Host", ip } }, "" ) );
+    call.max_reply_bytes = max_fetched_bytes;
     http_.fetch( std::move( call ), fetch_timeout,
                  [this, from, ended = std::move( ended )]( auto reply )
                  {
--- a/src/pollenstream/adapters/asio/caller_connection.cpp
+++ b/src/pollenstream/adapters/asio/caller_connection.cpp
@@ -166,7 +166,13 @@
         if ( parser_->is_done() )
             on_request();
         else if ( ec == http::error::need_more || used == 0 )
+        {
+            // The parser leaves chunk headers and trailers in the buffer until
+            // they are complete.
+            if ( buffer_.size() > limits_.max_header_bytes + read_size )
+                refuse( head_too_large, "chunk header or trailer" );
             break;
+        }
     }
     in_parse_ = false;
 }
--- a/src/pollenstream/adapters/asio/caller_connection.hpp
+++ b/src/pollenstream/adapters/asio/caller_connection.hpp
@@ -1,6 +1,7 @@
 #ifndef POLLENSTREAM_ADAPTERS_ASIO_CALLER_CONNECTION_HPP
 #define POLLENSTREAM_ADAPTERS_ASIO_CALLER_CONNECTION_HPP
 
+#include <pollenstream/adapters/asio/arriving_body.hpp>
 #include <pollenstream/adapters/asio/caller_listener.hpp>
 #include <pollenstream/adapters/asio/http_text.hpp>
 
@@ -77,7 +78,7 @@
     tcp::socket socket_;
     net::steady_timer timer_;
     boost::beast::flat_buffer buffer_;
-    std::optional<http::request_parser<http::string_body>> parser_;
+    std::optional<http::request_parser<arriving_body>> parser_;
     exchange::caller_limits limits_;
     phase phase_{ phase::idle };
     std::uint64_t number_{ 0 };
--- a/src/pollenstream/adapters/asio/http_client.cpp
+++ b/src/pollenstream/adapters/asio/http_client.cpp
@@ -1,3 +1,4 @@
+#include <pollenstream/adapters/asio/arriving_body.hpp>
 #include <pollenstream/adapters/asio/http_client.hpp>
 #include <pollenstream/adapters/asio/http_text.hpp>
 #include <pollenstream/adapters/asio/socket_options.hpp>
@@ -28,6 +29,11 @@
 constexpr auto default_idle_time = core::duration( 700ms );
 constexpr auto idle_margin = core::duration( 400ms );
 constexpr auto min_final_status = 200;
+/// Limit on the head of an answer, as the default one of callers' requests.
+constexpr auto max_head_bytes = std::uint32_t{ 16 } * 1024;
+/// Limit on the interim and stray answers before the answer to a call. Targets
+/// send few of them, each with a small body.
+constexpr auto max_skipped_bytes = std::size_t{ 256 } * 1024;
 
 auto advertised_idle_time( http::fields const& fields )
     -> std::optional<core::duration>
@@ -79,6 +85,7 @@
         listener_ = std::move( listener );
         sent_ = false;
         written_ = false;
+        skipped_bytes_ = 0;
         if ( socket_.is_open() )
             write();
         else
@@ -186,6 +193,8 @@
     {
         parser_.emplace();
         parser_->eager( true );
+        parser_->header_limit( max_head_bytes );
+        // The listener limits what it keeps; a long stream is never kept whole.
         parser_->body_limit( boost::none );
         head_seen_ = false;
         is_stray_ = false;
@@ -234,7 +243,7 @@
                 fail( { core::error_code::malformed, ec.message() } );
                 return false;
             }
-            if ( !deliver_progress() )
+            if ( !deliver_progress() || !is_within_limits( used ) )
                 return false;
             if ( parser_->is_done() )
             {
@@ -248,6 +257,20 @@
         return true;
     }
 
+    /// Ends the call, and returns false, if the server sends more than may be
+    /// skipped, or a chunk header or trailer that is too long: the parser
+    /// leaves these in the buffer until they are complete.
+    auto is_within_limits( std::size_t parsed_bytes ) -> bool
+    {
+        if ( is_stray_ )
+            skipped_bytes_ += parsed_bytes;
+        if ( skipped_bytes_ <= max_skipped_bytes &&
+             buffer_.size() <= max_head_bytes + read_size )
+            return true;
+        fail( { core::error_code::malformed, "bytes that are no answer" } );
+        return false;
+    }
+
     /// Passes the head and new body bytes to the listener; returns false if the
     /// call has ended.
     auto deliver_progress() -> bool
@@ -259,7 +282,8 @@
         {
             head_seen_ = true;
             auto head = raw_head{ static_cast<int>( message.result_int() ),
-                                  fields_of( message.base() ) };
+                                  fields_of( message.base() ),
+                                  announced_bytes() };
             is_stray_ = head.status < min_final_status ||
                         ( call_.accepts_head && !call_.accepts_head( head ) );
             had_stray_ =
@@ -275,6 +299,12 @@
         return listener_ != nullptr;
     }
 
+    [[nodiscard]] auto announced_bytes() const -> std::optional<std::uint64_t>
+    {
+        auto const length = parser_->content_length();
+        return length ? std::optional( *length ) : std::nullopt;
+    }
+
     /// Returns false if the call has ended.
     auto on_answer_done() -> bool
     {
@@ -351,7 +381,7 @@
     http_call call_;
     std::shared_ptr<http_listener> listener_;
     boost::beast::flat_buffer buffer_;
-    std::optional<http::response_parser<http::string_body>> parser_;
+    std::optional<http::response_parser<arriving_body>> parser_;
     std::chrono::steady_clock::time_point idle_until_;
     bool connecting_{ false };
     bool reading_{ false };
@@ -362,6 +392,7 @@
     bool had_stray_{ false };
     bool idle_{ false };
     std::uint64_t call_number_{ 0 };
+    std::size_t skipped_bytes_{ 0 }; ///< of stray answers, during this call
 };
 
 namespace
@@ -401,8 +432,11 @@
                         public std::enable_shared_from_this<reply_collector>
 {
 public:
-    reply_collector( net::io_context& io, http_client::fetch_callback callback )
-        : timer_( io ), callback_( std::move( callback ) )
+    reply_collector( net::io_context& io,
+                     core::bounded_text body,
+                     http_client::fetch_callback callback )
+        : timer_( io ), callback_( std::move( callback ) ),
+          body_( std::move( body ) )
     {
     }
     auto limit( core::duration time,
@@ -410,38 +444,53 @@
     {
         if ( !callback_ )
             return;
+        call_ = std::move( call );
         timer_.expires_after( time );
         timer_.async_wait(
-            [self = shared_from_this(),
-             call = std::move( call )]( error_code ec )
+            [self = shared_from_this()]( error_code ec )
             {
-                if ( ec || !self->callback_ )
-                    return;
-                call->cancel();
-                self->finish( core::error{ core::error_code::timed_out,
-                                           "no answer in time" } );
+                if ( !ec )
+                    self->give_up( { core::error_code::timed_out,
+                                     "no answer in time" } );
             } );
     }
     auto on_head( raw_head head ) -> void override
     {
-        reply_.status = head.status;
+        status_ = head.status;
+        if ( head.announced_bytes.value_or( 0 ) > body_.max_bytes() )
+            give_up( too_large() );
     }
     auto on_body( std::string bytes ) -> void override
     {
-        reply_.body += bytes;
+        if ( !body_.append( bytes ) )
+            give_up( too_large() );
     }
     auto on_end( exchange::attempt_end end ) -> void override
     {
-        timer_.cancel();
         if ( end.complete )
-            finish( std::move( reply_ ) );
+            finish( http_reply{ status_, body_.release() } );
         else
             finish( end.error );
     }
 
 private:
+    static auto too_large() -> core::error
+    {
+        return { core::error_code::malformed, "the answer is too large" };
+    }
+
+    auto give_up( core::error why ) -> void
+    {
+        if ( !callback_ )
+            return;
+        call_->cancel();
+        finish( std::move( why ) );
+    }
+
     auto finish( core::result<http_reply> result ) -> void
     {
+        timer_.cancel();
+        call_.reset();
         auto const callback = std::exchange( callback_, nullptr );
         if ( callback )
             callback( std::move( result ) );
@@ -449,12 +498,18 @@
 
     net::steady_timer timer_;
     http_client::fetch_callback callback_;
-    http_reply reply_;
+    std::shared_ptr<exchange::open_attempt> call_;
+    int status_{ 0 };
+    core::bounded_text body_;
 };
 
 }
 
-http_client::http_client( net::io_context& io ) : io_( io ) {}
+http_client::http_client( net::io_context& io, std::size_t max_reply_memory )
+    : io_( io ), reply_memory_(
+                   std::make_shared<core::memory_budget>( max_reply_memory ) )
+{
+}
 
 http_client::~http_client() = default;
 
@@ -600,8 +655,9 @@
                          fetch_callback callback )
     -> std::shared_ptr<exchange::open_attempt>
 {
-    auto gather =
-        std::make_shared<reply_collector>( io_, std::move( callback ) );
+    auto gather = std::make_shared<reply_collector>(
+        io_, core::bounded_text( reply_memory_, call.max_reply_bytes ),
+        std::move( callback ) );
     auto opened = send( std::move( call ), gather );
     gather->limit( limit, opened );
     return opened;
--- a/src/pollenstream/adapters/asio/http_client.hpp
+++ b/src/pollenstream/adapters/asio/http_client.hpp
@@ -3,6 +3,7 @@
 
 #include <pollenstream/adapters/asio/prelude.hpp>
 #include <pollenstream/core/address.hpp>
+#include <pollenstream/core/bounded_text.hpp>
 #include <pollenstream/core/counter.hpp>
 #include <pollenstream/core/error.hpp>
 #include <pollenstream/core/units.hpp>
@@ -23,8 +24,12 @@
 {
     int status{ 0 };
     exchange::header_list fields;
+    std::optional<std::uint64_t> announced_bytes; ///< its Content-Length
 };
 
+/// Limit on the body of a short reply, such as one to a reservation call.
+inline constexpr auto max_short_reply_bytes = std::size_t{ 64 } * 1024;
+
 /// An HTTP/1.1 request and how to send it.
 struct http_call
 {
@@ -38,6 +43,8 @@
     /// Returns false for an answer that belongs to another call on the
     /// connection; such an answer is skipped. Null accepts every answer.
     std::function<bool( raw_head const& )> accepts_head;
+    /// Limit on the body if the complete answer is collected.
+    std::size_t max_reply_bytes{ max_short_reply_bytes };
 };
 
 /// Receives the answer of one call: head and body if they arrive, then the end.
@@ -60,11 +67,13 @@
 class client_connection;
 
 /// Makes HTTP calls and keeps idle connections for reuse. Each call is sent
-/// once: the client never retries.
+/// once: the client never retries. A connection whose server sends more than is
+/// allowed for, in a head or a body, is closed, which ends its call alone.
 class http_client
 {
 public:
-    explicit http_client( net::io_context& io );
+    /// `max_reply_memory`: limit on the bodies that are collected at one time.
+    http_client( net::io_context& io, std::size_t max_reply_memory );
     ~http_client();
     http_client( http_client const& ) = delete;
     auto operator=( http_client const& ) -> http_client& = delete;
@@ -81,7 +90,7 @@
                 std::function<void( std::optional<bool> )> callback ) -> void;
 
     /// Makes a call and reports its complete answer, or an error if it takes
-    /// longer than `limit`.
+    /// longer than `limit` or is too large.
     auto fetch( http_call call, core::duration limit, fetch_callback callback )
         -> std::shared_ptr<exchange::open_attempt>;
 
@@ -99,6 +108,7 @@
     auto forget( client_connection const* connection ) -> void;
 
     net::io_context& io_;
+    std::shared_ptr<core::memory_budget> reply_memory_;
     std::map<std::string, std::vector<std::shared_ptr<client_connection>>>
         idle_;
     core::counter made_;
--- a/src/pollenstream/exchange/context.hpp
+++ b/src/pollenstream/exchange/context.hpp
@@ -1,6 +1,7 @@
 #ifndef POLLENSTREAM_EXCHANGE_CONTEXT_HPP
 #define POLLENSTREAM_EXCHANGE_CONTEXT_HPP
 
+#include <pollenstream/core/bounded_text.hpp>
 #include <pollenstream/core/counter.hpp>
 #include <pollenstream/core/name_counts.hpp>
 #include <pollenstream/exchange/crash_history.hpp>
@@ -99,6 +100,8 @@
     placement_client& placements; ///< requests targets from the coordinator
     shared_retry_budget& retries;
     target_path& path;
+    /// For the answers of targets that are kept until they are complete.
+    std::shared_ptr<core::memory_budget> answer_memory;
     wait_queue& queue;
     event_log& log;
     work_announcer& announcer;
--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -71,13 +71,18 @@
     /// An attempt of this request that is open at a target.
     struct target_attempt
     {
+        explicit target_attempt( core::bounded_text received_body )
+            : body( std::move( received_body ) )
+        {
+        }
+
         std::uint64_t serial{ 0 };
         target_ref target;
         core::address address;
         std::shared_ptr<open_attempt> call;
         std::shared_ptr<reservation_group> reservation;
         std::optional<answer_head> head;
-        std::string body; ///< of an answer that is not a stream
+        core::bounded_text body; ///< of an answer that is not a stream
         event_splitter splitter;
         bool prefilling{ true };
         std::int64_t events{ 0 };     ///< received from the target
@@ -159,6 +164,9 @@
         -> void;
     [[nodiscard]] auto defect_of( answer_head const& head ) const
         -> char const*;
+    [[nodiscard]] auto is_relayed_by_event( answer_head const& head ) const
+        -> bool;
+    [[nodiscard]] auto max_answer_bytes() const -> std::size_t;
     auto on_invalid_answer( target_attempt const& from, std::string detail )
         -> void;
     auto on_complete() -> void;
--- a/src/pollenstream/exchange/exchange_answers.cpp
+++ b/src/pollenstream/exchange/exchange_answers.cpp
@@ -15,6 +15,9 @@
 
 /// Unsent bytes to a slow caller above which its stream is aborted.
 constexpr auto max_unsent_bytes = std::size_t{ 1 } << 20U;
+/// Limit on one event, which holds some tens of tokens.
+constexpr auto max_event_bytes = std::size_t{ 64 } * 1024;
+constexpr auto too_large = "the answer is too large";
 
 auto is_success( int status ) -> bool
 {
@@ -31,17 +34,31 @@
 
 }
 
+/// True if the answer is relayed event by event, so that it is never kept.
+auto exchange::is_relayed_by_event( answer_head const& head ) const -> bool
+{
+    return route_->kind == request_kind::stream && is_success( head.status ) &&
+           head.is_event_stream && !head.proves_not_run;
+}
+
 auto exchange::is_stream( target_attempt const& which ) const -> bool
 {
-    return route_->kind == request_kind::stream && which.head &&
-           is_success( which.head->status ) && which.head->is_event_stream &&
-           !which.head->proves_not_run;
+    return which.head && is_relayed_by_event( *which.head );
+}
+
+/// Limit on an answer that is kept until it is complete: that of requests.
+auto exchange::max_answer_bytes() const -> std::size_t
+{
+    return configuration_->limits.max_body_bytes;
 }
 
-/// What makes an answer invalid as a success, or null. A head is checked as it
-/// arrives, since the events that follow are relayed at once.
+/// What makes an answer invalid, or null. A head is checked as it arrives, since
+/// the events that follow are relayed at once.
 auto exchange::defect_of( answer_head const& head ) const -> char const*
 {
+    if ( head.announced_bytes.value_or( 0 ) > max_answer_bytes() &&
+         !is_relayed_by_event( head ) )
+        return too_large;
     if ( !is_success( head.status ) || head.proves_not_run )
         return nullptr;
     if ( !head.has_seal )
@@ -121,10 +138,13 @@
     context_.path.note_answer( context_.scheduler.now() );
     if ( !is_stream( *from ) )
     {
-        from->body += bytes;
+        if ( !from->body.append( bytes ) )
+            on_invalid_answer( *from, too_large );
         return;
     }
     auto events = from->splitter.take( bytes );
+    if ( from->splitter.pending() > max_event_bytes )
+        return on_invalid_answer( *from, "an event without end" );
     if ( is_silent_attempt( from ) && !silent_target_resumes( events ) )
         return;
     relay( std::move( events ) );
@@ -300,7 +320,7 @@
     else
     {
         answer_->send_whole(
-            { status, head.headers, std::move( current_->body ) } );
+            { status, head.headers, current_->body.release() } );
     }
     close_attempt( false, work_outcome::served );
     close_silent();
@@ -324,7 +344,7 @@
     // The caller gets this answer now: it is of more use to it than waiting for
     // an attempt whose target is silent.
     answer_->send_whole(
-        { status, current_->head->headers, std::move( current_->body ) } );
+        { status, current_->head->headers, current_->body.release() } );
     close_attempt( false );
     close_silent();
     context_.counters.failed.add();
--- a/src/pollenstream/exchange/exchange_attempts.cpp
+++ b/src/pollenstream/exchange/exchange_attempts.cpp
@@ -143,7 +143,8 @@
         choice.basis, configuration_->version, grant.decided_by,
         last_placement_time_, shared_parts() } );
 
-    current_ = target_attempt{};
+    current_.emplace(
+        core::bounded_text( context_.answer_memory, max_answer_bytes() ) );
     auto& opened = *current_;
     opened.serial = serial;
     opened.is_retry = targets_reached_ > 1;
--- a/src/pollenstream/exchange/message.hpp
+++ b/src/pollenstream/exchange/message.hpp
@@ -109,10 +109,11 @@
     header_list headers;          ///< end-to-end headers, forwarded unchanged
     bool proves_not_run{ false }; ///< the request has not been executed
     bool wrong_target{ false };   ///< another target has the address now
-    bool has_seal{ false };       ///< has exactly one digest, not empty
-    bool has_coding{ false };     ///< the body is encoded, as with gzip
-    bool is_event_stream{ true }; ///< false if it states another type
-    std::string failed_target;    ///< the target that caused a failure
+    std::optional<std::uint64_t> announced_bytes; ///< its Content-Length
+    bool has_seal{ false };          ///< has exactly one digest, not empty
+    bool has_coding{ false };        ///< the body is encoded, as with gzip
+    bool is_event_stream{ true };    ///< false if it states another type
+    std::string failed_target;       ///< the target that caused a failure
     bool announces_leaving{ false }; ///< the target accepts no new work
     /// How long this instance should send the target nothing.
     core::duration requested_pause{ 0 };
--- a/tests/support/exchange_fixture.cpp
+++ b/tests/support/exchange_fixture.cpp
@@ -116,6 +116,7 @@
                .placements = placement_client,
                .retries = retries,
                .path = path,
+               .answer_memory = answer_memory,
                .queue = queue,
                .log = log,
                .announcer = announcer,
--- a/tests/support/exchange_fixture.hpp
+++ b/tests/support/exchange_fixture.hpp
@@ -448,6 +448,8 @@
     exchange::shared_retry_budget retries{
         { 0.2, 100, std::chrono::seconds( 10 ) }, core::instant{}, 0 };
     exchange::target_path path;
+    std::shared_ptr<core::memory_budget> answer_memory{
+        std::make_shared<core::memory_budget>( std::size_t{ 16 } << 20U ) };
     exchange::wait_queue queue{ scheduler };
     recorded_events log;
     recorded_announcements announcer;
--- a/tests/support/exchange_fleet.cpp
+++ b/tests/support/exchange_fleet.cpp
@@ -651,6 +651,8 @@
                .placements = router_,
                .retries = retries_,
                .path = path_,
+               .answer_memory = std::make_shared<core::memory_budget>(
+                   std::size_t{ 16 } << 20U ),
                .queue = wait_queue_,
                .log = log,
                .announcer = group,
--- a/tests/support/simulated_engines.cpp
+++ b/tests/support/simulated_engines.cpp
@@ -274,6 +274,7 @@
                 .placements = fixture.router,
                 .retries = fixture.retries,
                 .path = fixture.path,
+                .answer_memory = fixture.answer_memory,
                 .queue = fixture.queue,
                 .log = fixture.log,
                 .announcer = fixture.announcer,
