An exception of one handler ends what it concerns, not the process

Cause: the only catch stood around the event loop and ended the process, so any exception in any handler cost all requests their connections.

Ruled out: a catch around the loop that goes on. It would leave a request half changed and its attempts open, and stop the loop of a watch for good.

Change: a request whose handler throws ends with a 502, and its attempts and memory are released; an exception while an answer is read ends the call, while a request is handled the connection, in a datagram the datagram, in a record of the store the record. Each is logged or counted. An exception elsewhere still ends the process.

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -99,7 +99,8 @@
     : io_( io ), settings_( std::move( settings ) ), scheduler_( io ),
       bounded_log_( log, scheduler_, max_logged_requests_per_second ),
       log_( bounded_log_ ),
-      first_service_( log_, scheduler_, settings_.instance ), http_( io, received_memory( settings_ ) ),
+      first_service_( log_, scheduler_, settings_.instance ),
+      http_( io, received_memory( settings_ ) ),
       store_( http_, settings_.store ), target_calls_( http_ ),
       reservation_client_( http_ ),
       crashes_( registry_expiry_time( settings_ ) ),
@@ -233,8 +234,17 @@
 
 auto gateway_node::parts() const -> node_parts
 {
-    return { context_, group_, registry_,      coordinator_,
-             router_,  store_, first_service_, ready_state_ };
+    return { context_, group_,         registry_,    coordinator_,   router_,
+             store_,   first_service_, ready_state_, broken_inputs() };
+}
+
+auto gateway_node::broken_inputs() const -> std::uint64_t
+{
+    auto total = datagrams_.dropped();
+    for ( auto const* listener : { callers_.get(), directory_.get(),
+                                   readiness_.get(), peer_listener_.get() } )
+        total += listener != nullptr ? listener->broken() : 0;
+    return total;
 }
 
 auto gateway_node::make_registry_events() -> registry::registry_events
--- a/apps/gateway/gateway_node.hpp
+++ b/apps/gateway/gateway_node.hpp
@@ -61,6 +61,7 @@
     auto make_context() -> exchange::exchange_context;
     auto make_registry_events() -> registry::registry_events;
     auto parts() const -> node_parts;
+    [[nodiscard]] auto broken_inputs() const -> std::uint64_t;
     auto is_ready() const -> bool;
     auto registry_is_current() const -> bool;
     auto update_ready() -> void;
--- a/apps/gateway/node_state.cpp
+++ b/apps/gateway/node_state.cpp
@@ -169,7 +169,7 @@
 auto describe_node( node_parts const& node ) -> std::string
 {
     auto const& [context, group, registry, coordinator, router, store,
-                 first_service, ready] = node;
+                 first_service, ready, broken_inputs] = node;
     auto const version =
         context.configuration ? context.configuration->version.count() : 0;
     auto const served = first_service.served_after();
@@ -197,7 +197,7 @@
 auto node_metrics( node_parts const& node ) -> std::string
 {
     auto const& [context, group, registry, coordinator, router, store,
-                 first_service, ready] = node;
+                 first_service, ready, broken_inputs] = node;
     auto out = std::ostringstream{};
     write_start( node, out );
     auto const gauge = [&out]( char const* name, auto value )
@@ -245,6 +245,12 @@
     count( "pollenstream_retries_denied_total", "", context.retries.denied() );
     count( "pollenstream_answers_ended_by_close_total", "",
            context.counters.ended_by_close.value() );
+    count( "pollenstream_internal_errors_total", "{of=\"request\"}",
+           context.counters.internal_errors.value() );
+    count( "pollenstream_internal_errors_total", "{of=\"input\"}",
+           broken_inputs );
+    gauge( "pollenstream_answer_bytes_kept",
+           context.answer_memory->used_bytes() );
     auto const& decisions = coordinator.counters();
     count( "pollenstream_decisions_total", "{decision=\"granted\"}",
            decisions.granted.value() );
--- a/apps/gateway/node_state.hpp
+++ b/apps/gateway/node_state.hpp
@@ -32,6 +32,8 @@
     platform::store_client const& store;
     observation::first_service const& first_service;
     ready_state ready;
+    /// Connections and datagrams that could not be processed.
+    std::uint64_t broken_inputs{ 0 };
 };
 
 /// The present state of an instance as indented JSON for operators.
--- a/src/pollenstream/adapters/asio/caller_connection.cpp
+++ b/src/pollenstream/adapters/asio/caller_connection.cpp
@@ -1,6 +1,7 @@
 #include <pollenstream/adapters/asio/caller_connection.hpp>
 #include <pollenstream/adapters/asio/socket_options.hpp>
 
+#include <exception>
 #include <utility>
 
 namespace pollenstream::adapters::asio
@@ -145,6 +146,22 @@
     // `parse` again; the outer call then continues the loop.
     if ( std::exchange( in_parse_, true ) )
         return;
+    try
+    {
+        parse_buffered();
+    }
+    catch ( std::exception const& )
+    {
+        // What this caller has sent cannot be processed. Its connection ends,
+        // whichever handler has called this function.
+        owner_.broken_.add();
+        close();
+    }
+    in_parse_ = false;
+}
+
+auto caller_connection::parse_buffered() -> void
+{
     while ( buffer_.size() > 0 && phase_ != phase::answering &&
             phase_ != phase::lingering && phase_ != phase::closed )
     {
@@ -174,7 +191,6 @@
             break;
         }
     }
-    in_parse_ = false;
 }
 
 /// Checks the head before the body is read; returns false if it is refused.
--- a/src/pollenstream/adapters/asio/caller_connection.hpp
+++ b/src/pollenstream/adapters/asio/caller_connection.hpp
@@ -60,6 +60,7 @@
     auto read() -> void;
     auto on_read( error_code ec, std::size_t n ) -> void;
     auto parse() -> void;
+    auto parse_buffered() -> void;
     auto start_request() -> void;
     auto on_head() -> bool;
     auto on_request() -> void;
--- a/src/pollenstream/adapters/asio/caller_listener.hpp
+++ b/src/pollenstream/adapters/asio/caller_listener.hpp
@@ -3,6 +3,7 @@
 
 #include <pollenstream/adapters/asio/prelude.hpp>
 #include <pollenstream/core/address.hpp>
+#include <pollenstream/core/counter.hpp>
 #include <pollenstream/core/units.hpp>
 #include <pollenstream/exchange/message.hpp>
 #include <pollenstream/exchange/routes.hpp>
@@ -69,6 +70,11 @@
 
     /// The local address, with the port that the kernel chose for port 0.
     [[nodiscard]] auto address() const -> core::address;
+    /// Connections that were closed because a request could not be processed.
+    [[nodiscard]] auto broken() const -> std::uint64_t
+    {
+        return broken_.value();
+    }
     [[nodiscard]] auto connections() const -> std::size_t
     {
         return connections_.size();
@@ -86,6 +92,7 @@
     net::steady_timer accept_retry_timer_;
     std::set<std::shared_ptr<caller_connection>> connections_;
     bool draining_{ false };
+    core::counter broken_;
 };
 
 }
--- a/src/pollenstream/adapters/asio/datagram_socket.cpp
+++ b/src/pollenstream/adapters/asio/datagram_socket.cpp
@@ -1,5 +1,7 @@
 #include <pollenstream/adapters/asio/datagram_socket.hpp>
 
+#include <exception>
+
 namespace pollenstream::adapters::asio
 {
 
@@ -27,11 +29,24 @@
                                     // Other errors concern datagrams sent
                                     // earlier, so receiving continues.
                                     if ( !ec )
-                                        receiver_( { buffer_.data(), n } );
+                                        deliver( { buffer_.data(), n } );
                                     receive();
                                 } );
 }
 
+/// A datagram that cannot be processed is dropped like a lost one.
+auto datagram_socket::deliver( std::string_view bytes ) -> void
+{
+    try
+    {
+        receiver_( bytes );
+    }
+    catch ( std::exception const& )
+    {
+        dropped_.add();
+    }
+}
+
 auto datagram_socket::send( std::string const& ip, std::string const& bytes )
     -> void
 {
--- a/src/pollenstream/adapters/asio/datagram_socket.hpp
+++ b/src/pollenstream/adapters/asio/datagram_socket.hpp
@@ -32,8 +32,15 @@
         return send_errors_.value();
     }
 
+    /// Datagrams that were received but could not be processed.
+    [[nodiscard]] auto dropped() const -> std::uint64_t
+    {
+        return dropped_.value();
+    }
+
 private:
     auto receive() -> void;
+    auto deliver( std::string_view bytes ) -> void;
 
     static constexpr auto max_datagram_bytes = std::size_t{ 64 } * 1024;
 
@@ -43,6 +50,7 @@
     std::array<char, max_datagram_bytes> buffer_{};
     std::function<void( std::string_view )> receiver_;
     core::counter send_errors_;
+    core::counter dropped_;
 };
 
 }
--- a/src/pollenstream/adapters/asio/http_client.cpp
+++ b/src/pollenstream/adapters/asio/http_client.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <exception>
 #include <limits>
 #include <optional>
 
@@ -211,7 +212,21 @@
             } );
     }
 
+    /// What a server sends can make parsing or the listener throw. That ends
+    /// the call and its connection.
     auto on_read( error_code ec, std::size_t n ) -> void
+    {
+        try
+        {
+            process_read( ec, n );
+        }
+        catch ( std::exception const& e )
+        {
+            fail( { core::error_code::malformed, e.what() } );
+        }
+    }
+
+    auto process_read( error_code ec, std::size_t n ) -> void
     {
         reading_ = false;
         if ( idle_ )
@@ -281,9 +296,9 @@
         if ( !head_seen_ )
         {
             head_seen_ = true;
-            auto head = raw_head{ static_cast<int>( message.result_int() ),
-                                  fields_of( message.base() ),
-                                  announced_bytes() };
+            auto head =
+                raw_head{ static_cast<int>( message.result_int() ),
+                          fields_of( message.base() ), announced_bytes() };
             is_stray_ = head.status < min_final_status ||
                         ( call_.accepts_head && !call_.accepts_head( head ) );
             had_stray_ =
@@ -450,8 +465,8 @@
             [self = shared_from_this()]( error_code ec )
             {
                 if ( !ec )
-                    self->give_up( { core::error_code::timed_out,
-                                     "no answer in time" } );
+                    self->give_up(
+                        { core::error_code::timed_out, "no answer in time" } );
             } );
     }
     auto on_head( raw_head head ) -> void override
@@ -506,8 +521,8 @@
 }
 
 http_client::http_client( net::io_context& io, std::size_t max_reply_memory )
-    : io_( io ), reply_memory_(
-                   std::make_shared<core::memory_budget>( max_reply_memory ) )
+    : io_( io ),
+      reply_memory_( std::make_shared<core::memory_budget>( max_reply_memory ) )
 {
 }
 
--- a/src/pollenstream/exchange/context.hpp
+++ b/src/pollenstream/exchange/context.hpp
@@ -72,6 +72,7 @@
     core::counter caller_gone; ///< the caller closed its connection
     core::counter retries;
     core::counter resumed;
+    core::counter internal_errors; ///< requests ended because a handler threw
     /// Answers without a length or chunks, which end with their connection.
     core::counter ended_by_close;
     /// Unknown headers in the answers of targets, by name.
--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -116,14 +116,19 @@
                             route_->latency_objective * patience_per_latency,
                             route_->gap_objective * patience_per_gap } );
     auto const left = deadline_ - context_.scheduler.now();
-    deadline_timer_ = context_.scheduler.call_after( left,
-                                                     [this]
-                                                     {
-                                                         on_deadline();
-                                                     } );
+    deadline_timer_ = call_after( left, &exchange::on_deadline );
 }
 
 auto exchange::start() -> void
+{
+    run(
+        [this]
+        {
+            start_or_wait();
+        } );
+}
+
+auto exchange::start_or_wait() -> void
 {
     if ( !configuration_ )
         return wait_for_configuration();
@@ -137,14 +142,14 @@
 auto exchange::wait_for_configuration() -> void
 {
     context_.queue.add( shared_from_this() );
-    patience_timer_ = context_.scheduler.call_after(
-        max_wait_for_configuration,
-        [this]
-        {
-            auto const keep = shared_from_this();
-            refuse( status_unavailable, "no_configuration",
-                    retry_after_no_configuration );
-        } );
+    patience_timer_ = call_after( max_wait_for_configuration,
+                                  &exchange::on_no_configuration );
+}
+
+auto exchange::on_no_configuration() -> void
+{
+    refuse( status_unavailable, "no_configuration",
+            retry_after_no_configuration );
 }
 
 auto exchange::time_limit() const -> core::duration
@@ -276,6 +281,19 @@
 }
 
 auto exchange::try_start() -> bool
+{
+    auto no_longer_waits = true;
+    run(
+        [&]
+        {
+            no_longer_waits = start_attempt();
+        } );
+    return no_longer_waits;
+}
+
+/// Starts an attempt or requests a placement. Returns true if the request no
+/// longer waits in the queue.
+auto exchange::start_attempt() -> bool
 {
     if ( finished_ )
         return true;
@@ -472,6 +490,31 @@
     end( std::move( reason ), status );
 }
 
+auto exchange::call_after( core::duration delay, void ( exchange::*handler )() )
+    -> std::unique_ptr<ports::scheduled_call>
+{
+    return context_.scheduler.call_after( delay,
+                                          [this, handler]
+                                          {
+                                              run(
+                                                  [this, handler]
+                                                  {
+                                                      ( this->*handler )();
+                                                  } );
+                                          } );
+}
+
+/// A handler has thrown, so the state of this request cannot be relied on. A
+/// target may have processed it.
+auto exchange::on_internal_error( std::string what ) -> void
+{
+    context_.log.record( state_change{
+        "request", request_.id.str(), "broken", std::move( what ), {} } );
+    context_.counters.internal_errors.add();
+    if ( !finished_ )
+        fail( status_bad_gateway, "internal_error" );
+}
+
 auto exchange::give_up( std::string reason,
                         std::optional<core::duration> retry_after ) -> void
 {
--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -7,6 +7,7 @@
 #include <pollenstream/exchange/request_content.hpp>
 #include <pollenstream/scheduling/lateness_watch.hpp>
 
+#include <exception>
 #include <memory>
 #include <optional>
 #include <string>
@@ -63,6 +64,26 @@
     }
 
 private:
+    /// Runs a handler. If it throws, this request ends with a failure, which
+    /// frees what it holds; no other request is affected.
+    template <class Handler>
+    auto run( Handler const& handler ) -> void
+    {
+        auto const keep = shared_from_this();
+        try
+        {
+            handler();
+        }
+        catch ( std::exception const& e )
+        {
+            on_internal_error( e.what() );
+        }
+    }
+    auto on_internal_error( std::string what ) -> void;
+    /// Calls `handler` in `run` after `delay`.
+    auto call_after( core::duration delay, void ( exchange::*handler )() )
+        -> std::unique_ptr<ports::scheduled_call>;
+
     class attempt_handler;
     friend class attempt_handler;
     class placement_handler;
@@ -104,7 +125,10 @@
         core::instant requested_at;
     };
 
+    auto start_or_wait() -> void;
+    auto start_attempt() -> bool;
     auto wait_for_configuration() -> void;
+    auto on_no_configuration() -> void;
     auto try_admit() -> bool;
     auto admit() -> void;
     auto find_route() -> bool;
@@ -118,6 +142,7 @@
     auto choose_locally( core::instant now ) -> placement_result;
     auto request_placement() -> void;
     auto arm_pause_timer() -> void;
+    auto on_pause_ended() -> void;
     [[nodiscard]] auto end_of_pause() const -> core::instant;
     auto wait_for_pause( core::instant now ) -> bool;
     auto on_granted( std::uint64_t serial, placement_grant grant ) -> void;
--- a/src/pollenstream/exchange/exchange_answers.cpp
+++ b/src/pollenstream/exchange/exchange_answers.cpp
@@ -52,8 +52,8 @@
     return configuration_->limits.max_body_bytes;
 }
 
-/// What makes an answer invalid, or null. A head is checked as it arrives, since
-/// the events that follow are relayed at once.
+/// What makes an answer invalid, or null. A head is checked as it arrives,
+/// since the events that follow are relayed at once.
 auto exchange::defect_of( answer_head const& head ) const -> char const*
 {
     if ( head.announced_bytes.value_or( 0 ) > max_answer_bytes() &&
@@ -278,7 +278,11 @@
         from.address,
         [self = shared_from_this(), serial = from.serial]( auto listens )
         {
-            self->on_checked( serial, listens );
+            self->run(
+                [&]
+                {
+                    self->on_checked( serial, listens );
+                } );
         } );
 }
 
--- a/src/pollenstream/exchange/exchange_attempts.cpp
+++ b/src/pollenstream/exchange/exchange_attempts.cpp
@@ -40,17 +40,29 @@
     auto on_head( answer_head head ) -> void override
     {
         auto const keep = owner_;
-        keep->on_head( serial_, std::move( head ) );
+        keep->run(
+            [&]
+            {
+                keep->on_head( serial_, std::move( head ) );
+            } );
     }
     auto on_body( std::string bytes ) -> void override
     {
         auto const keep = owner_;
-        keep->on_body( serial_, bytes );
+        keep->run(
+            [&]
+            {
+                keep->on_body( serial_, bytes );
+            } );
     }
     auto on_end( attempt_end end ) -> void override
     {
         auto const keep = owner_;
-        keep->on_end( serial_, end );
+        keep->run(
+            [&]
+            {
+                keep->on_end( serial_, end );
+            } );
     }
 
 private:
--- a/src/pollenstream/exchange/exchange_lateness.cpp
+++ b/src/pollenstream/exchange/exchange_lateness.cpp
@@ -15,12 +15,9 @@
     if ( lateness_.is_done() || events_ > 0 )
         return;
     auto const due = request_.received + lateness_.objective();
-    objective_timer_ = context_.scheduler.call_after(
+    objective_timer_ = call_after(
         std::max( due - context_.scheduler.now(), core::duration( 0 ) ),
-        [this]
-        {
-            on_objective_passed();
-        } );
+        &exchange::on_objective_passed );
 }
 
 auto exchange::on_objective_passed() -> void
--- a/src/pollenstream/exchange/exchange_silence.cpp
+++ b/src/pollenstream/exchange/exchange_silence.cpp
@@ -121,11 +121,8 @@
     auto const now = context_.scheduler.now();
     silence_timer_due_ = std::max( now + core::duration( 1ms ),
                                    current_->silent_from + silence_timeout() );
-    silence_timer_ = context_.scheduler.call_after( silence_timer_due_ - now,
-                                                    [this]
-                                                    {
-                                                        on_silence_timer();
-                                                    } );
+    silence_timer_ =
+        call_after( silence_timer_due_ - now, &exchange::on_silence_timer );
 }
 
 auto exchange::on_silence_timer() -> void
--- a/src/pollenstream/exchange/exchange_waiting.cpp
+++ b/src/pollenstream/exchange/exchange_waiting.cpp
@@ -36,12 +36,20 @@
     auto on_granted( placement_grant grant ) -> void override
     {
         auto const keep = owner_;
-        keep->on_granted( serial_, std::move( grant ) );
+        keep->run(
+            [&]
+            {
+                keep->on_granted( serial_, std::move( grant ) );
+            } );
     }
     auto on_refused( placement_refusal refusal ) -> void override
     {
         auto const keep = owner_;
-        keep->on_refused( serial_, std::move( refusal ) );
+        keep->run(
+            [&]
+            {
+                keep->on_refused( serial_, std::move( refusal ) );
+            } );
     }
     auto on_queued( std::size_t waiting ) -> void override
     {
@@ -85,17 +93,17 @@
 {
     if ( demand_.paused.empty() )
         return;
-    pause_timer_ = context_.scheduler.call_after(
-        end_of_pause() - context_.scheduler.now(),
-        [this]
-        {
-            auto const keep = shared_from_this();
-            if ( finished_ || !pending_placement_ )
-                return;
-            stop_waiting();
-            if ( !try_start() )
-                wait_in_queue();
-        } );
+    pause_timer_ = call_after( end_of_pause() - context_.scheduler.now(),
+                               &exchange::on_pause_ended );
+}
+
+auto exchange::on_pause_ended() -> void
+{
+    if ( finished_ || !pending_placement_ )
+        return;
+    stop_waiting();
+    if ( !try_start() )
+        wait_in_queue();
 }
 
 /// When the first pause ends of a target that this request has not tried.
@@ -199,12 +207,20 @@
         [self = shared_from_this(), reservation,
          grant = std::move( grant )]( auto status )
         {
-            self->on_reservation_result( grant, reservation, status );
+            self->run(
+                [&]
+                {
+                    self->on_reservation_result( grant, reservation, status );
+                } );
         },
         [owner = weak_from_this(), serial]( auto const& target )
         {
             if ( auto const self = owner.lock() )
-                self->on_reservation_expired( serial, target );
+                self->run(
+                    [&]
+                    {
+                        self->on_reservation_expired( serial, target );
+                    } );
         } );
 }
 
@@ -322,12 +338,8 @@
 {
     waiting_ = true;
     auto const until = refusal_deadline();
-    patience_timer_ =
-        context_.scheduler.call_after( until - context_.scheduler.now(),
-                                       [this]
-                                       {
-                                           on_patience_expired();
-                                       } );
+    patience_timer_ = call_after( until - context_.scheduler.now(),
+                                  &exchange::on_patience_expired );
     arm_objective_timer();
 }
 
--- a/src/pollenstream/registry/registry_watch.cpp
+++ b/src/pollenstream/registry/registry_watch.cpp
@@ -2,6 +2,7 @@
 #include <pollenstream/registry/registry_watch.hpp>
 
 #include <algorithm>
+#include <exception>
 #include <set>
 #include <utility>
 
@@ -340,9 +341,30 @@
                               known.value == *r.value;
     known = { *r.value, r.revision,
               is_unchanged ? known.changed_at : r.revision };
-    if ( is_unchanged )
-        return;
-    switch ( kind )
+    if ( !is_unchanged )
+        apply_changed_record( r, source );
+}
+
+/// Applies the value of one record. If that throws, the record has no effect,
+/// and those after it are applied.
+auto registry_watch::apply_changed_record( ports::record const& r,
+                                           std::string const& source ) -> void
+{
+    try
+    {
+        apply_value( r, source );
+    }
+    catch ( std::exception const& e )
+    {
+        log_.record( exchange::state_change{
+            "record", r.key, "not_applied", e.what(), {} } );
+    }
+}
+
+auto registry_watch::apply_value( ports::record const& r,
+                                  std::string const& source ) -> void
+{
+    switch ( codec_.kind_of( r.key ) )
     {
     case record_kind::configuration:
         return apply_configuration( r, source );
--- a/src/pollenstream/registry/registry_watch.hpp
+++ b/src/pollenstream/registry/registry_watch.hpp
@@ -130,6 +130,10 @@
                      std::string const& source ) -> void;
     auto apply_record( ports::record const& r, std::string const& source )
         -> void;
+    auto apply_changed_record( ports::record const& r,
+                               std::string const& source ) -> void;
+    auto apply_value( ports::record const& r, std::string const& source )
+        -> void;
     auto apply_configuration( ports::record const& r,
                               std::string const& source ) -> void;
     auto apply_target( ports::record const& r, std::string const& source )
