Messages between instances may not be nested without end

Seen on: an update of 4 MB of nested arrays, some kilobytes compressed, ends the process (SIGSEGV) in "a message that is nested too deep is malformed". A datagram of 60,000 levels did not: hypothesis refuted there.

Cause: the CBOR parser calls itself for each level.

Change: it stops at 32 levels; messages have about eight. No second pass is made. An impossible size still is an error ("damaged datagrams ...").

--- /dev/null
+++ b/src/pollenstream/peers/cbor.cpp
@@ -0,0 +1,66 @@
+#include <pollenstream/peers/cbor.hpp>
+
+#include <cstddef>
+
+namespace pollenstream::peers
+{
+
+namespace
+{
+
+using nlohmann::json;
+using json_builder = nlohmann::detail::json_sax_dom_parser<json>;
+
+/// Messages between instances have about eight levels.
+constexpr auto max_depth = 32;
+
+/// Builds a JSON value and stops at an array or object that is too deep.
+class depth_limited_builder : public json_builder
+{
+public:
+    explicit depth_limited_builder( json& into ) : json_builder( into, false )
+    {
+    }
+    auto start_array( std::size_t size ) -> bool
+    {
+        return ++depth_ <= max_depth && json_builder::start_array( size );
+    }
+    auto end_array() -> bool
+    {
+        --depth_;
+        return json_builder::end_array();
+    }
+    auto start_object( std::size_t size ) -> bool
+    {
+        return ++depth_ <= max_depth && json_builder::start_object( size );
+    }
+    auto end_object() -> bool
+    {
+        --depth_;
+        return json_builder::end_object();
+    }
+
+private:
+    int depth_{ 0 };
+};
+
+}
+
+auto parse_cbor( std::string_view bytes ) -> core::result<json>
+{
+    auto value = json{};
+    auto builder = depth_limited_builder( value );
+    try
+    {
+        if ( json::sax_parse( bytes, &builder, json::input_format_t::cbor ) )
+            return value;
+        return core::error{ core::error_code::malformed, "invalid CBOR" };
+    }
+    catch ( json::exception const& e )
+    {
+        // The builder throws if a value announces an impossible size.
+        return core::error{ core::error_code::malformed, e.what() };
+    }
+}
+
+}
--- a/src/pollenstream/peers/peer_message.cpp
+++ b/src/pollenstream/peers/peer_message.cpp
@@ -1,3 +1,4 @@
+#include <pollenstream/peers/cbor.hpp>
 #include <pollenstream/peers/peer_message.hpp>
 
 #include <nlohmann/json.hpp>
@@ -453,9 +454,12 @@
 
 auto decode( std::string_view bytes ) -> core::result<peer_message>
 {
+    auto const parsed = parse_cbor( bytes );
+    if ( parsed.has_error() )
+        return parsed.error();
     try
     {
-        auto const object = json::from_cbor( bytes );
+        auto const& object = parsed.value();
         if ( !object.is_array() || object.at( 0 ) != layout )
             return core::error{ core::error_code::malformed,
                                 "peer message has another layout" };
--- a/src/pollenstream/peers/state_transfer.cpp
+++ b/src/pollenstream/peers/state_transfer.cpp
@@ -1,3 +1,4 @@
+#include <pollenstream/peers/cbor.hpp>
 #include <pollenstream/peers/compression.hpp>
 #include <pollenstream/peers/state_transfer.hpp>
 
@@ -78,9 +79,12 @@
     auto const decompressed = decompress( bytes, max_update_bytes );
     if ( decompressed.has_error() )
         return decompressed.error();
+    auto const parsed = parse_cbor( decompressed.value() );
+    if ( parsed.has_error() )
+        return parsed.error();
     try
     {
-        auto const object = json::from_cbor( decompressed.value() );
+        auto const& object = parsed.value();
         auto update = registry::record_update{};
         update.from =
             ports::store_revision( object.at( 0 ).get<std::int64_t>() );
