Bodies that the daemon and the tool read are bounded

Seen on: an engine whose event has no end ends the daemon ("terminate called after throwing an instance of 'std::length_error'"); a plain service, an instance list or another reply whose body has no end takes memory without bound.

Cause: the receiver of a body threw into the event loop of the HTTP library, and all other bodies were read whole.

Change: an exception of a receiver fails the library's task.

Heads are still read without a limit by that library: open.

--- a/apps/tool/caller.cpp
+++ b/apps/tool/caller.cpp
@@ -1,6 +1,7 @@
 #include "caller.hpp"
 
 #include "exit_status.hpp"
+#include <pollenstream/adapters/http/bounded_body.hpp>
 #include <pollenstream/adapters/http/data_line_splitter.hpp>
 #include <pollenstream/adapters/http/json_fields.hpp>
 #include <pollenstream/adapters/http/read_available.hpp>
@@ -26,6 +27,10 @@
 constexpr auto answer_timeout = std::chrono::hours( 1 );
 constexpr auto longest_line = std::size_t{ 1024 } * 1024;
 constexpr auto read_size = std::size_t{ 16 } * 1024;
+/// Limit on the text of one answer.
+constexpr auto max_text_bytes = std::size_t{ 64 } * 1024 * 1024;
+/// Limit on the text of an answer that reports an error.
+constexpr auto max_error_bytes = std::size_t{ 64 } * 1024;
 
 auto client_for( core::address const& at, std::chrono::seconds timeout )
     -> web::http::client::http_client
@@ -42,10 +47,10 @@
     builder.append_query( "workspace", options.workspace );
     builder.append_query( "place", options.data_centre );
     auto client = client_for( options.entry, entry_timeout );
-    return client.request( web::http::methods::GET, builder.to_string() )
-        .get()
-        .extract_json()
-        .get();
+    auto message = web::http::http_request( web::http::methods::GET );
+    message.set_request_uri( builder.to_uri() );
+    return value::parse(
+        http::request_and_collect( client, message ).get().body );
 }
 
 auto headers_of( caller_options const& options ) -> web::http::http_headers
@@ -117,6 +122,26 @@
         std::cout << text << std::flush;
 }
 
+/// The first `max_bytes` of a body at most.
+auto read_text( web::http::http_response const& reply, std::size_t max_bytes )
+    -> std::string
+{
+    auto body = reply.body().streambuf();
+    auto bytes = std::vector<std::uint8_t>( max_bytes );
+    auto used = std::size_t{ 0 };
+    while ( used < max_bytes )
+    {
+        auto const count =
+            http::read_available( body, bytes.data() + used, max_bytes - used )
+                .get();
+        if ( count == 0 )
+            break;
+        used += count;
+    }
+    return { bytes.begin(),
+             bytes.begin() + static_cast<std::ptrdiff_t>( used ) };
+}
+
 auto read_stream( web::http::http_response const& reply, bool prints )
     -> seen_answer
 {
@@ -134,6 +159,10 @@
             reinterpret_cast<char const*>( bytes.data() ), count );
         for ( auto const& line : lines.add( part ) )
             take_line( line, prints, seen );
+        if ( !lines.has_failed() && seen.text.size() <= max_text_bytes )
+            continue;
+        seen.problem = "the answer is too large";
+        return seen;
     }
 }
 
@@ -183,7 +212,7 @@
     auto reply = client.request( message ).get();
     if ( reply.status_code() != web::http::status_codes::OK )
     {
-        std::cerr << reply.extract_utf8string( true ).get() << '\n';
+        std::cerr << read_text( reply, max_error_bytes ) << '\n';
         return exit_refused;
     }
     auto const seen = read_stream( reply, !options.json );
@@ -253,10 +282,11 @@
         message.headers().add( "Pollenstream-Ticket",
                                ask_ticket_prefix( options ) + key );
     message.set_body( body, "application/json" );
-    auto reply = client.request( message ).get();
-    std::cout << reply.extract_utf8string( true ).get() << '\n';
-    return reply.status_code() == web::http::status_codes::OK ? exit_ok
-                                                              : exit_refused;
+    auto const reply = http::request_and_collect( client, message ).get();
+    std::cout << reply.body << '\n';
+    return reply.response.status_code() == web::http::status_codes::OK
+               ? exit_ok
+               : exit_refused;
 }
 
 }
--- a/apps/tool/operator_client.cpp
+++ b/apps/tool/operator_client.cpp
@@ -1,5 +1,6 @@
 #include "operator_client.hpp"
 
+#include <pollenstream/adapters/http/bounded_body.hpp>
 #include <pollenstream/adapters/http/client_pool.hpp>
 #include <pollenstream/adapters/http/json_fields.hpp>
 
@@ -57,13 +58,13 @@
     message.headers().add( "Authorization", "Bearer " + token_ );
     try
     {
-        auto reply = client_.request( message ).get();
-        auto const text = reply.extract_utf8string( true ).get();
-        if ( reply.status_code() == web::http::status_codes::OK )
-            return http::parse_json( text );
+        auto const reply = http::request_and_collect( client_, message ).get();
+        auto const status = reply.response.status_code();
+        if ( status == web::http::status_codes::OK )
+            return http::parse_json( reply.body );
         return core::error{ core::error_code::failed,
-                            "status " + std::to_string( reply.status_code() ) +
-                                ": " + text };
+                            "status " + std::to_string( status ) + ": " +
+                                reply.body };
     }
     catch ( std::exception const& )
     {
--- a/src/pollenstream/adapters/http/json_call.cpp
+++ b/src/pollenstream/adapters/http/json_call.cpp
@@ -1,3 +1,4 @@
+#include <pollenstream/adapters/http/bounded_body.hpp>
 #include <pollenstream/adapters/http/json_call.hpp>
 #include <pollenstream/adapters/http/json_fields.hpp>
 
@@ -35,22 +36,17 @@
     if ( request.body )
         message.set_body( *request.body );
     auto const client = pool.client_for( to );
-    auto status = std::make_shared<web::http::status_code>( 0 );
-    client->request( message )
+    request_and_collect( *client, message )
         .then(
-            [status]( web::http::http_response reply )
-            {
-                *status = reply.status_code();
-                return reply.extract_utf8string( true );
-            } )
-        .then(
-            [client, to, &pool, status, callback = std::move( callback )](
-                pplx::task<std::string> const& done )
+            [client, to, &pool, callback = std::move( callback )](
+                pplx::task<collected_response> const& done )
             {
                 auto result = json_result( web::json::value::null() );
                 try
                 {
-                    result = read_text( *status, done.get() );
+                    auto const reply = done.get();
+                    result =
+                        read_text( reply.response.status_code(), reply.body );
                 }
                 catch ( ... )
                 {
--- a/src/pollenstream/adapters/http/list_http_client.cpp
+++ b/src/pollenstream/adapters/http/list_http_client.cpp
@@ -1,3 +1,4 @@
+#include <pollenstream/adapters/http/bounded_body.hpp>
 #include <pollenstream/adapters/http/json_call.hpp>
 #include <pollenstream/adapters/http/json_fields.hpp>
 #include <pollenstream/adapters/http/list_http_client.hpp>
@@ -51,8 +52,10 @@
         message.headers().add( "If-None-Match", entity_tag_ );
     try
     {
-        auto reply = calls_.client_for( list_ )->request( message ).get();
-        auto const text = reply.extract_utf8string( true ).get();
+        auto const client = calls_.client_for( list_ );
+        auto const collected = request_and_collect( *client, message ).get();
+        auto const& reply = collected.response;
+        auto const& text = collected.body;
         if ( reply.status_code() == status_codes::NotModified )
             return std::optional<ports::instance_listing>{};
         if ( reply.status_code() != status_codes::OK )
--- a/src/pollenstream/adapters/http/push_buffer.cpp
+++ b/src/pollenstream/adapters/http/push_buffer.cpp
@@ -79,14 +79,12 @@
     }
     auto _putc( std::uint8_t byte ) -> pplx::task<int_type> override
     {
-        push( &byte, 1 );
-        return pplx::task_from_result<int_type>( byte );
+        return push<int_type>( &byte, 1, byte );
     }
     auto _putn( std::uint8_t const* bytes, std::size_t count )
         -> pplx::task<std::size_t> override
     {
-        push( bytes, count );
-        return pplx::task_from_result( count );
+        return push( bytes, count, count );
     }
     auto _sync() -> pplx::task<bool> override
     {
@@ -127,9 +125,23 @@
     }
 
 private:
-    auto push( std::uint8_t const* bytes, std::size_t count ) -> void
-    {
-        on_bytes_( { reinterpret_cast<char const*>( bytes ), count } );
+    /// Returns `result`, or a failed task if the receiver throws: the library
+    /// calls this from its event loop, which an exception would end together
+    /// with the process.
+    template <class Result>
+    auto push( std::uint8_t const* bytes, std::size_t count, Result result )
+        -> pplx::task<Result>
+    {
+        try
+        {
+            on_bytes_( { reinterpret_cast<char const*>( bytes ), count } );
+            return pplx::task_from_result( result );
+        }
+        catch ( ... )
+        {
+            return pplx::task_from_exception<Result>(
+                std::current_exception() );
+        }
     }
 
     std::function<void( std::string_view )> on_bytes_;
--- a/src/pollenstream/adapters/http/service_http_client.cpp
+++ b/src/pollenstream/adapters/http/service_http_client.cpp
@@ -1,3 +1,4 @@
+#include <pollenstream/adapters/http/bounded_body.hpp>
 #include <pollenstream/adapters/http/client_pool.hpp>
 #include <pollenstream/adapters/http/service_http_client.hpp>
 
@@ -19,29 +20,26 @@
     if ( !request.body.empty() )
         message.set_body( request.body, request.content_type );
     auto const client = fresh_client( target, request.time_left );
-    auto reply = std::make_shared<ports::service_reply>();
-    client->request( message )
+    request_and_collect( *client, message )
         .then(
-            [reply]( web::http::http_response answer )
-            {
-                reply->status = answer.status_code();
-                reply->content_type = answer.headers().content_type();
-                return answer.extract_utf8string( true );
-            } )
-        .then(
-            [client, reply, callback = std::move( callback )](
-                pplx::task<std::string> const& done )
+            [client, callback = std::move( callback )](
+                pplx::task<collected_response> const& done )
             {
+                auto reply = ports::service_reply{};
                 try
                 {
-                    reply->body = done.get();
+                    auto answer = done.get();
+                    reply.status = answer.response.status_code();
+                    reply.content_type =
+                        answer.response.headers().content_type();
+                    reply.body = std::move( answer.body );
                 }
                 catch ( ... )
                 {
                     callback( error_of( std::current_exception() ) );
                     return;
                 }
-                callback( *reply );
+                callback( reply );
             } );
 }
 
