A change too large for a datagram is announced at once, and its delay is shown

Cause of what can be shortened: of a change over 2,000 bytes a reader told the others only with its next heartbeat, up to 250 ms later (500 ms at 100 instances), and one lost datagram doubled that.

Change: it tells at once. Each instance logs for each configuration, and shows as a metric, since when it was behind and whom it asked.

Ruled out: shorter delays before a fetch is repeated elsewhere.

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -39,10 +39,6 @@
 constexpr auto tick_period = core::duration( 100ms );
 /// Shorter until there is a configuration, as callers are waiting for it.
 constexpr auto startup_tick_period = core::duration( 15ms );
-/// Larger updates (compressed size) are not broadcast; other instances fetch
-/// them over a connection. Large datagrams to many instances would saturate a
-/// slow link.
-constexpr auto max_broadcast_update_bytes = std::size_t{ 2'000 };
 constexpr auto fetch_timeout = core::duration( 2500ms );
 /// Limit on the records that are fetched from another instance, compressed.
 constexpr auto max_fetched_bytes = std::size_t{ 16 } * 1024 * 1024;
@@ -234,8 +230,11 @@
 
 auto gateway_node::parts() const -> node_parts
 {
-    return { context_, group_,         registry_,    coordinator_,   router_,
-             store_,   first_service_, ready_state_, broken_inputs() };
+    return { context_,        group_,
+             registry_,       coordinator_,
+             router_,         store_,
+             first_service_,  ready_state_,
+             broken_inputs(), configuration_delay_ };
 }
 
 auto gateway_node::broken_inputs() const -> std::uint64_t
@@ -252,6 +251,7 @@
     auto events = registry::registry_events{};
     events.on_configuration = [this]( auto configuration )
     {
+        note_configuration_delay( configuration->version );
         coordinator_.set_configuration( configuration );
         load_table_.set_warm_up_rates( configuration->warm_up_rates(),
                                        scheduler_.now() );
@@ -280,9 +280,7 @@
         registry_.set_reader( reads_store );
         if ( !reads_store )
             return;
-        auto bytes = peers::encode_update( update );
-        if ( bytes.size() <= max_broadcast_update_bytes )
-            group_.broadcast_update( std::move( bytes ) );
+        group_.share_update( peers::encode_update( update ) );
     };
     events.on_targets_changed = [this]
     {
@@ -332,6 +330,7 @@
         auto const update = peers::decode_update( bytes );
         if ( update.has_value() )
             registry_.apply_update( update.value(), from );
+        update_store_state();
     };
     retries_.on_used_up = [this]( auto const& state )
     {
@@ -415,6 +414,23 @@
                                         } );
 }
 
+/// Records how long another instance has known of a later revision, and whom
+/// this instance has asked for it since, with the time since then.
+auto gateway_node::note_configuration_delay( core::revision version ) -> void
+{
+    auto const now = scheduler_.now();
+    auto const delay = now - group_.behind_since().value_or( now );
+    configuration_delay_.note( delay );
+    auto asked = std::string{};
+    for ( auto const& fetch : record_fetch_.begun() )
+        asked += ( asked.empty() ? "asked " : ", " ) + fetch.from.str() + ' ' +
+                 std::to_string( core::milliseconds_of( now - fetch.since ) ) +
+                 " ms ago";
+    log_.record( exchange::state_change{
+        "configuration_delay", std::to_string( version.count() ), "over",
+        asked.empty() ? "asked nobody" : asked, delay } );
+}
+
 auto gateway_node::fetch_records( core::instance_id const& from,
                                   std::function<void()> ended ) -> void
 {
@@ -437,6 +453,7 @@
                          peers::decode_update( reply.value().body );
                      if ( update.has_value() )
                          registry_.apply_update( update.value(), from.str() );
+                     update_store_state();
                  } );
 }
 
--- a/apps/gateway/gateway_node.hpp
+++ b/apps/gateway/gateway_node.hpp
@@ -68,6 +68,7 @@
     auto note_readiness() -> void;
     auto tick() -> void;
     auto update_store_state() -> void;
+    auto note_configuration_delay( core::revision version ) -> void;
     /// Fetches the records that another instance knows, and applies them.
     auto fetch_records( core::instance_id const& from,
                         std::function<void()> ended ) -> void;
@@ -85,6 +86,7 @@
     observation::bounded_log bounded_log_;
     observation::event_metrics log_;
     observation::first_service first_service_;
+    observation::delay_gauge configuration_delay_;
     adapters::asio::http_client http_;
     platform::store_client store_;
     platform::registry_records records_;
--- a/apps/gateway/node_state.cpp
+++ b/apps/gateway/node_state.cpp
@@ -169,7 +169,8 @@
 auto describe_node( node_parts const& node ) -> std::string
 {
     auto const& [context, group, registry, coordinator, router, store,
-                 first_service, ready, broken_inputs] = node;
+                 first_service, ready, broken_inputs, configuration_delay] =
+        node;
     auto const version =
         context.configuration ? context.configuration->version.count() : 0;
     auto const served = first_service.served_after();
@@ -197,7 +198,8 @@
 auto node_metrics( node_parts const& node ) -> std::string
 {
     auto const& [context, group, registry, coordinator, router, store,
-                 first_service, ready, broken_inputs] = node;
+                 first_service, ready, broken_inputs, configuration_delay] =
+        node;
     auto out = std::ostringstream{};
     write_start( node, out );
     auto const gauge = [&out]( char const* name, auto value )
@@ -209,6 +211,10 @@
     gauge( "pollenstream_open_requests", context.open.size() );
     gauge( "pollenstream_waiting_requests", context.queue.size() );
     gauge( "pollenstream_configuration_version", version );
+    gauge( "pollenstream_configuration_delay_seconds",
+           core::seconds_of( configuration_delay.last() ) );
+    gauge( "pollenstream_configuration_delay_max_seconds",
+           core::seconds_of( configuration_delay.longest() ) );
     gauge( "pollenstream_store_known_until", registry.known_until().count() );
     gauge( "pollenstream_instances", group.size() );
     auto const now = context.scheduler.now();
--- a/apps/gateway/node_state.hpp
+++ b/apps/gateway/node_state.hpp
@@ -4,6 +4,7 @@
 #include "../../platform/store_client.hpp"
 #include <pollenstream/exchange/context.hpp>
 #include <pollenstream/exchange/placement_coordinator.hpp>
+#include <pollenstream/observation/delay_gauge.hpp>
 #include <pollenstream/observation/first_service.hpp>
 #include <pollenstream/peers/peer_group.hpp>
 #include <pollenstream/peers/placement_router.hpp>
@@ -34,6 +35,8 @@
     ready_state ready;
     /// Connections and datagrams that could not be processed.
     std::uint64_t broken_inputs{ 0 };
+    /// From the first word of a newer state to the configuration in force.
+    observation::delay_gauge configuration_delay;
 };
 
 /// The present state of an instance as indented JSON for operators.
--- a/scripts/platform_fleet.py
+++ b/scripts/platform_fleet.py
@@ -176,7 +176,8 @@
         log = open(pathlib.Path(self.fleet.folder) / f"{self.name}.log", "ab")
         self.child = subprocess.Popen(
             [str(self.fleet.build / "pollenstream-gateway"),
-             f"--settings={self.write_settings()}"],
+             f"--settings={self.write_settings()}",
+             *self.fleet.gateway_options],
             stdout=log, stderr=log, stdin=subprocess.DEVNULL)
         self.starts += 1
         self.stopping = False
@@ -203,11 +204,13 @@
     beside each other."""
 
     def __init__(self, build, seed, gateways=3, engines=4, plain=2,
-                 timeout_ms=4000, proxied=True):
+                 timeout_ms=4000, proxied=True, metrics_port=None):
         self.build = pathlib.Path(build)
         self.seed = seed
         self.net = f"127.0.{os.getpid() % 250}"
         self.proxied = proxied
+        self.gateway_options = ([f"--metrics-port={metrics_port}"]
+                                if metrics_port else [])
         self.folder = tempfile.mkdtemp(prefix="pollenstream-")
         self.ports = {name: free_port()
                       for name in ("front", "ready", "directory", "internal")}
--- a/scripts/soak_processes.py
+++ b/scripts/soak_processes.py
@@ -5,6 +5,7 @@
     scripts/soak-processes [BUILD] [--seeds=A-B] [--seconds=N] [--gateways=N]
     scripts/soak-processes BUILD --scenario=silent-engine|limits|fatal-parts [--seeds=A-B]
     scripts/soak-processes BUILD --scenario=recover [--gateways=N] [--beside=A,B]
+    scripts/soak-processes BUILD --scenario=frozen-reader [--gateways=N]
 
 Each seed draws its faults from itself; how processes interleave it cannot
 fix. Logs of a seed that fails are kept and their folder is printed. A scenario
@@ -19,6 +20,7 @@
 import signal
 import sys
 
+import frozen_reader_scenario
 import platform_check
 import recover_scenario
 from platform_fleet import Callers, PlatformFleet
@@ -608,6 +610,14 @@
     return report(seed, fleet, found, text)
 
 
+async def frozen_reader(build, seed, gateways):
+    """Instances that read the store freeze around changes."""
+    found, text, fleet = await frozen_reader_scenario.play(build, seed,
+                                                           gateways)
+    return report(seed, fleet, found, text)
+
+
+SIZED_SCENARIOS = {"frozen-reader": frozen_reader}
 SCENARIOS = {"silent-engine": silent_engine, "limits": limits,
              "fatal-parts": fatal_parts}
 
@@ -618,17 +628,23 @@
     parser.add_argument("--seeds", default="1-3")
     parser.add_argument("--seconds", type=float, default=8)
     parser.add_argument("--gateways", type=int, default=4)
-    parser.add_argument("--scenario", choices=[*SCENARIOS, "recover"])
+    parser.add_argument("--scenario",
+                        choices=[*SCENARIOS, *SIZED_SCENARIOS, "recover"])
     parser.add_argument("--beside", help="troubles of `recover`, not drawn")
     options = parser.parse_args()
     first, last = (int(x) for x in options.seeds.split("-"))
     if options.scenario:
         beside = options.beside.split(",") if options.beside else None
-        held = [asyncio.run(
-            recover(options.build, seed, options.gateways, beside)
-            if options.scenario == "recover"
-            else SCENARIOS[options.scenario](options.build, seed))
-                for seed in range(first, last + 1)]
+
+        def play(seed):
+            if options.scenario == "recover":
+                return recover(options.build, seed, options.gateways, beside)
+            if options.scenario in SIZED_SCENARIOS:
+                return SIZED_SCENARIOS[options.scenario](
+                    options.build, seed, options.gateways)
+            return SCENARIOS[options.scenario](options.build, seed)
+
+        held = [asyncio.run(play(seed)) for seed in range(first, last + 1)]
         print(f"scenario: {sum(held)} of {len(held)} seeds held")
         sys.exit(0 if all(held) else 1)
     seeds = [(seed, True) for seed in known_seeds()]
--- a/src/pollenstream/peers/peer_group.cpp
+++ b/src/pollenstream/peers/peer_group.cpp
@@ -504,6 +504,9 @@
     if ( change.is_stale )
         return false;
     auto const& p = *table_.find( message.sender );
+    latest_heard_ = std::max( latest_heard_, message.known_until );
+    if ( message.known_until > known_until_ && !behind_since_ )
+        behind_since_ = now;
     if ( change.is_restarted )
     {
         load_table_.end_all_work( message.sender, now );
--- a/src/pollenstream/peers/peer_group.hpp
+++ b/src/pollenstream/peers/peer_group.hpp
@@ -92,8 +92,9 @@
     /// without interruption.
     [[nodiscard]] auto others_served_for() const -> core::duration;
     /// Sends changes of records that this instance has read from the store to
-    /// all others.
-    auto broadcast_update( std::string update ) -> void;
+    /// all others. Of changes that are too large for a datagram it tells only
+    /// that they exist, so that the others fetch them.
+    auto share_update( std::string update ) -> void;
     /// True if this instance is to read the store: it is a coordinator, or
     /// follows in the order and the store has not answered any other instance
     /// lately.
@@ -139,6 +140,13 @@
                           std::set<core::instance_id> const& except = {} ) const
         -> peer const*;
 
+    /// When this instance first heard that another one had seen a later
+    /// revision than the one set here; nullopt if it has caught up since.
+    [[nodiscard]] auto behind_since() const -> std::optional<core::instant>
+    {
+        return behind_since_;
+    }
+
     /// Called when load that other instances caused has ended.
     std::function<void()> on_load_changed;
     /// Called with changes of records that another instance has sent.
@@ -268,6 +276,8 @@
     bool greets_new_ips_{ false };    ///< sends to each new address at once
     bool broadcast_pending_{ false }; ///< the next flush also goes to all
     ports::store_revision known_until_;
+    ports::store_revision latest_heard_; ///< from any other instance
+    std::optional<core::instant> behind_since_;
     core::duration store_age_{ 0 };
     core::duration store_served_for_{ 0 };
     /// Since when this instance is the first coordinator that the store serves.
--- a/src/pollenstream/peers/peer_group_store.cpp
+++ b/src/pollenstream/peers/peer_group_store.cpp
@@ -19,6 +19,9 @@
 /// become coordinators. This leaves time within the two seconds after which a
 /// change in the store has to be known everywhere.
 constexpr auto store_timeout = core::duration( 1200ms );
+/// Larger updates (compressed size) are not sent in datagrams, which would
+/// saturate a slow link to many instances.
+constexpr auto max_update_bytes = std::size_t{ 2'000 };
 /// Delay between two instances of the order that start to read the store.
 constexpr auto takeover_step = core::duration( 60ms );
 /// After this many steps the store is probably unreachable for all instances,
@@ -53,6 +56,8 @@
                                   core::duration served_for ) -> void
 {
     known_until_ = at;
+    if ( at >= latest_heard_ )
+        behind_since_.reset();
     store_age_ = age;
     store_served_for_ = served_for;
 }
@@ -66,10 +71,11 @@
     return longest;
 }
 
-auto peer_group::broadcast_update( std::string update ) -> void
+auto peer_group::share_update( std::string update ) -> void
 {
     auto message = base_message();
-    message.update = std::move( update );
+    if ( update.size() <= max_update_bytes )
+        message.update = std::move( update );
     send_to_all( message );
 }
 
--- a/src/pollenstream/peers/record_fetch.cpp
+++ b/src/pollenstream/peers/record_fetch.cpp
@@ -18,6 +18,8 @@
 /// answer takes some milliseconds, more where many instances ask at once.
 constexpr auto hedge_delay = core::duration( 500ms );
 constexpr auto max_open_fetches = std::size_t{ 3 };
+/// Bounds the list of fetches for logs.
+constexpr auto max_begun_listed = std::size_t{ 8 };
 
 }
 
@@ -35,6 +37,7 @@
     if ( !choose_source_( {} ) )
     {
         lagging_since_ = now;
+        begun_.clear();
         return;
     }
     if ( !may_begin( now, is_urgent ) )
@@ -65,6 +68,8 @@
     -> void
 {
     open_.push_back( { from, now } );
+    if ( begun_.size() < max_begun_listed )
+        begun_.push_back( { from, now } );
     fetch_( from,
             [this, from]
             {
--- a/src/pollenstream/peers/record_fetch.hpp
+++ b/src/pollenstream/peers/record_fetch.hpp
@@ -41,13 +41,19 @@
     /// records, so that there is no reason to wait for datagrams.
     auto update( bool is_urgent ) -> void;
 
-private:
-    struct open_fetch
+    /// A fetch that has begun.
+    struct begun_fetch
     {
         core::instance_id from;
         core::instant since;
     };
+    /// The fetches since this instance fell behind, the oldest first.
+    [[nodiscard]] auto begun() const -> std::vector<begun_fetch> const&
+    {
+        return begun_;
+    }
 
+private:
     [[nodiscard]] auto may_begin( core::instant now, bool is_urgent ) const
         -> bool;
     [[nodiscard]] auto sources_in_use() const -> instance_set;
@@ -57,7 +63,8 @@
     source choose_source_;
     transport fetch_;
     core::instant lagging_since_;
-    std::vector<open_fetch> open_; ///< the oldest first
+    std::vector<begun_fetch> open_; ///< the oldest first
+    std::vector<begun_fetch> begun_;
 };
 
 }
--- a/tests/support/record_fleet.cpp
+++ b/tests/support/record_fleet.cpp
@@ -15,6 +15,7 @@
 
 constexpr auto datagram_time = core::duration( 1ms );
 constexpr auto fetch_time = core::duration( 4ms );
+constexpr auto fetch_timeout = core::duration( 2500ms );
 constexpr auto tick_period = core::duration( 100ms );
 /// How often a watch looks for changes.
 constexpr auto watch_step = core::duration( 5ms );
@@ -91,7 +92,16 @@
              crashes,
              log ),
       watch( store, fleet.scheduler, fleet.codec, loads, log, events() ),
-      fleet_( fleet )
+      fleet_( fleet ), fetch_(
+                           fleet.scheduler,
+                           [this]( auto const& except )
+                           {
+                               return choose_source( except );
+                           },
+                           [this]( auto const& from, auto ended )
+                           {
+                               fetch_from( from, std::move( ended ) );
+                           } )
 {
     group.on_update = [this]( auto const& from, auto const& bytes )
     {
@@ -114,7 +124,10 @@
     events.on_update = [this]( auto const& update )
     {
         if ( group.should_read_store() )
-            group.broadcast_update( peers::encode_update( update ) );
+        {
+            set_store_state();
+            group.share_update( peers::encode_update( update ) );
+        }
     };
     return events;
 }
@@ -122,7 +135,8 @@
 auto record_instance::send( std::string const& to, std::string const& bytes )
     -> void
 {
-    fleet_.deliver( to, bytes );
+    if ( !is_frozen )
+        fleet_.deliver( to, bytes );
 }
 
 auto record_instance::is_drained( std::string const& data_centre ) const -> bool
@@ -134,18 +148,9 @@
 /// Decides whether to read the store, and fetches from a peer that knows more.
 auto record_instance::tick() -> void
 {
-    group.set_store_state( watch.known_until(), watch.store_age(),
-                           watch.served_for() );
+    set_store_state();
     watch.set_reader( group.should_read_store() );
-    if ( auto const* const peer =
-             group.better_informed_peer( watch.known_until() ) )
-        fleet_.after( fetch_time,
-                      [this, from = fleet_.find( peer->ip )]
-                      {
-                          watch.apply_update(
-                              from->watch.changes_after( watch.known_until() ),
-                              from->ip );
-                      } );
+    fetch_.update( false );
     tick_call_ = fleet_.scheduler.call_after( tick_period,
                                               [this]
                                               {
@@ -155,6 +160,37 @@
                                               } );
 }
 
+auto record_instance::set_store_state() -> void
+{
+    group.set_store_state( watch.known_until(), watch.store_age(),
+                           watch.served_for() );
+}
+
+auto record_instance::choose_source( std::set<core::instance_id> const& except )
+    const -> std::optional<core::instance_id>
+{
+    auto const* const p =
+        group.better_informed_peer( watch.known_until(), except );
+    return p ? std::optional( p->id ) : std::nullopt;
+}
+
+/// A frozen instance accepts the connection and does not answer.
+auto record_instance::fetch_from( core::instance_id const& id,
+                                  std::function<void()> ended ) -> void
+{
+    auto* const from = fleet_.find( group.peers().at( id ).ip );
+    fleet_.after(
+        from->is_frozen ? fetch_timeout : fetch_time,
+        [this, from, hangs = from->is_frozen, ended = std::move( ended )]
+        {
+            ended();
+            if ( !hangs )
+                watch.apply_update(
+                    from->watch.changes_after( watch.known_until() ),
+                    from->ip );
+        } );
+}
+
 auto record_instance::start() -> void
 {
     group.start();
@@ -212,12 +248,15 @@
 auto record_fleet::deliver( std::string const& to, std::string bytes ) -> void
 {
     auto* const receiver = find( to );
-    if ( receiver == nullptr )
+    auto const is_lost = std::uniform_real_distribution<double>( 0, 1 )(
+                             random_ ) < datagram_loss;
+    if ( receiver == nullptr || is_lost )
         return;
     after( datagram_time,
            [receiver, bytes = std::move( bytes )]
            {
-               receiver->group.on_datagram( bytes );
+               if ( !receiver->is_frozen )
+                   receiver->group.on_datagram( bytes );
            } );
 }
 
--- a/tests/support/record_fleet.hpp
+++ b/tests/support/record_fleet.hpp
@@ -4,6 +4,7 @@
 #include "registry_records.hpp"
 #include "support/exchange_fixture.hpp"
 #include <pollenstream/peers/peer_group.hpp>
+#include <pollenstream/peers/record_fetch.hpp>
 #include <pollenstream/registry/registry_watch.hpp>
 
 #include <cstdint>
@@ -11,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -63,6 +65,9 @@
     [[nodiscard]] auto is_drained( std::string const& data_centre ) const
         -> bool;
 
+    /// Others hear nothing of it and get no answer from it. What it knows
+    /// itself is not judged then.
+    bool is_frozen{ false };
     std::string ip;
     exchange::load_table loads;
     exchange::crash_history crashes{ std::chrono::seconds( 6 ) };
@@ -74,8 +79,15 @@
 private:
     auto events() -> pollenstream::registry::registry_events;
     auto tick() -> void;
+    auto set_store_state() -> void;
+    [[nodiscard]] auto
+    choose_source( std::set<core::instance_id> const& except ) const
+        -> std::optional<core::instance_id>;
+    auto fetch_from( core::instance_id const& id, std::function<void()> ended )
+        -> void;
 
     record_fleet& fleet_;
+    peers::record_fetch fetch_;
     std::unique_ptr<ports::scheduled_call> tick_call_;
 };
 
@@ -105,12 +117,14 @@
     pollenstream::platform::registry_records codec;
     std::vector<std::unique_ptr<record_instance>> all;
     ports::store_revision revision{ 1 };
+    double datagram_loss{ 0 }; ///< share of datagrams that do not arrive
 
 private:
     std::vector<ports::record> history_;
     std::map<std::string, record_instance*> by_ip_;
     std::map<std::int64_t, std::unique_ptr<ports::scheduled_call>> calls_;
     std::int64_t last_call_{ 0 };
+    std::minstd_rand random_{ 1 };
 };
 
 }
