--- a/src/pollenstream/adapters/asio/http_client.cpp
+++ b/src/pollenstream/adapters/asio/http_client.cpp
@@ -1,12 +1,13 @@
 #include <pollenstream/adapters/asio/arriving_body.hpp>
+#include <pollenstream/adapters/asio/connection_probe.hpp>
 #include <pollenstream/adapters/asio/http_client.hpp>
 #include <pollenstream/adapters/asio/http_text.hpp>
+#include <pollenstream/adapters/asio/reply_collector.hpp>
 #include <pollenstream/adapters/asio/socket_options.hpp>
 
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <exception>
 #include <limits>
@@ -442,82 +443,6 @@
     std::uint64_t number_;
 };
 
-/// Collects a complete answer and reports a timeout if it takes too long.
-class reply_collector : public http_listener,
-                        public std::enable_shared_from_this<reply_collector>
-{
-public:
-    reply_collector( net::io_context& io,
-                     core::bounded_text body,
-                     http_client::fetch_callback callback )
-        : timer_( io ), callback_( std::move( callback ) ),
-          body_( std::move( body ) )
-    {
-    }
-    auto limit( core::duration time,
-                std::shared_ptr<exchange::open_attempt> call ) -> void
-    {
-        if ( !callback_ )
-            return;
-        call_ = std::move( call );
-        timer_.expires_after( time );
-        timer_.async_wait(
-            [self = shared_from_this()]( error_code ec )
-            {
-                if ( !ec )
-                    self->give_up(
-                        { core::error_code::timed_out, "no answer in time" } );
-            } );
-    }
-    auto on_head( raw_head head ) -> void override
-    {
-        status_ = head.status;
-        if ( head.announced_bytes.value_or( 0 ) > body_.max_bytes() )
-            give_up( too_large() );
-    }
-    auto on_body( std::string bytes ) -> void override
-    {
-        if ( !body_.append( bytes ) )
-            give_up( too_large() );
-    }
-    auto on_end( exchange::attempt_end end ) -> void override
-    {
-        if ( end.complete )
-            finish( http_reply{ status_, body_.release() } );
-        else
-            finish( end.error );
-    }
-
-private:
-    static auto too_large() -> core::error
-    {
-        return { core::error_code::malformed, "the answer is too large" };
-    }
-
-    auto give_up( core::error why ) -> void
-    {
-        if ( !callback_ )
-            return;
-        call_->cancel();
-        finish( std::move( why ) );
-    }
-
-    auto finish( core::result<http_reply> result ) -> void
-    {
-        timer_.cancel();
-        call_.reset();
-        auto const callback = std::exchange( callback_, nullptr );
-        if ( callback )
-            callback( std::move( result ) );
-    }
-
-    net::steady_timer timer_;
-    http_client::fetch_callback callback_;
-    std::shared_ptr<exchange::open_attempt> call_;
-    int status_{ 0 };
-    core::bounded_text body_;
-};
-
 }
 
 http_client::http_client( net::io_context& io, std::size_t max_reply_memory )
@@ -581,88 +506,12 @@
     return std::make_shared<open_call>( connection, connection->call_number() );
 }
 
-namespace
-{
-
-/// A probe succeeds if the connection stays open this long. Anything else that
-/// accepts connections in place of a process that has ended closes them at
-/// once.
-constexpr auto probe_hold_time =
-    core::duration( std::chrono::milliseconds( 40 ) );
-
-/// Opens a connection to find out whether a process listens at an address.
-class connection_probe : public std::enable_shared_from_this<connection_probe>
-{
-public:
-    using done = std::function<void( std::optional<bool> )>;
-
-    connection_probe( net::io_context& io, done callback )
-        : socket_( io ), timer_( io ), callback_( std::move( callback ) )
-    {
-    }
-    auto start( core::address const& address, core::duration limit ) -> void
-    {
-        timer_.expires_after( limit );
-        timer_.async_wait(
-            [self = shared_from_this()]( error_code ec )
-            {
-                if ( !ec )
-                    self->finish( std::nullopt );
-            } );
-        socket_.async_connect( endpoint_of( address ),
-                               [self = shared_from_this()]( error_code ec )
-                               {
-                                   self->on_connected( ec );
-                               } );
-    }
-
-private:
-    auto on_connected( error_code ec ) -> void
-    {
-        auto const refused = ec == net::error::connection_refused ||
-                             ec == net::error::connection_reset;
-        if ( ec )
-            return finish( refused ? std::optional( false ) : std::nullopt );
-        timer_.expires_after( probe_hold_time );
-        timer_.async_wait(
-            [self = shared_from_this()]( error_code e )
-            {
-                if ( !e )
-                    self->finish( true );
-            } );
-        socket_.async_read_some(
-            net::buffer( unexpected_byte_ ),
-            [self = shared_from_this()]( error_code e, std::size_t )
-            {
-                self->finish( !e );
-            } );
-    }
-    auto finish( std::optional<bool> listens ) -> void
-    {
-        auto const callback = std::exchange( callback_, nullptr );
-        timer_.cancel();
-        auto ec = error_code{};
-        socket_.close( ec );
-        if ( callback )
-            callback( listens );
-    }
-
-    tcp::socket socket_;
-    net::steady_timer timer_;
-    done callback_;
-    /// The probe sends nothing, so no byte is expected.
-    std::array<char, 1> unexpected_byte_{};
-};
-
-}
-
 auto http_client::probe( core::address const& address,
                          core::duration limit,
                          std::function<void( std::optional<bool> )> callback )
     -> void
 {
-    std::make_shared<connection_probe>( io_, std::move( callback ) )
-        ->start( address, limit );
+    probe_connection( io_, address, limit, std::move( callback ) );
 }
 
 auto http_client::fetch( http_call call,
