Additional bytes behind an answer are not taken for the next answer

Cause: an answer without an attempt id was accepted for any request. Real rejections have none, and on a connection that has carried an answer they cannot be told from additional bytes behind it.

Ruled out: skipping every answer without an id (real rejections would be waited out); waiting after a rejection whether an answer follows.

Change: a request that may run once goes out on a connection that has carried no answer. On a used one, an answer without an id is accepted only as a rejection; anything else without an id is skipped.

--- a/src/pollenstream/adapters/asio/http_client.cpp
+++ b/src/pollenstream/adapters/asio/http_client.cpp
@@ -301,7 +301,8 @@
                 raw_head{ static_cast<int>( message.result_int() ),
                           fields_of( message.base() ), announced_bytes() };
             is_stray_ = head.status < min_final_status ||
-                        ( call_.accepts_head && !call_.accepts_head( head ) );
+                        ( call_.accepts_head &&
+                          !call_.accepts_head( head, position() ) );
             had_stray_ =
                 had_stray_ || ( is_stray_ && head.status >= min_final_status );
             if ( !is_stray_ )
@@ -315,6 +316,12 @@
         return listener_ != nullptr;
     }
 
+    [[nodiscard]] auto position() const -> answer_position
+    {
+        return call_number_ == 1 && !had_stray_ ? answer_position::first
+                                                : answer_position::later;
+    }
+
     [[nodiscard]] auto announced_bytes() const -> std::optional<std::uint64_t>
     {
         auto const length = parser_->content_length();
--- a/src/pollenstream/adapters/asio/http_client.hpp
+++ b/src/pollenstream/adapters/asio/http_client.hpp
@@ -27,6 +27,14 @@
     std::optional<std::uint64_t> announced_bytes; ///< its Content-Length
 };
 
+/// Whether another answer has been received on the connection before. If so,
+/// additional bytes behind that one may look like the next answer.
+enum class answer_position
+{
+    first,
+    later,
+};
+
 /// Limit on the body of a short reply, such as one to a reservation call.
 inline constexpr auto max_short_reply_bytes = std::size_t{ 64 } * 1024;
 
@@ -42,7 +50,7 @@
     core::duration silence{ std::chrono::milliseconds( 1500 ) };
     /// Returns false for an answer that belongs to another call on the
     /// connection; such an answer is skipped. Null accepts every answer.
-    std::function<bool( raw_head const& )> accepts_head;
+    std::function<bool( raw_head const&, answer_position )> accepts_head;
     /// Limit on the body if the complete answer is collected.
     std::size_t max_reply_bytes{ max_short_reply_bytes };
 };
--- a/src/pollenstream/exchange/exchange_attempts.cpp
+++ b/src/pollenstream/exchange/exchange_attempts.cpp
@@ -175,6 +175,9 @@
     out.lifetime = first.properties.lifetime;
     out.address = first.properties.address;
     out.is_get = request_.method == "GET";
+    // On a used connection, additional bytes behind an earlier answer could be
+    // taken for proof that this request has not run.
+    out.fresh_connection = !route_->is_idempotent();
     out.text = std::make_shared<std::string const>( context_.encoder.encode(
         request_, directions_for( choice, opened.reservation ) ) );
     auto call = context_.targets.send(
--- a/tests/adapters/http_client_limits_test.cpp
+++ b/tests/adapters/http_client_limits_test.cpp
@@ -87,7 +87,7 @@
         auto endless = tcp_peer( io );
         endless.answer_without_end( each.first, each.repeated );
         auto call = call_to( endless );
-        call.accepts_head = []( auto const& head )
+        call.accepts_head = []( auto const& head, auto )
         {
             return head.fields.empty() || head.fields[0].name != "X-Other";
         };
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -295,10 +295,14 @@
     auto const internal_error = platform::decode_answer( { 500, {} } );
     CHECK_FALSE( internal_error.proves_not_run );
     auto const id = exchange::attempt_id( "a" );
-    CHECK(
-        platform::answers_attempt( { 200, { { "Attempt-Id", "a" } } }, id ) );
-    CHECK_FALSE(
-        platform::answers_attempt( { 200, { { "attempt-id", "b" } } }, id ) );
+    for ( auto const position :
+          { asio::answer_position::first, asio::answer_position::later } )
+    {
+        CHECK( platform::answers_attempt(
+            { 200, { { "Attempt-Id", "a" } }, {} }, id, position ) );
+        CHECK_FALSE( platform::answers_attempt(
+            { 200, { { "attempt-id", "b" } }, {} }, id, position ) );
+    }
 }
 
 TEST_CASE( "the operators' configuration is decoded", "[platform]" )
--- a/tests/support/tcp_peer.cpp
+++ b/tests/support/tcp_peer.cpp
@@ -45,7 +45,7 @@
                 if ( ec )
                     self->is_closed = true;
                 else
-                    self->send( socket, self->first );
+                    self->send( socket, self->next_answer() );
             } );
     }
 
@@ -66,7 +66,18 @@
             } );
     }
 
+    auto next_answer() -> std::string const&
+    {
+        if ( !in_turn.empty() )
+        {
+            first = in_turn.front();
+            in_turn.erase( in_turn.begin() );
+        }
+        return first;
+    }
+
     tcp::acceptor acceptor;
+    std::vector<std::string> in_turn;
     std::array<char, 4096> received{};
     std::string first;
     std::string repeated;
@@ -91,6 +102,11 @@
     state_->first = std::move( bytes );
 }
 
+auto tcp_peer::answer_in_turn( std::vector<std::string> answers ) -> void
+{
+    state_->in_turn = std::move( answers );
+}
+
 auto tcp_peer::answer_without_end( std::string first, std::string repeated )
     -> void
 {
--- a/tests/support/tcp_peer.hpp
+++ b/tests/support/tcp_peer.hpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace tests
 {
@@ -26,7 +27,10 @@
 
     /// Each connection gets these bytes once its first bytes have arrived.
     auto answer_with( std::string bytes ) -> void;
-    /// The same, then `repeated` again and again until the other side closes.
+    /// The same with the next of these bytes each time; the last is repeated.
+    auto answer_in_turn( std::vector<std::string> answers ) -> void;
+    /// As `answer_with`, then `repeated` again and again until the other side
+    /// closes.
     auto answer_without_end( std::string first, std::string repeated ) -> void;
 
     [[nodiscard]] auto address() const -> pollenstream::core::address;
