--- a/scripts/platform_fleet.py
+++ b/scripts/platform_fleet.py
@@ -76,6 +76,8 @@
         self.silent_to = False      # nothing reaches the target
         self.silent_from = False    # nothing comes back
         self.refuse = False
+        # First bytes of an answer and those that follow without end, or None.
+        self.endless = None
         self.close_delimited = False    # answers on new connections
         self.harmed = []            # begin and end in ms: cut or silent
         self.pairs = set()
@@ -90,6 +92,8 @@
         if self.refuse:
             writer.transport.abort()
             return
+        if self.endless:
+            return await self.send_without_end(reader, writer, *self.endless)
         host, port = self.target.split(":")
         try:
             to_reader, to_writer = await asyncio.open_connection(host, int(port))
@@ -107,6 +111,20 @@
             pass    # the run is over
         self.pairs.discard(pair)
 
+    async def send_without_end(self, reader, writer, first, repeated):
+        """Answers in place of the target until the other side closes."""
+        pair = (writer,)
+        self.pairs.add(pair)
+        try:
+            await reader.read(65536)
+            writer.write(first)
+            while True:
+                writer.write(repeated)
+                await writer.drain()
+        except (OSError, asyncio.CancelledError):
+            writer.transport.abort()
+        self.pairs.discard(pair)
+
     async def pump(self, reader, writer, silent, rewritten=None):
         try:
             while True:
--- a/scripts/soak_processes.py
+++ b/scripts/soak_processes.py
@@ -3,7 +3,7 @@
 overlapping. What must hold is checked from what callers and runners saw.
 
     scripts/soak-processes [BUILD] [--seeds=A-B] [--seconds=N] [--gateways=N]
-    scripts/soak-processes BUILD --scenario=silent-engine|limits|fatal-parts [--seeds=A-B]
+    scripts/soak-processes BUILD --scenario=silent-engine|limits|fatal-parts|endless-answers [--seeds=A-B]
     scripts/soak-processes BUILD --scenario=recover [--gateways=N] [--beside=A,B]
     scripts/soak-processes BUILD --scenario=frozen-reader [--gateways=N]
 
@@ -20,6 +20,7 @@
 import signal
 import sys
 
+import endless_answers_scenario
 import frozen_reader_scenario
 import platform_check
 import recover_scenario
@@ -617,9 +618,15 @@
     return report(seed, fleet, found, text)
 
 
+async def endless_answers(build, seed):
+    """Runners whose bytes have no end."""
+    found, text, fleet = await endless_answers_scenario.play(build, seed)
+    return report(seed, fleet, found, text)
+
+
 SIZED_SCENARIOS = {"frozen-reader": frozen_reader}
 SCENARIOS = {"silent-engine": silent_engine, "limits": limits,
-             "fatal-parts": fatal_parts}
+             "fatal-parts": fatal_parts, "endless-answers": endless_answers}
 
 
 def main():
