--- a/apps/gateway/node_state.cpp
+++ b/apps/gateway/node_state.cpp
@@ -129,6 +129,26 @@
         << "pollenstream_quarantined_parts " << parts << '\n';
 }
 
+/// What became of received bytes: handlers that threw, incomplete answers, and
+/// how long the last configurations took to arrive.
+auto write_received( node_parts const& node, std::ostream& out ) -> void
+{
+    auto const& delay = node.configuration_delay;
+    out << "pollenstream_internal_errors_total{of=\"request\"} "
+        << node.context.counters.internal_errors.value() << '\n'
+        << "pollenstream_internal_errors_total{of=\"input\"} "
+        << node.broken_inputs << '\n'
+        << "# TYPE pollenstream_answer_bytes_kept gauge\n"
+        << "pollenstream_answer_bytes_kept "
+        << node.context.answer_memory->used_bytes() << '\n'
+        << "# TYPE pollenstream_configuration_delay_seconds gauge\n"
+        << "pollenstream_configuration_delay_seconds "
+        << core::seconds_of( delay.last() ) << '\n'
+        << "# TYPE pollenstream_configuration_delay_max_seconds gauge\n"
+        << "pollenstream_configuration_delay_max_seconds "
+        << core::seconds_of( delay.longest() ) << '\n';
+}
+
 /// How long this process has run, has been ready or not, and took until it
 /// served its first request. The last is missing until it has served one.
 auto write_start( node_parts const& node, std::ostream& out ) -> void
@@ -202,6 +222,7 @@
         node;
     auto out = std::ostringstream{};
     write_start( node, out );
+    write_received( node, out );
     auto const gauge = [&out]( char const* name, auto value )
     {
         out << "# TYPE " << name << " gauge\n" << name << ' ' << value << '\n';
@@ -211,10 +232,6 @@
     gauge( "pollenstream_open_requests", context.open.size() );
     gauge( "pollenstream_waiting_requests", context.queue.size() );
     gauge( "pollenstream_configuration_version", version );
-    gauge( "pollenstream_configuration_delay_seconds",
-           core::seconds_of( configuration_delay.last() ) );
-    gauge( "pollenstream_configuration_delay_max_seconds",
-           core::seconds_of( configuration_delay.longest() ) );
     gauge( "pollenstream_store_known_until", registry.known_until().count() );
     gauge( "pollenstream_instances", group.size() );
     auto const now = context.scheduler.now();
@@ -251,12 +268,6 @@
     count( "pollenstream_retries_denied_total", "", context.retries.denied() );
     count( "pollenstream_answers_ended_by_close_total", "",
            context.counters.ended_by_close.value() );
-    count( "pollenstream_internal_errors_total", "{of=\"request\"}",
-           context.counters.internal_errors.value() );
-    count( "pollenstream_internal_errors_total", "{of=\"input\"}",
-           broken_inputs );
-    gauge( "pollenstream_answer_bytes_kept",
-           context.answer_memory->used_bytes() );
     auto const& decisions = coordinator.counters();
     count( "pollenstream_decisions_total", "{decision=\"granted\"}",
            decisions.granted.value() );
--- a/src/pollenstream/core/bounded_text.hpp
+++ b/src/pollenstream/core/bounded_text.hpp
@@ -54,7 +54,7 @@
         clear();
     }
     bounded_text( bounded_text&& other ) noexcept
-        : budget_( other.budget_ ), max_bytes_( other.max_bytes_ ),
+        : budget_( std::move( other.budget_ ) ), max_bytes_( other.max_bytes_ ),
           text_( std::exchange( other.text_, {} ) )
     {
     }
@@ -63,7 +63,7 @@
         if ( this == &other )
             return *this;
         clear();
-        budget_ = other.budget_;
+        budget_ = std::move( other.budget_ );
         max_bytes_ = other.max_bytes_;
         text_ = std::exchange( other.text_, {} );
         return *this;
@@ -84,8 +84,10 @@
     /// Moves the text out and returns its bytes to the budget.
     [[nodiscard]] auto release() -> std::string
     {
-        budget_->give_back( text_.size() );
-        return std::exchange( text_, {} );
+        auto released = std::exchange( text_, {} );
+        if ( !released.empty() )
+            budget_->give_back( released.size() );
+        return released;
     }
     [[nodiscard]] auto max_bytes() const -> std::size_t
     {
@@ -93,8 +95,11 @@
     }
 
 private:
+    /// A text that has been moved from is empty and has no budget.
     auto clear() -> void
     {
+        if ( text_.empty() )
+            return;
         budget_->give_back( text_.size() );
         text_.clear();
     }
