Bodies of all requests together are bounded by the memory

Cause: nothing limited the bodies of all requests together, and each body was held twice, as received and in the text for the target, once an attempt.

Ruled out: leaving a request unread until there is memory. Callers leave a connection whose request is not read within a second, and come back after a 503.

Change: a budget of three eighths of the memory for bodies that are read or answered. A length is claimed with the head, chunks as they arrive; without memory the request is refused at once, unread, with 503, Retry-After and a line in the log. All attempts share the received body. Requests behind an open one are read ahead by 8 KiB instead of 64 KiB.

--- a/apps/gateway/caller_handler.cpp
+++ b/apps/gateway/caller_handler.cpp
@@ -2,6 +2,7 @@
 
 #include "../../platform/exchange_headers.hpp"
 #include <pollenstream/exchange/exchange.hpp>
+#include <pollenstream/exchange/own_answers.hpp>
 
 namespace pollenstream::gateway
 {
@@ -64,4 +65,29 @@
     return std::make_shared<exchange_in_progress>( std::move( started ) );
 }
 
+auto caller_handler::refuse_unread( adapters::asio::raw_request head )
+    -> exchange::whole_answer
+{
+    auto const retry_after = exchange::retry_after_no_memory(
+        context_.open.size(), context_.random );
+    auto refused = exchange::request_refused{};
+    refused.status = exchange::status_unavailable;
+    refused.reason = exchange::no_memory_reason;
+    refused.retry_after = retry_after;
+    refused.waiting = context_.queue.size();
+    auto const decoded =
+        platform::decode_request( std::move( head ), context_.scheduler.now() );
+    if ( decoded.has_value() )
+        refused.id = decoded.value().id;
+    if ( decoded.has_value() && decoded.value().prompt )
+        refused.prompt_tokens = decoded.value().prompt->prompt_tokens;
+    context_.log.record( refused );
+    context_.counters.requests.add();
+    context_.counters.refused.add();
+    return { exchange::status_unavailable,
+             { { "Content-Type", "text/plain" },
+               exchange::retry_after_header( retry_after ) },
+             refused.reason + "\n" };
+}
+
 }
--- a/apps/gateway/caller_handler.hpp
+++ b/apps/gateway/caller_handler.hpp
@@ -17,6 +17,8 @@
     auto handle( adapters::asio::raw_request request,
                  std::shared_ptr<exchange::answer_channel> answer )
         -> std::shared_ptr<adapters::asio::request_in_progress> override;
+    [[nodiscard]] auto refuse_unread( adapters::asio::raw_request head )
+        -> exchange::whole_answer override;
 
 private:
     exchange::exchange_context& context_;
--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -42,20 +42,27 @@
 constexpr auto fetch_timeout = core::duration( 2500ms );
 /// Limit on the records that are fetched from another instance, compressed.
 constexpr auto max_fetched_bytes = std::size_t{ 16 } * 1024 * 1024;
-/// Part of the process's memory that incomplete answers of targets may take,
-/// and the same for replies of the store and of other instances. Most of the
-/// memory is for the requests of callers.
-constexpr auto received_part_of_memory = 8;
+/// Eighths of the process's memory that incomplete answers of targets may take,
+/// and the same for replies of the store and of other instances.
+constexpr auto answer_eighths = 1;
+/// Eighths for the bodies of requests. The rest is for connections, for what
+/// the process knows, and for what the allocator cannot reuse.
+constexpr auto request_eighths = 3;
 /// If the settings state no limit on the memory.
 constexpr auto default_memory_mb = std::int64_t{ 256 };
 
-/// Bytes that received answers of one kind may take together.
-auto received_memory( platform::gateway_settings const& s ) -> std::size_t
+auto part_of_memory( platform::gateway_settings const& s, int eighths )
+    -> std::size_t
 {
     constexpr auto megabyte = std::int64_t{ 1024 } * 1024;
     auto const total = s.memory_mb > 0 ? s.memory_mb : default_memory_mb;
-    return static_cast<std::size_t>( total * megabyte /
-                                     received_part_of_memory );
+    return static_cast<std::size_t>( total * megabyte / 8 * eighths );
+}
+
+/// Bytes that received answers of one kind may take together.
+auto received_memory( platform::gateway_settings const& s ) -> std::size_t
+{
+    return part_of_memory( s, answer_eighths );
 }
 
 /// Time after which a target that has ended is no longer in the registry: its
@@ -96,6 +103,8 @@
       bounded_log_( log, scheduler_, max_logged_requests_per_second ),
       log_( bounded_log_ ),
       first_service_( log_, scheduler_, settings_.instance ),
+      request_memory_( std::make_shared<core::memory_budget>(
+          part_of_memory( settings_, request_eighths ) ) ),
       http_( io, received_memory( settings_ ) ),
       store_( http_, settings_.store ), target_calls_( http_ ),
       reservation_client_( http_ ),
@@ -230,11 +239,17 @@
 
 auto gateway_node::parts() const -> node_parts
 {
-    return { context_,        group_,
-             registry_,       coordinator_,
-             router_,         store_,
-             first_service_,  ready_state_,
-             broken_inputs(), configuration_delay_ };
+    return { context_,
+             group_,
+             registry_,
+             coordinator_,
+             router_,
+             store_,
+             first_service_,
+             ready_state_,
+             broken_inputs(),
+             request_memory_->used_bytes(),
+             configuration_delay_ };
 }
 
 auto gateway_node::broken_inputs() const -> std::uint64_t
@@ -302,8 +317,8 @@
 auto gateway_node::start() -> void
 {
     using adapters::asio::caller_listener;
-    callers_ = std::make_unique<caller_listener>( io_, settings_.callers,
-                                                  caller_handler_ );
+    callers_ = std::make_unique<caller_listener>(
+        io_, settings_.callers, caller_handler_, request_memory_ );
     directory_ = std::make_unique<caller_listener>( io_, settings_.directory,
                                                     directory_handler_ );
     readiness_ = std::make_unique<caller_listener>( io_, settings_.readiness,
--- a/apps/gateway/gateway_node.hpp
+++ b/apps/gateway/gateway_node.hpp
@@ -87,6 +87,8 @@
     observation::event_metrics log_;
     observation::first_service first_service_;
     observation::delay_gauge configuration_delay_;
+    /// For the bodies of callers' requests, from their first byte to their end.
+    std::shared_ptr<core::memory_budget> request_memory_;
     adapters::asio::http_client http_;
     platform::store_client store_;
     platform::registry_records records_;
--- a/apps/gateway/node_state.cpp
+++ b/apps/gateway/node_state.cpp
@@ -141,6 +141,8 @@
         << "# TYPE pollenstream_answer_bytes_kept gauge\n"
         << "pollenstream_answer_bytes_kept "
         << node.context.answer_memory->used_bytes() << '\n'
+        << "# TYPE pollenstream_request_bytes_kept gauge\n"
+        << "pollenstream_request_bytes_kept " << node.request_bytes << '\n'
         << "# TYPE pollenstream_configuration_delay_seconds gauge\n"
         << "pollenstream_configuration_delay_seconds "
         << core::seconds_of( delay.last() ) << '\n'
@@ -188,17 +190,17 @@
 
 auto describe_node( node_parts const& node ) -> std::string
 {
-    auto const& [context, group, registry, coordinator, router, store,
-                 first_service, ready, broken_inputs, configuration_delay] =
-        node;
+    auto const& context = node.context;
+    auto const& group = node.group;
+    auto const& registry = node.registry;
     auto const version =
         context.configuration ? context.configuration->version.count() : 0;
-    auto const served = first_service.served_after();
+    auto const served = node.first_service.served_after();
     auto const state =
         json{ { "instance", context.self.str() },
               { "configuration", version },
               { "stopping", context.stop.has_value() },
-              { "ready", ready.is_ready },
+              { "ready", node.ready.is_ready },
               { "first_served_ms",
                 served ? json( core::milliseconds_of( *served ) ) : json() },
               { "open_requests", context.open.size() },
@@ -217,9 +219,10 @@
 
 auto node_metrics( node_parts const& node ) -> std::string
 {
-    auto const& [context, group, registry, coordinator, router, store,
-                 first_service, ready, broken_inputs, configuration_delay] =
-        node;
+    auto const& context = node.context;
+    auto const& group = node.group;
+    auto const& registry = node.registry;
+    auto const& coordinator = node.coordinator;
     auto out = std::ostringstream{};
     write_start( node, out );
     write_received( node, out );
@@ -254,7 +257,7 @@
     {
         out << name << labels << ' ' << value << '\n';
     };
-    auto const& routed = router.counters();
+    auto const& routed = node.router.counters();
     count( "pollenstream_asks_total", "{to=\"others\"}",
            routed.sent_to_others.value() );
     count( "pollenstream_asks_total", "{to=\"self\"}",
@@ -290,7 +293,7 @@
         auto const kind = static_cast<platform::store_call>( i );
         count( "pollenstream_store_calls_total",
                std::string( "{kind=\"" ) + name_of( kind ) + "\"}",
-               store.calls( kind ) );
+               node.store.calls( kind ) );
     }
     return out.str();
 }
--- a/apps/gateway/node_state.hpp
+++ b/apps/gateway/node_state.hpp
@@ -35,6 +35,7 @@
     ready_state ready;
     /// Connections and datagrams that could not be processed.
     std::uint64_t broken_inputs{ 0 };
+    std::size_t request_bytes{ 0 }; ///< of the bodies of open requests
     /// From the first word of a newer state to the configuration in force.
     observation::delay_gauge configuration_delay;
 };
--- a/scripts/soak_processes.py
+++ b/scripts/soak_processes.py
@@ -3,7 +3,7 @@
 overlapping. What must hold is checked from what callers and runners saw.
 
     scripts/soak-processes [BUILD] [--seeds=A-B] [--seconds=N] [--gateways=N]
-    scripts/soak-processes BUILD --scenario=silent-engine|limits|fatal-parts|endless-answers [--seeds=A-B]
+    scripts/soak-processes BUILD --scenario=silent-engine|limits|fatal-parts|endless-answers|long-prompts [--seeds=A-B]
     scripts/soak-processes BUILD --scenario=recover [--gateways=N] [--beside=A,B]
     scripts/soak-processes BUILD --scenario=frozen-reader [--gateways=N]
 
@@ -22,6 +22,7 @@
 
 import endless_answers_scenario
 import frozen_reader_scenario
+import long_prompts_scenario
 import platform_check
 import recover_scenario
 from platform_fleet import Callers, PlatformFleet
@@ -624,9 +625,16 @@
     return report(seed, fleet, found, text)
 
 
+async def long_prompts(build, seed):
+    """More long prompts at once than there is memory for."""
+    found, text, fleet = await long_prompts_scenario.play(build, seed)
+    return report(seed, fleet, found, text)
+
+
 SIZED_SCENARIOS = {"frozen-reader": frozen_reader}
 SCENARIOS = {"silent-engine": silent_engine, "limits": limits,
-             "fatal-parts": fatal_parts, "endless-answers": endless_answers}
+             "fatal-parts": fatal_parts, "endless-answers": endless_answers,
+             "long-prompts": long_prompts}
 
 
 def main():
--- a/src/pollenstream/adapters/asio/caller_connection.cpp
+++ b/src/pollenstream/adapters/asio/caller_connection.cpp
@@ -15,7 +15,7 @@
 constexpr auto read_size = std::size_t{ 8 } * 1024;
 /// Reading pauses while a request is being answered and more than this many
 /// bytes of pipelined requests are buffered.
-constexpr auto max_read_ahead = std::size_t{ 64 } * 1024;
+constexpr auto max_read_ahead = read_size;
 /// A connection whose caller acknowledges nothing for this long is closed.
 constexpr auto caller_ack_timeout = core::duration( 4s );
 /// How long a connection that is closed for writing waits for the caller to
@@ -107,6 +107,10 @@
     parser_->header_limit(
         static_cast<std::uint32_t>( limits_.max_header_bytes ) );
     parser_->body_limit( limits_.max_body_bytes );
+    body_memory_ =
+        owner_.body_memory_
+            ? std::make_shared<core::memory_claim>( owner_.body_memory_ )
+            : nullptr;
     start_timer( limits_.idle_timeout );
 }
 
@@ -180,6 +184,8 @@
         }
         if ( phase_ == phase::head && parser_->is_header_done() && !on_head() )
             break;
+        if ( !claim_body_memory( parser_->get().body().size() ) )
+            break;
         if ( parser_->is_done() )
             on_request();
         else if ( ec == http::error::need_more || used == 0 )
@@ -205,6 +211,11 @@
         refuse( not_implemented, "transfer coding" );
         return false;
     }
+    // What is announced is claimed at once, so that a body that would not fit
+    // is not read in part.
+    if ( !claim_body_memory( static_cast<std::size_t>(
+             parser_->content_length().value_or( 0 ) ) ) )
+        return false;
     auto const expect = head[http::field::expect];
     if ( expect.empty() )
         return true;
@@ -218,19 +229,39 @@
     return true;
 }
 
-auto caller_connection::on_request() -> void
+/// Claims memory for `bytes` of the body in all; returns false, and refuses the
+/// request, if there is none.
+auto caller_connection::claim_body_memory( std::size_t bytes ) -> bool
 {
-    phase_ = phase::answering;
-    timer_.cancel();
-    auto& message = parser_->get();
-    request_keeps_alive_ = message.keep_alive();
-    auto request = raw_request{};
+    if ( !body_memory_ || body_memory_->grow_to( bytes ) )
+        return true;
+    parser_->get().body() = {};
+    body_memory_->give_back();
+    refuse( owner_.handler_.refuse_unread( take_head() ) );
+    return false;
+}
+
+auto caller_connection::take_head() -> raw_request
+{
+    auto const& message = parser_->get();
     auto const method = message.method_string();
     auto const target = message.target();
+    auto request = raw_request{};
     request.method.assign( method.data(), method.size() );
     request.target.assign( target.data(), target.size() );
     request.fields = fields_of( message.base() );
-    request.body = std::move( message.body() );
+    return request;
+}
+
+auto caller_connection::on_request() -> void
+{
+    phase_ = phase::answering;
+    timer_.cancel();
+    auto& message = parser_->get();
+    request_keeps_alive_ = message.keep_alive();
+    auto request = take_head();
+    request.body = std::exchange( message.body(), {} );
+    request.body_memory = std::exchange( body_memory_, nullptr );
     auto const number = number_;
     auto progress = owner_.handler_.handle(
         std::move( request ),
@@ -240,10 +271,17 @@
 }
 
 auto caller_connection::refuse( int status, std::string const& reason ) -> void
+{
+    refuse( { status, {}, reason + "\n" } );
+}
+
+/// Answers a request that is not read to its end, so that the connection cannot
+/// carry another one.
+auto caller_connection::refuse( exchange::whole_answer const& answer ) -> void
 {
     phase_ = phase::answering;
     request_keeps_alive_ = false;
-    send_whole( number_, { status, {}, reason + "\n" } );
+    send_whole( number_, answer );
 }
 
 auto caller_connection::start_timer( core::duration time ) -> void
--- a/src/pollenstream/adapters/asio/caller_connection.hpp
+++ b/src/pollenstream/adapters/asio/caller_connection.hpp
@@ -63,8 +63,11 @@
     auto parse_buffered() -> void;
     auto start_request() -> void;
     auto on_head() -> bool;
+    auto claim_body_memory( std::size_t bytes ) -> bool;
+    auto take_head() -> raw_request;
     auto on_request() -> void;
     auto refuse( int status, std::string const& reason ) -> void;
+    auto refuse( exchange::whole_answer const& answer ) -> void;
     auto start_timer( core::duration time ) -> void;
     auto on_timeout() -> void;
     auto is_current( std::uint64_t number ) const -> bool;
@@ -83,6 +86,8 @@
     exchange::caller_limits limits_;
     phase phase_{ phase::idle };
     std::uint64_t number_{ 0 };
+    /// Of the request that is being read; null without a budget.
+    std::shared_ptr<core::memory_claim> body_memory_;
     std::shared_ptr<request_in_progress> request_;
     bool request_keeps_alive_{ true };
     bool reading_{ false };
--- a/src/pollenstream/adapters/asio/caller_listener.cpp
+++ b/src/pollenstream/adapters/asio/caller_listener.cpp
@@ -2,6 +2,7 @@
 #include <pollenstream/adapters/asio/caller_listener.hpp>
 #include <pollenstream/adapters/asio/socket_options.hpp>
 
+#include <utility>
 #include <vector>
 
 namespace pollenstream::adapters::asio
@@ -15,14 +16,23 @@
 /// Delay after a failed accept, which usually means that the process has no
 /// free file descriptors.
 constexpr auto accept_retry_delay = core::duration( 20ms );
+constexpr auto status_unavailable = 503;
 
 }
 
-caller_listener::caller_listener( net::io_context& io,
-                                  core::address const& at,
-                                  request_handler& handler )
-    : io_( io ), handler_( handler ), acceptor_( io, endpoint_of( at ), true ),
-      accept_retry_timer_( io )
+auto request_handler::refuse_unread( raw_request /*head*/ )
+    -> exchange::whole_answer
+{
+    return { status_unavailable, {}, "no memory\n" };
+}
+
+caller_listener::caller_listener(
+    net::io_context& io,
+    core::address const& at,
+    request_handler& handler,
+    std::shared_ptr<core::memory_budget> body_memory )
+    : io_( io ), handler_( handler ), body_memory_( std::move( body_memory ) ),
+      acceptor_( io, endpoint_of( at ), true ), accept_retry_timer_( io )
 {
     accept();
 }
--- a/src/pollenstream/adapters/asio/caller_listener.hpp
+++ b/src/pollenstream/adapters/asio/caller_listener.hpp
@@ -4,6 +4,7 @@
 #include <pollenstream/adapters/asio/prelude.hpp>
 #include <pollenstream/core/address.hpp>
 #include <pollenstream/core/counter.hpp>
+#include <pollenstream/core/memory_budget.hpp>
 #include <pollenstream/core/units.hpp>
 #include <pollenstream/exchange/message.hpp>
 #include <pollenstream/exchange/routes.hpp>
@@ -23,6 +24,8 @@
     std::string target;
     exchange::header_list fields;
     std::string body;
+    /// The memory that the body takes; null where no budget limits it.
+    std::shared_ptr<core::memory_claim> body_memory;
 };
 
 /// A request that is being answered.
@@ -44,6 +47,10 @@
     virtual auto handle( raw_request request,
                          std::shared_ptr<exchange::answer_channel> answer )
         -> std::shared_ptr<request_in_progress> = 0;
+    /// Answers a request whose body is not read as it finds no memory. `head`
+    /// has no body.
+    [[nodiscard]] virtual auto refuse_unread( raw_request head )
+        -> exchange::whole_answer;
 };
 
 class caller_connection;
@@ -53,10 +60,13 @@
 class caller_listener
 {
 public:
-    /// Throws `boost::system::system_error` if the address is in use.
+    /// `body_memory`: for the bodies of all requests that are being read or
+    /// answered; null if the handler's limits on one request suffice. Throws
+    /// `boost::system::system_error` if the address is in use.
     caller_listener( net::io_context& io,
                      core::address const& at,
-                     request_handler& handler );
+                     request_handler& handler,
+                     std::shared_ptr<core::memory_budget> body_memory = {} );
     ~caller_listener();
     caller_listener( caller_listener const& ) = delete;
     auto operator=( caller_listener const& ) -> caller_listener& = delete;
@@ -88,6 +98,7 @@
 
     net::io_context& io_;
     request_handler& handler_;
+    std::shared_ptr<core::memory_budget> body_memory_;
     tcp::acceptor acceptor_;
     net::steady_timer accept_retry_timer_;
     std::set<std::shared_ptr<caller_connection>> connections_;
--- a/src/pollenstream/adapters/asio/http_client.cpp
+++ b/src/pollenstream/adapters/asio/http_client.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <exception>
 #include <limits>
@@ -179,9 +180,13 @@
     auto write() -> void
     {
         sent_ = true;
-        net::async_write( socket_, net::buffer( *call_.text ),
-                          [self = shared_from_this(),
-                           text = call_.text]( error_code ec, std::size_t )
+        auto bytes = std::array<net::const_buffer, 2>{};
+        bytes[0] = net::buffer( *call_.text );
+        if ( call_.body )
+            bytes[1] = net::buffer( *call_.body );
+        net::async_write( socket_, bytes,
+                          [self = shared_from_this(), text = call_.text,
+                           body = call_.body]( error_code ec, std::size_t )
                           {
                               if ( !ec )
                                   self->written_ = true;
--- a/src/pollenstream/adapters/asio/http_client.hpp
+++ b/src/pollenstream/adapters/asio/http_client.hpp
@@ -43,7 +43,8 @@
 {
     core::address address;
     std::string pool; ///< connections are reused only within a pool
-    std::shared_ptr<std::string const> text;
+    std::shared_ptr<std::string const> text; ///< the head, or all of it
+    std::shared_ptr<std::string const> body; ///< follows `text`; may be null
     bool fresh_connection{ false };
     core::duration connect_time{ std::chrono::milliseconds( 400 ) };
     /// The connection ends if sent data stays unacknowledged for this long.
--- a/src/pollenstream/adapters/asio/http_text.cpp
+++ b/src/pollenstream/adapters/asio/http_text.cpp
@@ -1,6 +1,5 @@
 #include <pollenstream/adapters/asio/http_text.hpp>
 
-#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
 
 namespace pollenstream::adapters::asio
@@ -11,32 +10,24 @@
 
 constexpr auto http_1_1 = 11U;
 
-template <bool IsRequest, class Body>
-auto serialize( http::message<IsRequest, Body> const& message, bool head_only )
+template <bool IsRequest>
+auto serialize_head( http::message<IsRequest, http::empty_body> const& message )
     -> std::string
 {
     auto text = std::string{};
-    auto serializer = http::serializer<IsRequest, Body>( message );
-    serializer.split( head_only );
+    auto serializer = http::serializer<IsRequest, http::empty_body>( message );
+    serializer.split( true );
     auto ec = error_code{};
-    while ( !serializer.is_done() )
+    while ( !ec && !serializer.is_header_done() )
     {
         serializer.next( ec,
                          [&]( auto&, auto const& buffers )
                          {
-                             auto size = std::size_t{ 0 };
-                             for ( auto const b :
-                                   boost::beast::buffers_range_ref( buffers ) )
-                             {
-                                 text.append(
-                                     static_cast<char const*>( b.data() ),
-                                     b.size() );
-                                 size += b.size();
-                             }
-                             serializer.consume( size );
+                             auto const head =
+                                 boost::beast::buffers_to_string( buffers );
+                             text += head;
+                             serializer.consume( head.size() );
                          } );
-        if ( ec || ( head_only && serializer.is_header_done() ) )
-            break;
     }
     return text;
 }
@@ -63,15 +54,16 @@
 auto write_answer( exchange::whole_answer const& answer, bool keep_alive )
     -> std::string
 {
-    auto message = http::response<http::string_body>{};
+    auto message = http::response<http::empty_body>{};
     message.version( http_1_1 );
     message.result( static_cast<unsigned>( answer.status ) );
     add_fields( message, answer.headers );
-    message.body() = answer.body;
     message.content_length( answer.body.size() );
     if ( !keep_alive )
         message.set( http::field::connection, "close" );
-    return serialize( message, false );
+    auto text = serialize_head( message );
+    text += answer.body;
+    return text;
 }
 
 auto write_stream_head( int status,
@@ -85,7 +77,7 @@
     message.chunked( true );
     if ( !keep_alive )
         message.set( http::field::connection, "close" );
-    return serialize( message, true );
+    return serialize_head( message );
 }
 
 auto write_chunk( std::string_view bytes ) -> std::string
@@ -99,22 +91,31 @@
     return boost::beast::buffers_to_string( http::make_chunk_last() );
 }
 
-auto write_request( std::string_view method,
-                    std::string_view target,
-                    exchange::header_list const& headers,
-                    std::string_view body ) -> std::string
+auto write_request_head( std::string_view method,
+                         std::string_view target,
+                         exchange::header_list const& headers,
+                         std::size_t body_size ) -> std::string
 {
-    auto message = http::request<http::string_body>{};
+    auto message = http::request<http::empty_body>{};
     message.version( http_1_1 );
     message.method_string( { method.data(), method.size() } );
     message.target( { target.data(), target.size() } );
     add_fields( message, headers );
-    message.body().assign( body );
     auto const may_lack_body = method == "GET" || method == "HEAD" ||
                                method == "DELETE" || method == "OPTIONS";
-    if ( !body.empty() || !may_lack_body )
-        message.content_length( body.size() );
-    return serialize( message, false );
+    if ( body_size > 0 || !may_lack_body )
+        message.content_length( body_size );
+    return serialize_head( message );
+}
+
+auto write_request( std::string_view method,
+                    std::string_view target,
+                    exchange::header_list const& headers,
+                    std::string_view body ) -> std::string
+{
+    auto text = write_request_head( method, target, headers, body.size() );
+    text += body;
+    return text;
 }
 
 }
--- a/src/pollenstream/adapters/asio/http_text.hpp
+++ b/src/pollenstream/adapters/asio/http_text.hpp
@@ -26,8 +26,13 @@
                         bool keep_alive ) -> std::string;
 auto write_chunk( std::string_view bytes ) -> std::string;
 auto write_last_chunk() -> std::string;
-/// Serializes a complete request. Adds a Content-Length unless the body is
+/// Serializes the head of a request. Adds a Content-Length unless the body is
 /// empty and the method is GET, HEAD, DELETE or OPTIONS.
+auto write_request_head( std::string_view method,
+                         std::string_view target,
+                         exchange::header_list const& headers,
+                         std::size_t body_size ) -> std::string;
+/// Serializes a complete request.
 auto write_request( std::string_view method,
                     std::string_view target,
                     exchange::header_list const& headers,
--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -38,13 +38,6 @@
 constexpr auto status_unauthorized = 401;
 constexpr auto status_not_found = 404;
 
-auto retry_after_header( core::duration d ) -> header_field
-{
-    auto text = std::to_string( core::seconds_of( d ) );
-    constexpr auto digits = std::size_t{ 4 };
-    return { "Retry-After", text.substr( 0, text.find( '.' ) + digits ) };
-}
-
 }
 
 exchange::exchange( exchange_context& context,
--- a/src/pollenstream/exchange/exchange_attempts.cpp
+++ b/src/pollenstream/exchange/exchange_attempts.cpp
@@ -178,8 +178,11 @@
     // On a used connection, additional bytes behind an earlier answer could be
     // taken for proof that this request has not run.
     out.fresh_connection = !route_->is_idempotent();
-    out.text = std::make_shared<std::string const>( context_.encoder.encode(
-        request_, directions_for( choice, opened.reservation ) ) );
+    out.head =
+        std::make_shared<std::string const>( context_.encoder.encode_head(
+            request_, directions_for( choice, opened.reservation ) ) );
+    // All attempts send the one body, which lives as long as this object.
+    out.body = { shared_from_this(), &request_.body };
     auto call = context_.targets.send(
         std::move( out ),
         std::make_shared<attempt_handler>( shared_from_this(), serial ) );
--- a/src/pollenstream/exchange/message.hpp
+++ b/src/pollenstream/exchange/message.hpp
@@ -4,6 +4,7 @@
 #include <pollenstream/core/address.hpp>
 #include <pollenstream/core/error.hpp>
 #include <pollenstream/core/ids.hpp>
+#include <pollenstream/core/memory_budget.hpp>
 #include <pollenstream/core/units.hpp>
 
 #include <cstdint>
@@ -57,6 +58,8 @@
     std::string key;     ///< the caller's API key, never forwarded
     header_list headers; ///< end-to-end headers, forwarded unchanged
     std::string body;
+    /// The memory that the body takes; null where no budget limits it.
+    std::shared_ptr<core::memory_claim> body_memory;
     std::optional<core::duration> time_limit;
     std::optional<std::int64_t> last_event; ///< last one the caller received
     std::optional<prompt_properties> prompt;
@@ -133,7 +136,8 @@
     core::target_id target;
     core::target_lifetime lifetime; ///< connections to earlier ones are closed
     core::address address;
-    std::shared_ptr<std::string const> text; ///< encoded head and body
+    std::shared_ptr<std::string const> head; ///< encoded
+    std::shared_ptr<std::string const> body; ///< as the caller sent it
     bool fresh_connection{ false };          ///< do not reuse a connection
     bool is_get{ false };
 };
@@ -217,9 +221,10 @@
 {
 public:
     virtual ~request_encoder() = default;
+    /// The head that precedes the request's body.
     [[nodiscard]] virtual auto
-    encode( caller_request const& request,
-            target_directions const& directions ) const -> std::string = 0;
+    encode_head( caller_request const& request,
+                 target_directions const& directions ) const -> std::string = 0;
 };
 
 }
--- a/src/pollenstream/exchange/own_answers.cpp
+++ b/src/pollenstream/exchange/own_answers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <string>
 
 namespace pollenstream::exchange
 {
@@ -30,6 +31,13 @@
 
 }
 
+auto retry_after_header( core::duration time ) -> header_field
+{
+    auto text = std::to_string( core::seconds_of( time ) );
+    constexpr auto digits = std::size_t{ 4 };
+    return { "Retry-After", text.substr( 0, text.find( '.' ) + digits ) };
+}
+
 auto retry_after_quarantined( core::duration until_trial )
     -> std::optional<core::duration>
 {
@@ -51,4 +59,10 @@
            core::duration( spread );
 }
 
+auto retry_after_no_memory( std::size_t open, std::minstd_rand& random )
+    -> core::duration
+{
+    return retry_after_no_capacity( open, core::duration( 0 ), random );
+}
+
 }
--- a/src/pollenstream/exchange/own_answers.hpp
+++ b/src/pollenstream/exchange/own_answers.hpp
@@ -2,6 +2,7 @@
 #define POLLENSTREAM_EXCHANGE_OWN_ANSWERS_HPP
 
 #include <pollenstream/core/units.hpp>
+#include <pollenstream/exchange/message.hpp>
 
 #include <chrono>
 #include <cstddef>
@@ -37,10 +38,15 @@
 inline constexpr auto limited_reason = "limited";
 /// Reason for refusing a request whose content crashes targets.
 inline constexpr auto quarantined_reason = "quarantined";
+/// Reason for refusing a request whose body finds no memory.
+inline constexpr auto no_memory_reason = "no_memory";
 inline constexpr auto status_bad_gateway = 502;
 inline constexpr auto status_unavailable = 503;
 inline constexpr auto status_gateway_timeout = 504;
 
+/// The header field for a Retry-After of `time`.
+auto retry_after_header( core::duration time ) -> header_field;
+
 /// Retry-After of a quarantined request: when the next trial of the quarantine
 /// has probably been answered. `until_trial`: time until that trial may begin.
 /// Nullopt if it is too far away to invite the caller.
@@ -56,6 +62,12 @@
                               core::duration shortest_prefill,
                               std::minstd_rand& random ) -> core::duration;
 
+/// Retry-After of a request whose body finds no memory beside the `open`
+/// requests; memory becomes free as they end. A random part spreads the return
+/// of requests that are refused together.
+auto retry_after_no_memory( std::size_t open, std::minstd_rand& random )
+    -> core::duration;
+
 }
 
 #endif
--- a/tests/exchange/answer_without_digest_test.cpp
+++ b/tests/exchange/answer_without_digest_test.cpp
@@ -30,7 +30,7 @@
         CHECK( f.answer->stream.empty() );
         CHECK( first.cancelled );
         REQUIRE( f.targets.all.size() == 2 );
-        CHECK( f.targets.all[1]->request.text->find( "after" ) ==
+        CHECK( f.targets.all[1]->request.head->find( "after" ) ==
                std::string::npos );
         f.targets.all[1]->head( 200 );
         f.targets.all[1]->event( 1 );
--- a/tests/exchange/close_delimited_test.cpp
+++ b/tests/exchange/close_delimited_test.cpp
@@ -83,7 +83,7 @@
         REQUIRE( f.targets.all.size() == 1 );
         cut( *f.targets.all[0] );
         REQUIRE( f.targets.all.size() == 2 );
-        CHECK( f.targets.all[1]->request.text->find( "after 1" ) !=
+        CHECK( f.targets.all[1]->request.head->find( "after 1" ) !=
                std::string::npos );
         f.targets.all[1]->head( 200 );
         f.targets.all[1]->event( 2 );
--- a/tests/exchange/drained_test.cpp
+++ b/tests/exchange/drained_test.cpp
@@ -72,7 +72,7 @@
         auto const& helper =
             f.loads.find( core::target_id( id ) )->properties.address;
         for ( auto const& sent : f.targets.all )
-            CHECK( sent->request.text->find( core::to_string( helper ) ) ==
+            CHECK( sent->request.head->find( core::to_string( helper ) ) ==
                    std::string::npos );
     }
     for ( auto const& sent : std::vector( f.targets.all ) )
@@ -105,7 +105,7 @@
         f.scheduler.run( 50ms );
         REQUIRE( f.targets.all.size() == 2 );
         CHECK( number_at( f, "m3" ) == 1 );
-        CHECK( f.targets.all[1]->request.text->find( "after 1" ) !=
+        CHECK( f.targets.all[1]->request.head->find( "after 1" ) !=
                std::string::npos );
         f.targets.all[1]->answer( 200, "" );
     }
--- a/tests/exchange/exchange_test.cpp
+++ b/tests/exchange/exchange_test.cpp
@@ -11,7 +11,7 @@
     auto f = exchange_fixture{};
     f.start( f.request( "/safe/x?y=1" ) );
     REQUIRE( f.targets.all.size() == 1 );
-    CHECK( f.targets.all[0]->request.text->find( "POST /safe/x?y=1 " ) == 0 );
+    CHECK( f.targets.all[0]->request.head->find( "POST /safe/x?y=1 " ) == 0 );
     f.targets.all[0]->answer( 200, "body" );
     CHECK( f.answer->whole.status == 200 );
     CHECK( f.answer->whole.body == "body" );
@@ -27,7 +27,7 @@
     {
         auto const open = f.start( f.request( "/safe/x" ) );
         REQUIRE( f.targets.all.size() == 1 );
-        CHECK( f.targets.all[0]->request.text->find( "for ws" ) !=
+        CHECK( f.targets.all[0]->request.head->find( "for ws" ) !=
                std::string::npos );
         open->on_caller_gone();
     }
@@ -233,7 +233,7 @@
     first.listener->on_body( "id: 3\nda" );
     first.lose();
     REQUIRE( f.targets.all.size() == 2 );
-    CHECK( f.targets.all[1]->request.text->find( "after 2" ) !=
+    CHECK( f.targets.all[1]->request.head->find( "after 2" ) !=
            std::string::npos );
     auto& second = *f.targets.all[1];
     second.head( 200 );
--- a/tests/exchange/handler_exception_test.cpp
+++ b/tests/exchange/handler_exception_test.cpp
@@ -26,8 +26,8 @@
 class throwing_encoder : public exchange::request_encoder
 {
 public:
-    [[nodiscard]] auto encode( exchange::caller_request const&,
-                               exchange::target_directions const& ) const
+    [[nodiscard]] auto encode_head( exchange::caller_request const&,
+                                    exchange::target_directions const& ) const
         -> std::string override
     {
         throw std::bad_alloc();
--- a/tests/exchange/reservation_test.cpp
+++ b/tests/exchange/reservation_test.cpp
@@ -52,7 +52,7 @@
     {
         tokens += call.place.tokens;
         CHECK( call.place.tokens < 450'000 );
-        CHECK( f.targets.all[0]->request.text->find( "/" + call.id.str() ) !=
+        CHECK( f.targets.all[0]->request.head->find( "/" + call.id.str() ) !=
                std::string::npos );
     }
     CHECK( tokens >= 501'000 );
--- a/tests/exchange/silent_target_test.cpp
+++ b/tests/exchange/silent_target_test.cpp
@@ -112,7 +112,7 @@
     s.grant( "m2" );
     REQUIRE( s.f.targets.all.size() == 2 );
     auto& second = *s.f.targets.all[1];
-    CHECK( second.request.text->find( "after 2" ) != std::string::npos );
+    CHECK( second.request.head->find( "after 2" ) != std::string::npos );
     CHECK_FALSE( s.first().cancelled );
     SECTION( "the silent target is first" )
     {
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -152,7 +152,7 @@
     directions.last_event = 14;
     directions.helpers = { { { "10.0.0.1", 80 }, core::reservation_id( "t" ) },
                            { { "10.0.0.2", 80 }, {} } };
-    auto const text = platform::header_encoder().encode( r, directions );
+    auto const text = platform::header_encoder().encode_head( r, directions );
     CHECK( text.starts_with( "POST /a/b?c=d HTTP/1.1\r\n" ) );
     CHECK( value_of( text, "Attempt-Id" ) == "id1" );
     CHECK( value_of( text, "Token-Usage" ) == "1460,80" );
@@ -161,7 +161,9 @@
     CHECK( value_of( text, "Expect-Instance" ) == "i-1" );
     CHECK( value_of( text, "Last-Event-Id" ) == "14" );
     CHECK( value_of( text, "Helpers" ) == "10.0.0.1:80/t,10.0.0.2:80" );
-    CHECK( text.ends_with( "\r\n\r\nbody" ) );
+    CHECK( value_of( text, "Content-Length" ) == "4" );
+    CHECK( text.ends_with( "\r\n\r\n" ) );
+    CHECK( r.body == "body" );
 }
 
 TEST_CASE( "headers that only the system may set are dropped from requests",
@@ -187,7 +189,7 @@
     directions.time_left = 1s;
     directions.workspace = core::workspace_id( "ws" );
     auto const text =
-        platform::header_encoder().encode( decoded.value(), directions );
+        platform::header_encoder().encode_head( decoded.value(), directions );
     CHECK( text.find( "secret" ) == std::string::npos );
     CHECK( text.find( "other" ) == std::string::npos );
     CHECK( text.find( "again" ) == std::string::npos );
--- a/tests/platform/additional_bytes_test.cpp
+++ b/tests/platform/additional_bytes_test.cpp
@@ -59,7 +59,7 @@
         request.target = core::target_id( "t" );
         request.address = server.address();
         request.fresh_connection = fresh;
-        request.text =
+        request.head =
             std::make_shared<std::string const>( "GET / HTTP/1.1\r\n\r\n" );
         auto const answer = std::make_shared<received_answer>();
         calls.send( std::move( request ), answer );
--- a/tests/support/exchange_fixture.hpp
+++ b/tests/support/exchange_fixture.hpp
@@ -177,8 +177,8 @@
 {
 public:
     [[nodiscard]] auto
-    encode( exchange::caller_request const& request,
-            exchange::target_directions const& directions ) const
+    encode_head( exchange::caller_request const& request,
+                 exchange::target_directions const& directions ) const
         -> std::string override
     {
         auto text = request.method + " " + request.target + " to " +
--- a/tests/support/exchange_fleet.cpp
+++ b/tests/support/exchange_fleet.cpp
@@ -51,8 +51,8 @@
 {
 public:
     [[nodiscard]] auto
-    encode( exchange::caller_request const& request,
-            exchange::target_directions const& directions ) const
+    encode_head( exchange::caller_request const& request,
+                 exchange::target_directions const& directions ) const
         -> std::string override
     {
         auto const last = directions.last_event.value_or( 0 );
@@ -318,7 +318,7 @@
     -> std::shared_ptr<exchange::open_attempt>
 {
     auto const started = std::make_shared<run>(
-        *this, instance, request.target, *request.text, std::move( listener ) );
+        *this, instance, request.target, *request.head, std::move( listener ) );
     auto const found = targets_.find( request.target );
     if ( found == targets_.end() )
     {
--- a/tests/support/simulated_engines.cpp
+++ b/tests/support/simulated_engines.cpp
@@ -38,7 +38,7 @@
 
 }
 
-auto sized_encoder::encode(
+auto sized_encoder::encode_head(
     exchange::caller_request const& request,
     exchange::target_directions const& directions ) const -> std::string
 {
@@ -124,7 +124,7 @@
     std::shared_ptr<exchange::attempt_listener> listener )
     -> std::shared_ptr<exchange::open_attempt>
 {
-    auto text = std::istringstream( *request.text );
+    auto text = std::istringstream( *request.head );
     auto tokens = std::int64_t{ 0 };
     text >> tokens;
     sent.push_back( tokens );
