A renewal that is carried out late holds no memory of an ended request

Cause: an engine may carry out a call that it has not answered seconds later, after newer calls. A renewal that comes after the release reserves the memory again for 3.5 s, and nothing releases it.

Ruled out: shorter hold times, which cut off requests whose instance freezes.

Change: where a call that reserves or renews was not answered, the release is repeated each second until 12 s after that call.

--- a/src/pollenstream/exchange/reservation.cpp
+++ b/src/pollenstream/exchange/reservation.cpp
@@ -23,6 +23,22 @@
 /// Attempts at a release before the reservation is left to expire.
 constexpr auto max_release_attempts = 3;
 constexpr auto release_retry_delay = core::duration( 300ms );
+/// A target carries out a call that it has not answered at most this much
+/// later.
+constexpr auto longest_call_delay = core::duration( 12s );
+/// Time between releases that are repeated because of late calls. With a
+/// release that is lost it is still less than the 2 s from which operators
+/// count memory without a request.
+constexpr auto repeated_release_period = core::duration( 1s );
+
+/// True if the target may have received the call and may not have carried it
+/// out yet.
+auto may_be_carried_out_late( core::result<void> const& status ) -> bool
+{
+    return status.has_error() &&
+           ( status.error().code == core::error_code::timed_out ||
+             status.error().code == core::error_code::connection_lost );
+}
 
 }
 
@@ -45,11 +61,35 @@
     expired_ = std::move( expired );
     pending_ = targets_.size();
     for ( auto i = std::size_t{ 0 }; i < targets_.size(); ++i )
-        client_.reserve( targets_[i].memory, id_, hold_,
-                         [self = shared_from_this(), i]( auto status )
-                         {
-                             self->on_reserved( i, status );
-                         } );
+        reserve_at( i,
+                    [self = shared_from_this(), i]( auto const& status )
+                    {
+                        self->on_reserved( i, status );
+                    } );
+}
+
+/// Calls `callback` with the target's answer to a call that reserves or renews.
+auto reservation_group::reserve_at( std::size_t index,
+                                    reservation_client::done callback ) -> void
+{
+    client_.reserve( targets_[index].memory, id_, hold_,
+                     [self = shared_from_this(), index,
+                      sent_at = scheduler_.now(),
+                      callback = std::move( callback )]( auto const& status )
+                     {
+                         if ( may_be_carried_out_late( status ) )
+                             self->note_unanswered( index, sent_at );
+                         callback( status );
+                     } );
+}
+
+auto reservation_group::note_unanswered( std::size_t index,
+                                         core::instant sent_at ) -> void
+{
+    auto& latest = targets_[index].late_call_until;
+    latest = std::max( latest, sent_at + longest_call_delay );
+    if ( released_ )
+        release_again( index );
 }
 
 auto reservation_group::on_reserved( std::size_t index,
@@ -138,16 +178,15 @@
 {
     if ( released_ )
         return;
-    client_.reserve(
-        targets_[index].memory, id_, hold_,
-        [self = shared_from_this(), index,
-         again = retry( &reservation_group::renew_at, index, attempts,
-                        renewal_retry_delay )]( auto const& status )
-        {
-            if ( !status.has_error() )
-                self->note_held( index );
-            again( status );
-        } );
+    reserve_at( index,
+                [self = shared_from_this(), index,
+                 again = retry( &reservation_group::renew_at, index, attempts,
+                                renewal_retry_delay )]( auto const& status )
+                {
+                    if ( !status.has_error() )
+                        self->note_held( index );
+                    again( status );
+                } );
 }
 
 auto reservation_group::retry( void ( reservation_group::*again )( std::size_t,
@@ -191,7 +230,30 @@
     renewal_.reset();
     expiry_.reset();
     for ( auto i = std::size_t{ 0 }; i < targets_.size(); ++i )
+    {
         release_at( i, max_release_attempts );
+        release_again( i );
+    }
+}
+
+auto reservation_group::release_again( std::size_t index ) -> void
+{
+    auto& target = targets_[index];
+    if ( target.is_released_again || scheduler_.now() > target.late_call_until )
+        return;
+    target.is_released_again = true;
+    call_later( repeated_release_period,
+                [self = shared_from_this(), index]
+                {
+                    self->on_release_due( index );
+                } );
+}
+
+auto reservation_group::on_release_due( std::size_t index ) -> void
+{
+    targets_[index].is_released_again = false;
+    release_at( index, max_release_attempts );
+    release_again( index );
 }
 
 auto reservation_group::release_at( std::size_t index, int attempts ) -> void
--- a/src/pollenstream/exchange/reservation.hpp
+++ b/src/pollenstream/exchange/reservation.hpp
@@ -46,6 +46,10 @@
 /// Memory of one request at several targets, reserved at all of them or none.
 /// Reservations are renewed until `release`, which every end of a request
 /// calls; one that cannot be released expires when its hold time ends.
+///
+/// A target may carry out a call that it has not answered seconds later, after
+/// newer calls. Where such a call would reserve memory, the release is repeated
+/// until it can no longer come.
 class reservation_group : public std::enable_shared_from_this<reservation_group>
 {
 public:
@@ -80,11 +84,18 @@
         target_memory memory;
         /// The latest time at which the target may still hold the memory.
         core::instant held_until;
+        /// The latest time at which the target may still carry out a call that
+        /// reserves or renews and that it has not answered.
+        core::instant late_call_until;
+        bool is_released_again{ false }; ///< the release is being repeated
     };
 
     auto on_reserved( std::size_t index, core::result<void> const& status )
         -> void;
+    auto reserve_at( std::size_t index, reservation_client::done callback )
+        -> void;
     auto note_held( std::size_t index ) -> void;
+    auto note_unanswered( std::size_t index, core::instant sent_at ) -> void;
     auto arm_expiry_timer() -> void;
     auto on_expiry_timer() -> void;
     auto renew() -> void;
@@ -99,6 +110,9 @@
     auto call_later( core::duration delay, std::function<void()> callback )
         -> void;
     auto release_at( std::size_t index, int attempts ) -> void;
+    /// Repeats the release as long as a late call may reserve the memory again.
+    auto release_again( std::size_t index ) -> void;
+    auto on_release_due( std::size_t index ) -> void;
 
     reservation_client& client_;
     ports::scheduler& scheduler_;
--- a/tests/exchange/reservation_test.cpp
+++ b/tests/exchange/reservation_test.cpp
@@ -194,6 +194,98 @@
     CHECK( client.released.size() == 2 );
 }
 
+namespace
+{
+
+/// A target that carries out calls when the test says so.
+struct late_target
+{
+    auto carry_out( recorded_reservations::reservation_call const& call,
+                    core::instant now ) -> void
+    {
+        held_until = now + call.hold;
+    }
+    /// Carries out the releases since the last call, all at once.
+    auto carry_out_releases( recorded_reservations const& client ) -> void
+    {
+        if ( client.released.size() > releases_seen )
+            held_until = {};
+        releases_seen = client.released.size();
+    }
+
+    core::instant held_until;
+    std::size_t releases_seen{ 0 };
+};
+
+}
+
+// Guards against memory that stays reserved for an ended request because its
+// target has carried out a renewal after the release.
+TEST_CASE( "a renewal that is carried out after the release holds no memory",
+           "[reservation][late]" )
+{
+    auto const delay = GENERATE( 2s, 4s, 7s, 10s, 12s );
+    auto const is_lost = GENERATE( true, false );
+    auto scheduler = held_scheduler{};
+    auto client = recorded_reservations{};
+    auto const targets = std::vector<exchange::target_memory>{
+        { core::target_id( "m1" ), {}, 100 } };
+    auto const group = std::make_shared<exchange::reservation_group>(
+        client, scheduler, core::reservation_id( "r" ), targets, 20s );
+    group->start( []( auto ) {}, ignore_expiry );
+    client.reserved[0].callback( core::success() );
+    scheduler.run( 1'500ms );
+    REQUIRE( client.reserved.size() == 2 );
+    auto const renewal = client.reserved[1];
+    auto const carried_out_at = scheduler.now() + delay;
+    // The request ends while the renewal is open, or after it has failed.
+    if ( is_lost )
+        renewal.callback( core::error{ core::error_code::timed_out, "" } );
+    scheduler.run( 100ms );
+    group->release();
+    if ( !is_lost )
+        renewal.callback(
+            core::error{ core::error_code::connection_lost, "" } );
+    auto target = late_target{};
+    auto held_for = core::duration( 0 );
+    auto is_carried_out = false;
+    constexpr auto step = core::duration( 100ms );
+    for ( auto passed = core::duration( 0 ); passed < 20s; passed += step )
+    {
+        target.carry_out_releases( client );
+        if ( scheduler.now() >= carried_out_at &&
+             !std::exchange( is_carried_out, true ) )
+            target.carry_out( renewal, scheduler.now() );
+        held_for +=
+            scheduler.now() < target.held_until ? step : core::duration( 0 );
+        scheduler.run( step );
+        for ( auto const& call : std::vector( client.released ) )
+            call.callback( core::success() );
+    }
+    CHECK( is_carried_out );
+    CHECK( held_for < 2s );
+    // The releases come to an end.
+    CHECK( client.released.size() <= 16 );
+}
+
+TEST_CASE( "a release is not repeated where each renewal was answered",
+           "[reservation][late]" )
+{
+    auto scheduler = held_scheduler{};
+    auto client = recorded_reservations{};
+    client.answers_at_once = true;
+    auto const targets = std::vector<exchange::target_memory>{
+        { core::target_id( "m1" ), {}, 100 },
+        { core::target_id( "m2" ), {}, 100 } };
+    auto const group = std::make_shared<exchange::reservation_group>(
+        client, scheduler, core::reservation_id( "r" ), targets, 20s );
+    group->start( []( auto ) {}, ignore_expiry );
+    scheduler.run( 5s );
+    group->release();
+    scheduler.run( 20s );
+    CHECK( client.released.size() == 2 );
+}
+
 TEST_CASE( "memory is released everywhere once one target has dropped its own",
            "[reservation]" )
 {
