Contents that crash the same targets do not clear each other

Cause: of two contents present at the same crashes, the second is quarantined on crashes of its own, and from then on explained the common ones as well. The first had too few left and was lifted.

Ruled out: targets that crash again under the same name; crashes are kept by lifetime. That another content never ends a quarantine of parts: "a mistaken quarantine ends when the cause is found" holds as it was.

Change: the quarantine of a content is ended by one of parts only, or by a trial that is served.

--- a/src/pollenstream/exchange/crash_history.cpp
+++ b/src/pollenstream/exchange/crash_history.cpp
@@ -84,6 +84,11 @@
                         } );
 }
 
+auto has_content( suspect_list const& suspects ) -> bool
+{
+    return !std::all_of( suspects.begin(), suspects.end(), is_prompt_part );
+}
+
 /// True if both lists contain the same targets, in any order.
 auto have_same_targets( std::vector<target_crash> const& a,
                         std::vector<target_crash> const& b ) -> bool
@@ -489,10 +494,17 @@
         on_changed();
 }
 
+/// The quarantine of a content, which holds back no other requests, is not
+/// ended by that of another content: of two that crash targets, at times the
+/// same ones, each would end the quarantine of the other. If it is a mistake, a
+/// trial ends it.
 auto crash_history::is_valid( suspect_list const& group ) const -> bool
 {
+    auto const explaining = has_content( group )
+                                ? explaining_groups::only_of_parts
+                                : explaining_groups::all;
     return common_crashes( group ).size() >= crashes_to_quarantine &&
-           unexplained( group ).size() >= crashes_to_keep;
+           unexplained( group, explaining ).size() >= crashes_to_keep;
 }
 
 auto crash_history::common_crashes( suspect_list const& suspects ) const
@@ -531,13 +543,16 @@
 }
 
 /// The common crashes of the suspects that no other quarantine explains.
-auto crash_history::unexplained( suspect_list const& suspects ) const
+auto crash_history::unexplained( suspect_list const& suspects,
+                                 explaining_groups explaining ) const
     -> std::vector<target_crash>
 {
     auto open = common_crashes( suspects );
     for ( auto const& group : groups_ )
     {
-        if ( may_include( group.suspects, suspects ) )
+        if ( may_include( group.suspects, suspects ) ||
+             ( explaining == explaining_groups::only_of_parts &&
+               has_content( group.suspects ) ) )
             continue;
         auto const explained = common_crashes( group.suspects );
         std::erase_if( open,
--- a/src/pollenstream/exchange/crash_history.hpp
+++ b/src/pollenstream/exchange/crash_history.hpp
@@ -217,7 +217,15 @@
     [[nodiscard]] auto is_valid( suspect_list const& group ) const -> bool;
     [[nodiscard]] auto common_crashes( suspect_list const& suspects ) const
         -> std::vector<target_crash>;
-    [[nodiscard]] auto unexplained( suspect_list const& suspects ) const
+    /// The quarantined groups whose crashes count as explained.
+    enum class explaining_groups
+    {
+        all,
+        only_of_parts, ///< those without a content
+    };
+    [[nodiscard]] auto
+    unexplained( suspect_list const& suspects,
+                 explaining_groups explaining = explaining_groups::all ) const
         -> std::vector<target_crash>;
     [[nodiscard]] auto may_include( suspect_list const& group,
                                     suspect_list const& suspects ) const
--- a/tests/exchange/crash_history_test.cpp
+++ b/tests/exchange/crash_history_test.cpp
@@ -277,6 +277,31 @@
     CHECK_FALSE( history.is_quarantined( { part( 2 ) } ) );
 }
 
+// Guards against two contents that crash targets, and of which each new
+// quarantine of one ends that of the other.
+TEST_CASE( "contents that crash the same targets do not clear each other",
+           "[exchange][crash]" )
+{
+    auto history = exchange::crash_history( expiry_time );
+    auto const one = exchange::suspect_list{ request( 1 ) };
+    auto const other = exchange::suspect_list{ request( 2 ) };
+    for ( auto const* target : { "a", "b", "c" } )
+        add_ended( history, target, { request( 1 ), request( 2 ) } );
+    add_ended( history, "d", one );
+    REQUIRE( history.is_quarantined( one ) );
+    REQUIRE_FALSE( history.is_quarantined( other ) );
+    for ( auto const* target : { "e", "f", "g" } )
+        add_ended( history, target, other );
+    CHECK( history.is_quarantined( other ) );
+    CHECK( history.is_quarantined( one ) );
+    SECTION( "one that is served is cleared alone" )
+    {
+        history.note_served( one, start + 5s );
+        CHECK_FALSE( history.is_quarantined( one ) );
+        CHECK( history.is_quarantined( other ) );
+    }
+}
+
 TEST_CASE( "only instances that know all crashes begin a quarantine",
            "[exchange][crash]" )
 {
