A missing target whose address another one has is gone

Cause: an entry that is removed after an outage of the store counts as lapsed for up to 2 s. Nothing told that another target had registered at its address.

Ruled out: to keep pauses by address. Requests to a name that has left are useless in any case.

Change: a missing target ends when another one registers at its address, and a removal is final where another one has the address already.

--- a/src/pollenstream/registry/registry_watch.cpp
+++ b/src/pollenstream/registry/registry_watch.cpp
@@ -419,6 +419,7 @@
     auto const& properties = read.value();
     auto const& id = properties.id;
     missing_.erase( id );
+    end_missing_at( properties );
     auto const change = load_table_.put( properties );
     if ( change != exchange::target_change::none )
         log_.record( exchange::state_change{
@@ -522,7 +523,7 @@
     if ( kind != record_kind::target )
         return;
     auto const id = codec_.target_of( key );
-    if ( !may_have_lapsed() )
+    if ( !may_have_lapsed() || has_successor( id ) )
         return mark_target_gone( id, source );
     missing_.try_emplace( id, scheduler_.now() );
     log_.record( exchange::state_change{ "target",
@@ -544,6 +545,43 @@
     events_.on_targets_changed();
 }
 
+/// An address belongs to one target. Missing targets whose address `successor`
+/// has now have ended: their entries will not return.
+auto registry_watch::end_missing_at(
+    exchange::target_properties const& successor ) -> void
+{
+    auto ended = std::vector<core::target_id>{};
+    for ( auto const& [id, since] : missing_ )
+    {
+        auto const missing = load_table_.find( id );
+        if ( missing && missing->properties.address == successor.address )
+            ended.push_back( id );
+    }
+    for ( auto const& id : ended )
+    {
+        missing_.erase( id );
+        mark_target_gone( id, "its address belongs to " + successor.id.str() );
+    }
+}
+
+/// True if another target, whose entry is there, has the address of this one.
+auto registry_watch::has_successor( core::target_id const& id ) const -> bool
+{
+    auto const removed = load_table_.find( id );
+    if ( !removed )
+        return false;
+    auto const& all = load_table_.all();
+    return std::any_of( all.begin(), all.end(),
+                        [&]( auto const& entry )
+                        {
+                            auto const& [other_id, other] = entry;
+                            return other_id != id && !other->gone &&
+                                   !missing_.contains( other_id ) &&
+                                   other->properties.address ==
+                                       removed->properties.address;
+                        } );
+}
+
 auto registry_watch::schedule_missing_check() -> void
 {
     if ( missing_check_call_ || missing_.empty() )
--- a/src/pollenstream/registry/registry_watch.hpp
+++ b/src/pollenstream/registry/registry_watch.hpp
@@ -154,6 +154,8 @@
                            std::string const& source ) -> void;
     [[nodiscard]] auto return_deadline( core::instant since ) const
         -> core::instant;
+    auto end_missing_at( exchange::target_properties const& successor ) -> void;
+    [[nodiscard]] auto has_successor( core::target_id const& id ) const -> bool;
     auto schedule_missing_check() -> void;
     auto check_missing() -> void;
 
--- a/tests/registry/target_entries_test.cpp
+++ b/tests/registry/target_entries_test.cpp
@@ -112,6 +112,36 @@
     CHECK( fresh->load.requests == 0 );
 }
 
+// Guards against requests to a target that has left its address to another one
+// while the store was away.
+TEST_CASE( "a missing target whose address another one has is gone",
+           "[registry][outage]" )
+{
+    auto f = registry_fixture{};
+    f.write( "old", valid_entry().dump() );
+    auto elsewhere = valid_entry();
+    elsewhere["address"] = "10.1.0.10:8080";
+    f.write( "lapsed", elsewhere.dump() );
+    f.store.fail( core::error_code::timed_out );
+    f.scheduler.run( 200ms );
+    SECTION( "if the other one appears after its removal" )
+    {
+        f.write( "old", std::nullopt );
+        REQUIRE( f.takes_work( "old" ) );
+        f.write( "new", valid_entry().dump() );
+    }
+    SECTION( "if the other one is there before its removal" )
+    {
+        f.write( "new", valid_entry().dump() );
+        f.write( "old", std::nullopt );
+    }
+    CHECK_FALSE( f.takes_work( "old" ) );
+    CHECK( f.takes_work( "new" ) );
+    // Others may still have lapsed.
+    f.write( "lapsed", std::nullopt );
+    CHECK( f.takes_work( "lapsed" ) );
+}
+
 TEST_CASE( "an invalid entry adds no target and does not affect the others",
            "[registry][entries]" )
 {
