The search for causes of crashes stands in a file of its own

What finds causes and tells which quarantines their crashes still support is now crash_history_causes.cpp; has_target, which both use, is declared beside target_crash. No logic changed; all cases of [crash] pass.

--- a/src/pollenstream/exchange/crash_history.hpp
+++ b/src/pollenstream/exchange/crash_history.hpp
@@ -31,6 +31,10 @@
     core::instant at;
 };
 
+/// True if one of the crashes is that of the target.
+auto has_target( std::vector<target_crash> const& crashes,
+                 target_ref const& target ) -> bool;
+
 /// Suspects that were present together at several crashes. Requests that have
 /// all of them are not sent. A request with only some of them is, since it may
 /// be sound: its outcome tells the suspects apart.
