Reserved memory that its request does not come to use is released

Cause: an engine that says it is well and hangs accepts a split prompt and its reservation, and never begins.

Ruled out: calls carried out late, and a lost release; all were answered.

Change: a reservation ends 8 s after it was made, or 2.5 times the prediction, unless the request's first event has come. The attempt ends with it, and the request is tried elsewhere.

--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -153,6 +153,8 @@
         placement_grant const& grant,
         std::shared_ptr<reservation_group> const& reservation,
         core::result<void> const& status ) -> void;
+    [[nodiscard]] static auto max_unused_hold( double predicted_ms )
+        -> core::duration;
     auto add_work( placement_grant const& grant ) -> void;
     auto release( std::uint64_t serial, work_outcome outcome ) -> void;
     auto send( placement_grant const& grant,
--- a/src/pollenstream/exchange/exchange_answers.cpp
+++ b/src/pollenstream/exchange/exchange_answers.cpp
@@ -227,6 +227,8 @@
     if ( current_->prefilling )
     {
         current_->prefilling = false;
+        if ( current_->reservation )
+            current_->reservation->note_used();
         context_.loads.end_prefill( context_.self, current_->serial, now );
         context_.announcer.prefill_ended( current_->serial );
         context_.queue.schedule_round();
--- a/src/pollenstream/exchange/exchange_waiting.cpp
+++ b/src/pollenstream/exchange/exchange_waiting.cpp
@@ -18,6 +18,11 @@
 
 /// Minimum pause after a failed reservation of memory.
 constexpr auto reservation_pause = core::duration( 150ms );
+/// How long memory may be reserved without a sign that the request uses it: the
+/// least time, and this multiple of the prediction. Operators count memory that
+/// no request uses for 9 s as stuck.
+constexpr auto min_unused_hold = core::duration( 8s );
+constexpr auto unused_hold_per_prediction = 2.5;
 /// Pause after a grant with a target that this instance cannot use. Two
 /// instances learn of a change in the registry some tens of milliseconds apart.
 constexpr auto registry_pause = core::duration( 40ms );
@@ -200,7 +205,7 @@
     auto const max_hold = deadline_ - context_.scheduler.now() + 500ms;
     auto reservation = std::make_shared<reservation_group>(
         context_.reservations, context_.scheduler, id, std::move( places ),
-        max_hold );
+        max_hold, max_unused_hold( choice.first_event_ms ) );
     auto const serial = grant.serial;
     reserving_grant_ = serial;
     reservation->start(
@@ -224,6 +229,17 @@
         } );
 }
 
+/// How long the request may hold reserved memory before its first event, which
+/// is predicted after `predicted_ms`.
+auto exchange::max_unused_hold( double predicted_ms ) -> core::duration
+{
+    constexpr auto milliseconds_per_second = 1'000;
+    return std::max(
+        min_unused_hold,
+        core::duration_of( predicted_ms * unused_hold_per_prediction /
+                           milliseconds_per_second ) );
+}
+
 auto exchange::on_reservation_result(
     placement_grant const& grant,
     std::shared_ptr<reservation_group> const& reservation,
--- a/src/pollenstream/exchange/reservation.cpp
+++ b/src/pollenstream/exchange/reservation.cpp
@@ -46,9 +46,10 @@
                                       ports::scheduler& scheduler,
                                       core::reservation_id id,
                                       std::vector<target_memory> targets,
-                                      core::duration max_hold )
+                                      core::duration max_hold,
+                                      core::duration max_unused )
     : client_( client ), scheduler_( scheduler ), id_( std::move( id ) ),
-      hold_( std::min( hold_time, max_hold ) )
+      hold_( std::min( hold_time, max_hold ) ), max_unused_( max_unused )
 {
     for ( auto& memory : targets )
         targets_.push_back( { std::move( memory ), {} } );
@@ -111,6 +112,7 @@
     // A shorter hold time ends with the request, before the first renewal.
     if ( hold_ > renewal_period )
         arm_expiry_timer();
+    arm_unused_timer();
     renewal_ = scheduler_.call_after( renewal_period,
                                       [this]
                                       {
@@ -156,9 +158,36 @@
                                           } );
     if ( expired_at == targets_.end() )
         return arm_expiry_timer();
+    expire( expired_at->memory.target );
+}
+
+/// Releases the memory and reports that `target` is the reason.
+auto reservation_group::expire( core::target_id const& target ) -> void
+{
     auto const expired = expired_;
     release();
-    expired( expired_at->memory.target );
+    expired( target );
+}
+
+auto reservation_group::arm_unused_timer() -> void
+{
+    if ( max_unused_ == core::duration::max() )
+        return;
+    unused_ = scheduler_.call_after(
+        max_unused_,
+        [self = weak_from_this()]
+        {
+            auto const group = self.lock();
+            if ( !group )
+                return;
+            auto const fired_timer = std::move( group->unused_ );
+            group->expire( group->targets_.front().memory.target );
+        } );
+}
+
+auto reservation_group::note_used() -> void
+{
+    unused_.reset();
 }
 
 auto reservation_group::renew() -> void
@@ -229,6 +258,7 @@
     expired_ = nullptr;
     renewal_.reset();
     expiry_.reset();
+    unused_.reset();
     for ( auto i = std::size_t{ 0 }; i < targets_.size(); ++i )
     {
         release_at( i, max_release_attempts );
--- a/src/pollenstream/exchange/reservation.hpp
+++ b/src/pollenstream/exchange/reservation.hpp
@@ -47,6 +47,9 @@
 /// Reservations are renewed until `release`, which every end of a request
 /// calls; one that cannot be released expires when its hold time ends.
 ///
+/// Memory that its request does not come to use is released after a while: a
+/// target that hangs answers these calls and never begins with the request.
+///
 /// A target may carry out a call that it has not answered seconds later, after
 /// newer calls. Where such a call would reserve memory, the release is repeated
 /// until it can no longer come.
@@ -56,18 +59,24 @@
     using ready_callback = std::function<void( core::result<void> )>;
     using expired_callback = std::function<void( core::target_id const& )>;
 
+    /// `max_unused`: time after which memory is released that is not known to
+    /// be used; counted from the last reservation.
     reservation_group( reservation_client& client,
                        ports::scheduler& scheduler,
                        core::reservation_id id,
                        std::vector<target_memory> targets,
-                       core::duration max_hold );
+                       core::duration max_hold,
+                       core::duration max_unused = core::duration::max() );
 
     /// Reserves the memory. Calls `ready` once: with success when all targets
     /// have reserved, or with the first error. Calls `expired` at most once,
     /// later, with a target that must have dropped the memory because no
-    /// renewal has reached it in time; the memory at the others has been
-    /// released by then. Calls neither after `release`.
+    /// renewal has reached it in time, or with the first target if the memory
+    /// was not used in time; all memory has been released by then. Calls
+    /// neither after `release`.
     auto start( ready_callback ready, expired_callback expired ) -> void;
+    /// The request has begun to use the memory.
+    auto note_used() -> void;
     /// Releases the memory at all targets. May be called at any time and more
     /// than once.
     auto release() -> void;
@@ -98,6 +107,8 @@
     auto note_unanswered( std::size_t index, core::instant sent_at ) -> void;
     auto arm_expiry_timer() -> void;
     auto on_expiry_timer() -> void;
+    auto arm_unused_timer() -> void;
+    auto expire( core::target_id const& target ) -> void;
     auto renew() -> void;
     auto renew_at( std::size_t index, int attempts ) -> void;
     /// Returns a callback that, if the call failed, calls `again` after
@@ -119,11 +130,13 @@
     core::reservation_id id_;
     std::vector<held_memory> targets_;
     core::duration hold_;
+    core::duration max_unused_;
     ready_callback ready_;
     expired_callback expired_;
     std::size_t pending_{ 0 };
     std::unique_ptr<ports::scheduled_call> renewal_;
     std::unique_ptr<ports::scheduled_call> expiry_;
+    std::unique_ptr<ports::scheduled_call> unused_;
     bool released_{ false };
 };
 
--- a/tests/exchange/reservation_test.cpp
+++ b/tests/exchange/reservation_test.cpp
@@ -336,6 +336,82 @@
     CHECK( client.reserved.size() == calls );
 }
 
+// Guards against memory that stays reserved at sound targets because the one
+// that got the request hangs: it reserves and renews, but never begins.
+TEST_CASE( "memory that is not used in time is released",
+           "[reservation][unused]" )
+{
+    auto scheduler = held_scheduler{};
+    auto client = recorded_reservations{};
+    client.answers_at_once = true;
+    auto const targets = std::vector<exchange::target_memory>{
+        { core::target_id( "m1" ), {}, 100 },
+        { core::target_id( "m2" ), {}, 100 } };
+    auto expired = std::vector<core::target_id>{};
+    auto const group = std::make_shared<exchange::reservation_group>(
+        client, scheduler, core::reservation_id( "r" ), targets, 20s, 8s );
+    group->start( []( auto ) {},
+                  [&]( auto const& target )
+                  {
+                      expired.push_back( target );
+                  } );
+    scheduler.run( 7'900ms );
+    CHECK( client.released.empty() );
+    SECTION( "the first target is the reason" )
+    {
+        scheduler.run( 200ms );
+        CHECK( client.released.size() == 2 );
+        CHECK( expired ==
+               std::vector<core::target_id>{ core::target_id( "m1" ) } );
+        auto const renewals = client.reserved.size();
+        scheduler.run( 10s );
+        CHECK( client.reserved.size() == renewals );
+        CHECK( expired.size() == 1 );
+    }
+    SECTION( "unless the request has come to use it" )
+    {
+        group->note_used();
+        scheduler.run( 4s );
+        CHECK( client.released.empty() );
+        CHECK( expired.empty() );
+        group->release();
+    }
+}
+
+TEST_CASE( "a split request that its target does not begin is tried elsewhere",
+           "[reservation][unused]" )
+{
+    auto f = exchange_fixture{};
+    f.reservations.answers_at_once = true;
+    for ( auto i = 4; i < 14; ++i )
+        f.loads.put( make_target( "m" + std::to_string( i ), "model" ) );
+    auto r = f.request( "/audit/x" );
+    r.time_limit = 15s;
+    r.prompt = exchange::prompt_properties{ 500'000, 1'000, 0 };
+    auto const started = f.start( r );
+    for ( auto waited = 0ms; f.targets.all.empty() && waited < 10s;
+          waited += 100ms )
+        f.scheduler.run( 100ms );
+    REQUIRE( f.targets.all.size() == 1 );
+    auto const reserved = f.reservations.reserved.size();
+    SECTION( "its memory is released before operators count it as stuck" )
+    {
+        f.scheduler.run( 9s );
+        CHECK( f.targets.all[0]->cancelled );
+        CHECK( f.reservations.released.size() >= reserved );
+    }
+    SECTION( "unless its first event has come" )
+    {
+        f.scheduler.run( 3s );
+        f.targets.all[0]->head( 200 );
+        f.targets.all[0]->event( 1 );
+        f.scheduler.run( 500ms );
+        CHECK_FALSE( f.targets.all[0]->cancelled );
+        CHECK( f.reservations.released.empty() );
+    }
+    started->on_caller_gone();
+}
+
 TEST_CASE( "a request whose reservation has expired is not waited for",
            "[reservation][silence]" )
 {
