--- a/apps/gateway/caller_handler.cpp
+++ b/apps/gateway/caller_handler.cpp
@@ -65,7 +65,7 @@
     return std::make_shared<exchange_in_progress>( std::move( started ) );
 }
 
-auto caller_handler::refuse_unread( adapters::asio::raw_request head )
+auto caller_handler::refuse_unread( adapters::asio::raw_request const& head )
     -> exchange::whole_answer
 {
     auto const retry_after = exchange::retry_after_no_memory(
@@ -76,7 +76,7 @@
     refused.retry_after = retry_after;
     refused.waiting = context_.queue.size();
     auto const decoded =
-        platform::decode_request( std::move( head ), context_.scheduler.now() );
+        platform::decode_request( head, context_.scheduler.now() );
     if ( decoded.has_value() )
         refused.id = decoded.value().id;
     if ( decoded.has_value() && decoded.value().prompt )
--- a/apps/gateway/caller_handler.hpp
+++ b/apps/gateway/caller_handler.hpp
@@ -17,7 +17,7 @@
     auto handle( adapters::asio::raw_request request,
                  std::shared_ptr<exchange::answer_channel> answer )
         -> std::shared_ptr<adapters::asio::request_in_progress> override;
-    [[nodiscard]] auto refuse_unread( adapters::asio::raw_request head )
+    [[nodiscard]] auto refuse_unread( adapters::asio::raw_request const& head )
         -> exchange::whole_answer override;
 
 private:
--- a/src/pollenstream/adapters/asio/caller_listener.cpp
+++ b/src/pollenstream/adapters/asio/caller_listener.cpp
@@ -20,7 +20,7 @@
 
 }
 
-auto request_handler::refuse_unread( raw_request /*head*/ )
+auto request_handler::refuse_unread( raw_request const& /*head*/ )
     -> exchange::whole_answer
 {
     return { status_unavailable, {}, "no memory\n" };
--- a/src/pollenstream/adapters/asio/caller_listener.hpp
+++ b/src/pollenstream/adapters/asio/caller_listener.hpp
@@ -49,7 +49,7 @@
         -> std::shared_ptr<request_in_progress> = 0;
     /// Answers a request whose body is not read as it finds no memory. `head`
     /// has no body.
-    [[nodiscard]] virtual auto refuse_unread( raw_request head )
+    [[nodiscard]] virtual auto refuse_unread( raw_request const& head )
         -> exchange::whole_answer;
 };
 
--- a/src/pollenstream/core/memory_budget.hpp
+++ b/src/pollenstream/core/memory_budget.hpp
@@ -40,7 +40,7 @@
 };
 
 /// The bytes that one holder has taken from a budget. They return to it at the
-/// end of the claim.
+/// end of the claim. One that has been moved from is empty and cannot grow.
 class memory_claim
 {
 public:
@@ -53,7 +53,7 @@
         give_back();
     }
     memory_claim( memory_claim&& other ) noexcept
-        : budget_( other.budget_ ),
+        : budget_( std::move( other.budget_ ) ),
           claimed_bytes_( std::exchange( other.claimed_bytes_, 0 ) )
     {
     }
@@ -62,7 +62,7 @@
         if ( this == &other )
             return *this;
         give_back();
-        budget_ = other.budget_;
+        budget_ = std::move( other.budget_ );
         claimed_bytes_ = std::exchange( other.claimed_bytes_, 0 );
         return *this;
     }
--- a/tests/adapters/request_memory_test.cpp
+++ b/tests/adapters/request_memory_test.cpp
@@ -69,10 +69,10 @@
                 still_open->answer();
         open.clear();
     }
-    [[nodiscard]] auto refuse_unread( asio::raw_request head )
+    [[nodiscard]] auto refuse_unread( asio::raw_request const& head )
         -> exchange::whole_answer override
     {
-        refused.push_back( std::move( head ) );
+        refused.push_back( head );
         return { status_unavailable, { { "Retry-After", "0.5" } }, "full" };
     }
 
