--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -51,12 +51,15 @@
 /// If the settings state no limit on the memory.
 constexpr auto default_memory_mb = std::int64_t{ 256 };
 
+/// Bytes of so many eighths of the process's memory.
 auto part_of_memory( platform::gateway_settings const& s, int eighths )
     -> std::size_t
 {
     constexpr auto megabyte = std::int64_t{ 1024 } * 1024;
-    auto const total = s.memory_mb > 0 ? s.memory_mb : default_memory_mb;
-    return static_cast<std::size_t>( total * megabyte / 8 * eighths );
+    constexpr auto all_eighths = 8;
+    auto const megabytes = s.memory_mb > 0 ? s.memory_mb : default_memory_mb;
+    return static_cast<std::size_t>( megabytes * megabyte / all_eighths *
+                                     eighths );
 }
 
 /// Bytes that received answers of one kind may take together.
