--- a/scripts/platform_fleet.py
+++ b/scripts/platform_fleet.py
@@ -79,6 +79,10 @@
         # First bytes of an answer and those that follow without end, or None.
         self.endless = None
         self.close_delimited = False    # answers on new connections
+        # Makes what rewrites the answers on a new connection, or None.
+        self.rewriter = None
+        self.rewritten = 0              # answers that it ended
+        self.resets = False             # where it ends one: reset, not closed
         self.harmed = []            # begin and end in ms: cut or silent
         self.pairs = set()
         self.address = None
@@ -104,6 +108,8 @@
         self.pairs.add(pair)
         try:
             rewritten = CloseDelimited() if self.close_delimited else None
+            if self.rewriter:
+                rewritten = self.rewriter()
             await asyncio.gather(self.pump(reader, to_writer, "silent_to"),
                                  self.pump(to_reader, writer, "silent_from",
                                            rewritten))
@@ -138,7 +144,10 @@
                 writer.write(rewritten.feed(data) if rewritten else data)
                 await writer.drain()
                 if rewritten and rewritten.ended:
+                    self.rewritten += 1
                     break
+            if rewritten and self.resets:
+                writer.transport.abort()
             writer.close()
         except OSError:
             writer.transport.abort()
@@ -190,11 +199,12 @@
         path.write_text("\n".join(lines) + "\n")
         return path
 
-    def start(self):
+    def start(self, settings=None):
+        """`settings`: a file in place of one that is written now."""
         log = open(pathlib.Path(self.fleet.folder) / f"{self.name}.log", "ab")
         self.child = subprocess.Popen(
             [str(self.fleet.build / "pollenstream-gateway"),
-             f"--settings={self.write_settings()}",
+             f"--settings={settings or self.write_settings()}",
              *self.fleet.gateway_options],
             stdout=log, stderr=log, stdin=subprocess.DEVNULL)
         self.starts += 1
@@ -227,6 +237,7 @@
         self.seed = seed
         self.net = f"127.0.{os.getpid() % 250}"
         self.proxied = proxied
+        self.metrics_port = metrics_port
         self.gateway_options = ([f"--metrics-port={metrics_port}"]
                                 if metrics_port else [])
         self.folder = tempfile.mkdtemp(prefix="pollenstream-")
--- a/scripts/soak_processes.py
+++ b/scripts/soak_processes.py
@@ -3,7 +3,7 @@
 overlapping. What must hold is checked from what callers and runners saw.
 
     scripts/soak-processes [BUILD] [--seeds=A-B] [--seconds=N] [--gateways=N]
-    scripts/soak-processes BUILD --scenario=silent-engine|limits|fatal-parts|endless-answers|long-prompts [--seeds=A-B]
+    scripts/soak-processes BUILD --scenario=NAME [--seeds=A-B]
     scripts/soak-processes BUILD --scenario=recover [--gateways=N] [--beside=A,B]
     scripts/soak-processes BUILD --scenario=frozen-reader [--gateways=N]
 
@@ -20,11 +20,15 @@
 import signal
 import sys
 
+import cut_heads_scenario
 import endless_answers_scenario
 import frozen_reader_scenario
+import late_start_scenario
 import long_prompts_scenario
+import odd_records_scenario
 import platform_check
 import recover_scenario
+import unread_answers_scenario
 from platform_fleet import Callers, PlatformFleet
 
 # Seeds that ever failed, with the cause; they run first.
@@ -619,22 +623,23 @@
     return report(seed, fleet, found, text)
 
 
-async def endless_answers(build, seed):
-    """Runners whose bytes have no end."""
-    found, text, fleet = await endless_answers_scenario.play(build, seed)
-    return report(seed, fleet, found, text)
-
-
-async def long_prompts(build, seed):
-    """More long prompts at once than there is memory for."""
-    found, text, fleet = await long_prompts_scenario.play(build, seed)
-    return report(seed, fleet, found, text)
+def played_by(module):
+    """A scenario that a module of its own plays."""
+    async def play_one(build, seed):
+        found, text, fleet = await module.play(build, seed)
+        return report(seed, fleet, found, text)
+    return play_one
 
 
 SIZED_SCENARIOS = {"frozen-reader": frozen_reader}
 SCENARIOS = {"silent-engine": silent_engine, "limits": limits,
-             "fatal-parts": fatal_parts, "endless-answers": endless_answers,
-             "long-prompts": long_prompts}
+             "fatal-parts": fatal_parts,
+             "cut-heads": played_by(cut_heads_scenario),
+             "endless-answers": played_by(endless_answers_scenario),
+             "late-start": played_by(late_start_scenario),
+             "long-prompts": played_by(long_prompts_scenario),
+             "odd-records": played_by(odd_records_scenario),
+             "unread-answers": played_by(unread_answers_scenario)}
 
 
 def main():
--- a/standins/platform/runner.cpp
+++ b/standins/platform/runner.cpp
@@ -54,6 +54,17 @@
     return id + "." + pollenstream::core::content_hash( body );
 }
 
+/// Bytes that a request adds to each body or event, as `bytes=N` in its query.
+auto padding_of( asio::raw_request const& request ) -> std::string
+{
+    constexpr auto name = std::string_view( "?bytes=" );
+    auto const at = request.target.find( name );
+    if ( at == std::string::npos )
+        return {};
+    return std::string( std::stoul( request.target.substr( at + name.size() ) ),
+                        'x' );
+}
+
 }
 
 auto to_string( run_end end ) -> std::string
@@ -164,7 +175,8 @@
             return break_off();
         auto const fails = owner_.drawn( owner_.faults_.fail );
         auto const body = field( request_, "Attempt-Id" ) + " " +
-                          owner_.settings_.id + " " + request_.target;
+                          owner_.settings_.id + " " + request_.target +
+                          padding_of( request_ );
         record().status = fails ? status_failed : status_ok;
         answer_->send_whole( { record().status,
                                headers( seal_of( owner_.settings_.id, body ) ),
@@ -188,7 +200,8 @@
         auto const id = next_++;
         auto const event = "id: " + std::to_string( id ) +
                            "\ndata: " + field( request_, "Attempt-Id" ) + " " +
-                           std::to_string( id ) + "\n\n";
+                           std::to_string( id ) + padding_of( request_ ) +
+                           "\n\n";
         if ( is_fatal_ )
             return end_inside_event( event );
         if ( id == breaks_at_ )
--- a/standins/platform/runner.hpp
+++ b/standins/platform/runner.hpp
@@ -85,6 +85,7 @@
 /// lapses, and after some seconds the runner is back under another id. A stream
 /// with a part of the prompt whose id begins with `dead`, unless it is the
 /// last, does so once its answer has begun, inside its first or second event.
+/// A query `bytes=N` makes each body or event that much longer.
 class runner : public asio::request_handler
 {
 public:
--- a/standins/platform/store.cpp
+++ b/standins/platform/store.cpp
@@ -18,6 +18,8 @@
 constexpr auto status_conflict = 412;
 constexpr auto status_busy = 503;
 constexpr auto page_items = std::size_t{ 50 };
+/// A page ends with the item that reaches this size, encoded.
+constexpr auto page_bytes = std::size_t{ 1'000'000 };
 constexpr auto longest_watch = std::int64_t{ 30'000 };
 
 auto decode_percent( std::string const& text ) -> std::string
@@ -157,14 +159,16 @@
     auto const prefix = q.count( "prefix" ) != 0 ? q.at( "prefix" ) : "";
     auto const after = q.count( "after" ) != 0 ? q.at( "after" ) : "";
     auto items = json::array();
+    auto bytes = std::size_t{ 0 };
     auto has_more = false;
     for ( auto const& [key, i] : items_ )
     {
         if ( !key.starts_with( prefix ) || ( !after.empty() && key <= after ) )
             continue;
-        has_more = items.size() >= page_items;
+        has_more = items.size() >= page_items || bytes >= page_bytes;
         if ( has_more )
             break;
+        bytes += i.value.size();
         items.push_back( item_json( key, i ) );
     }
     reply(
