Metrics of the process's memory, and a line for the reason of its end

Needed to tell the hypotheses of the incident apart: no metric named the memory of the process or the number of connections, and an instance that ended with an exception wrote its reason to standard error alone, without its name.

pollenstream_resident_bytes, pollenstream_caller_connections, and the line what=process now=failed. No decision is changed.

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -252,6 +252,7 @@
              ready_state_,
              broken_inputs(),
              request_memory_->used_bytes(),
+             callers_ ? callers_->connections() : 0,
              configuration_delay_ };
 }
 
--- a/apps/gateway/main.cpp
+++ b/apps/gateway/main.cpp
@@ -54,13 +54,13 @@
     return platform::read_settings( path, text.value_or( "" ), found );
 }
 
-auto run( std::string const& path,
-          platform::gateway_settings const& settings,
-          std::optional<std::uint16_t> metrics_port ) -> int
+/// Runs an instance until it has stopped.
+auto serve( std::string const& path,
+            platform::gateway_settings const& settings,
+            std::optional<std::uint16_t> metrics_port,
+            pollenstream::exchange::event_log& log ) -> void
 {
     auto io = net::io_context( 1 );
-    auto log = pollenstream::adapters::spdlog::structured_log(
-        settings.instance, settings.data_centre );
     auto node = gw::gateway_node( io, settings, log );
     auto stop_signals = net::signal_set( io, SIGTERM, SIGINT );
     stop_signals.async_wait(
@@ -100,7 +100,25 @@
     if ( metrics_port )
         node.serve_metrics( *metrics_port );
     io.run();
-    return 0;
+}
+
+/// Runs an instance and logs the reason if it fails.
+auto run( std::string const& path,
+          platform::gateway_settings const& settings,
+          std::optional<std::uint16_t> metrics_port ) -> void
+{
+    auto log = pollenstream::adapters::spdlog::structured_log(
+        settings.instance, settings.data_centre );
+    try
+    {
+        serve( path, settings, metrics_port, log );
+    }
+    catch ( std::exception const& e )
+    {
+        log.record( pollenstream::exchange::state_change{
+            "process", settings.instance.str(), "failed", e.what(), {} } );
+        throw;
+    }
 }
 
 }
@@ -129,7 +147,8 @@
         if ( args["--metrics-port"] )
             port =
                 static_cast<std::uint16_t>( args["--metrics-port"].asLong() );
-        return run( path, settings, port );
+        run( path, settings, port );
+        return 0;
     }
     catch ( std::exception const& e )
     {
--- a/apps/gateway/node_state.cpp
+++ b/apps/gateway/node_state.cpp
@@ -1,5 +1,6 @@
 #include "node_state.hpp"
 
+#include "process_memory.hpp"
 #include <pollenstream/core/invariant.hpp>
 
 #include <nlohmann/json.hpp>
@@ -151,6 +152,17 @@
         << core::seconds_of( delay.longest() ) << '\n';
 }
 
+/// What takes memory besides bodies and answers, and all of it.
+auto write_memory( node_parts const& node, std::ostream& out ) -> void
+{
+    out << "# TYPE pollenstream_caller_connections gauge\n"
+        << "pollenstream_caller_connections " << node.caller_connections
+        << '\n';
+    if ( auto const resident = resident_bytes() )
+        out << "# TYPE pollenstream_resident_bytes gauge\n"
+            << "pollenstream_resident_bytes " << *resident << '\n';
+}
+
 /// How long this process has run, has been ready or not, and took until it
 /// served its first request. The last is missing until it has served one.
 auto write_start( node_parts const& node, std::ostream& out ) -> void
@@ -226,6 +238,7 @@
     auto out = std::ostringstream{};
     write_start( node, out );
     write_received( node, out );
+    write_memory( node, out );
     auto const gauge = [&out]( char const* name, auto value )
     {
         out << "# TYPE " << name << " gauge\n" << name << ' ' << value << '\n';
--- a/apps/gateway/node_state.hpp
+++ b/apps/gateway/node_state.hpp
@@ -36,6 +36,7 @@
     /// Connections and datagrams that could not be processed.
     std::uint64_t broken_inputs{ 0 };
     std::size_t request_bytes{ 0 }; ///< of the bodies of open requests
+    std::size_t caller_connections{ 0 };
     /// From the first word of a newer state to the configuration in force.
     observation::delay_gauge configuration_delay;
 };
