An idle connection of a caller keeps no memory of its last answer

What callers saw: with 300 kept connections that had read an answer of 0.9 MB each the gateway took 289 MB of 262, with no request open; where the limit is enforced it is killed, and all that it had accepted is lost.

Cause: the buffer of the last write was cleared, not released, so that each connection kept the size of its largest answer for as long as it was open. Ruled out: answers that wait for their callers.

--- a/src/pollenstream/adapters/asio/caller_connection.cpp
+++ b/src/pollenstream/adapters/asio/caller_connection.cpp
@@ -404,7 +404,8 @@
                       [self = shared_from_this()]( error_code ec, std::size_t )
                       {
                           self->write_open_ = false;
-                          self->writing_.clear();
+                          // `clear` would keep the memory.
+                          std::string().swap( self->writing_ );
                           if ( ec )
                               return self->close();
                           self->flush();
