Answers that callers have not taken stay within the memory for answers

Callers that did read got 502 for answers of sound runners, "the answer is too large".

Cause: the memory for answers, an eighth, was given back when an answer was complete; what then waited in connections had a limit each and none together. An answer that found the eighth used up was thrown away although it had run.

Change: one budget, two eighths, from an answer's first byte until its caller has taken the last. Where it is used up, connections whose callers have taken nothing for the longest time, 250 ms at least, are closed. An answer that finds no memory is no longer thrown away: its target is not read until there is some; the oldest is always read, so that answers end. The kernel keeps at most 16 KB beyond what is under way, so that the rest is counted here.

Ruled out: to close stalled connections alone.

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -42,9 +42,11 @@
 constexpr auto fetch_timeout = core::duration( 2500ms );
 /// Limit on the records that are fetched from another instance, compressed.
 constexpr auto max_fetched_bytes = std::size_t{ 16 } * 1024 * 1024;
-/// Eighths of the process's memory that incomplete answers of targets may take,
-/// and the same for replies of the store and of other instances.
-constexpr auto answer_eighths = 1;
+/// Eighths of the process's memory that answers may take, from their first byte
+/// until the caller has taken the last.
+constexpr auto answer_eighths = 2;
+/// Eighths for replies of the store and of other instances.
+constexpr auto reply_eighths = 1;
 /// Eighths for the bodies of requests. The rest is for connections, for what
 /// the process knows, and for what the allocator cannot reuse.
 constexpr auto request_eighths = 3;
@@ -62,12 +64,6 @@
                                      eighths );
 }
 
-/// Bytes that received answers of one kind may take together.
-auto received_memory( platform::gateway_settings const& s ) -> std::size_t
-{
-    return part_of_memory( s, answer_eighths );
-}
-
 /// Time after which a target that has ended is no longer in the registry: its
 /// entry expires after three missed heartbeats, and the update has to arrive.
 auto registry_expiry_time( platform::gateway_settings const& s )
@@ -108,7 +104,11 @@
       first_service_( log_, scheduler_, settings_.instance ),
       request_memory_( std::make_shared<core::memory_budget>(
           part_of_memory( settings_, request_eighths ) ) ),
-      http_( io, received_memory( settings_ ) ),
+      answer_memory_( std::make_shared<core::memory_budget>(
+          part_of_memory( settings_, answer_eighths ) ) ),
+      unsent_answers_( std::make_shared<adapters::asio::unsent_answers>(
+          answer_memory_ ) ),
+      http_( io, part_of_memory( settings_, reply_eighths ) ),
       store_( http_, settings_.store ), target_calls_( http_ ),
       reservation_client_( http_ ),
       crashes_( registry_expiry_time( settings_ ) ),
@@ -225,8 +225,7 @@
         .placements = router_,
         .retries = retries_,
         .path = path_,
-        .answer_memory = std::make_shared<core::memory_budget>(
-            received_memory( settings_ ) ),
+        .answer_memory = answer_memory_,
         .queue = wait_queue_,
         .log = first_service_,
         .announcer = group_,
@@ -253,6 +252,8 @@
              broken_inputs(),
              request_memory_->used_bytes(),
              callers_ ? callers_->connections() : 0,
+             unsent_answers_->unsent_bytes(),
+             unsent_answers_->dropped(),
              configuration_delay_ };
 }
 
@@ -321,14 +322,22 @@
 auto gateway_node::start() -> void
 {
     using adapters::asio::caller_listener;
-    callers_ = std::make_unique<caller_listener>(
-        io_, settings_.callers, caller_handler_, request_memory_ );
-    directory_ = std::make_unique<caller_listener>( io_, settings_.directory,
-                                                    directory_handler_ );
-    readiness_ = std::make_unique<caller_listener>( io_, settings_.readiness,
-                                                    readiness_handler_ );
-    peer_listener_ = std::make_unique<caller_listener>( io_, settings_.peers,
-                                                        state_handler_ );
+    auto const listen = [this]( core::address const& at, auto& handler,
+                                auto const& body_memory )
+    {
+        return std::make_unique<caller_listener>( io_, at, handler, body_memory,
+                                                  unsent_answers_ );
+    };
+    auto const no_memory = std::shared_ptr<core::memory_budget>{};
+    callers_ = listen( settings_.callers, caller_handler_, request_memory_ );
+    directory_ = listen( settings_.directory, directory_handler_, no_memory );
+    readiness_ = listen( settings_.readiness, readiness_handler_, no_memory );
+    peer_listener_ = listen( settings_.peers, state_handler_, no_memory );
+    unsent_answers_->on_dropped =
+        [this]( auto const& caller, auto bytes, auto stalled )
+    {
+        record_dropped_caller( caller, bytes, stalled );
+    };
     datagrams_.start(
         [this]( std::string_view bytes )
         {
@@ -377,7 +386,8 @@
 auto gateway_node::serve_metrics( std::uint16_t port ) -> void
 {
     metrics_ = std::make_unique<adapters::asio::caller_listener>(
-        io_, core::address{ settings_.callers.ip, port }, metrics_handler_ );
+        io_, core::address{ settings_.callers.ip, port }, metrics_handler_,
+        std::shared_ptr<core::memory_budget>{}, unsent_answers_ );
 }
 
 auto gateway_node::is_ready() const -> bool
@@ -566,6 +576,15 @@
     io_.stop();
 }
 
+auto gateway_node::record_dropped_caller( std::string const& caller,
+                                          std::size_t bytes,
+                                          core::duration stalled ) -> void
+{
+    log_.record( exchange::state_change{
+        "caller", caller, "dropped",
+        "it did not take " + std::to_string( bytes ) + " bytes", stalled } );
+}
+
 auto gateway_node::record_retry_budget(
     exchange::used_up_retry_budget const& state ) -> void
 {
--- a/apps/gateway/gateway_node.hpp
+++ b/apps/gateway/gateway_node.hpp
@@ -75,6 +75,9 @@
     auto check_stopped() -> void;
     auto abandon_open() -> void;
     auto end_process( std::string because ) -> void;
+    auto record_dropped_caller( std::string const& caller,
+                                std::size_t bytes,
+                                core::duration stalled ) -> void;
     /// Logs the state with the age of this process.
     auto record_retry_budget( exchange::used_up_retry_budget const& state )
         -> void;
@@ -89,6 +92,10 @@
     observation::delay_gauge configuration_delay_;
     /// For the bodies of callers' requests, from their first byte to their end.
     std::shared_ptr<core::memory_budget> request_memory_;
+    /// For the answers of targets until their callers have taken them, and for
+    /// all other answers that wait for their readers.
+    std::shared_ptr<core::memory_budget> answer_memory_;
+    std::shared_ptr<adapters::asio::unsent_answers> unsent_answers_;
     adapters::asio::http_client http_;
     platform::store_client store_;
     platform::registry_records records_;
--- a/apps/gateway/node_state.cpp
+++ b/apps/gateway/node_state.cpp
@@ -156,7 +156,10 @@
 auto write_memory( node_parts const& node, std::ostream& out ) -> void
 {
     out << "# TYPE pollenstream_caller_connections gauge\n"
-        << "pollenstream_caller_connections " << node.caller_connections
+        << "pollenstream_caller_connections " << node.caller_connections << '\n'
+        << "# TYPE pollenstream_unsent_bytes gauge\n"
+        << "pollenstream_unsent_bytes " << node.unsent_bytes << '\n'
+        << "pollenstream_callers_dropped_total " << node.dropped_callers
         << '\n';
     if ( auto const resident = resident_bytes() )
         out << "# TYPE pollenstream_resident_bytes gauge\n"
--- a/src/pollenstream/adapters/asio/caller_connection.cpp
+++ b/src/pollenstream/adapters/asio/caller_connection.cpp
@@ -86,13 +86,15 @@
 caller_connection::caller_connection( caller_listener& owner,
                                       tcp::socket socket )
     : owner_( owner ), socket_( std::move( socket ) ),
-      timer_( socket_.get_executor() ), limits_( owner.handler_.limits() )
+      timer_( socket_.get_executor() ), limits_( owner.handler_.limits() ),
+      unsent_( owner.unsent_, *this )
 {
 }
 
 auto caller_connection::start() -> void
 {
     set_up_connection( socket_, caller_ack_timeout );
+    limit_unsent_in_kernel( socket_ );
     start_request();
     read();
 }
@@ -384,10 +386,23 @@
 
 auto caller_connection::write( std::string const& bytes ) -> void
 {
+    if ( phase_ == phase::closed )
+        return;
+    if ( unsent_bytes() == 0 )
+        stalled_since_ = std::chrono::steady_clock::now();
     pending_ += bytes;
+    note_unsent();
     flush();
 }
 
+/// Counts the memory that the unsent bytes take, which may close the
+/// connection.
+auto caller_connection::note_unsent() -> void
+{
+    unsent_.set(
+        unsent_bytes() == 0 ? 0 : pending_.capacity() + writing_.capacity() );
+}
+
 auto caller_connection::flush() -> void
 {
     if ( write_open_ || phase_ == phase::closed )
@@ -400,16 +415,61 @@
     }
     write_open_ = true;
     writing_ = std::exchange( pending_, {} );
-    net::async_write( socket_, net::buffer( writing_ ),
-                      [self = shared_from_this()]( error_code ec, std::size_t )
-                      {
-                          self->write_open_ = false;
-                          // `clear` would keep the memory.
-                          std::string().swap( self->writing_ );
-                          if ( ec )
-                              return self->close();
-                          self->flush();
-                      } );
+    written_bytes_ = 0;
+    write_some();
+}
+
+auto caller_connection::write_some() -> void
+{
+    auto const rest = net::buffer( writing_ ) + written_bytes_;
+    socket_.async_write_some(
+        rest,
+        [self = shared_from_this()]( error_code ec, std::size_t n )
+        {
+            self->on_written( ec, n );
+        } );
+}
+
+auto caller_connection::on_written( error_code ec, std::size_t n ) -> void
+{
+    if ( ec || phase_ == phase::closed )
+    {
+        write_open_ = false;
+        return close();
+    }
+    stalled_since_ = std::chrono::steady_clock::now();
+    written_bytes_ += n;
+    if ( written_bytes_ < writing_.size() )
+        return write_some();
+    write_open_ = false;
+    written_bytes_ = 0;
+    // `clear` would keep the memory.
+    std::string().swap( writing_ );
+    note_unsent();
+    flush();
+}
+
+auto caller_connection::drop_unsent() -> void
+{
+    auto ec = error_code{};
+    socket_.close( ec );
+    std::string().swap( pending_ );
+    unsent_.set( 0 );
+    // The request is told of the end in a call of its own.
+    net::post( socket_.get_executor(),
+               [self = shared_from_this()]
+               {
+                   self->close();
+               } );
+}
+
+auto caller_connection::caller() const -> std::string
+{
+    auto ec = error_code{};
+    auto const at = socket_.remote_endpoint( ec );
+    return ec ? "unknown"
+              : core::to_string(
+                    core::address{ at.address().to_string(), at.port() } );
 }
 
 auto caller_connection::linger() -> void
@@ -432,6 +492,8 @@
     timer_.cancel();
     auto ec = error_code{};
     socket_.close( ec );
+    std::string().swap( pending_ );
+    unsent_.set( 0 );
     auto const request = std::exchange( request_, nullptr );
     if ( request )
         request->on_caller_gone();
--- a/src/pollenstream/adapters/asio/caller_connection.hpp
+++ b/src/pollenstream/adapters/asio/caller_connection.hpp
@@ -4,9 +4,11 @@
 #include <pollenstream/adapters/asio/arriving_body.hpp>
 #include <pollenstream/adapters/asio/caller_listener.hpp>
 #include <pollenstream/adapters/asio/http_text.hpp>
+#include <pollenstream/adapters/asio/unsent_answers.hpp>
 
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -18,7 +20,9 @@
 /// Connection of one caller. It keeps reading while a request is being
 /// answered, to detect that the caller has closed it; reading pauses only while
 /// too many bytes of later requests are buffered.
-class caller_connection : public std::enable_shared_from_this<caller_connection>
+class caller_connection
+    : public std::enable_shared_from_this<caller_connection>,
+      public unsent_answer
 {
 public:
     caller_connection( caller_listener& owner, tcp::socket socket );
@@ -43,9 +47,17 @@
     auto abort( std::uint64_t number ) -> void;
     [[nodiscard]] auto unsent_bytes() const -> std::size_t
     {
-        return pending_.size() + writing_.size();
+        return pending_.size() + writing_.size() - written_bytes_;
     }
 
+    [[nodiscard]] auto stalled_since() const
+        -> std::chrono::steady_clock::time_point override
+    {
+        return stalled_since_;
+    }
+    auto drop_unsent() -> void override;
+    [[nodiscard]] auto caller() const -> std::string override;
+
 private:
     enum class phase
     {
@@ -75,6 +87,9 @@
     auto keeps_alive() const -> bool;
     auto write( std::string const& bytes ) -> void;
     auto flush() -> void;
+    auto write_some() -> void;
+    auto on_written( error_code ec, std::size_t n ) -> void;
+    auto note_unsent() -> void;
     auto linger() -> void;
     auto close() -> void;
 
@@ -95,7 +110,10 @@
     bool finish_after_write_{ false };
     std::string pending_;
     std::string writing_;
+    std::size_t written_bytes_{ 0 }; ///< of `writing_`
     bool write_open_{ false };
+    std::chrono::steady_clock::time_point stalled_since_;
+    unsent_share unsent_;
 };
 
 }
--- a/src/pollenstream/adapters/asio/caller_listener.cpp
+++ b/src/pollenstream/adapters/asio/caller_listener.cpp
@@ -30,8 +30,10 @@
     net::io_context& io,
     core::address const& at,
     request_handler& handler,
-    std::shared_ptr<core::memory_budget> body_memory )
+    std::shared_ptr<core::memory_budget> body_memory,
+    std::shared_ptr<unsent_answers> unsent )
     : io_( io ), handler_( handler ), body_memory_( std::move( body_memory ) ),
+      unsent_( std::move( unsent ) ),
       acceptor_( io, endpoint_of( at ), true ), accept_retry_timer_( io )
 {
     accept();
--- a/src/pollenstream/adapters/asio/caller_listener.hpp
+++ b/src/pollenstream/adapters/asio/caller_listener.hpp
@@ -2,6 +2,7 @@
 #define POLLENSTREAM_ADAPTERS_ASIO_CALLER_LISTENER_HPP
 
 #include <pollenstream/adapters/asio/prelude.hpp>
+#include <pollenstream/adapters/asio/unsent_answers.hpp>
 #include <pollenstream/core/address.hpp>
 #include <pollenstream/core/counter.hpp>
 #include <pollenstream/core/memory_budget.hpp>
@@ -61,12 +62,14 @@
 {
 public:
     /// `body_memory`: for the bodies of all requests that are being read or
-    /// answered; null if the handler's limits on one request suffice. Throws
-    /// `boost::system::system_error` if the address is in use.
+    /// answered; null if the handler's limits on one request suffice. `unsent`:
+    /// for the answers that callers have not taken; null if nothing limits
+    /// these. Throws `boost::system::system_error` if the address is in use.
     caller_listener( net::io_context& io,
                      core::address const& at,
                      request_handler& handler,
-                     std::shared_ptr<core::memory_budget> body_memory = {} );
+                     std::shared_ptr<core::memory_budget> body_memory = {},
+                     std::shared_ptr<unsent_answers> unsent = {} );
     ~caller_listener();
     caller_listener( caller_listener const& ) = delete;
     auto operator=( caller_listener const& ) -> caller_listener& = delete;
@@ -99,6 +102,7 @@
     net::io_context& io_;
     request_handler& handler_;
     std::shared_ptr<core::memory_budget> body_memory_;
+    std::shared_ptr<unsent_answers> unsent_;
     tcp::acceptor acceptor_;
     net::steady_timer accept_retry_timer_;
     std::set<std::shared_ptr<caller_connection>> connections_;
--- a/src/pollenstream/adapters/asio/http_client.cpp
+++ b/src/pollenstream/adapters/asio/http_client.cpp
@@ -84,6 +84,7 @@
     {
         ++call_number_;
         idle_ = false;
+        is_paused_ = false;
         call_ = std::move( call );
         listener_ = std::move( listener );
         sent_ = false;
@@ -101,6 +102,16 @@
         close();
     }
 
+    auto pause() -> void
+    {
+        is_paused_ = true;
+    }
+    auto resume() -> void
+    {
+        if ( std::exchange( is_paused_, false ) && !reading_ )
+            read();
+    }
+
     [[nodiscard]] auto sent() const -> bool
     {
         return sent_;
@@ -246,7 +257,7 @@
         if ( ec )
             return on_closed( ec );
         buffer_.commit( n );
-        if ( !parse() || !listener_ || idle_ )
+        if ( !parse() || !listener_ || idle_ || is_paused_ )
             return;
         read();
     }
@@ -419,6 +430,7 @@
     bool is_stray_{ false };
     bool had_stray_{ false };
     bool idle_{ false };
+    bool is_paused_{ false };
     std::uint64_t call_number_{ 0 };
     std::size_t skipped_bytes_{ 0 }; ///< of stray answers, during this call
 };
@@ -439,6 +451,16 @@
         if ( is_open() )
             connection_->cancel();
     }
+    auto pause() -> void override
+    {
+        if ( is_open() )
+            connection_->pause();
+    }
+    auto resume() -> void override
+    {
+        if ( is_open() )
+            connection_->resume();
+    }
     [[nodiscard]] auto sent() const -> bool override
     {
         return !is_open() || connection_->sent();
--- a/src/pollenstream/adapters/asio/socket_options.cpp
+++ b/src/pollenstream/adapters/asio/socket_options.cpp
@@ -34,6 +34,13 @@
     set_option( fd, IPPROTO_TCP, TCP_KEEPCNT, probes );
 }
 
+auto limit_unsent_in_kernel( tcp::socket& socket ) -> void
+{
+    constexpr auto max_unsent_bytes = 16 * 1024;
+    set_option( socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+                max_unsent_bytes );
+}
+
 auto endpoint_of( core::address const& a ) -> tcp::endpoint
 {
     auto ec = error_code{};
--- a/src/pollenstream/core/bounded_text.hpp
+++ b/src/pollenstream/core/bounded_text.hpp
@@ -32,6 +32,16 @@
         text_ += bytes;
         return true;
     }
+    /// Appends `bytes` even if they exceed the budget. Returns false, and
+    /// appends nothing, if the text would exceed its maximum.
+    auto append_beyond_budget( std::string_view bytes ) -> bool
+    {
+        if ( bytes.size() > max_bytes_ - text_.size() )
+            return false;
+        memory_.grow_in_any_case( bytes.size() );
+        text_ += bytes;
+        return true;
+    }
     /// Moves the text out and returns its bytes to the budget.
     [[nodiscard]] auto release() -> std::string
     {
--- a/src/pollenstream/core/memory_budget.hpp
+++ b/src/pollenstream/core/memory_budget.hpp
@@ -1,6 +1,7 @@
 #ifndef POLLENSTREAM_CORE_MEMORY_BUDGET_HPP
 #define POLLENSTREAM_CORE_MEMORY_BUDGET_HPP
 
+#include <algorithm>
 #include <cstddef>
 #include <memory>
 #include <utility>
@@ -8,6 +9,15 @@
 namespace pollenstream::core
 {
 
+/// Gives memory back to a budget that is used up.
+class memory_reclaimer
+{
+public:
+    virtual ~memory_reclaimer() = default;
+    /// Gives back at least `bytes`, or what can be spared.
+    virtual auto reclaim( std::size_t bytes ) -> void = 0;
+};
+
 /// Bytes that several holders, which share the budget, may keep in memory
 /// together.
 class memory_budget
@@ -17,14 +27,27 @@
     memory_budget( memory_budget const& ) = delete;
     auto operator=( memory_budget const& ) -> memory_budget& = delete;
 
+    /// Asked before bytes are refused; null: nobody. Must outlive its use here.
+    auto set_reclaimer( memory_reclaimer* reclaimer ) -> void
+    {
+        reclaimer_ = reclaimer;
+    }
     /// Returns false, and takes nothing, if fewer than `bytes` are left.
     auto take( std::size_t bytes ) -> bool
     {
-        if ( bytes > max_bytes_ - used_bytes_ )
+        make_room( bytes );
+        if ( bytes > left_bytes() )
             return false;
         used_bytes_ += bytes;
         return true;
     }
+    /// Takes `bytes` even if fewer are left, for what cannot be refused. The
+    /// budget then refuses others until enough is given back.
+    auto take_in_any_case( std::size_t bytes ) -> void
+    {
+        make_room( bytes );
+        used_bytes_ += bytes;
+    }
     auto give_back( std::size_t bytes ) -> void
     {
         used_bytes_ -= bytes;
@@ -33,10 +56,21 @@
     {
         return used_bytes_;
     }
+    [[nodiscard]] auto left_bytes() const -> std::size_t
+    {
+        return max_bytes_ - std::min( used_bytes_, max_bytes_ );
+    }
 
 private:
+    auto make_room( std::size_t bytes ) -> void
+    {
+        if ( reclaimer_ != nullptr && bytes > left_bytes() )
+            reclaimer_->reclaim( bytes - left_bytes() );
+    }
+
     std::size_t max_bytes_;
     std::size_t used_bytes_{ 0 };
+    memory_reclaimer* reclaimer_{ nullptr };
 };
 
 /// The bytes that one holder has taken from a budget. They return to it at the
@@ -82,6 +116,20 @@
     {
         return bytes <= claimed_bytes_ || grow( bytes - claimed_bytes_ );
     }
+    /// Claims `bytes` more even if fewer are left.
+    auto grow_in_any_case( std::size_t bytes ) -> void
+    {
+        budget_->take_in_any_case( bytes );
+        claimed_bytes_ += bytes;
+    }
+    /// Claims `bytes` in all, even if fewer are left, and gives back the rest.
+    auto resize( std::size_t bytes ) -> void
+    {
+        if ( bytes > claimed_bytes_ )
+            return grow_in_any_case( bytes - claimed_bytes_ );
+        budget_->give_back( claimed_bytes_ - bytes );
+        claimed_bytes_ = bytes;
+    }
     auto give_back() -> void
     {
         if ( claimed_bytes_ > 0 )
--- a/src/pollenstream/exchange/context.hpp
+++ b/src/pollenstream/exchange/context.hpp
@@ -7,6 +7,7 @@
 #include <pollenstream/exchange/crash_history.hpp>
 #include <pollenstream/exchange/event_log.hpp>
 #include <pollenstream/exchange/load_table.hpp>
+#include <pollenstream/exchange/memory_queue.hpp>
 #include <pollenstream/exchange/message.hpp>
 #include <pollenstream/exchange/placement.hpp>
 #include <pollenstream/exchange/placement_client.hpp>
@@ -103,6 +104,8 @@
     target_path& path;
     /// For the answers of targets that are kept until they are complete.
     std::shared_ptr<core::memory_budget> answer_memory;
+    /// Those that find no memory there.
+    memory_queue answers_without_memory{ scheduler, answer_memory };
     wait_queue& queue;
     event_log& log;
     work_announcer& announcer;
--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -115,6 +115,8 @@
         core::instant silent_from; ///< start of the silence that is timed
         /// The current silence has been counted as a failure of the target.
         bool is_silence_noted{ false };
+        /// The target is not read, as there is no memory for its answer.
+        bool is_paused{ false };
     };
 
     /// A placement request that has not been answered.
@@ -185,6 +187,8 @@
     auto note_reported_limit( target_attempt const& from,
                               answer_head const& head ) -> void;
     auto on_body( std::uint64_t serial, std::string const& bytes ) -> void;
+    auto wait_for_memory( target_attempt& from ) -> void;
+    auto on_memory_free( std::uint64_t serial ) -> void;
     auto on_end( std::uint64_t serial, attempt_end const& end ) -> void;
     auto check_if_cut_short( target_attempt const& from ) -> void;
     auto on_checked( std::uint64_t serial, std::optional<bool> target_listens )
--- a/src/pollenstream/exchange/exchange_answers.cpp
+++ b/src/pollenstream/exchange/exchange_answers.cpp
@@ -138,9 +138,11 @@
     context_.path.note_answer( context_.scheduler.now() );
     if ( !is_stream( *from ) )
     {
-        if ( !from->body.append( bytes ) )
-            on_invalid_answer( *from, too_large );
-        return;
+        if ( from->body.append( bytes ) )
+            return;
+        if ( !from->body.append_beyond_budget( bytes ) )
+            return on_invalid_answer( *from, too_large );
+        return wait_for_memory( *from );
     }
     auto events = from->splitter.take( bytes );
     if ( from->splitter.pending() > max_event_bytes )
@@ -150,6 +152,39 @@
     relay( std::move( events ) );
 }
 
+/// There is no memory for more of this answer. Its target is not read until
+/// there is, unless all answers that are older have ended.
+auto exchange::wait_for_memory( target_attempt& from ) -> void
+{
+    auto const has_to_wait = context_.answers_without_memory.wait(
+        from.serial,
+        [self = weak_from_this(), serial = from.serial]
+        {
+            auto const owner = self.lock();
+            if ( owner )
+                owner->run(
+                    [&]
+                    {
+                        owner->on_memory_free( serial );
+                    } );
+        } );
+    if ( !has_to_wait || !from.call )
+        return;
+    from.is_paused = true;
+    from.call->pause();
+}
+
+auto exchange::on_memory_free( std::uint64_t serial ) -> void
+{
+    auto* const from = find_attempt( serial );
+    if ( from == nullptr || !std::exchange( from->is_paused, false ) )
+        return;
+    from->last_heard_at = context_.scheduler.now();
+    from->silent_from = from->last_heard_at;
+    auto const call = from->call;
+    call->resume();
+}
+
 /// Returns to the silent target if its events continue or overlap what the
 /// caller has. Returns false if they do not, or if none is complete: nothing
 /// more may follow part of an event, so it does not end the other attempt.
--- a/src/pollenstream/exchange/exchange_attempts.cpp
+++ b/src/pollenstream/exchange/exchange_attempts.cpp
@@ -304,6 +304,7 @@
         return;
     auto closed = std::move( *which );
     which.reset();
+    context_.answers_without_memory.leave( closed.serial );
     if ( cancel && closed.call )
         closed.call->cancel();
     if ( closed.reservation )
--- a/src/pollenstream/exchange/exchange_silence.cpp
+++ b/src/pollenstream/exchange/exchange_silence.cpp
@@ -136,6 +136,12 @@
     silence_timer_delay_ = now - silence_timer_due_;
     if ( route_->kind == request_kind::stream && since < silence_timeout() )
         return arm_silence_timer();
+    // It is not silent: this instance does not read it.
+    if ( current_->is_paused )
+    {
+        current_->silent_from = now;
+        return arm_silence_timer();
+    }
     // Nothing to do unless another target may be tried.
     if ( !route_->is_idempotent() || targets_reached_ >= route_->max_targets )
         return;
--- a/src/pollenstream/exchange/message.hpp
+++ b/src/pollenstream/exchange/message.hpp
@@ -172,6 +172,10 @@
     /// Closes the connection, upon which the target stops its work. The
     /// listener is not called any more.
     virtual auto cancel() -> void = 0;
+    /// Nothing more of the answer is read after what has arrived, until
+    /// `resume`. An answer that cannot be held up goes on.
+    virtual auto pause() -> void {}
+    virtual auto resume() -> void {}
     /// True once bytes of the request may have been sent.
     [[nodiscard]] virtual auto sent() const -> bool = 0;
 };
--- a/tests/support/exchange_fixture.hpp
+++ b/tests/support/exchange_fixture.hpp
@@ -72,6 +72,7 @@
     exchange::outgoing_request request;
     std::shared_ptr<exchange::attempt_listener> listener;
     bool cancelled{ false };
+    bool paused{ false };
     bool bytes_sent{ true };
 
     /// Starts the answer; `has_digest`: it carries the target's digest.
@@ -162,6 +163,14 @@
         {
             sent_->cancelled = true;
         }
+        auto pause() -> void override
+        {
+            sent_->paused = true;
+        }
+        auto resume() -> void override
+        {
+            sent_->paused = false;
+        }
         [[nodiscard]] auto sent() const -> bool override
         {
             return sent_->bytes_sent;
