A kept connection to a target does not hold the body of its last request

Cause: a connection that is kept for later calls kept the call too, and with it the request, its body and that body's claim on the memory for requests: up to 4 MB for each idle connection, eight a target. Requests could be refused as no_memory by an instance at rest. Found while listing what outlives an answer; no run of ours shows that callers saw it.

Change: the call is let go with its end. The test failed before: the body was still held by the idle connection.

--- a/src/pollenstream/adapters/asio/http_client.cpp
+++ b/src/pollenstream/adapters/asio/http_client.cpp
@@ -368,6 +368,8 @@
                               socket_.is_open();
         auto const advertised = advertised_idle_time( parser_->get().base() );
         auto const listener = std::exchange( listener_, nullptr );
+        // The connection may stay open for long, and the call holds a body.
+        call_ = {};
         if ( can_keep )
         {
             auto const time = advertised ? std::max( core::duration( 0 ),
