A port that is held at the start is waited for, and metrics are done without

Cause: each port was bound in a constructor, whose exception ended the process with status 1 and a line that does not name the port. A port can be held by the predecessor that has not ended, by another program or run on the same address, or by an outgoing connection; the address may not be there yet.

Callers' port and the datagrams between instances are required: until both are open the instance announces itself to nobody and is not ready. Without datagrams it would take itself for the only instance, with all allowances. SIGTERM ends an instance that still waits, with status 0.

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -87,6 +87,13 @@
              s.thousandths_of_core };
 }
 
+/// The text of an error; nullopt without one.
+auto reason_of( adapters::asio::error_code const& ec )
+    -> std::optional<std::string>
+{
+    return ec ? std::optional( ec.message() ) : std::nullopt;
+}
+
 auto random_seed( platform::gateway_settings const& s ) -> std::uint32_t
 {
     return static_cast<std::uint32_t>(
@@ -106,8 +113,8 @@
           part_of_memory( settings_, request_eighths ) ) ),
       answer_memory_( std::make_shared<core::memory_budget>(
           part_of_memory( settings_, answer_eighths ) ) ),
-      unsent_answers_( std::make_shared<adapters::asio::unsent_answers>(
-          answer_memory_ ) ),
+      unsent_answers_(
+          std::make_shared<adapters::asio::unsent_answers>( answer_memory_ ) ),
       http_( io, part_of_memory( settings_, reply_eighths ) ),
       store_( http_, settings_.store ), target_calls_( http_ ),
       reservation_client_( http_ ),
@@ -207,7 +214,8 @@
           [this]
           {
               return describe_node( parts() );
-          } )
+          } ),
+      listening_ports_( scheduler_, log )
 {
 }
 
@@ -254,6 +262,7 @@
              callers_ ? callers_->connections() : 0,
              unsent_answers_->unsent_bytes(),
              unsent_answers_->dropped(),
+             listening_ports_.waiting(),
              configuration_delay_ };
 }
 
@@ -321,28 +330,65 @@
 
 auto gateway_node::start() -> void
 {
-    using adapters::asio::caller_listener;
-    auto const listen = [this]( core::address const& at, auto& handler,
-                                auto const& body_memory )
+    started_ = scheduler_.now();
+    ready_state_.since = started_;
+    connect_events();
+    add_ports();
+    listening_ports_.on_required_open = [this]
+    {
+        begin();
+    };
+    listening_ports_.open_all();
+}
+
+auto gateway_node::add_listener(
+    listener_ptr& listener,
+    listening_port port,
+    adapters::asio::request_handler& handler,
+    std::shared_ptr<core::memory_budget> body_memory ) -> void
+{
+    listener = std::make_unique<adapters::asio::caller_listener>(
+        io_, handler, std::move( body_memory ), unsent_answers_ );
+    port.open = [&opened = *listener, at = port.address]
     {
-        return std::make_unique<caller_listener>( io_, at, handler, body_memory,
-                                                  unsent_answers_ );
+        return reason_of( opened.open( at ) );
     };
-    auto const no_memory = std::shared_ptr<core::memory_budget>{};
-    callers_ = listen( settings_.callers, caller_handler_, request_memory_ );
-    directory_ = listen( settings_.directory, directory_handler_, no_memory );
-    readiness_ = listen( settings_.readiness, readiness_handler_, no_memory );
-    peer_listener_ = listen( settings_.peers, state_handler_, no_memory );
+    listening_ports_.add( std::move( port ) );
+}
+
+auto gateway_node::add_ports() -> void
+{
+    add_listener( callers_, { "callers", settings_.callers, true, {} },
+                  caller_handler_, request_memory_ );
+    add_listener( directory_, { "directory", settings_.directory, false, {} },
+                  directory_handler_, nullptr );
+    add_listener( readiness_, { "readiness", settings_.readiness, false, {} },
+                  readiness_handler_, nullptr );
+    add_listener( peer_listener_, { "instances", settings_.peers, false, {} },
+                  state_handler_, nullptr );
+    // Without datagrams this instance would take itself for the only one.
+    listening_ports_.add( { "datagrams", settings_.peers, true,
+                            [this]
+                            {
+                                return reason_of( datagrams_.open() );
+                            } } );
+}
+
+auto gateway_node::serve_metrics( std::uint16_t port ) -> void
+{
+    add_listener(
+        metrics_,
+        { "metrics", core::address{ settings_.callers.ip, port }, false, {} },
+        metrics_handler_, nullptr );
+}
+
+auto gateway_node::connect_events() -> void
+{
     unsent_answers_->on_dropped =
         [this]( auto const& caller, auto bytes, auto stalled )
     {
         record_dropped_caller( caller, bytes, stalled );
     };
-    datagrams_.start(
-        [this]( std::string_view bytes )
-        {
-            group_.on_datagram( bytes );
-        } );
     group_.set_placement_handler( router_ );
     group_.on_load_changed = [this]
     {
@@ -368,28 +414,31 @@
     {
         retries_.set_instances( group_.size() );
     };
-    group_.start();
-    registry_.start_following();
-    instance_records_.start();
     quarantine_.on_changed = [this]( auto const& suspects )
     {
         quarantine_records_.on_changed( suspects );
     };
+}
+
+auto gateway_node::begin() -> void
+{
+    if ( stopping_ )
+        return;
+    has_begun_ = true;
+    datagrams_.start(
+        [this]( std::string_view bytes )
+        {
+            group_.on_datagram( bytes );
+        } );
+    group_.start();
+    registry_.start_following();
+    instance_records_.start();
     quarantine_.start();
     path_watch_.start();
-    started_ = scheduler_.now();
-    ready_state_.since = started_;
     tick();
     record_process( "started", "incarnation" );
 }
 
-auto gateway_node::serve_metrics( std::uint16_t port ) -> void
-{
-    metrics_ = std::make_unique<adapters::asio::caller_listener>(
-        io_, core::address{ settings_.callers.ip, port }, metrics_handler_,
-        std::shared_ptr<core::memory_budget>{}, unsent_answers_ );
-}
-
 auto gateway_node::is_ready() const -> bool
 {
     return !stopping_ && context_.configuration != nullptr;
@@ -523,6 +572,8 @@
     if ( std::exchange( stopping_, true ) )
         return;
     record_process( "stopping", "signal" );
+    if ( !has_begun_ )
+        return end_process( "not started" );
     note_readiness();
     auto const now = scheduler_.now();
     auto const directory_expired_at = now + directory_ttl * caller_ttl_factor;
--- a/apps/gateway/gateway_node.hpp
+++ b/apps/gateway/gateway_node.hpp
@@ -8,6 +8,7 @@
 #include "../../platform/store_client.hpp"
 #include "../../platform/target_calls.hpp"
 #include "caller_handler.hpp"
+#include "listening_ports.hpp"
 #include "metrics_handler.hpp"
 #include "node_state.hpp"
 #include "state_handler.hpp"
@@ -29,6 +30,7 @@
 #include <pollenstream/registry/quarantine_records.hpp>
 #include <pollenstream/registry/registry_watch.hpp>
 
+#include <exception>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -45,9 +47,11 @@
                   platform::gateway_settings settings,
                   exchange::event_log& log );
 
-    /// Starts to serve metrics and the state dump at `port`.
+    /// Serves metrics and the state dump at `port` from the start on.
     auto serve_metrics( std::uint16_t port ) -> void;
 
+    /// Opens the ports and begins to work once callers and other instances can
+    /// reach this one.
     auto start() -> void;
     /// Applies the settings that may change at run time: the retry budget, the
     /// grace period, the directory's time to live and the seed instances.
@@ -58,10 +62,20 @@
     auto stop() -> void;
 
 private:
+    using listener_ptr = std::unique_ptr<adapters::asio::caller_listener>;
+
     auto make_context() -> exchange::exchange_context;
     auto make_registry_events() -> registry::registry_events;
     auto parts() const -> node_parts;
     [[nodiscard]] auto broken_inputs() const -> std::uint64_t;
+    auto add_listener( listener_ptr& listener,
+                       listening_port port,
+                       adapters::asio::request_handler& handler,
+                       std::shared_ptr<core::memory_budget> body_memory )
+        -> void;
+    auto add_ports() -> void;
+    auto begin() -> void;
+    auto connect_events() -> void;
     auto is_ready() const -> bool;
     auto registry_is_current() const -> bool;
     auto update_ready() -> void;
@@ -125,14 +139,16 @@
     platform::directory_handler directory_handler_;
     platform::readiness_handler readiness_handler_;
     metrics_handler metrics_handler_;
-    std::unique_ptr<adapters::asio::caller_listener> callers_;
-    std::unique_ptr<adapters::asio::caller_listener> directory_;
-    std::unique_ptr<adapters::asio::caller_listener> readiness_;
-    std::unique_ptr<adapters::asio::caller_listener> peer_listener_;
-    std::unique_ptr<adapters::asio::caller_listener> metrics_;
+    listener_ptr callers_;
+    listener_ptr directory_;
+    listener_ptr readiness_;
+    listener_ptr peer_listener_;
+    listener_ptr metrics_;
+    listening_ports listening_ports_;
 
     core::instant started_;
     ready_state ready_state_;
+    bool has_begun_{ false };
     bool stopping_{ false };
     core::instant callers_left_at_;
     std::unique_ptr<ports::scheduled_call> tick_call_;
--- a/apps/gateway/main.cpp
+++ b/apps/gateway/main.cpp
@@ -96,9 +96,9 @@
     };
     wait_for_reload();
     watch.start();
-    node.start();
     if ( metrics_port )
         node.serve_metrics( *metrics_port );
+    node.start();
     io.run();
 }
 
--- a/apps/gateway/node_state.cpp
+++ b/apps/gateway/node_state.cpp
@@ -139,6 +139,13 @@
         << node.context.counters.internal_errors.value() << '\n'
         << "pollenstream_internal_errors_total{of=\"input\"} "
         << node.broken_inputs << '\n'
+        << "# TYPE pollenstream_answers_waiting_for_memory gauge\n"
+        << "pollenstream_answers_waiting_for_memory "
+        << node.context.answers_without_memory.size() << '\n'
+        << "pollenstream_waits_for_memory_total "
+        << node.context.answers_without_memory.waits() << '\n'
+        << "# TYPE pollenstream_ports_waiting gauge\n"
+        << "pollenstream_ports_waiting " << node.ports_waiting.size() << '\n'
         << "# TYPE pollenstream_answer_bytes_kept gauge\n"
         << "pollenstream_answer_bytes_kept "
         << node.context.answer_memory->used_bytes() << '\n'
@@ -216,6 +223,7 @@
               { "configuration", version },
               { "stopping", context.stop.has_value() },
               { "ready", node.ready.is_ready },
+              { "ports_waiting", node.ports_waiting },
               { "first_served_ms",
                 served ? json( core::milliseconds_of( *served ) ) : json() },
               { "open_requests", context.open.size() },
--- a/apps/gateway/node_state.hpp
+++ b/apps/gateway/node_state.hpp
@@ -11,6 +11,7 @@
 #include <pollenstream/registry/registry_watch.hpp>
 
 #include <string>
+#include <vector>
 
 namespace pollenstream::gateway
 {
@@ -37,8 +38,9 @@
     std::uint64_t broken_inputs{ 0 };
     std::size_t request_bytes{ 0 }; ///< of the bodies of open requests
     std::size_t caller_connections{ 0 };
-    std::size_t unsent_bytes{ 0 };      ///< of answers, in connections
-    std::uint64_t dropped_callers{ 0 }; ///< closed as they did not read
+    std::size_t unsent_bytes{ 0 };          ///< of answers, in connections
+    std::uint64_t dropped_callers{ 0 };     ///< closed as they did not read
+    std::vector<std::string> ports_waiting; ///< names of those not open
     /// From the first word of a newer state to the configuration in force.
     observation::delay_gauge configuration_delay;
 };
--- a/src/pollenstream/adapters/asio/caller_listener.cpp
+++ b/src/pollenstream/adapters/asio/caller_listener.cpp
@@ -2,6 +2,7 @@
 #include <pollenstream/adapters/asio/caller_listener.hpp>
 #include <pollenstream/adapters/asio/socket_options.hpp>
 
+#include <exception>
 #include <utility>
 #include <vector>
 
@@ -28,15 +29,26 @@
 
 caller_listener::caller_listener(
     net::io_context& io,
-    core::address const& at,
     request_handler& handler,
     std::shared_ptr<core::memory_budget> body_memory,
     std::shared_ptr<unsent_answers> unsent )
     : io_( io ), handler_( handler ), body_memory_( std::move( body_memory ) ),
-      unsent_( std::move( unsent ) ),
-      acceptor_( io, endpoint_of( at ), true ), accept_retry_timer_( io )
+      unsent_( std::move( unsent ) ), acceptor_( io ), accept_retry_timer_( io )
 {
-    accept();
+}
+
+caller_listener::caller_listener(
+    net::io_context& io,
+    core::address const& at,
+    request_handler& handler,
+    std::shared_ptr<core::memory_budget> body_memory,
+    std::shared_ptr<unsent_answers> unsent )
+    : caller_listener(
+          io, handler, std::move( body_memory ), std::move( unsent ) )
+{
+    auto const ec = open( at );
+    if ( ec )
+        throw boost::system::system_error( ec, core::to_string( at ) );
 }
 
 caller_listener::~caller_listener() = default;
@@ -47,6 +59,24 @@
     return { at.address().to_string(), at.port() };
 }
 
+auto caller_listener::open( core::address const& at ) -> error_code
+{
+    auto const endpoint = endpoint_of( at );
+    auto ec = error_code{};
+    acceptor_.open( endpoint.protocol(), ec );
+    if ( !ec )
+        acceptor_.set_option( net::socket_base::reuse_address( true ), ec );
+    if ( !ec )
+        acceptor_.bind( endpoint, ec );
+    if ( !ec )
+        acceptor_.listen( net::socket_base::max_listen_connections, ec );
+    if ( ec )
+        stop_accepting();
+    else
+        accept();
+    return ec;
+}
+
 auto caller_listener::accept() -> void
 {
     acceptor_.async_accept(
@@ -56,14 +86,27 @@
                 return;
             if ( ec )
                 return retry_accept_later();
-            auto connection = std::make_shared<caller_connection>(
-                *this, std::move( socket ) );
-            connections_.insert( connection );
-            connection->start();
+            begin_connection( std::move( socket ) );
             accept();
         } );
 }
 
+/// A connection that cannot begin does not keep others from being accepted.
+auto caller_listener::begin_connection( tcp::socket socket ) -> void
+{
+    try
+    {
+        auto connection =
+            std::make_shared<caller_connection>( *this, std::move( socket ) );
+        connections_.insert( connection );
+        connection->start();
+    }
+    catch ( std::exception const& )
+    {
+        broken_.add();
+    }
+}
+
 auto caller_listener::retry_accept_later() -> void
 {
     accept_retry_timer_.expires_after( accept_retry_delay );
--- a/src/pollenstream/adapters/asio/caller_listener.hpp
+++ b/src/pollenstream/adapters/asio/caller_listener.hpp
@@ -61,10 +61,15 @@
 class caller_listener
 {
 public:
-    /// `body_memory`: for the bodies of all requests that are being read or
-    /// answered; null if the handler's limits on one request suffice. `unsent`:
-    /// for the answers that callers have not taken; null if nothing limits
-    /// these. Throws `boost::system::system_error` if the address is in use.
+    /// Opened later, with `open`. `body_memory`: for the bodies of all requests
+    /// that are being read or answered; null if the handler's limits on one
+    /// request suffice. `unsent`: for the answers that callers have not taken;
+    /// null if nothing limits these.
+    caller_listener( net::io_context& io,
+                     request_handler& handler,
+                     std::shared_ptr<core::memory_budget> body_memory = {},
+                     std::shared_ptr<unsent_answers> unsent = {} );
+    /// Opened at once. Throws `boost::system::system_error` if that fails.
     caller_listener( net::io_context& io,
                      core::address const& at,
                      request_handler& handler,
@@ -74,6 +79,9 @@
     caller_listener( caller_listener const& ) = delete;
     auto operator=( caller_listener const& ) -> caller_listener& = delete;
 
+    /// Starts to accept connections at `at`. Fails if the address is in use or
+    /// is not there; may be tried again then.
+    [[nodiscard]] auto open( core::address const& at ) -> error_code;
     /// Each answer that starts after this call closes its connection.
     auto begin_drain() -> void;
     /// Closes connections that have not started to receive a request.
@@ -97,6 +105,7 @@
     friend class caller_connection;
 
     auto accept() -> void;
+    auto begin_connection( tcp::socket socket ) -> void;
     auto retry_accept_later() -> void;
 
     net::io_context& io_;
--- a/src/pollenstream/adapters/asio/datagram_socket.cpp
+++ b/src/pollenstream/adapters/asio/datagram_socket.cpp
@@ -1,15 +1,31 @@
 #include <pollenstream/adapters/asio/datagram_socket.hpp>
 
 #include <exception>
+#include <utility>
 
 namespace pollenstream::adapters::asio
 {
 
-datagram_socket::datagram_socket( net::io_context& io, core::address const& at )
-    : socket_( io, udp::endpoint( net::ip::make_address( at.ip ), at.port ) ),
-      port_( at.port )
+datagram_socket::datagram_socket( net::io_context& io, core::address at )
+    : at_( std::move( at ) ), socket_( io )
 {
-    socket_.non_blocking( true );
+}
+
+auto datagram_socket::open() -> error_code
+{
+    auto ec = error_code{};
+    auto const endpoint =
+        udp::endpoint( net::ip::make_address( at_.ip, ec ), at_.port );
+    if ( !ec )
+        socket_.open( endpoint.protocol(), ec );
+    if ( !ec )
+        socket_.non_blocking( true, ec );
+    if ( !ec )
+        socket_.bind( endpoint, ec );
+    auto ignored = error_code{};
+    if ( ec )
+        socket_.close( ignored );
+    return ec;
 }
 
 auto datagram_socket::start( std::function<void( std::string_view )> receiver )
@@ -53,8 +69,8 @@
     auto ec = error_code{};
     auto const address = net::ip::make_address( ip, ec );
     if ( !ec )
-        socket_.send_to( net::buffer( bytes ), udp::endpoint( address, port_ ),
-                         0, ec );
+        socket_.send_to( net::buffer( bytes ),
+                         udp::endpoint( address, at_.port ), 0, ec );
     // Lost datagrams are not resent: the next complete message replaces them.
     if ( ec )
         send_errors_.add();
--- a/src/pollenstream/adapters/asio/datagram_socket.hpp
+++ b/src/pollenstream/adapters/asio/datagram_socket.hpp
@@ -18,9 +18,11 @@
 class datagram_socket : public peers::datagram_sender
 {
 public:
-    /// Throws `boost::system::system_error` if the port is in use.
-    datagram_socket( net::io_context& io, core::address const& at );
+    datagram_socket( net::io_context& io, core::address at );
 
+    /// Fails if the address is in use or is not there; may be tried again then.
+    /// Datagrams that are sent before are lost.
+    [[nodiscard]] auto open() -> error_code;
     /// Starts to receive; calls `receiver` with each datagram.
     auto start( std::function<void( std::string_view )> receiver ) -> void;
     auto send( std::string const& ip, std::string const& bytes )
@@ -44,8 +46,8 @@
 
     static constexpr auto max_datagram_bytes = std::size_t{ 64 } * 1024;
 
+    core::address at_;
     udp::socket socket_;
-    std::uint16_t port_;
     udp::endpoint from_;
     std::array<char, max_datagram_bytes> buffer_{};
     std::function<void( std::string_view )> receiver_;
--- a/tests/adapters/handler_exceptions_test.cpp
+++ b/tests/adapters/handler_exceptions_test.cpp
@@ -143,6 +143,7 @@
     auto const port = free_port.local_endpoint().port();
     free_port.close();
     auto socket = asio::datagram_socket( io, { ip, port } );
+    REQUIRE_FALSE( socket.open() );
     auto received = std::vector<std::string>{};
     socket.start(
         [&]( std::string_view bytes )
