An exception of a timer or an event handler ends what it concerns

Class of fault: what lands outside of any guard. Requests and answers were handled in guards; timers and what they call were not, and an exception there ended the process with all that it had open.

Change: the scheduler contains what a call throws, logs it (what=timer now=failed) and counts it; repeated work (ticks, heartbeats, checks of the path and of the settings file) is scheduled again however a call ends; a waiting request that throws leaves the queue and the others are tried; a connection that cannot begin does not end the accepting of others; the event loop goes on after any other handler. /state no longer fails over names that are no UTF-8.

Tests: a timer and a repeated call that throw; a waiting request that throws, which failed before: it kept the others from being tried.

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -217,6 +217,11 @@
           } ),
       listening_ports_( scheduler_, log )
 {
+    scheduler_.set_failure_listener(
+        [this]( auto const& e )
+        {
+            note_failure( "timer", e );
+        } );
 }
 
 auto gateway_node::make_context() -> exchange::exchange_context
@@ -263,6 +268,7 @@
              unsent_answers_->unsent_bytes(),
              unsent_answers_->dropped(),
              listening_ports_.waiting(),
+             failures_.value(),
              configuration_delay_ };
 }
 
@@ -435,7 +441,18 @@
     instance_records_.start();
     quarantine_.start();
     path_watch_.start();
-    tick();
+    ticks_.emplace(
+        scheduler_,
+        [this]
+        {
+            return context_.configuration == nullptr ? startup_tick_period
+                                                     : tick_period;
+        },
+        [this]
+        {
+            tick();
+        } );
+    ticks_->start();
     record_process( "started", "incarnation" );
 }
 
@@ -481,15 +498,6 @@
     load_table_.set_learns_speeds( group_.coordinator_position().has_value(),
                                    now );
     load_table_.expire_slowdowns( now );
-    auto const period =
-        context_.configuration == nullptr ? startup_tick_period : tick_period;
-    tick_call_ = scheduler_.call_after( period,
-                                        [this]
-                                        {
-                                            auto const done =
-                                                std::move( tick_call_ );
-                                            tick();
-                                        } );
 }
 
 /// Records how long another instance has known of a later revision, and whom
@@ -627,6 +635,13 @@
     io_.stop();
 }
 
+auto gateway_node::note_failure( std::string const& what,
+                                 std::exception const& e ) -> void
+{
+    failures_.add();
+    log_.record( exchange::state_change{ what, "", "failed", e.what(), {} } );
+}
+
 auto gateway_node::record_dropped_caller( std::string const& caller,
                                           std::size_t bytes,
                                           core::duration stalled ) -> void
--- a/apps/gateway/gateway_node.hpp
+++ b/apps/gateway/gateway_node.hpp
@@ -60,6 +60,9 @@
     /// Begins a planned stop: accepts no new callers and lets open requests
     /// finish within the grace period.
     auto stop() -> void;
+    /// Logs and counts what has thrown an exception outside of any request.
+    auto note_failure( std::string const& what, std::exception const& e )
+        -> void;
 
 private:
     using listener_ptr = std::unique_ptr<adapters::asio::caller_listener>;
@@ -145,13 +148,14 @@
     listener_ptr peer_listener_;
     listener_ptr metrics_;
     listening_ports listening_ports_;
+    core::counter failures_;
 
     core::instant started_;
     ready_state ready_state_;
     bool has_begun_{ false };
     bool stopping_{ false };
     core::instant callers_left_at_;
-    std::unique_ptr<ports::scheduled_call> tick_call_;
+    std::optional<ports::repeating_call> ticks_;
     std::unique_ptr<ports::scheduled_call> stop_call_;
 };
 
--- a/apps/gateway/main.cpp
+++ b/apps/gateway/main.cpp
@@ -5,6 +5,7 @@
 #include <docopt/docopt.h>
 
 #include <csignal>
+#include <exception>
 #include <fstream>
 #include <iostream>
 #include <optional>
@@ -54,6 +55,23 @@
     return platform::read_settings( path, text.value_or( "" ), found );
 }
 
+/// Runs the event loop until it is stopped. What a handler throws ends that
+/// handler alone.
+auto run_loop( net::io_context& io, gw::gateway_node& node ) -> void
+{
+    while ( !io.stopped() )
+    {
+        try
+        {
+            io.run();
+        }
+        catch ( std::exception const& e )
+        {
+            node.note_failure( "handler", e );
+        }
+    }
+}
+
 /// Runs an instance until it has stopped.
 auto serve( std::string const& path,
             platform::gateway_settings const& settings,
@@ -70,6 +88,11 @@
                 node.stop();
         } );
     auto scheduler = pollenstream::adapters::asio::asio_scheduler( io );
+    scheduler.set_failure_listener(
+        [&node]( auto const& e )
+        {
+            node.note_failure( "timer", e );
+        } );
     auto watch = gw::settings_watch(
         path, settings.instance,
         [&path]
@@ -99,7 +122,7 @@
     if ( metrics_port )
         node.serve_metrics( *metrics_port );
     node.start();
-    io.run();
+    run_loop( io, node );
 }
 
 /// Runs an instance and logs the reason if it fails.
--- a/apps/gateway/node_state.cpp
+++ b/apps/gateway/node_state.cpp
@@ -139,6 +139,8 @@
         << node.context.counters.internal_errors.value() << '\n'
         << "pollenstream_internal_errors_total{of=\"input\"} "
         << node.broken_inputs << '\n'
+        << "pollenstream_internal_errors_total{of=\"timer\"} " << node.failures
+        << '\n'
         << "# TYPE pollenstream_answers_waiting_for_memory gauge\n"
         << "pollenstream_answers_waiting_for_memory "
         << node.context.answers_without_memory.size() << '\n'
@@ -237,7 +239,8 @@
               { "targets", describe_targets( context ) },
               { "peers", describe_peers( group, context.scheduler.now() ) },
               { "invariants", invariant_counts() } };
-    return state.dump( 2 ) + "\n";
+    // Names from outside may hold bytes that are no UTF-8.
+    return state.dump( 2, ' ', false, json::error_handler_t::replace ) + "\n";
 }
 
 auto node_metrics( node_parts const& node ) -> std::string
--- a/apps/gateway/node_state.hpp
+++ b/apps/gateway/node_state.hpp
@@ -41,6 +41,7 @@
     std::size_t unsent_bytes{ 0 };          ///< of answers, in connections
     std::uint64_t dropped_callers{ 0 };     ///< closed as they did not read
     std::vector<std::string> ports_waiting; ///< names of those not open
+    std::uint64_t failures{ 0 }; ///< exceptions outside of any request
     /// From the first word of a newer state to the configuration in force.
     observation::delay_gauge configuration_delay;
 };
--- a/apps/gateway/settings_watch.cpp
+++ b/apps/gateway/settings_watch.cpp
@@ -24,14 +24,19 @@
                                 exchange::event_log& log )
     : path_( std::move( path ) ), self_( std::move( self ) ),
       read_text_( std::move( read_text ) ), apply_( std::move( apply ) ),
-      scheduler_( scheduler ), log_( log )
+      log_( log ), polls_( scheduler,
+                           poll_period,
+                           [this]
+                           {
+                               poll();
+                           } )
 {
 }
 
 auto settings_watch::start() -> void
 {
     last_text_ = read_text_();
-    schedule_poll();
+    polls_.start_later();
 }
 
 auto settings_watch::reload() -> void
@@ -39,17 +44,10 @@
     read_settings_again( "signal" );
 }
 
-auto settings_watch::schedule_poll() -> void
+auto settings_watch::poll() -> void
 {
-    next_poll_ =
-        scheduler_.call_after( poll_period,
-                               [this]
-                               {
-                                   auto const done = std::move( next_poll_ );
-                                   if ( read_text_() != last_text_ )
-                                       read_settings_again( "file changed" );
-                                   schedule_poll();
-                               } );
+    if ( read_text_() != last_text_ )
+        read_settings_again( "file changed" );
 }
 
 auto settings_watch::read_settings_again( std::string const& because ) -> void
--- a/apps/gateway/settings_watch.hpp
+++ b/apps/gateway/settings_watch.hpp
@@ -2,10 +2,9 @@
 #define POLLENSTREAM_APPS_GATEWAY_SETTINGS_WATCH_HPP
 
 #include <pollenstream/exchange/event_log.hpp>
-#include <pollenstream/ports/scheduler.hpp>
+#include <pollenstream/ports/repeating_call.hpp>
 
 #include <functional>
-#include <memory>
 #include <optional>
 #include <settings_file.hpp>
 #include <string>
@@ -39,7 +38,7 @@
     auto reload() -> void;
 
 private:
-    auto schedule_poll() -> void;
+    auto poll() -> void;
     auto read_settings_again( std::string const& because ) -> void;
     auto record( std::string now, std::string because ) -> void;
 
@@ -47,10 +46,9 @@
     core::instance_id self_;
     text_reader read_text_;
     applier apply_;
-    ports::scheduler& scheduler_;
     exchange::event_log& log_;
     std::optional<std::string> last_text_; ///< text of the last poll or reload
-    std::unique_ptr<ports::scheduled_call> next_poll_;
+    ports::repeating_call polls_;
 };
 
 }
--- a/src/pollenstream/exchange/wait_queue.cpp
+++ b/src/pollenstream/exchange/wait_queue.cpp
@@ -68,21 +68,43 @@
                                     } );
 }
 
-/// Removes the item if it no longer waits. It may have been added again
-/// meanwhile, so that only its first entry is removed.
-auto wait_queue::try_item( std::shared_ptr<waiting_item> const& item ) -> bool
+/// Removes the item if it no longer waits, or if it throws. It may have been
+/// added again meanwhile, so that only its first entry is removed.
+auto wait_queue::try_item( std::shared_ptr<waiting_item> const& item,
+                           std::exception_ptr& failure ) -> bool
 {
-    if ( !item->try_start() )
-        return false;
+    try
+    {
+        if ( !item->try_start() )
+            return false;
+    }
+    catch ( std::exception const& )
+    {
+        failure = std::current_exception();
+    }
     if ( !was_removed( item.get() ) )
         waiting_.erase( std::find( waiting_.begin(), waiting_.end(), item ) );
     return true;
 }
 
+/// An item that throws does not keep the others from being tried.
 auto wait_queue::run_round() -> void
 {
-    auto round = waiting_;
     in_round_ = true;
+    auto const failure = try_all();
+    in_round_ = false;
+    removed_.clear();
+    if ( !waiting_.empty() )
+        schedule_round_in( idle_round_interval );
+    if ( failure )
+        std::rethrow_exception( failure );
+}
+
+/// Returns what the last item that has failed has thrown; null if none has.
+auto wait_queue::try_all() -> std::exception_ptr
+{
+    auto failure = std::exception_ptr{};
+    auto round = waiting_;
     std::stable_sort( round.begin(), round.end(),
                       []( auto const& a, auto const& b )
                       {
@@ -97,20 +119,17 @@
             continue;
         if ( item->is_always_tried() )
         {
-            try_item( item );
+            try_item( item, failure );
             continue;
         }
         auto const kind = std::pair( item->service(), item->is_long() );
         auto const found = smallest_unplaced.find( kind );
         if ( found != smallest_unplaced.end() && item->size() >= found->second )
             continue;
-        if ( !try_item( item ) )
+        if ( !try_item( item, failure ) )
             smallest_unplaced[kind] = item->size();
     }
-    in_round_ = false;
-    removed_.clear();
-    if ( !waiting_.empty() )
-        schedule_round_in( idle_round_interval );
+    return failure;
 }
 
 }
--- a/src/pollenstream/exchange/wait_queue.hpp
+++ b/src/pollenstream/exchange/wait_queue.hpp
@@ -6,6 +6,7 @@
 #include <pollenstream/ports/scheduler.hpp>
 
 #include <cstdint>
+#include <exception>
 #include <memory>
 #include <vector>
 
@@ -52,7 +53,9 @@
 
 private:
     auto run_round() -> void;
-    auto try_item( std::shared_ptr<waiting_item> const& item ) -> bool;
+    auto try_all() -> std::exception_ptr;
+    auto try_item( std::shared_ptr<waiting_item> const& item,
+                   std::exception_ptr& failure ) -> bool;
     [[nodiscard]] auto was_removed( waiting_item const* item ) const -> bool;
     auto schedule_round_in( core::duration delay ) -> void;
 
--- a/src/pollenstream/peers/peer_group.cpp
+++ b/src/pollenstream/peers/peer_group.cpp
@@ -50,7 +50,16 @@
     : self_( std::move( self ) ), seed_ips_( std::move( seed_ips ) ),
       scheduler_( scheduler ), sender_( sender ), load_table_( loads ),
       crashes_( crashes ), log_( log ), table_( self_, scheduler.now() ),
-      started_( scheduler.now() )
+      started_( scheduler.now() ), heartbeats_(
+                                       scheduler,
+                                       [this]
+                                       {
+                                           return heartbeat_period();
+                                       },
+                                       [this]
+                                       {
+                                           send_heartbeat();
+                                       } )
 {
 }
 
@@ -59,7 +68,7 @@
     for ( auto const& ip : seed_ips_ )
         add_seed_ip( ip );
     greets_new_ips_ = true;
-    send_heartbeat();
+    heartbeats_.start();
 }
 
 auto peer_group::set_ready( bool ready ) -> void
@@ -375,13 +384,6 @@
     check_silent_peers();
     update_limit_shares();
     update_keeper();
-    heartbeat_call_ = scheduler_.call_after( heartbeat_period(),
-                                             [this]
-                                             {
-                                                 auto const done = std::move(
-                                                     heartbeat_call_ );
-                                                 send_heartbeat();
-                                             } );
 }
 
 /// Sends this instance's state to the next peers of the round, and to addresses
--- a/src/pollenstream/peers/peer_group.hpp
+++ b/src/pollenstream/peers/peer_group.hpp
@@ -9,7 +9,7 @@
 #include <pollenstream/peers/peer_message.hpp>
 #include <pollenstream/peers/peer_table.hpp>
 #include <pollenstream/peers/placement_transport.hpp>
-#include <pollenstream/ports/scheduler.hpp>
+#include <pollenstream/ports/repeating_call.hpp>
 
 #include <functional>
 #include <map>
@@ -297,7 +297,7 @@
     mutable std::uint64_t peer_choices_{ 0 }; ///< by `better_informed_peer`
     sent_counters sent_;
     std::unique_ptr<ports::scheduled_call> flush_call_;
-    std::unique_ptr<ports::scheduled_call> heartbeat_call_;
+    ports::repeating_call heartbeats_;
     std::vector<std::unique_ptr<ports::scheduled_call>> retransmissions_;
 };
 
--- a/src/pollenstream/peers/target_path_watch.cpp
+++ b/src/pollenstream/peers/target_path_watch.cpp
@@ -37,7 +37,13 @@
 target_path_watch::target_path_watch( exchange::exchange_context& context,
                                       peer_group& group,
                                       exchange::target_probe& probe )
-    : context_( context ), group_( group ), probe_( probe )
+    : context_( context ), group_( group ), probe_( probe ),
+      checks_( context.scheduler,
+               check_period,
+               [this]
+               {
+                   check();
+               } )
 {
 }
 
@@ -47,7 +53,7 @@
     {
         on_state( state );
     };
-    check();
+    checks_.start();
 }
 
 auto target_path_watch::check() -> void
@@ -59,14 +65,6 @@
                  std::max<std::size_t>( 1, probes_per_round_ ) );
     if ( path.state() != exchange::path_state::sound && now >= next_probes_at_ )
         probe_targets();
-    check_call_ =
-        context_.scheduler.call_after( check_period,
-                                       [this]
-                                       {
-                                           auto const done =
-                                               std::move( check_call_ );
-                                           check();
-                                       } );
 }
 
 auto target_path_watch::on_state( exchange::path_state state ) -> void
--- a/src/pollenstream/peers/target_path_watch.hpp
+++ b/src/pollenstream/peers/target_path_watch.hpp
@@ -3,6 +3,7 @@
 
 #include <pollenstream/exchange/context.hpp>
 #include <pollenstream/peers/peer_group.hpp>
+#include <pollenstream/ports/repeating_call.hpp>
 
 #include <memory>
 #include <string>
@@ -43,7 +44,7 @@
     std::shared_ptr<bool> alive_token_{ std::make_shared<bool>( true ) };
     core::instant next_probes_at_;
     std::size_t probes_per_round_{ 0 };
-    std::unique_ptr<ports::scheduled_call> check_call_;
+    ports::repeating_call checks_;
 };
 
 }
