Large and odd records of other writers do not end the following of the store

Cause: all keys and values were listed, although most are not ours. The limit of 32 MB on a list then failed it each time, and a watch whose changes exceed the limit on a reply counted as an outage. A bound without a way to go on.

Change: a list keeps only the records that this system reads and skips the keys between their ranges, so that the number of calls stays as it was in a store without others; a value that is too large for its range is replaced by an empty one, which the reader rejects and logs (what=record now=left_out). A watch that is too large, or cannot be read, is followed by a list. A reply whose handling throws is read again later: no other call followed before.

The limits on replies and lists are as they were.

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -116,8 +116,8 @@
       unsent_answers_(
           std::make_shared<adapters::asio::unsent_answers>( answer_memory_ ) ),
       http_( io, part_of_memory( settings_, reply_eighths ) ),
-      store_( http_, settings_.store ), target_calls_( http_ ),
-      reservation_client_( http_ ),
+      store_( http_, settings_.store, platform::needed_records() ),
+      target_calls_( http_ ), reservation_client_( http_ ),
       crashes_( registry_expiry_time( settings_ ) ),
       placement_( load_table_, settings_.data_centre ),
       retries_( { settings_.retry_ratio, settings_.retry_constant,
@@ -323,9 +323,9 @@
             first_service_.note( observation::start_stage::targets );
         wait_queue_.schedule_round();
     };
-    events.on_instance = [this]( auto const&, auto const& ip )
+    events.on_instance = [this]( auto const& key, auto const& ip )
     {
-        group_.add_ip( ip );
+        add_instance( key, ip );
     };
     events.on_instance_removed = [this]( auto const& key )
     {
@@ -334,6 +334,18 @@
     return events;
 }
 
+/// Another writer's record may hold anything.
+auto gateway_node::add_instance( std::string const& key, std::string const& ip )
+    -> void
+{
+    auto ec = adapters::asio::error_code{};
+    adapters::asio::net::ip::make_address( ip, ec );
+    if ( !ec )
+        return group_.add_ip( ip );
+    log_.record( exchange::state_change{
+        "instance", key, "unreadable", "its value is no address", {} } );
+}
+
 auto gateway_node::start() -> void
 {
     started_ = scheduler_.now();
@@ -395,6 +407,15 @@
     {
         record_dropped_caller( caller, bytes, stalled );
     };
+    store_.on_too_large = [this]( auto const& key, auto bytes )
+    {
+        log_.record( exchange::state_change{
+            "record",
+            key,
+            "left_out",
+            "its value has " + std::to_string( bytes ) + " bytes",
+            {} } );
+    };
     group_.set_placement_handler( router_ );
     group_.on_load_changed = [this]
     {
--- a/apps/gateway/gateway_node.hpp
+++ b/apps/gateway/gateway_node.hpp
@@ -69,6 +69,7 @@
 
     auto make_context() -> exchange::exchange_context;
     auto make_registry_events() -> registry::registry_events;
+    auto add_instance( std::string const& key, std::string const& ip ) -> void;
     auto parts() const -> node_parts;
     [[nodiscard]] auto broken_inputs() const -> std::uint64_t;
     auto add_listener( listener_ptr& listener,
--- a/src/pollenstream/ports/record_store.hpp
+++ b/src/pollenstream/ports/record_store.hpp
@@ -80,13 +80,14 @@
 
     virtual ~record_store() = default;
 
-    /// All records whose keys begin with `prefix`. They are read page by page:
-    /// more than one page is not a consistent snapshot, and the batch has the
-    /// revision of the oldest page.
+    /// All records whose keys begin with `prefix` and that this system reads.
+    /// They are read page by page: more than one page is not a consistent
+    /// snapshot, and the batch has the revision of the oldest page.
     virtual auto list( std::string const& prefix,
                        read_age age,
                        batch_done callback ) -> void = 0;
-    /// Changes after revision `known`; empty if there is none within `limit`.
+    /// Changes of such records after revision `known`; empty if there is none
+    /// within `limit`.
     virtual auto watch( std::string const& prefix,
                         store_revision known,
                         core::duration limit,
--- a/src/pollenstream/registry/registry_watch.cpp
+++ b/src/pollenstream/registry/registry_watch.cpp
@@ -137,7 +137,7 @@
                  [this, round = list_round_]( auto batch )
                  {
                      if ( round == list_round_ )
-                         on_list( std::move( batch ) );
+                         run( &registry_watch::on_list, std::move( batch ) );
                  } );
 }
 
@@ -162,10 +162,25 @@
     store_.watch( "", known_until_, watch_timeout,
                   [this]( auto batch )
                   {
-                      on_watch( std::move( batch ) );
+                      run( &registry_watch::on_watch, std::move( batch ) );
                   } );
 }
 
+/// Handles a reply of the store. If that throws, the records are read again
+/// later, as after a failed call: no other call would follow.
+auto registry_watch::run( reply_handler handle,
+                          core::result<ports::record_batch> batch ) -> void
+{
+    try
+    {
+        ( this->*handle )( std::move( batch ) );
+    }
+    catch ( std::exception const& e )
+    {
+        on_failure( { core::error_code::failed, e.what() } );
+    }
+}
+
 auto registry_watch::on_list( core::result<ports::record_batch> batch ) -> void
 {
     --open_lists_;
@@ -189,12 +204,14 @@
     call_in_progress_ = false;
     if ( batch.has_error() )
     {
-        // The store may have discarded its history, or the lost connection may
-        // have hidden changes, so list all records. A lost connection of a
-        // watch is not yet an outage; the list call shows whether there is one.
+        // The store may have discarded its history, the lost connection may
+        // have hidden changes, or all changes together are too large for one
+        // reply, so list all records. None of these is an outage yet; the list
+        // call shows whether there is one.
         auto const code = batch.error().code;
         if ( code == core::error_code::expired ||
-             code == core::error_code::connection_lost )
+             code == core::error_code::connection_lost ||
+             code == core::error_code::malformed )
             return list();
         return on_failure( batch.error() );
     }
--- a/src/pollenstream/registry/registry_watch.hpp
+++ b/src/pollenstream/registry/registry_watch.hpp
@@ -120,6 +120,10 @@
     auto arm_next_list() -> void;
     auto watch() -> void;
     auto continue_watching() -> void;
+    using reply_handler =
+        void ( registry_watch::* )( core::result<ports::record_batch> );
+    auto run( reply_handler handle, core::result<ports::record_batch> batch )
+        -> void;
     auto on_list( core::result<ports::record_batch> batch ) -> void;
     auto on_watch( core::result<ports::record_batch> batch ) -> void;
     auto on_failure( core::error const& error ) -> void;
--- a/tests/platform/store_replies_test.cpp
+++ b/tests/platform/store_replies_test.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <registry_records.hpp>
 #include <store_client.hpp>
 
 using namespace tests;
@@ -28,7 +29,7 @@
 {
     store_fixture()
         : server( io ), http( io, max_reply_memory ),
-          store( http, server.address() )
+          store( http, server.address(), platform::needed_records() )
     {
     }
     /// Lists all records; returns the error, or nullopt after a success.
@@ -126,3 +127,52 @@
         value + R"("}]})" ) );
     CHECK( f.list_error() == core::error_code::malformed );
 }
+
+TEST_CASE( "records of others and values that are too large are left out",
+           "[platform][store]" )
+{
+    auto f = store_fixture{};
+    auto const item = []( std::string const& key, std::size_t bytes )
+    {
+        return R"({"key":")" + key + R"(","revision":3,"value":")" +
+               std::string( bytes, 'A' ) + R"("})";
+    };
+    constexpr auto large = std::size_t{ 1'200'000 };
+    f.server.answer_in_turn( {
+        json_reply( R"({"at":5,"has_more":true,"items":[)" +
+                    item( "a/1", large ) + "," + item( "op/config", 8 ) + "," +
+                    item( "other/1", large ) + "]}" ),
+        json_reply( R"({"at":6,"has_more":true,"items":[)" +
+                    item( "servers/large", large ) + "]}" ),
+        json_reply( R"({"at":7,"has_more":true,"items":[)" +
+                    item( "servers/small", 8 ) + "," + item( "t/1", large ) +
+                    "]}" ),
+        "",
+    } );
+    auto too_large = std::vector<std::string>{};
+    f.store.on_too_large = [&]( auto const& key, auto )
+    {
+        too_large.push_back( key );
+    };
+    auto listed = std::optional<ports::record_batch>{};
+    f.store.list( "", ports::read_age::latest,
+                  [&]( auto batch )
+                  {
+                      REQUIRE( batch.has_value() );
+                      listed = std::move( batch.value() );
+                  } );
+    run_until( f.io,
+               [&]
+               {
+                   return listed.has_value();
+               } );
+    REQUIRE( listed.has_value() );
+    CHECK( listed->at == ports::store_revision( 5 ) );
+    REQUIRE( listed->records.size() == 3 );
+    CHECK( listed->records[0].key == "op/config" );
+    CHECK( listed->records[0].value->size() == 6 );
+    CHECK( listed->records[1].key == "servers/large" );
+    CHECK( listed->records[1].value->empty() );
+    CHECK( listed->records[2].key == "servers/small" );
+    CHECK( too_large == std::vector<std::string>{ "servers/large" } );
+}
--- a/tests/registry/registry_watch_test.cpp
+++ b/tests/registry/registry_watch_test.cpp
@@ -1,5 +1,6 @@
 #include "support/answered_store.hpp"
 #include "support/exchange_fixture.hpp"
+#include "support/registry_fixture.hpp"
 #include <pollenstream/registry/registry_watch.hpp>
 
 #include <catch2/catch.hpp>
@@ -552,3 +553,16 @@
         CHECK( f.store.open.size() == 2 );
     }
 }
+
+TEST_CASE( "changes that are too large for one reply are listed",
+           "[registry][watch]" )
+{
+    auto f = registry_fixture{};
+    auto const lists = f.store.lists;
+    f.store.fail( core::error_code::malformed );
+    CHECK( f.store.lists == lists + 1 );
+    CHECK( f.watch->store_serves() );
+    f.store.answer( { {}, ports::store_revision( 9 ) } );
+    CHECK( f.watch->known_until() == ports::store_revision( 9 ) );
+    CHECK( f.store.pending );
+}
