Settings that are not whole yet at the start are waited for

Cause: the file was read once, and any finding ended the process, although the platform writes the file at every start and change, and a running instance keeps its settings in the same case.

Change: until the settings that an instance cannot work without are there, the file is read again every 100 ms, and what is missing is printed once. Without the name of a file the process ends at once.

--- a/apps/gateway/main.cpp
+++ b/apps/gateway/main.cpp
@@ -1,15 +1,18 @@
+#include "first_settings.hpp"
 #include "gateway_node.hpp"
 #include "settings_watch.hpp"
 #include <pollenstream/adapters/spdlog/structured_log.hpp>
 
 #include <docopt/docopt.h>
 
+#include <chrono>
 #include <csignal>
 #include <exception>
 #include <fstream>
 #include <iostream>
 #include <optional>
 #include <sstream>
+#include <thread>
 
 namespace
 {
@@ -45,14 +48,36 @@
     return text.str();
 }
 
-/// Reads the settings in the file at `path` and adds findings to `found`.
-auto load( std::string const& path, pollenstream::core::findings& found )
-    -> platform::gateway_settings
+/// How often a settings file that is missing or incomplete is read again.
+constexpr auto settings_retry_period = std::chrono::milliseconds( 100 );
+
+auto settings_source_at( std::string const& path ) -> gw::settings_source
+{
+    return { path,
+             [path]
+             {
+                 return read_text( path );
+             },
+             []
+             {
+                 std::this_thread::sleep_for( settings_retry_period );
+             },
+             []( std::string const& findings, bool is_usable )
+             {
+                 std::cerr << findings
+                           << ( is_usable ? "the defaults are used\n"
+                                          : "waiting for usable settings\n" );
+             } };
+}
+
+/// Prints all findings and returns the exit status.
+auto check( gw::settings_source const& source ) -> int
 {
-    auto const text = read_text( path );
-    if ( !text )
-        found.add( { path, 0, "" }, "cannot be read" );
-    return platform::read_settings( path, text.value_or( "" ), found );
+    auto found = platform::settings_findings{};
+    gw::read_settings_once( source, found );
+    std::cerr << found.errors.report() << found.ignored.report();
+    auto const is_clean = found.errors.empty() && found.ignored.empty();
+    return is_clean ? 0 : exit_invalid_settings;
 }
 
 /// Runs the event loop until it is stopped. What a handler throws ends that
@@ -155,22 +180,21 @@
     auto args = docopt::docopt( usage, { argv + 1, argv + argc }, true );
     auto const path = args["--settings"] ? args["--settings"].asString()
                                          : platform::settings_path();
-    auto found = pollenstream::core::findings{};
-    auto const settings = load( path, found );
-    if ( !found.empty() )
+    auto const source = settings_source_at( path );
+    if ( args["--check"].asBool() )
+        return check( source );
+    if ( path.empty() )
     {
-        std::cerr << found.report();
+        std::cerr << "no settings file is named\n";
         return exit_invalid_settings;
     }
-    if ( args["--check"].asBool() )
-        return 0;
     try
     {
         auto port = std::optional<std::uint16_t>{};
         if ( args["--metrics-port"] )
             port =
                 static_cast<std::uint16_t>( args["--metrics-port"].asLong() );
-        run( path, settings, port );
+        run( path, gw::wait_for_settings( source ), port );
         return 0;
     }
     catch ( std::exception const& e )
