One odd entry of the instance list does not end the following of the list

What callers saw (another operator's report): one odd entry among those of the runners, and what reads the list stops following it.

Cause: one fault in one entry, or nesting that the recursive parser must not see, made the whole list invalid, and nothing was logged or counted.

Change: an entry that cannot be used is left out alone, a value that is nested too deep counts as missing, both lists go on; control.unusable_entries and control.failed_listings of the dump, and a line for each entry and for a list that cannot be read.

--- a/apps/daemon/node.cpp
+++ b/apps/daemon/node.cpp
@@ -181,8 +181,16 @@
 auto node::read_list() -> core::duration
 {
     auto fetched = list_.fetch();
+    if ( !fetched )
+        watch_->failed_listings.add();
+    note_list_problem( fetched ? "" : fetched.error().detail );
     if ( fetched && fetched.value() )
+    {
         listing_ = std::move( *fetched.value() );
+        watch_->unusable_entries.add( listing_.unusable.size() );
+        for ( auto const& why : listing_.unusable )
+            LOG( WARNING ) << "an entry of the list is left out: " << why;
+    }
     // Taken over each time: what this instance watches follows the
     // configuration too.
     members_.add_listed( listing_.instances, clock_.now() );
@@ -190,6 +198,18 @@
     return list_period;
 }
 
+auto node::note_list_problem( std::string const& problem ) -> void
+{
+    if ( problem == std::exchange( list_problem_, problem ) )
+        return;
+    if ( problem.empty() )
+        LOG( INFO ) << "the list can be read again";
+    else
+        LOG( WARNING ) << "the list cannot be read, its last content stays in "
+                          "force: "
+                       << problem;
+}
+
 auto node::follow() -> core::duration
 {
     auto const before = holder_.revision();
--- a/apps/daemon/node.hpp
+++ b/apps/daemon/node.hpp
@@ -66,6 +66,8 @@
     auto start_tasks() -> void;
     auto beat() -> core::duration;
     auto read_list() -> core::duration;
+    /// Logs a problem that is new; empty: there is none.
+    auto note_list_problem( std::string const& problem ) -> void;
     auto follow() -> core::duration;
     auto reach( core::revision wanted ) -> adapters::http::revision_reach;
     auto sources() -> adapters::http::dump_sources;
@@ -82,6 +84,7 @@
     adapters::http::store_http_client store_;
     adapters::http::list_http_client list_;
     ports::instance_listing listing_; ///< as it was read last
+    std::string list_problem_;        ///< of the last fetch; empty: none
     adapters::thrift::peer_thrift_client peers_;
     routing::target_table targets_;
     std::unique_ptr<routing::target_policy> policy_;
--- a/scripts/process_test.py
+++ b/scripts/process_test.py
@@ -3,16 +3,19 @@
 counted. Each scenario prints a line; the last line counts them."""
 
 import argparse
+import contextlib
 import http.client
 import json
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import threading
 import time
 
-from fleet import TOKEN, Fleet, chat, http_json, wait_until
+from fleet import (TOKEN, Fleet, Process, chat, http_json, is_listening,
+                   wait_until)
 
 EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / "examples/pilbara"
 FILES = [EXAMPLES / name for name in
@@ -397,6 +400,78 @@
         return f"{len(cases) + 2} bad requests refused, the next one served"
 
 
+def held_ports(build, _):
+    """A daemon waits for a port that another process has, serves callers
+    without the operators' one, and can be stopped while it waits."""
+    with Fleet(build) as fleet:
+        name = start(fleet, 1)[0]
+        configure(fleet, name)
+        file, callers, operators = fleet.settings[name]
+        held = {"callers": callers, "peers": fleet.instances[0]["peers"],
+                "operators": operators}
+        for what, address in held.items():
+            fleet.processes[name].end()
+            with holding(address):
+                run_daemon(fleet, name, file)
+                if what == "operators":
+                    wait_until(lambda: is_listening(callers),
+                               what="callers are served without operators")
+                time.sleep(1)
+                expect(fleet.processes[name].child.poll() is None,
+                       f"{what}: the daemon has ended")
+            wait_until(lambda: is_listening(address), what=f"{what} is open")
+            wait_until(lambda: is_listening(callers), what="callers' port")
+        fleet.processes[name].end()
+        with holding(callers):
+            run_daemon(fleet, name, file)
+            time.sleep(0.5)
+            fleet.processes[name].signal(signal.SIGTERM)
+            expect(fleet.processes[name].wait(10) == 0, "no planned stop")
+    return f"{len(held)} ports"
+
+
+@contextlib.contextmanager
+def holding(address):
+    host, port = address.split(":")
+    with socket.socket() as holder:
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.bind((host, int(port)))
+        yield
+
+
+def run_daemon(fleet, name, file):
+    fleet.processes[name] = Process(
+        name, [str(fleet.build / "pollenstreamd"), f"--settings={file}"],
+        fleet.directory.name)
+
+
+def odd_list_entries(build, _):
+    """Entries of the list that cannot be used are left out alone, in a daemon
+    that runs and in one that starts, which say so."""
+    with Fleet(build) as fleet:
+        name = start(fleet, 1)[0]
+        configure(fleet, name)
+        wait_for_engines(fleet, [name])
+        known = 4
+        for odd in ({"id": "odd", "service": "valuer-llm", "place": "p",
+                     "address": "127.0.0.1:70000", "state": "live"},
+                    {"id": "odd", "service": "s", "address": "127.0.0.1:9",
+                     "state": "odd"},
+                    {"service": "s", "address": "127.0.0.1:9"}, 7, None):
+            fleet.targets.insert(0, odd)
+            known += 1
+            fleet.add_engine(f"after-{known}", "valuer-llm",
+                             memory=100_000, prefill_rate=100_000, step_ms=4)
+            fleet.publish()
+            wait_for_engines(fleet, [name], known)
+        expect(fleet.dump(name)["control"]["unusable_entries"] > 0,
+               "no counter tells of odd entries")
+        expect("left out" in fleet.log_of(name), "no line tells of odd entries")
+        fleet.start_daemon(name)
+        wait_for_engines(fleet, [name], known)
+    return f"{known} engines known beside odd entries"
+
+
 def caller_goes(build, _):
     """A caller that closes its connection frees the engine's memory."""
     with Fleet(build) as fleet:
@@ -477,8 +552,8 @@
 
 
 SCENARIOS = (tool_commands, configuration_everywhere, engine_dies, engine_paused,
-             instance_paused, at_most_once, bad_input, caller_goes,
-             rolling_restart)
+             instance_paused, at_most_once, bad_input, odd_list_entries,
+             caller_goes, rolling_restart)
 
 
 def main():
--- a/src/pollenstream/adapters/http/json_fields.cpp
+++ b/src/pollenstream/adapters/http/json_fields.cpp
@@ -1,5 +1,6 @@
 #include <pollenstream/adapters/http/json_fields.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace pollenstream::adapters::http
@@ -11,25 +12,38 @@
 /// Text with deeper nesting is rejected before the recursive parser sees it.
 constexpr auto max_nesting_depth = 64;
 
-auto is_nested_too_deep( std::string const& text ) -> bool
+/// Follows the nesting of JSON text, character by character.
+class nesting
 {
-    auto depth = 0;
-    auto in_string = false;
-    for ( auto i = std::size_t{ 0 }; i < text.size(); ++i )
+public:
+    /// Returns the depth of the value that `c` belongs to.
+    auto take( char c ) -> int
     {
-        auto const c = text[i];
-        if ( in_string && c == '\\' )
-            ++i;
+        if ( is_escaped_ || ( in_string_ && c == '\\' ) )
+            is_escaped_ = !is_escaped_;
         else if ( c == '"' )
-            in_string = !in_string;
-        else if ( !in_string && ( c == '[' || c == '{' ) )
-            ++depth;
-        else if ( !in_string && ( c == ']' || c == '}' ) )
-            --depth;
-        if ( depth > max_nesting_depth )
-            return true;
+            in_string_ = !in_string_;
+        else if ( !in_string_ && ( c == '[' || c == '{' ) )
+            return ++depth_;
+        else if ( !in_string_ && ( c == ']' || c == '}' ) )
+            return depth_--;
+        return depth_;
     }
-    return false;
+
+private:
+    int depth_{ 0 };
+    bool in_string_{ false };
+    bool is_escaped_{ false };
+};
+
+auto is_nested_too_deep( std::string const& text ) -> bool
+{
+    auto at = nesting{};
+    return std::any_of( text.begin(), text.end(),
+                        [&at]( char c )
+                        {
+                            return at.take( c ) > max_nesting_depth;
+                        } );
 }
 
 auto empty_array() -> web::json::array const&
@@ -135,6 +149,23 @@
     return core::error{ core::error_code::malformed, fault_ };
 }
 
+auto without_deep_values( std::string const& text ) -> std::string
+{
+    auto kept = std::string{};
+    auto at = nesting{};
+    auto was_deep = false;
+    for ( auto const c : text )
+    {
+        auto const is_deep = at.take( c ) > max_nesting_depth;
+        if ( is_deep && !was_deep )
+            kept += "null";
+        if ( !is_deep )
+            kept += c;
+        was_deep = is_deep;
+    }
+    return kept;
+}
+
 auto parse_json( std::string const& text ) -> core::result<web::json::value>
 {
     if ( is_nested_too_deep( text ) )
--- a/src/pollenstream/adapters/http/json_fields.hpp
+++ b/src/pollenstream/adapters/http/json_fields.hpp
@@ -47,6 +47,10 @@
     std::string fault_;
 };
 
+/// The JSON `text` with `null` in place of each value that is nested too deep
+/// to be parsed, so that the rest can be.
+auto without_deep_values( std::string const& text ) -> std::string;
+
 /// Parses `text`; a syntax error contains its line and column.
 auto parse_json( std::string const& text ) -> core::result<web::json::value>;
 
--- a/src/pollenstream/adapters/http/list_http_client.cpp
+++ b/src/pollenstream/adapters/http/list_http_client.cpp
@@ -35,6 +35,48 @@
     return {};
 }
 
+auto read_instance( web::json::value const& json )
+    -> core::result<ports::listed_instance>
+{
+    auto fields = json_fields( json, "$.instances[]" );
+    auto one = ports::listed_instance{};
+    one.id = core::instance_id( fields.required_text( "id" ) );
+    one.data_centre = core::data_centre_id( fields.text( "place", {} ) );
+    one.callers = read_address( fields, "callers" );
+    one.peers = read_address( fields, "peers" );
+    one.state = read_state( fields );
+    if ( !fields.status() )
+        return fields.status().error();
+    return one;
+}
+
+auto read_target( web::json::value const& json )
+    -> core::result<ports::listed_target>
+{
+    auto fields = json_fields( json, "$.targets[]" );
+    auto one = ports::listed_target{};
+    one.id = core::target_id( fields.required_text( "id" ) );
+    one.service = core::service_id( fields.required_text( "service" ) );
+    one.data_centre = core::data_centre_id( fields.text( "place", {} ) );
+    one.address = read_address( fields, "address" );
+    one.state = read_state( fields );
+    if ( !fields.status() )
+        return fields.status().error();
+    return one;
+}
+
+/// An entry that cannot be used is left out alone.
+template <class Entry>
+auto add_entry( core::result<Entry> read,
+                std::vector<Entry>& to,
+                ports::instance_listing& listing ) -> void
+{
+    if ( read )
+        to.push_back( std::move( read.value() ) );
+    else
+        listing.unusable.push_back( read.error().detail );
+}
+
 }
 
 list_http_client::list_http_client( core::address list )
@@ -60,7 +102,7 @@
             return std::optional<ports::instance_listing>{};
         if ( reply.status_code() != status_codes::OK )
             return error_of_status( reply.status_code(), text );
-        auto const json = parse_json( text );
+        auto const json = parse_json( without_deep_values( text ) );
         if ( !json )
             return json.error();
         auto listing = read_listing( json.value() );
@@ -83,31 +125,9 @@
     auto listing = ports::instance_listing{};
     auto root = json_fields( json, "$" );
     for ( auto const& each : root.array( "instances" ) )
-    {
-        auto fields = json_fields( each, "$.instances[]" );
-        auto one = ports::listed_instance{};
-        one.id = core::instance_id( fields.required_text( "id" ) );
-        one.data_centre = core::data_centre_id( fields.text( "place", {} ) );
-        one.callers = read_address( fields, "callers" );
-        one.peers = read_address( fields, "peers" );
-        one.state = read_state( fields );
-        if ( !fields.status() )
-            return fields.status().error();
-        listing.instances.push_back( std::move( one ) );
-    }
+        add_entry( read_instance( each ), listing.instances, listing );
     for ( auto const& each : root.array( "targets" ) )
-    {
-        auto fields = json_fields( each, "$.targets[]" );
-        auto one = ports::listed_target{};
-        one.id = core::target_id( fields.required_text( "id" ) );
-        one.service = core::service_id( fields.required_text( "service" ) );
-        one.data_centre = core::data_centre_id( fields.text( "place", {} ) );
-        one.address = read_address( fields, "address" );
-        one.state = read_state( fields );
-        if ( !fields.status() )
-            return fields.status().error();
-        listing.targets.push_back( std::move( one ) );
-    }
+        add_entry( read_target( each ), listing.targets, listing );
     if ( !root.status() )
         return root.status().error();
     return listing;
--- a/src/pollenstream/adapters/http/state_dump.cpp
+++ b/src/pollenstream/adapters/http/state_dump.cpp
@@ -160,6 +160,8 @@
         count( from.heartbeats.configurations_from_peers );
     control["target_polls"] = count( from.targets.polls );
     control["target_phase_changes"] = count( from.targets.phase_changes );
+    control["failed_listings"] = count( from.targets.failed_listings );
+    control["unusable_entries"] = count( from.targets.unusable_entries );
     json["control"] = control;
     return json;
 }
--- a/src/pollenstream/membership/target_watch.hpp
+++ b/src/pollenstream/membership/target_watch.hpp
@@ -42,6 +42,9 @@
 
     core::counter polls;
     core::counter phase_changes;
+    /// Fetches of the list that failed, and entries that could not be used.
+    core::counter failed_listings;
+    core::counter unusable_entries;
 
 private:
     /// Makes a suspect target of a plain service alive again after a timeout.
--- a/src/pollenstream/ports/instance_list.hpp
+++ b/src/pollenstream/ports/instance_list.hpp
@@ -6,6 +6,7 @@
 #include <pollenstream/core/ids.hpp>
 
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace pollenstream::ports
@@ -43,6 +44,8 @@
 {
     std::vector<listed_instance> instances;
     std::vector<listed_target> targets;
+    /// Why entries cannot be used; they are in neither list.
+    std::vector<std::string> unusable;
 };
 
 /// The platform's list of live and leaving instances and targets; it may be
