--- a/tests/adapters/odd_listing_test.cpp
+++ b/tests/adapters/odd_listing_test.cpp
@@ -105,3 +105,42 @@
     REQUIRE( json );
     CHECK( json.value().at( "c" ).as_integer() == 1 );
 }
+
+// Guards against a part of an answer that is passed on as the whole.
+TEST_CASE( "an answer without a length counts while its service listens",
+           "[daemon][service]" )
+{
+    auto const head = std::string( "HTTP/1.1 200 OK\r\n" );
+    auto io = asio::net::io_context{};
+    auto acceptor =
+        asio::tcp::acceptor( io, { asio::net::ip::address_v4::loopback(), 0 } );
+    auto const port = acceptor.local_endpoint().port();
+    auto const still_listens = GENERATE( true, false );
+    auto service = std::thread(
+        [&]
+        {
+            auto socket = acceptor.accept();
+            auto request = std::string( 4'096, ' ' );
+            socket.read_some( asio::net::buffer( request ) );
+            if ( !still_listens )
+                acceptor.close();
+            asio::net::write( socket, asio::net::buffer( head + "\r\npart" ) );
+            socket.shutdown( asio::tcp::socket::shutdown_both );
+        } );
+    auto client = http::service_http_client{};
+    auto request = ports::service_call{};
+    request.method = "GET";
+    request.path = "/";
+    request.time_left = 4s;
+    auto ended = std::promise<core::result<ports::service_reply>>{};
+    client.call( { "127.0.0.1", port }, request,
+                 [&]( auto reply )
+                 {
+                     ended.set_value( std::move( reply ) );
+                 } );
+    auto const reply = ended.get_future().get();
+    service.join();
+    CHECK( reply.has_value() == still_listens );
+    if ( still_listens )
+        CHECK( reply.value().body == "part" );
+}
