An exception of a timer, task or call handler does not end the daemon

Change: each is run in a guard that logs what was thrown; a periodic task goes on after a second. Test: a timer and blocking work that throw, with others behind them; on the code before they end the test program (not run there).

--- a/apps/daemon/periodic_task.cpp
+++ b/apps/daemon/periodic_task.cpp
@@ -1,10 +1,23 @@
 #include "periodic_task.hpp"
 
+#include <pollenstream/adapters/system/guarded.hpp>
+
+#include <chrono>
 #include <utility>
 
 namespace apps::daemon
 {
 
+namespace
+{
+
+using pollenstream::adapters::system::run_guarded;
+
+constexpr auto pause_after_failure =
+    pollenstream::core::duration( std::chrono::seconds( 1 ) );
+
+}
+
 periodic_task::periodic_task( body run )
     : run_( std::move( run ) ), thread_(
                                     [this]
@@ -29,9 +42,16 @@
 
 auto periodic_task::loop() -> void
 {
-    while ( pause( run_() ) )
+    auto next = pollenstream::core::duration( 0 );
+    do
     {
-    }
+        next = pause_after_failure;
+        run_guarded( "a periodic task",
+                     [&]
+                     {
+                         next = run_();
+                     } );
+    } while ( pause( next ) );
 }
 
 auto periodic_task::pause( pollenstream::core::duration how_long ) -> bool
--- a/src/pollenstream/adapters/http/json_call.cpp
+++ b/src/pollenstream/adapters/http/json_call.cpp
@@ -1,6 +1,7 @@
 #include <pollenstream/adapters/http/bounded_body.hpp>
 #include <pollenstream/adapters/http/json_call.hpp>
 #include <pollenstream/adapters/http/json_fields.hpp>
+#include <pollenstream/adapters/system/guarded.hpp>
 
 #include <future>
 #include <memory>
@@ -53,7 +54,11 @@
                     pool.drop( to );
                     result = error_of( std::current_exception() );
                 }
-                callback( result );
+                system::run_guarded( "the handler of a call",
+                                     [&]
+                                     {
+                                         callback( result );
+                                     } );
             } );
 }
 
--- a/src/pollenstream/adapters/system/asio_timer.cpp
+++ b/src/pollenstream/adapters/system/asio_timer.cpp
@@ -1,4 +1,5 @@
 #include <pollenstream/adapters/system/asio_timer.hpp>
+#include <pollenstream/adapters/system/guarded.hpp>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -34,7 +35,7 @@
             boost::system::error_code const& status )
         {
             if ( !status )
-                callback();
+                run_guarded( "a timer", callback );
         } );
 }
 
--- a/src/pollenstream/adapters/system/blocking_pool.cpp
+++ b/src/pollenstream/adapters/system/blocking_pool.cpp
@@ -1,4 +1,5 @@
 #include <pollenstream/adapters/system/blocking_pool.hpp>
+#include <pollenstream/adapters/system/guarded.hpp>
 
 #include <boost/asio/post.hpp>
 
@@ -16,7 +17,11 @@
 
 auto blocking_pool::post( std::function<void()> work ) -> void
 {
-    boost::asio::post( threads_, std::move( work ) );
+    boost::asio::post( threads_,
+                       [work = std::move( work )]
+                       {
+                           run_guarded( "blocking work", work );
+                       } );
 }
 
 }
--- a/tests/adapters/odd_listing_test.cpp
+++ b/tests/adapters/odd_listing_test.cpp
@@ -144,3 +144,32 @@
     if ( still_listens )
         CHECK( reply.value().body == "part" );
 }
+
+TEST_CASE( "a timer or blocking work that throws does not end the process",
+           "[daemon][exception]" )
+{
+    auto const fail = []
+    {
+        throw std::runtime_error( "test" );
+    };
+    auto timer_done = std::promise<void>{};
+    auto work_done = std::promise<void>{};
+    auto const clock = system_adapters::steady_clock{};
+    auto timer = system_adapters::asio_timer( clock );
+    timer.at( clock.now(), fail );
+    timer.at( clock.now() + 20ms,
+              [&]
+              {
+                  timer_done.set_value();
+              } );
+    auto pool = system_adapters::blocking_pool( 1 );
+    pool.post( fail );
+    pool.post(
+        [&]
+        {
+            work_done.set_value();
+        } );
+    CHECK( timer_done.get_future().wait_for( 5s ) ==
+           std::future_status::ready );
+    CHECK( work_done.get_future().wait_for( 5s ) == std::future_status::ready );
+}
