The daemon waits for ports that are held at its start

Change: it waits for the ports of instances and callers, and serves callers without that of the operators, which it tries again; a line names the address and the reason. A stop signal ends a daemon that still waits, with status 0.

Test: scenario held_ports of process_test, each port in turn, with a real daemon.

--- a/apps/daemon/main.cpp
+++ b/apps/daemon/main.cpp
@@ -48,6 +48,14 @@
     return signals;
 }
 
+/// Waits a moment; returns false if a stop signal came.
+auto pause_unless_stopped( sigset_t const& signals ) -> bool
+{
+    constexpr auto nanoseconds = 200'000'000;
+    auto const limit = timespec{ 0, nanoseconds };
+    return sigtimedwait( &signals, nullptr, &limit ) < 0;
+}
+
 auto wait_for( sigset_t const& signals ) -> void
 {
     auto which = 0;
@@ -64,7 +72,13 @@
                                         {
                                             kill( getpid(), SIGTERM );
                                         } );
-    instance.start();
+    auto const started = instance.start(
+        [&signals]
+        {
+            return pause_unless_stopped( signals );
+        } );
+    if ( !started )
+        _exit( 0 );
     wait_for( signals );
     std::thread(
         [signals]
--- a/apps/daemon/node.cpp
+++ b/apps/daemon/node.cpp
@@ -22,6 +22,7 @@
 constexpr auto beat_period = core::duration( 1s );
 constexpr auto list_period = core::duration( 2s );
 constexpr auto tidy_period = core::duration( 10s );
+constexpr auto port_retry_period = core::duration( 200ms );
 /// Forwarded calls and changes of configuration that may wait at once.
 constexpr auto blocking_threads = std::size_t{ 4 };
 constexpr auto drain_check_period = 20ms;
@@ -122,17 +123,75 @@
              members_, heartbeats_, *watch_ };
 }
 
-auto node::start() -> void
+auto node::start( pause_or_stop const& pause ) -> bool
 {
-    peer_server_ = std::make_unique<adapters::thrift::peer_thrift_server>(
-        settings_.peers, *this );
+    auto const open_peers = [this]
+    {
+        peer_server_ = std::make_unique<adapters::thrift::peer_thrift_server>(
+            settings_.peers, *this );
+    };
+    auto const open_callers = [this]
+    {
+        callers_.open();
+    };
+    if ( !open_when_free( settings_.peers, open_peers, pause ) )
+        return false;
     read_list();
     start_tasks();
-    operators_.open();
-    callers_.open();
+    if ( !open_when_free( settings_.callers, open_callers, pause ) )
+        return false;
     LOG( INFO ) << "instance " << settings_.id.str() << " in "
                 << settings_.data_centre.str() << " serves callers at "
                 << core::to_string( settings_.callers );
+    return true;
+}
+
+/// Waits until the address can be opened. Returns false if the process has been
+/// asked to stop meanwhile.
+auto node::open_when_free( core::address const& at,
+                           std::function<void()> const& open,
+                           pause_or_stop const& pause ) -> bool
+{
+    auto problem = std::string{};
+    while ( !try_to_open( at, open, problem ) )
+        if ( !pause() )
+            return false;
+    return true;
+}
+
+/// `problem`: of the last try; a new one is logged.
+auto node::try_to_open( core::address const& at,
+                        std::function<void()> const& open,
+                        std::string& problem ) -> bool
+{
+    try
+    {
+        open();
+    }
+    catch ( std::exception const& e )
+    {
+        if ( std::exchange( problem, e.what() ) != e.what() )
+            LOG( WARNING ) << "waits for " << core::to_string( at ) << ": "
+                           << e.what();
+        return false;
+    }
+    if ( !problem.empty() )
+        LOG( INFO ) << "listens at " << core::to_string( at );
+    return true;
+}
+
+/// Callers are served without the operators' port.
+auto node::open_operators() -> core::duration
+{
+    if ( !operators_are_open_ )
+        operators_are_open_ = try_to_open(
+            settings_.operators,
+            [this]
+            {
+                operators_.open();
+            },
+            operators_problem_ );
+    return operators_are_open_ ? tidy_period : port_retry_period;
 }
 
 auto node::start_tasks() -> void
@@ -152,6 +211,11 @@
         {
             return read_list();
         } );
+    run(
+        [this]
+        {
+            return open_operators();
+        } );
     run(
         [this]
         {
--- a/apps/daemon/node.hpp
+++ b/apps/daemon/node.hpp
@@ -45,8 +45,12 @@
           std::function<void()> on_drain );
     ~node() override;
 
-    /// Opens the addresses and starts the threads.
-    auto start() -> void;
+    /// Passes some time; returns false if the process is asked to stop.
+    using pause_or_stop = std::function<bool()>;
+
+    /// Opens the addresses and starts the threads. Waits for addresses that are
+    /// in use or are not there yet. Returns false if it was stopped meanwhile.
+    auto start( pause_or_stop const& pause ) -> bool;
 
     /// A planned stop: leaves the answers to callers, goes on accepting for as
     /// long as callers keep an answer, lets its requests finish, and closes.
@@ -64,6 +68,13 @@
 private:
     auto self_member() const -> membership::member;
     auto start_tasks() -> void;
+    static auto open_when_free( core::address const& at,
+                                std::function<void()> const& open,
+                                pause_or_stop const& pause ) -> bool;
+    static auto try_to_open( core::address const& at,
+                             std::function<void()> const& open,
+                             std::string& problem ) -> bool;
+    auto open_operators() -> core::duration;
     auto beat() -> core::duration;
     auto read_list() -> core::duration;
     /// Logs a problem that is new; empty: there is none.
@@ -102,6 +113,9 @@
     adapters::http::caller_listener callers_;
     adapters::http::operator_listener operators_;
     std::unique_ptr<adapters::thrift::peer_thrift_server> peer_server_;
+    // Of the task that opens the operators' address.
+    bool operators_are_open_{ false };
+    std::string operators_problem_;
     std::vector<std::unique_ptr<periodic_task>> tasks_;
 };
 
--- a/scripts/process_test.py
+++ b/scripts/process_test.py
@@ -552,8 +552,8 @@
 
 
 SCENARIOS = (tool_commands, configuration_everywhere, engine_dies, engine_paused,
-             instance_paused, at_most_once, bad_input, odd_list_entries,
-             caller_goes, rolling_restart)
+             instance_paused, at_most_once, bad_input, held_ports,
+             odd_list_entries, caller_goes, rolling_restart)
 
 
 def main():
--- a/src/pollenstream/adapters/http/listener.cpp
+++ b/src/pollenstream/adapters/http/listener.cpp
@@ -63,14 +63,8 @@
 listener::listener( core::address const& at,
                     std::size_t max_body_size,
                     std::vector<route> routes )
-    : max_body_size_( max_body_size ), routes_( std::move( routes ) ),
-      listener_( uri_of( at ) )
+    : at_( at ), max_body_size_( max_body_size ), routes_( std::move( routes ) )
 {
-    listener_.support(
-        [this]( web::http::http_request const& message )
-        {
-            receive( message );
-        } );
 }
 
 listener::~listener()
@@ -80,14 +74,21 @@
 
 auto listener::open() -> void
 {
-    listener_.open().wait();
-    is_open_ = true;
+    auto opened = std::make_unique<library_listener>( uri_of( at_ ) );
+    opened->support(
+        [this]( web::http::http_request const& message )
+        {
+            receive( message );
+        } );
+    opened->open().wait();
+    listener_ = std::move( opened );
 }
 
 auto listener::close() -> void
 {
-    if ( std::exchange( is_open_, false ) )
-        listener_.close().wait();
+    if ( listener_ )
+        listener_->close().wait();
+    listener_.reset();
 }
 
 auto listener::receive( web::http::http_request message ) -> void
--- a/src/pollenstream/adapters/http/listener.hpp
+++ b/src/pollenstream/adapters/http/listener.hpp
@@ -47,17 +47,20 @@
     listener( listener const& ) = delete;
     auto operator=( listener const& ) -> listener& = delete;
 
+    /// Throws if the address is in use or is not there; may be tried again.
     auto open() -> void;
     auto close() -> void;
 
 private:
+    using library_listener = web::http::experimental::listener::http_listener;
+
     auto receive( web::http::http_request message ) -> void;
     auto dispatch( received_request request ) -> void;
 
+    core::address at_;
     std::size_t max_body_size_;
     std::vector<route> routes_;
-    web::http::experimental::listener::http_listener listener_;
-    bool is_open_{ false };
+    std::unique_ptr<library_listener> listener_; ///< null if not open
 };
 
 }
