Soak: a whole answer without length whose runner has ended cannot be told from a cut one

Trace: its runner answered without length and wrote the eighth and last event at 2081.478 s; another request ended that runner's process at 2081.481; the gateway saw the end of the connection, asked whether the process lives, was refused, and ended the answer as cut at 2081.492. A process that ends in the middle of such an answer looks the same, and an answer that ends early must not look complete: the gateway is right and the check took the runner's record for what could be known.

Change: an answer without length whose runner's process ended between the last event and the caller's end is no violation; those with a length, of other runners, or whose runner ended later are, as before. Tests for each. The check still reads all other cut answers.

--- a/scripts/platform_check.py
+++ b/scripts/platform_check.py
@@ -235,6 +235,7 @@
         self.kills = {}     # address: when it was killed
         self.stops = {}     # address: when it was sent SIGTERM
         self.links = {}     # runner: spans in which its link was cut or silent
+        self.closing = {}   # runner: spans in which its answers have no length
         self.frozen = []    # address, begin and end
         self.timeouts = []  # of the versions in their order: when and which
 
@@ -299,6 +300,19 @@
                    for other in all_of_them)
 
 
+def cannot_be_proved_whole(run, ended_ms, closing, crashes):
+    """An answer without length ends with its connection. Where its runner's
+    process ends before the gateway has asked whether it lives, the whole answer
+    looks like one that was cut."""
+    first_life = run["target"].split(".")[0]
+    has_no_length = any(begin <= run["at_ms"] <= end
+                        for begin, end in closing.get(first_life, ()))
+    return has_no_length and any(
+        crash["target"] == run["target"] and
+        run["last_event_ms"] <= crash["at_ms"] <= ended_ms
+        for crash in crashes)
+
+
 def cut_answer_violations(callers, record, disturbed):
     """An answer that has begun is finished. It may end otherwise only with its
     caller's time, its instance, or with all targets that could go on with it:
@@ -316,7 +330,9 @@
             continue
         living = [run for run in runs[attempt]
                   if goes_on(run, runs[attempt]) and
-                  not has_failed(run, ended_ms, disturbed.links)]
+                  not has_failed(run, ended_ms, disturbed.links) and
+                  not cannot_be_proved_whole(run, ended_ms, disturbed.closing,
+                                             record.get("crashes", ()))]
         if living:
             last = living[-1]
             heard = max(last["at_ms"], last["last_event_ms"])
--- a/scripts/platform_fleet.py
+++ b/scripts/platform_fleet.py
@@ -84,6 +84,7 @@
         self.rewritten = 0              # answers that it ended
         self.resets = False             # where it ends one: reset, not closed
         self.harmed = []            # begin and end in ms: cut or silent
+        self.closing = []           # the same: answers without length
         self.pairs = set()
         self.address = None
 
@@ -155,6 +156,9 @@
     def note_harm(self, began, ended):
         self.harmed.append((int(began * 1000), int(ended * 1000) + 1))
 
+    def note_closing(self, began, ended):
+        self.closing.append((int(began * 1000), int(ended * 1000) + 1))
+
     def reset_some(self, draw, share):
         now = asyncio.get_running_loop().time()
         self.note_harm(now, now)
--- a/scripts/soak_processes.py
+++ b/scripts/soak_processes.py
@@ -320,11 +320,16 @@
 
     async def answers_end_by_close(self):
         """The answers of some runners have neither length nor chunks."""
+        began = self.loop.time()
+        chosen = [proxy for proxy in self.fleet.proxies.values()
+                  if self.draw.random() < 0.5]
         for proxy in self.fleet.proxies.values():
-            proxy.close_delimited = self.draw.random() < 0.5
+            proxy.close_delimited = proxy in chosen
         await asyncio.sleep(2 + self.draw.random() * 3)
         for proxy in self.fleet.proxies.values():
             proxy.close_delimited = False
+        for proxy in chosen:
+            proxy.note_closing(began, self.loop.time())
 
     async def leave(self):
         engines = [n for n in self.fleet.proxies if n.startswith("i-model")]
@@ -376,6 +381,7 @@
         done.kills[address] = gateway.kills
         done.stops[address] = gateway.stops
     done.links = {name: p.harmed for name, p in fleet.proxies.items()}
+    done.closing = {name: p.closing for name, p in fleet.proxies.items()}
     done.frozen = faults.pauses if faults else []
     done.timeouts = fleet.timeouts
     return done
--- a/tests/scripts/platform_check_test.py
+++ b/tests/scripts/platform_check_test.py
@@ -54,6 +54,26 @@
         before = {"i-model1": [(99_000, 99_900)]}
         self.assertEqual(self.found([run()], disturbed(links=before)), 1)
 
+    def found_beside(self, crashes, closing, **changes):
+        callers = types.SimpleNamespace(seen={"a1": seen(**changes)})
+        record = {"runs": [run(end="answered", last_event_ms=101_900)],
+                  "crashes": crashes}
+        return len(platform_check.cut_answer_violations(
+            callers, record, disturbed(closing=closing)))
+
+    def test_an_answer_without_length_whose_runner_has_ended_is_one(self):
+        ended_ms = int(seen()["ended"] * 1000)
+        crash = {"target": "i-model1", "at_ms": ended_ms - 1}
+        closing = {"i-model1": [(100_000, 103_000)]}
+        self.assertEqual(self.found_beside([crash], closing), 0)
+        # With a length it could have been told that it is whole.
+        self.assertEqual(self.found_beside([crash], {}), 1)
+        self.assertEqual(self.found_beside([], closing), 1)
+        later = {**crash, "at_ms": ended_ms + 1}
+        self.assertEqual(self.found_beside([later], closing), 1)
+        other = {**crash, "target": "i-model1.2"}
+        self.assertEqual(self.found_beside([other], closing), 1)
+
     def test_the_silent_one_lives_where_the_next_one_fails(self):
         fails = run(target="i-model2", at_ms=101_200, last_event_ms=-1,
                     status=500, end="answered")
