Soak: a request that ends each target that runs it has no answer to finish

The check knew no quarantine.

Change: a request that is fatal and has ended a target is no violation where it is cut; one that has ended none, and all other requests, are, as before. Test for each.

--- a/scripts/platform_check.py
+++ b/scripts/platform_check.py
@@ -313,6 +313,13 @@
         for crash in crashes)
 
 
+def has_ended_its_target(seen, runs):
+    """No target can finish a request that ends each one that runs it."""
+    is_fatal = seen.get("fatal_part") or \
+        seen.get("body", "").startswith("fatal")
+    return is_fatal and any(run["end"] == "broke_off" for run in runs)
+
+
 def cut_answer_violations(callers, record, disturbed):
     """An answer that has begun is finished. It may end otherwise only with its
     caller's time, its instance, or with all targets that could go on with it:
@@ -326,7 +333,8 @@
         if seen["status"] != "cut" or not seen["head"] or not seen["events"]:
             continue
         ended_ms = seen["ended"] * 1000
-        if ends_by_time_or_process(seen, ended_ms, disturbed):
+        if ends_by_time_or_process(seen, ended_ms, disturbed) or \
+                has_ended_its_target(seen, runs[attempt]):
             continue
         living = [run for run in runs[attempt]
                   if goes_on(run, runs[attempt]) and
--- a/tests/scripts/platform_check_test.py
+++ b/tests/scripts/platform_check_test.py
@@ -74,6 +74,14 @@
         other = {**crash, "target": "i-model1.2"}
         self.assertEqual(self.found_beside([other], closing), 1)
 
+    def test_a_request_that_has_ended_its_target_is_one(self):
+        ended = run(end="broke_off")
+        lives = run(target="i-model2", at_ms=101_200, last_event_ms=-1)
+        self.assertEqual(self.found([ended, lives]), 1)
+        self.assertEqual(self.found([ended, lives], fatal_part="dead1"), 0)
+        self.assertEqual(self.found([ended, lives], body="fatal 1"), 0)
+        self.assertEqual(self.found([lives], fatal_part="dead1"), 1)
+
     def test_the_silent_one_lives_where_the_next_one_fails(self):
         fails = run(target="i-model2", at_ms=101_200, last_event_ms=-1,
                     status=500, end="answered")
