--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -1,5 +1,6 @@
 #include "gateway_node.hpp"
 
+#include "node_metrics.hpp"
 #include "node_state.hpp"
 #include <pollenstream/adapters/asio/http_text.hpp>
 #include <pollenstream/core/hash.hpp>
--- a/apps/gateway/node_state.hpp
+++ b/apps/gateway/node_state.hpp
@@ -46,13 +46,14 @@
     observation::delay_gauge configuration_delay;
 };
 
+/// The rate at which all instances send to the target, as known here. It is
+/// complete only on the instance that places the prompts for the target.
+auto sent_per_second( exchange::target_entry const& t, core::instant now )
+    -> double;
+
 /// The present state of an instance as indented JSON for operators.
 auto describe_node( node_parts const& node ) -> std::string;
 
-/// Gauges and the counters that do not count log events, in the Prometheus
-/// text format.
-auto node_metrics( node_parts const& node ) -> std::string;
-
 }
 
 #endif
