A head without length or body is not passed on as an empty answer

In gateway and daemon a complete head without a length, followed by a close, was passed on so if its process still listened. A head that is cut before its empty line was held before, in both, at every place that was tried.

It counts as broken now: a call or stream that may be repeated runs elsewhere, any other fails with 502. It accuses no content of a crash.

--- a/src/pollenstream/adapters/http/service_http_client.cpp
+++ b/src/pollenstream/adapters/http/service_http_client.cpp
@@ -31,12 +31,14 @@
 }
 
 /// The answer of `target`, or an error if it may have been cut short: one
-/// without a length is whole only if the process that sent it still listens.
+/// without a length is whole only if it has a body, and if the process that
+/// sent it still listens.
 auto checked_reply( collected_response answer, core::address const& target )
     -> core::result<ports::service_reply>
 {
     if ( is_delimited_by_close( answer.response ) &&
-         !system::accepts_connections( target, probe_timeout ) )
+         ( answer.body.empty() ||
+           !system::accepts_connections( target, probe_timeout ) ) )
         return core::error{ core::error_code::connection_lost,
                             "the answer may have been cut short" };
     auto reply = ports::service_reply{};
--- a/src/pollenstream/core/bounded_text.hpp
+++ b/src/pollenstream/core/bounded_text.hpp
@@ -48,6 +48,10 @@
         memory_.give_back();
         return std::exchange( text_, {} );
     }
+    [[nodiscard]] auto empty() const -> bool
+    {
+        return text_.empty();
+    }
     [[nodiscard]] auto max_bytes() const -> std::size_t
     {
         return max_bytes_;
--- a/src/pollenstream/exchange/exchange_answers.cpp
+++ b/src/pollenstream/exchange/exchange_answers.cpp
@@ -19,6 +19,19 @@
 constexpr auto max_event_bytes = std::size_t{ 64 } * 1024;
 constexpr auto too_large = "the answer is too large";
 
+/// Why an answer that has ended with its connection does not count.
+/// `target_listens`: whether the process that sent it still accepts
+/// connections.
+auto cut_error( std::optional<bool> target_listens ) -> core::error
+{
+    constexpr auto may_be_cut = "the answer may have been cut short";
+    if ( !target_listens )
+        return { core::error_code::timed_out, may_be_cut };
+    if ( !*target_listens )
+        return { core::error_code::connection_lost, may_be_cut };
+    return { core::error_code::malformed, "a head without length or body" };
+}
+
 auto is_success( int status ) -> bool
 {
     return status >= 200 && status < 300;
@@ -306,7 +319,7 @@
 
 /// The answer has ended with its connection. If the target's process has ended
 /// too, the answer may have been cut short, also between two events, so it is
-/// whole only if the target still listens.
+/// whole only if the target still listens. A head alone never is.
 auto exchange::check_if_cut_short( target_attempt const& from ) -> void
 {
     if ( is_stream( from ) && from.splitter.pending() > 0 )
@@ -327,13 +340,16 @@
                            std::optional<bool> target_listens ) -> void
 {
     auto const keep = shared_from_this();
+    auto const* const from = find_attempt( serial );
+    if ( from == nullptr )
+        return;
+    auto const is_empty =
+        is_stream( *from ) ? from->events == 0 : from->body.empty();
     auto end = attempt_end{};
     end.sent = true;
-    end.complete = target_listens.value_or( false );
+    end.complete = target_listens.value_or( false ) && !is_empty;
     if ( !end.complete )
-        end.error = { target_listens ? core::error_code::connection_lost
-                                     : core::error_code::timed_out,
-                      "the answer may have been cut short" };
+        end.error = cut_error( target_listens );
     on_end( serial, end );
 }
 
--- a/tests/adapters/odd_listing_test.cpp
+++ b/tests/adapters/odd_listing_test.cpp
@@ -145,6 +145,48 @@
         CHECK( reply.value().body == "part" );
 }
 
+TEST_CASE( "an answer that is cut in or behind its head is no answer",
+           "[daemon][service]" )
+{
+    auto const* const bytes = GENERATE(
+        "", "HTTP/1.1 2", "HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Type: te",
+        "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n",
+        "HTTP/1.1 200 OK\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" );
+    auto io = asio::net::io_context{};
+    auto acceptor =
+        asio::tcp::acceptor( io, { asio::net::ip::address_v4::loopback(), 0 } );
+    auto const port = acceptor.local_endpoint().port();
+    auto service = std::thread(
+        [&]
+        {
+            auto socket = acceptor.accept();
+            auto request = std::string( 4'096, ' ' );
+            socket.read_some( asio::net::buffer( request ) );
+            asio::net::write( socket,
+                              asio::net::buffer( std::string( bytes ) ) );
+            socket.shutdown( asio::tcp::socket::shutdown_both );
+        } );
+    auto client = http::service_http_client{};
+    auto request = ports::service_call{};
+    request.method = "GET";
+    request.path = "/";
+    request.time_left = 4s;
+    auto ended = std::promise<core::result<ports::service_reply>>{};
+    client.call( { "127.0.0.1", port }, request,
+                 [&]( auto reply )
+                 {
+                     ended.set_value( std::move( reply ) );
+                 } );
+    auto const reply = ended.get_future().get();
+    service.join();
+    INFO( bytes );
+    CHECK_FALSE( reply.has_value() );
+}
+
 TEST_CASE( "a timer or blocking work that throws does not end the process",
            "[daemon][exception]" )
 {
--- a/tests/exchange/close_delimited_test.cpp
+++ b/tests/exchange/close_delimited_test.cpp
@@ -62,6 +62,45 @@
     CHECK( f.announcer.crashed.size() == ( f.probe.listens ? 1 : 0 ) );
 }
 
+TEST_CASE( "a head without length or body is not passed on as an empty answer",
+           "[exchange][close]" )
+{
+    auto f = exchange_fixture{};
+    SECTION( "a safe call runs at another target" )
+    {
+        f.start( f.request( "/safe/x" ) );
+        f.targets.all[0]->head( 200 );
+        f.targets.all[0]->close();
+        REQUIRE( f.targets.all.size() == 2 );
+        f.targets.all[1]->answer( 200, "whole" );
+        CHECK( f.answer->whole.body == "whole" );
+    }
+    SECTION( "a call or stream that may run once fails" )
+    {
+        auto const path = GENERATE( as<std::string>{}, "/unsafe/x", "/once/x" );
+        f.start( f.request( path ) );
+        f.targets.all[0]->head( 200 );
+        f.targets.all[0]->close();
+        CHECK( f.targets.all.size() == 1 );
+        CHECK( f.answer->whole.status == 502 );
+        CHECK( f.answer->stream_status == 0 );
+    }
+    SECTION( "a stream that may be resumed runs at another target" )
+    {
+        f.start( f.request( "/chat/x" ) );
+        f.targets.all[0]->head( 200 );
+        f.targets.all[0]->close();
+        REQUIRE( f.targets.all.size() == 2 );
+        f.targets.all[1]->head( 200 );
+        f.targets.all[1]->event( 1 );
+        f.targets.all[1]->complete();
+        CHECK( f.answer->ended );
+    }
+    f.scheduler.run( report_time );
+    // The target lives, so the content has crashed nothing.
+    CHECK( f.announcer.crashed.empty() );
+}
+
 TEST_CASE( "a stream that its target's end cuts is resumed or aborted",
            "[exchange][close]" )
 {
