--- a/apps/daemon/node.cpp
+++ b/apps/daemon/node.cpp
@@ -137,6 +137,7 @@
     if ( !open_when_free( settings_.peers, open_peers, pause ) )
         return false;
     read_list();
+    open_operators();
     start_tasks();
     if ( !open_when_free( settings_.callers, open_callers, pause ) )
         return false;
