Stand-in: a stream that is resumed after its last event has no further one

Trace (a753): eight events of eight had come, the end of the answer was lost, the gateway went on at another runner after event 8, and the stand-in wrote event 9. The product passed on what it got. Ruled out: a part taken for the whole.

Change: the stand-in ends such an answer without an event. The check is as it was.

--- a/standins/platform/runner.cpp
+++ b/standins/platform/runner.cpp
@@ -193,6 +193,9 @@
         record().status = status_ok;
         answer_->start_stream( status_ok, std::move( h ) );
         breaks_at_ = owner_.drawn( owner_.faults_.cut ) ? next_ + 2 : 0;
+        // It may be resumed after its last event.
+        if ( next_ > owner_.settings_.events )
+            return end_stream();
         write_event();
     }
     auto write_event() -> void
@@ -212,16 +215,18 @@
         record().last_event_ms = owner_.now_ms();
         answer_->send_chunk( event );
         if ( id >= owner_.settings_.events )
-        {
-            answer_->end_stream();
-            return end( run_end::answered );
-        }
+            return end_stream();
         later( owner_.settings_.event_gap,
                [this]
                {
                    write_event();
                } );
     }
+    auto end_stream() -> void
+    {
+        answer_->end_stream();
+        end( run_end::answered );
+    }
     auto end_inside_event( std::string const& event ) -> void
     {
         if ( owner_.drawn( 0.5 ) )
