--- a/apps/gateway/first_settings.hpp
+++ b/apps/gateway/first_settings.hpp
@@ -9,7 +9,7 @@
 namespace pollenstream::gateway
 {
 
-/// What the wait for usable settings needs from its surroundings.
+/// Access to the settings file, the time and the log.
 struct settings_source
 {
     std::string path; ///< for findings
--- a/apps/gateway/node_metrics.cpp
+++ b/apps/gateway/node_metrics.cpp
@@ -65,7 +65,7 @@
         << "pollenstream_quarantined_parts " << parts << '\n';
 }
 
-/// What became of received bytes: handlers that threw, incomplete answers, and
+/// Writes exceptions of handlers, the memory for bodies and answers, and
 /// how long the last configurations took to arrive.
 auto write_received( node_parts const& node, std::ostream& out ) -> void
 {
@@ -96,7 +96,7 @@
         << core::seconds_of( delay.longest() ) << '\n';
 }
 
-/// What takes memory besides bodies and answers, and all of it.
+/// Writes the connections of callers and the memory of the process.
 auto write_memory( node_parts const& node, std::ostream& out ) -> void
 {
     out << "# TYPE pollenstream_caller_connections gauge\n"
@@ -160,7 +160,7 @@
                  loads.drained_data_centres().size() );
 }
 
-/// Who places the prompts of this instance, and whose it places.
+/// Writes the placement requests that this instance sends and answers.
 auto write_placing( node_parts const& node, std::ostream& out ) -> void
 {
     auto const& routed = node.router.counters();
@@ -200,7 +200,7 @@
                      "{name=\"" + name + "\"}", times );
 }
 
-/// What it sends to other instances and to the store.
+/// Writes the datagrams to other instances and the calls to the store.
 auto write_calls( node_parts const& node, std::ostream& out ) -> void
 {
     write_count( out, "pollenstream_peer_datagrams_total", "",
