A probe that has connected is conclusive after its process was stopped

Cause: after the stop the connection and the limit of the probe are due in one pass of the event loop. The connection is handled first and re-arms the timer, but the handler of the limit is in the queue already, cannot be cancelled any more, and ends the probe as inconclusive, which counts as cut.

Ruled out: the other timers that are re-armed. The connect limit of the client looks at a flag, that of a caller's connection at its expiry.

Change: the limit counts only until the probe has connected, and begins after the connection was started.

--- a/src/pollenstream/adapters/asio/connection_probe.cpp
+++ b/src/pollenstream/adapters/asio/connection_probe.cpp
@@ -30,27 +30,35 @@
     }
     auto start( core::address const& address, core::duration limit ) -> void
     {
+        socket_.async_connect( endpoint_of( address ),
+                               [self = shared_from_this()]( error_code ec )
+                               {
+                                   self->on_connected( ec );
+                               } );
         timer_.expires_after( limit );
         timer_.async_wait(
             [self = shared_from_this()]( error_code ec )
             {
                 if ( !ec )
-                    self->finish( std::nullopt );
+                    self->on_limit();
             } );
-        socket_.async_connect( endpoint_of( address ),
-                               [self = shared_from_this()]( error_code ec )
-                               {
-                                   self->on_connected( ec );
-                               } );
     }
 
 private:
+    /// If this process was stopped meanwhile, the limit may pass together with
+    /// the result, and its handler can no longer be cancelled.
+    auto on_limit() -> void
+    {
+        if ( !is_connected_ )
+            finish( std::nullopt );
+    }
     auto on_connected( error_code ec ) -> void
     {
         auto const refused = ec == net::error::connection_refused ||
                              ec == net::error::connection_reset;
         if ( ec )
             return finish( refused ? std::optional( false ) : std::nullopt );
+        is_connected_ = true;
         timer_.expires_after( probe_hold_time );
         timer_.async_wait(
             [self = shared_from_this()]( error_code e )
@@ -78,6 +86,7 @@
     tcp::socket socket_;
     net::steady_timer timer_;
     done callback_;
+    bool is_connected_{ false };
     /// The probe sends nothing, so no byte is expected.
     std::array<char, 1> unexpected_byte_{};
 };
