The daemon's peer server goes on after it could not accept a connection

A daemon that once had no descriptors (as with many callers at once) did not answer other instances any more: no heartbeats, no forwarded calls, until it was started again. Its callers saw nothing but that it was gone from entry answers.

Cause: accepting throws in the library's event loop, whose server ends with it; the guard around it logged a line and left a living process without that port.

Change: a failure to accept is logged once, waited out, and the server goes on.

--- a/src/pollenstream/adapters/thrift/peer_thrift_server.cpp
+++ b/src/pollenstream/adapters/thrift/peer_thrift_server.cpp
@@ -8,11 +8,15 @@
 #include <thrift/protocol/TBinaryProtocol.h>
 #include <thrift/server/TNonblockingServer.h>
 #include <thrift/transport/TNonblockingServerSocket.h>
+#include <thrift/transport/TSocket.h>
 
+#include <chrono>
 #include <exception>
 #include <future>
 #include <gen-cpp/peer.h>
+#include <string>
 #include <thread>
+#include <utility>
 
 namespace pollenstream::adapters::thrift
 {
@@ -26,9 +30,14 @@
 using apache::thrift::protocol::TBinaryProtocolFactory;
 using apache::thrift::server::TNonblockingServer;
 using apache::thrift::transport::TNonblockingServerSocket;
+using apache::thrift::transport::TSocket;
+using apache::thrift::transport::TTransportException;
 
 /// Each forwarded call blocks one worker; exchanges need only a few.
 constexpr auto worker_threads = std::size_t{ 8 };
+/// Between two tries to accept, so that a failure that lasts uses no core. The
+/// calls under way wait as long.
+constexpr auto accept_retry_delay = std::chrono::milliseconds( 50 );
 
 auto discard_output( char const* ) -> void {}
 
@@ -61,6 +70,46 @@
     std::promise<void> bound_;
 };
 
+/// Goes on after a connection could not be accepted, for instance for want of
+/// descriptors. The library's server ends when accepting throws.
+class lasting_server_socket : public TNonblockingServerSocket
+{
+public:
+    using TNonblockingServerSocket::TNonblockingServerSocket;
+
+protected:
+    auto acceptImpl() -> std::shared_ptr<TSocket> override
+    {
+        try
+        {
+            auto accepted = TNonblockingServerSocket::acceptImpl();
+            note_problem( "" );
+            return accepted;
+        }
+        catch ( TTransportException const& e )
+        {
+            note_problem( e.what() );
+            std::this_thread::sleep_for( accept_retry_delay );
+            // The server drops a socket that is not open.
+            return std::make_shared<TSocket>();
+        }
+    }
+
+private:
+    /// Logs a problem that is new; empty: there is none.
+    auto note_problem( std::string const& problem ) -> void
+    {
+        if ( problem == std::exchange( problem_, problem ) )
+            return;
+        if ( problem.empty() )
+            LOG( INFO ) << "the peer server accepts connections again";
+        else
+            LOG( WARNING ) << "the peer server cannot accept: " << problem;
+    }
+
+    std::string problem_;
+};
+
 /// Forwards Thrift calls to the `peer_handler` port.
 class wire_handler : public wire::peerIf
 {
@@ -104,8 +153,8 @@
 public:
     implementation( core::address const& listen, ports::peer_handler& handler )
         : workers_( ThreadManager::newSimpleThreadManager( worker_threads ) ),
-          socket_( std::make_shared<TNonblockingServerSocket>( listen.ip,
-                                                               listen.port ) )
+          socket_( std::make_shared<lasting_server_socket>( listen.ip,
+                                                            listen.port ) )
     {
         // The library logs each connection that ends early. This output is
         // discarded; the daemon counts unreachable peers instead.
