process_test: held_ports holds the ports

The scenario bound each port with reuse and did not listen, so that the daemon bound it beside and never waited: no log of it had a line "waits for". It showed nothing.

Change: the holder listens, and the log must name the address that is waited for.

--- a/scripts/process_test.py
+++ b/scripts/process_test.py
@@ -419,6 +419,8 @@
                 time.sleep(1)
                 expect(fleet.processes[name].child.poll() is None,
                        f"{what}: the daemon has ended")
+                expect(f"waits for {address}" in fleet.log_of(name),
+                       f"{what}: no line tells that the daemon waits")
             wait_until(lambda: is_listening(address), what=f"{what} is open")
             wait_until(lambda: is_listening(callers), what="callers' port")
         fleet.processes[name].end()
@@ -436,6 +438,7 @@
     with socket.socket() as holder:
         holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         holder.bind((host, int(port)))
+        holder.listen()
         yield
 
 
