Tests with daemons reserve their ports, and tell which process has ended

The platform's list could not listen, as its port had been given to another process between its draw and its use, and ended; what listened there passed for it, the content of the list was refused, which nobody looked at, and no daemon heard of another. Seven more starts met a taken port in other places. A port is drawn with others before it is used: of 27 draws, as for nine daemons, two were the same port in 48 of 2,000 trials.

Ruled out by reading: a taken port of a daemon, which gives other messages; membership heals from wrong claims by its own replies.

Change: a port stays bound, without listening, until the test ends, so that the kernel gives it to nobody else; a stand-in or daemon that ends at its start, and a list that refuses its content, are reported at once; a scenario that fails prints the last lines of all its processes.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -17,11 +17,18 @@
 STEP = 0.02
 
 
-def free_port():
-    """A port that the kernel has just given out."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+# Bound and not listening: the kernel gives these ports to nobody else, and who
+# is told of one can listen there.
+RESERVED = []
+
+
+def reserve_port():
+    """A port of loopback that stays reserved until this process ends."""
+    holder = socket.socket()
+    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    holder.bind(("127.0.0.1", 0))
+    RESERVED.append(holder)
+    return holder.getsockname()[1]
 
 
 def wait_until(condition, limit=START_LIMIT, what="a condition"):
@@ -86,6 +93,14 @@
         self.child.wait()
         self.log.close()
 
+    def state(self):
+        status = self.child.poll()
+        return "runs" if status is None else f"has ended with {status}"
+
+    def last_lines(self, count=10):
+        text = pathlib.Path(self.log.name).read_text(errors="replace")
+        return "\n".join(text.splitlines()[-count:])
+
 
 class Fleet:
     """Stand-ins and daemons; use it in a with statement."""
@@ -104,20 +119,45 @@
         self.list = self.address()
 
     def __enter__(self):
+        try:
+            self.start_platform()
+        except BaseException as failure:
+            self.__exit__(type(failure))
+            raise
+        return self
+
+    def start_platform(self):
         self.start_standin("store", ["store", f"--listen={self.store}"], True,
                            self.store)
         self.start_standin("list", ["list", f"--listen={self.list}",
                                     "--lag-ms=200"], False, self.list)
-        return self
 
-    def __exit__(self, *_):
+    def __exit__(self, failure, *_):
+        if failure:
+            self.print_logs()
         for process in self.processes.values():
             process.end()
         self.directory.cleanup()
 
+    def print_logs(self):
+        for process in self.processes.values():
+            print(f"{process.name} {process.state()}, its last lines:\n"
+                  f"{process.last_lines()}", flush=True)
+
     @staticmethod
     def address():
-        return f"127.0.0.1:{free_port()}"
+        return f"127.0.0.1:{reserve_port()}"
+
+    def wait_listening(self, name, address):
+        """Raises at once if the process ends instead."""
+        process = self.processes[name]
+
+        def listens():
+            if process.child.poll() is not None:
+                raise RuntimeError(f"{name} {process.state()}")
+            return is_listening(address)
+
+        wait_until(listens, what=f"{name} listens")
 
     def start_standin(self, name, arguments, has_control, address):
         command = [str(self.build / "pollenstream-standin"), *arguments]
@@ -125,7 +165,7 @@
             self.controls[name] = self.address()
             command.append(f"--control={self.controls[name]}")
         self.processes[name] = Process(name, command, self.directory.name)
-        wait_until(lambda: is_listening(address), what=f"{name} listens")
+        self.wait_listening(name, address)
 
     def add_engine(self, name, service, **options):
         address = self.address()
@@ -165,8 +205,12 @@
 
     def publish(self):
         """Tells the instance list what there is."""
-        http_json("PUT", self.list, "/instances",
-                  {"instances": self.instances, "targets": self.targets})
+        status, answer = http_json(
+            "PUT", self.list, "/instances",
+            {"instances": self.instances, "targets": self.targets})
+        if status != 200:
+            raise RuntimeError(f"the list refuses its content: {status} "
+                               f"{answer}")
 
     def start_daemon(self, name):
         file, callers, _ = self.settings[name]
@@ -175,7 +219,7 @@
         self.processes[name] = Process(
             name, [str(self.build / "pollenstreamd"), f"--settings={file}"],
             self.directory.name)
-        wait_until(lambda: is_listening(callers), what=f"{name} listens")
+        self.wait_listening(name, callers)
 
     def callers(self, name):
         return self.settings[name][1]
--- a/scripts/late_start_scenario.py
+++ b/scripts/late_start_scenario.py
@@ -10,7 +10,7 @@
 import signal
 import socket
 
-from fleet import free_port
+from fleet import reserve_port
 from platform_fleet import KEY, Callers, PlatformFleet, call
 
 HELD_S = (0.4, 1.6)             # for how long something is missing
@@ -153,7 +153,7 @@
     """Returns what was broken, a line about it, and the fleet."""
     draw = random.Random(seed)
     fleet = PlatformFleet(build, seed, gateways=3, engines=2, plain=3,
-                          proxied=False, metrics_port=free_port())
+                          proxied=False, metrics_port=reserve_port())
     fleet.ports["metrics"] = fleet.metrics_port
     starts = Starts(fleet, draw)
     try:
--- a/scripts/platform_fleet.py
+++ b/scripts/platform_fleet.py
@@ -11,7 +11,7 @@
 import tempfile
 import time
 
-from fleet import free_port
+from fleet import reserve_port
 
 HOST = "host.example"
 KEY = "secret-key"
@@ -245,7 +245,7 @@
         self.gateway_options = ([f"--metrics-port={metrics_port}"]
                                 if metrics_port else [])
         self.folder = tempfile.mkdtemp(prefix="pollenstream-")
-        self.ports = {name: free_port()
+        self.ports = {name: reserve_port()
                       for name in ("front", "ready", "directory", "internal")}
         self.count = gateways
         self.engines = engines
