What a caller without a key or route announces takes no memory from others

Cause: an announced length is claimed with the head; that the request has no route or no key was found once its body was there. Class: a bound for all that anybody can use up.

Change: the handler is asked with the head whether the body matters. Where it does not, the request is handled at once without it, by the same code as before (400, 401, 404), and the connection closes as after other unread bodies. Requests whose body has come with the head are read as before. The match of route and key stands once, in route_configuration.

--- a/apps/gateway/caller_handler.cpp
+++ b/apps/gateway/caller_handler.cpp
@@ -42,6 +42,19 @@
                                   : exchange::caller_limits{};
 }
 
+auto caller_handler::needs_body( adapters::asio::raw_request const& head ) const
+    -> bool
+{
+    auto const decoded =
+        platform::decode_request( head, context_.scheduler.now() );
+    if ( decoded.has_error() )
+        return false;
+    auto const& request = decoded.value();
+    return !context_.configuration ||
+           context_.configuration->admits( request.host, request.target,
+                                           request.key );
+}
+
 auto caller_handler::handle( adapters::asio::raw_request request,
                              std::shared_ptr<exchange::answer_channel> answer )
     -> std::shared_ptr<adapters::asio::request_in_progress>
--- a/apps/gateway/caller_handler.hpp
+++ b/apps/gateway/caller_handler.hpp
@@ -14,6 +14,9 @@
     explicit caller_handler( exchange::exchange_context& context );
 
     [[nodiscard]] auto limits() const -> exchange::caller_limits override;
+    [[nodiscard]] auto
+    needs_body( adapters::asio::raw_request const& head ) const
+        -> bool override;
     auto handle( adapters::asio::raw_request request,
                  std::shared_ptr<exchange::answer_channel> answer )
         -> std::shared_ptr<adapters::asio::request_in_progress> override;
--- a/scripts/long_prompts_scenario.py
+++ b/scripts/long_prompts_scenario.py
@@ -1,7 +1,8 @@
 """More long prompts at once than the gateway has memory for.
 
 The gateway's process stays within its memory, serves what fits, refuses the
-rest as not run, and answers short calls beside them."""
+rest as not run, and answers short calls beside them. What callers without a key
+announce takes no memory from others."""
 
 import asyncio
 import random
@@ -11,25 +12,65 @@
 
 BODY_BYTES = 900_000            # the fleet's configuration allows 1,000,000
 PROMPTS = 400
+STRANGERS = 200                 # callers without a key
 SHORT_CALLS = 60
+STRANGERS_LIMIT_S = 2.0         # until they have been refused
 PAUSE_S = 0.05                  # between short calls
 LIMIT_S = 12.0                  # for all of a long prompt
 NO_ANSWER = (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError)
 
 
+async def connect(gateway):
+    host, port = gateway.addresses["front"].split(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+def head_of_prompt(draw, key):
+    lines = ["POST /safe/long HTTP/1.1", f"Host: {HOST}", f"Api-Key: {key}",
+             f"Content-Length: {BODY_BYTES}",
+             "Attempt-Id: %016x" % draw.getrandbits(64), "Deadline-Ms: 9000"]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+async def announce_without_key(gateway, draw):
+    """Announces a long prompt and sends nothing of it; returns the connection's
+    writer and the status of the answer, None without one."""
+    reader, writer = await connect(gateway)
+    writer.write(head_of_prompt(draw, "no-key"))
+    reply = Reply()
+    try:
+        await asyncio.wait_for(read_reply(reader, reply), STRANGERS_LIMIT_S)
+    except NO_ANSWER:
+        pass
+    return writer, reply.status
+
+
+async def prompts_beside_strangers(gateway, draw):
+    """What is broken for long prompts beside callers without a key."""
+    strangers = [asyncio.create_task(announce_without_key(gateway, draw))
+                 for _ in range(STRANGERS)]
+    await asyncio.sleep(STRANGERS_LIMIT_S / 2)
+    sent = Countdown(1)
+    status, _ = await send_prompt(gateway, draw, sent)
+    found = [] if status == 200 else [
+        f"a long prompt beside callers without a key: {status}"]
+    answers = await asyncio.gather(*strangers)
+    refused = sum(answer == 401 for _, answer in answers)
+    if refused != STRANGERS:
+        found.append(f"{refused} of {STRANGERS} callers without a key refused")
+    for writer, _ in answers:
+        writer.close()
+    return found
+
+
 async def send_prompt(gateway, draw, all_sent):
     """Sends a long prompt but for its last byte, and that once `all_sent`.
     Returns the status of the answer, None without one, and its headers."""
-    host, port = gateway.addresses["front"].split(":")
-    reader, writer = await asyncio.open_connection(host, int(port))
-    head = "\r\n".join(["POST /safe/long HTTP/1.1", f"Host: {HOST}",
-                        f"Api-Key: {KEY}", f"Content-Length: {BODY_BYTES}",
-                        "Attempt-Id: %016x" % draw.getrandbits(64),
-                        "Deadline-Ms: 9000"]) + "\r\n\r\n"
+    reader, writer = await connect(gateway)
     reply = Reply()
     reading = asyncio.create_task(read_reply(reader, reply))
     try:
-        writer.write(head.encode() + b"p" * (BODY_BYTES - 1))
+        writer.write(head_of_prompt(draw, KEY) + b"p" * (BODY_BYTES - 1))
         await writer.drain()
         all_sent.count_down()
         await all_sent.wait()
@@ -94,6 +135,7 @@
     try:
         await fleet.start()
         gateway = fleet.gateways[0]
+        found += await prompts_beside_strangers(gateway, draw)
         calls = asyncio.create_task(short_calls(gateway, draw))
         all_sent = Countdown(PROMPTS)
         long = await asyncio.gather(*(send_prompt(gateway, draw, all_sent)
--- a/src/pollenstream/adapters/asio/caller_connection.cpp
+++ b/src/pollenstream/adapters/asio/caller_connection.cpp
@@ -213,6 +213,8 @@
         refuse( not_implemented, "transfer coding" );
         return false;
     }
+    if ( !parser_->is_done() && refuses_without_body() )
+        return false;
     // What is announced is claimed at once, so that a body that would not fit
     // is not read in part.
     if ( !claim_body_memory( static_cast<std::size_t>(
@@ -231,6 +233,20 @@
     return true;
 }
 
+/// Handles the request at once, and returns true, if its body does not matter.
+/// It then takes no memory from the requests that can be served.
+auto caller_connection::refuses_without_body() -> bool
+{
+    auto head = take_head();
+    if ( owner_.handler_.needs_body( head ) )
+        return false;
+    phase_ = phase::answering;
+    timer_.cancel();
+    request_keeps_alive_ = false;
+    handle( std::move( head ) );
+    return true;
+}
+
 /// Claims memory for `bytes` of the body in all; returns false, and refuses the
 /// request, if there is none.
 auto caller_connection::claim_body_memory( std::size_t bytes ) -> bool
@@ -264,6 +280,11 @@
     auto request = take_head();
     request.body = std::exchange( message.body(), {} );
     request.body_memory = std::exchange( body_memory_, nullptr );
+    handle( std::move( request ) );
+}
+
+auto caller_connection::handle( raw_request request ) -> void
+{
     auto const number = number_;
     auto progress = owner_.handler_.handle(
         std::move( request ),
--- a/src/pollenstream/adapters/asio/caller_connection.hpp
+++ b/src/pollenstream/adapters/asio/caller_connection.hpp
@@ -75,9 +75,11 @@
     auto parse_buffered() -> void;
     auto start_request() -> void;
     auto on_head() -> bool;
+    auto refuses_without_body() -> bool;
     auto claim_body_memory( std::size_t bytes ) -> bool;
     auto take_head() -> raw_request;
     auto on_request() -> void;
+    auto handle( raw_request request ) -> void;
     auto refuse( int status, std::string const& reason ) -> void;
     auto refuse( exchange::whole_answer const& answer ) -> void;
     auto start_timer( core::duration time ) -> void;
--- a/src/pollenstream/adapters/asio/caller_listener.cpp
+++ b/src/pollenstream/adapters/asio/caller_listener.cpp
@@ -21,6 +21,11 @@
 
 }
 
+auto request_handler::needs_body( raw_request const& /*head*/ ) const -> bool
+{
+    return true;
+}
+
 auto request_handler::refuse_unread( raw_request const& /*head*/ )
     -> exchange::whole_answer
 {
--- a/src/pollenstream/adapters/asio/caller_listener.hpp
+++ b/src/pollenstream/adapters/asio/caller_listener.hpp
@@ -44,6 +44,10 @@
 public:
     virtual ~request_handler() = default;
     [[nodiscard]] virtual auto limits() const -> exchange::caller_limits = 0;
+    /// False if a request with this head is refused whatever its body is, so
+    /// that it is handled without. `head` has no body.
+    [[nodiscard]] virtual auto needs_body( raw_request const& head ) const
+        -> bool;
     /// Starts to answer `request`; returns null if it was answered at once.
     virtual auto handle( raw_request request,
                          std::shared_ptr<exchange::answer_channel> answer )
--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -63,16 +63,14 @@
 
 auto exchange::find_route() -> bool
 {
-    auto const path = std::string_view( request_.target )
-                          .substr( 0, request_.target.find( '?' ) );
-    route_ = configuration_->find_route( request_.host, path );
+    route_ = configuration_->find_route( request_.host, request_.target );
     if ( route_ == nullptr )
     {
         refuse( status_not_found, "no_route", std::nullopt );
         return false;
     }
     priority_ = route_->priority;
-    if ( !configuration_->needs_keys || route_->is_public )
+    if ( !configuration_->needs_key( *route_ ) )
         return true;
     auto const workspace = configuration_->find_workspace( request_.key );
     if ( workspace == nullptr )
--- a/src/pollenstream/exchange/routes.cpp
+++ b/src/pollenstream/exchange/routes.cpp
@@ -46,9 +46,10 @@
 }
 
 auto route_configuration::find_route( std::string_view host,
-                                      std::string_view path ) const
+                                      std::string_view target ) const
     -> route const*
 {
+    auto const path = target.substr( 0, target.find( '?' ) );
     auto const found = by_host_.find( std::string( host ) );
     if ( found == by_host_.end() )
         return nullptr;
@@ -65,6 +66,20 @@
     return found == by_key_.end() ? nullptr : &workspaces_[found->second];
 }
 
+auto route_configuration::needs_key( route const& which ) const -> bool
+{
+    return needs_keys && !which.is_public;
+}
+
+auto route_configuration::admits( std::string_view host,
+                                  std::string_view target,
+                                  std::string const& key ) const -> bool
+{
+    auto const* const found = find_route( host, target );
+    return found != nullptr &&
+           ( !needs_key( *found ) || find_workspace( key ) != nullptr );
+}
+
 auto route_configuration::min_gap_objective( core::service_id const& id ) const
     -> core::duration
 {
--- a/src/pollenstream/exchange/routes.hpp
+++ b/src/pollenstream/exchange/routes.hpp
@@ -122,12 +122,19 @@
     /// Builds the indexes. Has to be called once `routes` is filled.
     auto index_routes() -> void;
 
-    /// The route of `host` with the longest matching prefix of `path`, or null.
+    /// The route of `host` with the longest matching prefix of the path of
+    /// `target`, which may have a query; or null.
     [[nodiscard]] auto find_route( std::string_view host,
-                                   std::string_view path ) const
+                                   std::string_view target ) const
         -> route const*;
     [[nodiscard]] auto find_workspace( std::string const& key ) const
         -> workspace_settings const*;
+    /// True if requests of `which` need the key of a workspace.
+    [[nodiscard]] auto needs_key( route const& which ) const -> bool;
+    /// True if a request has a route, and a key where it needs one.
+    [[nodiscard]] auto admits( std::string_view host,
+                               std::string_view target,
+                               std::string const& key ) const -> bool;
     /// The shortest gap objective of the streams that the service serves; zero
     /// if it serves none.
     [[nodiscard]] auto min_gap_objective( core::service_id const& id ) const
--- a/tests/adapters/request_memory_test.cpp
+++ b/tests/adapters/request_memory_test.cpp
@@ -5,8 +5,10 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <array>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 using namespace tests;
@@ -25,6 +27,7 @@
 constexpr auto callers = std::size_t{ 40 };
 constexpr auto status_ok = 200;
 constexpr auto status_unavailable = 503;
+constexpr auto without_key = "/without_key";
 
 class waiting_request : public asio::request_in_progress
 {
@@ -53,6 +56,11 @@
     {
         return {};
     }
+    [[nodiscard]] auto needs_body( asio::raw_request const& head ) const
+        -> bool override
+    {
+        return head.target != without_key;
+    }
     auto handle( asio::raw_request request,
                  std::shared_ptr<exchange::answer_channel> answer )
         -> std::shared_ptr<asio::request_in_progress> override
@@ -181,6 +189,44 @@
     CHECK( f.memory->used_bytes() == budget_bytes );
 }
 
+TEST_CASE( "requests that are refused whatever they send take no memory of "
+           "others",
+           "[caller_listener][memory]" )
+{
+    auto f = memory_fixture{};
+    auto const* const body =
+        GENERATE( "Content-Length: 1000000\r\n\r\nfirst",
+                  "Transfer-Encoding: chunked\r\n\r\nfffff\r\nfirst" );
+    auto sockets = std::vector<asio::tcp::socket>{};
+    for ( auto i = std::size_t{ 0 }; i < callers; ++i )
+    {
+        auto& socket = sockets.emplace_back( f.io );
+        socket.connect( { net::ip::make_address( f.listener.address().ip ),
+                          f.listener.address().port } );
+        net::write( socket, net::buffer( "POST " + std::string( without_key ) +
+                                         " HTTP/1.1\r\nHost: h\r\n" + body ) );
+    }
+    run_until( f.io,
+               [&]
+               {
+                   return f.handler.open.size() == callers;
+               } );
+    REQUIRE( f.handler.open.size() == callers );
+    CHECK( f.memory->used_bytes() == 0 );
+    f.handler.answer_all();
+    auto reply = std::array<char, 100>{};
+    auto const n = sockets.front().read_some( net::buffer( reply ) );
+    CHECK( std::string_view( reply.data(), n ).starts_with( "HTTP/1.1 200" ) );
+    run_until( f.io,
+               [&]
+               {
+                   return sockets.front().available() == 0;
+               } );
+    f.post_body( body_bytes );
+    f.run_until_answered( 1 );
+    CHECK( f.handler.open.size() == 1 );
+}
+
 TEST_CASE( "a caller that leaves while it sends returns its memory",
            "[caller_listener][memory]" )
 {
--- a/tests/exchange/parts_test.cpp
+++ b/tests/exchange/parts_test.cpp
@@ -45,9 +45,35 @@
     CHECK( c.find_route( "h", "/a/b/c" )->id.str() == "/a/b/" );
     CHECK( c.find_route( "h", "/a/c" )->id.str() == "/a/" );
     CHECK( c.find_route( "h", "/z" )->id.str() == "/" );
+    CHECK( c.find_route( "h", "/a/c?to=/a/b/" )->id.str() == "/a/" );
     CHECK( c.find_route( "other", "/a/" ) == nullptr );
 }
 
+TEST_CASE(
+    "requests without a route, or without the key that it needs, are not "
+    "admitted",
+    "[routes]" )
+{
+    auto c = exchange::route_configuration{};
+    for ( auto const* prefix : { "/public/", "/x/" } )
+    {
+        auto r = exchange::route{};
+        r.host = "h";
+        r.prefix = prefix;
+        r.is_public = r.prefix == "/public/";
+        c.routes.push_back( r );
+    }
+    c.index_routes();
+    c.add_workspace( { core::workspace_id( "w" ), {} }, { "key" } );
+    CHECK( c.admits( "h", "/x/?a=b", "other" ) );
+    c.needs_keys = true;
+    CHECK( c.admits( "h", "/x/?a=b", "key" ) );
+    CHECK( c.admits( "h", "/public/y", "" ) );
+    CHECK_FALSE( c.admits( "h", "/x/", "other" ) );
+    CHECK_FALSE( c.admits( "h", "/z", "key" ) );
+    CHECK_FALSE( c.admits( "other", "/x/", "key" ) );
+}
+
 TEST_CASE( "the instances' shares of the retry budget add up to the whole",
            "[retries]" )
 {
