The daemon logs unusable entries of the list once

Operators saw a line for each unusable entry with each list that came, every 2 s where the list has no entity tag: a log that grows with what another writer left.

Change: a reason that the list before did not have is logged, at most ten a list; the counter has all.

--- a/apps/daemon/node.cpp
+++ b/apps/daemon/node.cpp
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <future>
+#include <set>
 #include <thread>
 #include <utility>
 
@@ -23,6 +24,8 @@
 constexpr auto list_period = core::duration( 2s );
 constexpr auto tidy_period = core::duration( 10s );
 constexpr auto port_retry_period = core::duration( 200ms );
+/// Unusable entries of one list that are logged; a counter has all of them.
+constexpr auto max_logged_entries = std::size_t{ 10 };
 /// Forwarded calls and changes of configuration that may wait at once.
 constexpr auto blocking_threads = std::size_t{ 4 };
 constexpr auto drain_check_period = 20ms;
@@ -251,10 +254,8 @@
     note_list_problem( fetched ? "" : fetched.error().detail );
     if ( fetched && fetched.value() )
     {
+        note_unusable_entries( listing_.unusable, fetched.value()->unusable );
         listing_ = std::move( *fetched.value() );
-        watch_->unusable_entries.add( listing_.unusable.size() );
-        for ( auto const& why : listing_.unusable )
-            LOG( WARNING ) << "an entry of the list is left out: " << why;
     }
     // Taken over each time: what this instance watches follows the
     // configuration too.
@@ -263,6 +264,24 @@
     return list_period;
 }
 
+/// Logs a few of the reasons that the list before did not have.
+auto node::note_unusable_entries( std::vector<std::string> const& before,
+                                  std::vector<std::string> const& now ) -> void
+{
+    watch_->unusable_entries.add( now.size() );
+    auto is_known = std::set( before.begin(), before.end() );
+    auto logged = std::size_t{ 0 };
+    for ( auto const& why : now )
+    {
+        if ( logged == max_logged_entries )
+            return;
+        if ( !is_known.insert( why ).second )
+            continue;
+        LOG( WARNING ) << "an entry of the list is left out: " << why;
+        ++logged;
+    }
+}
+
 auto node::note_list_problem( std::string const& problem ) -> void
 {
     if ( problem == std::exchange( list_problem_, problem ) )
--- a/apps/daemon/node.hpp
+++ b/apps/daemon/node.hpp
@@ -77,6 +77,8 @@
     auto open_operators() -> core::duration;
     auto beat() -> core::duration;
     auto read_list() -> core::duration;
+    auto note_unusable_entries( std::vector<std::string> const& before,
+                                std::vector<std::string> const& now ) -> void;
     /// Logs a problem that is new; empty: there is none.
     auto note_list_problem( std::string const& problem ) -> void;
     auto follow() -> core::duration;
--- a/scripts/process_test.py
+++ b/scripts/process_test.py
@@ -448,6 +448,14 @@
         fleet.directory.name)
 
 
+ODD_ENTRIES = ({"id": "odd", "service": "valuer-llm", "place": "p",
+                "address": "127.0.0.1:70000", "state": "live"},
+               {"id": "odd", "service": "s", "address": "127.0.0.1:9",
+                "state": "odd"},
+               {"service": "s", "address": "127.0.0.1:9"}, 7, None)
+ODD_REASONS = 4                 # the last two are no objects
+
+
 def odd_list_entries(build, _):
     """Entries of the list that cannot be used are left out alone, in a daemon
     that runs and in one that starts, which say so."""
@@ -456,11 +464,7 @@
         configure(fleet, name)
         wait_for_engines(fleet, [name])
         known = 4
-        for odd in ({"id": "odd", "service": "valuer-llm", "place": "p",
-                     "address": "127.0.0.1:70000", "state": "live"},
-                    {"id": "odd", "service": "s", "address": "127.0.0.1:9",
-                     "state": "odd"},
-                    {"service": "s", "address": "127.0.0.1:9"}, 7, None):
+        for odd in ODD_ENTRIES:
             fleet.targets.insert(0, odd)
             known += 1
             fleet.add_engine(f"after-{known}", "valuer-llm",
@@ -469,7 +473,9 @@
             wait_for_engines(fleet, [name], known)
         expect(fleet.dump(name)["control"]["unusable_entries"] > 0,
                "no counter tells of odd entries")
-        expect("left out" in fleet.log_of(name), "no line tells of odd entries")
+        told = fleet.log_of(name).count("left out")
+        expect(told == ODD_REASONS, f"{told} lines tell of odd entries, "
+                                    f"which are for {ODD_REASONS} reasons")
         fleet.start_daemon(name)
         wait_for_engines(fleet, [name], known)
     return f"{known} engines known beside odd entries"
