A connection of a caller that cannot begin is closed

A caller whose connection threw as it started (as without memory) saw nothing: the connection stayed open, silent and counted, until the caller's own limit.

Cause: the listener keeps a connection before it starts it, and the guard around the start did not let it go. Change: it does. Test over real connections, the exception at the first and the second look at the limits: the second failed before.

--- a/src/pollenstream/adapters/asio/caller_listener.cpp
+++ b/src/pollenstream/adapters/asio/caller_listener.cpp
@@ -96,18 +96,21 @@
         } );
 }
 
-/// A connection that cannot begin does not keep others from being accepted.
+/// A connection that cannot begin is closed. It does not keep others from being
+/// accepted.
 auto caller_listener::begin_connection( tcp::socket socket ) -> void
 {
+    auto connection = std::shared_ptr<caller_connection>{};
     try
     {
-        auto connection =
+        connection =
             std::make_shared<caller_connection>( *this, std::move( socket ) );
         connections_.insert( connection );
         connection->start();
     }
     catch ( std::exception const& )
     {
+        connections_.erase( connection );
         broken_.add();
     }
 }
--- a/tests/adapters/handler_exceptions_test.cpp
+++ b/tests/adapters/handler_exceptions_test.cpp
@@ -60,6 +60,24 @@
     }
 };
 
+/// Throws once, at the given look at the limits; a connection looks at them as
+/// it is made and as it starts.
+class throwing_at_begin : public throwing_handler
+{
+public:
+    explicit throwing_at_begin( int look ) : looks_left_( look ) {}
+
+    [[nodiscard]] auto limits() const -> exchange::caller_limits override
+    {
+        if ( --looks_left_ == 0 )
+            throw std::bad_alloc();
+        return {};
+    }
+
+private:
+    mutable int looks_left_;
+};
+
 /// Sends `text` on a connection of its own; returns what it gets until the
 /// connection ends or `size` bytes have come.
 auto exchange_bytes( net::io_context& io,
@@ -133,6 +151,23 @@
     CHECK( served == "HTTP/1.1 200 OK" );
 }
 
+TEST_CASE( "a connection that cannot begin is closed and not counted",
+           "[caller_listener][exception]" )
+{
+    auto io = net::io_context{};
+    auto handler = throwing_at_begin( GENERATE( 1, 2 ) );
+    auto listener = asio::caller_listener( io, { "127.0.0.1", 0 }, handler );
+    auto const broken =
+        exchange_bytes( io, listener.address(), get_request, 1 );
+    CHECK( broken.empty() );
+    CHECK( listener.broken() == 1 );
+    CHECK( listener.connections() == 0 );
+    auto const served = exchange_bytes(
+        io, listener.address(),
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody", 15 );
+    CHECK( served == "HTTP/1.1 200 OK" );
+}
+
 TEST_CASE( "an exception while a datagram is processed drops it alone",
            "[datagrams][exception]" )
 {
