--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -140,9 +140,12 @@
         self.directory.cleanup()
 
     def print_logs(self):
+        """The last lines of all processes that have written any or ended."""
         for process in self.processes.values():
-            print(f"{process.name} {process.state()}, its last lines:\n"
-                  f"{process.last_lines()}", flush=True)
+            lines = process.last_lines()
+            if lines or process.child.poll() is not None:
+                print(f"{process.name} {process.state()}:\n{lines}",
+                      flush=True)
 
     @staticmethod
     def address():
--- a/scripts/long_prompts_scenario.py
+++ b/scripts/long_prompts_scenario.py
@@ -12,9 +12,9 @@
 
 BODY_BYTES = 900_000            # the fleet's configuration allows 1,000,000
 PROMPTS = 400
-STRANGERS = 200                 # callers without a key
+CALLERS_WITHOUT_KEY = 200
 SHORT_CALLS = 60
-STRANGERS_LIMIT_S = 2.0         # until they have been refused
+REFUSAL_LIMIT_S = 2.0           # until those without a key are refused
 PAUSE_S = 0.05                  # between short calls
 LIMIT_S = 12.0                  # for all of a long prompt
 NO_ANSWER = (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError)
@@ -39,25 +39,26 @@
     writer.write(head_of_prompt(draw, "no-key"))
     reply = Reply()
     try:
-        await asyncio.wait_for(read_reply(reader, reply), STRANGERS_LIMIT_S)
+        await asyncio.wait_for(read_reply(reader, reply), REFUSAL_LIMIT_S)
     except NO_ANSWER:
         pass
     return writer, reply.status
 
 
-async def prompts_beside_strangers(gateway, draw):
+async def prompts_beside_callers_without_key(gateway, draw):
     """What is broken for long prompts beside callers without a key."""
-    strangers = [asyncio.create_task(announce_without_key(gateway, draw))
-                 for _ in range(STRANGERS)]
-    await asyncio.sleep(STRANGERS_LIMIT_S / 2)
+    without_key = [asyncio.create_task(announce_without_key(gateway, draw))
+                 for _ in range(CALLERS_WITHOUT_KEY)]
+    await asyncio.sleep(REFUSAL_LIMIT_S / 2)
     sent = Countdown(1)
     status, _ = await send_prompt(gateway, draw, sent)
     found = [] if status == 200 else [
         f"a long prompt beside callers without a key: {status}"]
-    answers = await asyncio.gather(*strangers)
+    answers = await asyncio.gather(*without_key)
     refused = sum(answer == 401 for _, answer in answers)
-    if refused != STRANGERS:
-        found.append(f"{refused} of {STRANGERS} callers without a key refused")
+    if refused != CALLERS_WITHOUT_KEY:
+        found.append(f"{refused} of {CALLERS_WITHOUT_KEY} callers without a "
+                     "key refused")
     for writer, _ in answers:
         writer.close()
     return found
@@ -135,7 +136,7 @@
     try:
         await fleet.start()
         gateway = fleet.gateways[0]
-        found += await prompts_beside_strangers(gateway, draw)
+        found += await prompts_beside_callers_without_key(gateway, draw)
         calls = asyncio.create_task(short_calls(gateway, draw))
         all_sent = Countdown(PROMPTS)
         long = await asyncio.gather(*(send_prompt(gateway, draw, all_sent)
