--- a/scripts/process_test.py
+++ b/scripts/process_test.py
@@ -448,6 +448,136 @@
         fleet.directory.name)
 
 
+PIECE = b"x" * 65536
+FIELDS = b"X-Field: value\r\n" * 4096
+STATUS = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = STATUS + b"Transfer-Encoding: chunked\r\n\r\n"
+# First bytes of an answer, and those that follow again and again.
+ENDLESS_ANSWERS = {
+    "status line": (b"HTTP/1.1 200 ", PIECE), "field": (STATUS + b"X: ", PIECE),
+    "fields": (STATUS, FIELDS), "chunk extension": (CHUNKED + b"4;", PIECE),
+    "trailer": (CHUNKED + b"0\r\n", FIELDS),
+    "interim answer": (b"HTTP/1.1 102 Processing\r\nX: ", PIECE),
+    "interim answers": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 2048)}
+ENDLESS_REQUESTS = {"target": (b"GET /", PIECE),
+                    "field": (b"GET / HTTP/1.1\r\nX: ", PIECE),
+                    "fields": (b"GET / HTTP/1.1\r\n", FIELDS)}
+ENDLESS_SECONDS = 2.0
+# What a head of 16 KiB a connection may come to, with the library's buffers.
+MOST_GROWTH_KB = 64 * 1024
+
+
+class EndlessServer(threading.Thread):
+    """Answers each connection with bytes without end."""
+
+    def __init__(self, first, repeated):
+        super().__init__(daemon=True)
+        self.bytes = (first, repeated)
+        self.socket = socket.create_server(("127.0.0.1", 0))
+        self.address = "127.0.0.1:%d" % self.socket.getsockname()[1]
+
+    def run(self):
+        while True:
+            try:
+                connection, _ = self.socket.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.answer, args=(connection,),
+                             daemon=True).start()
+
+    def answer(self, connection):
+        with connection, contextlib.suppress(OSError):
+            connection.recv(65536)
+            send_without_end(connection, *self.bytes, ENDLESS_SECONDS)
+
+
+def send_without_end(connection, first, repeated, seconds):
+    end = time.monotonic() + seconds
+    connection.settimeout(seconds)
+    connection.sendall(first)
+    while time.monotonic() < end:
+        connection.sendall(repeated)
+
+
+def request_without_end(address, first, repeated):
+    host, port = address.split(":")
+    with contextlib.suppress(OSError), \
+            socket.create_connection((host, int(port))) as connection:
+        send_without_end(connection, first, repeated, ENDLESS_SECONDS)
+
+
+def peak_memory_kb(process):
+    status = pathlib.Path(f"/proc/{process.child.pid}/status").read_text()
+    return next(int(line.split()[1]) for line in status.splitlines()
+                if line.startswith("VmHWM:"))
+
+
+def endless_heads(build, _):
+    """Heads without end, of targets and of callers without a key, take no
+    memory and no request of others."""
+    with Fleet(build) as fleet:
+        name = start(fleet, 1)[0]
+        configure(fleet, name)
+        wait_for_engines(fleet, [name])
+        process = fleet.processes[name]
+        before = peak_memory_kb(process)
+        sound = list(fleet.targets)
+        for way, sent in ENDLESS_ANSWERS.items():
+            server = EndlessServer(*sent)
+            server.start()
+            fleet.targets = [one if one["service"] != "dealer-desk" else
+                             {**one, "id": f"{way}-{one['id']}",
+                              "address": server.address} for one in sound]
+            fleet.publish()
+            wait_until(lambda: any(way in t["id"] for t in
+                                   fleet.dump(name)["targets"]),
+                       what="the faulty target is known")
+            post_calls(fleet, name, 3)
+            server.socket.close()
+            check_growth(process, before, way)
+        for port in (fleet.callers(name), fleet.operators(name)):
+            for way, sent in ENDLESS_REQUESTS.items():
+                senders = [threading.Thread(target=request_without_end,
+                                            args=(port, *sent))
+                           for _ in range(3)]
+                for sender in senders:
+                    sender.start()
+                for sender in senders:
+                    sender.join()
+                check_growth(process, before, way)
+        seen = chat(fleet.callers(name), "w", "quick-appraisal", SHORT)
+        expect(seen["complete"], str(seen))
+        return (f"{len(ENDLESS_ANSWERS)} answers, {len(ENDLESS_REQUESTS)} "
+                f"requests at two ports, {peak_memory_kb(process)} KB")
+
+
+def post_calls(fleet, name, count):
+    """Calls to the plain service at the same time; none is completed, and each
+    is answered."""
+    address = fleet.callers(name)
+    prefix = http_json("GET", address, "/v1/entry?workspace=w")[1][
+        "ticket_prefix"]
+    found = []
+
+    def post(key):
+        found.append(once(fleet, address, prefix, key))
+
+    callers = [threading.Thread(target=post, args=(f"{time.monotonic()}-{n}",))
+               for n in range(count)]
+    for caller in callers:
+        caller.start()
+    for caller in callers:
+        caller.join()
+    expect(len(found) == count and set(found) <= {"unknown", "failed"},
+           f"calls were {found}")
+
+
+def check_growth(process, before, way):
+    expect(process.child.poll() is None, f"{way}: the daemon has ended")
+    growth = peak_memory_kb(process) - before
+    expect(growth < MOST_GROWTH_KB, f"{way}: memory grew by {growth} KB")
+
+
 ODD_ENTRIES = ({"id": "odd", "service": "valuer-llm", "place": "p",
                 "address": "127.0.0.1:70000", "state": "live"},
                {"id": "odd", "service": "s", "address": "127.0.0.1:9",
@@ -562,7 +692,7 @@
 
 SCENARIOS = (tool_commands, configuration_everywhere, engine_dies, engine_paused,
              instance_paused, at_most_once, bad_input, held_ports,
-             odd_list_entries, caller_goes, rolling_restart)
+             odd_list_entries, endless_heads, caller_goes, rolling_restart)
 
 
 def main():
--- a/scripts/recover_scenario.py
+++ b/scripts/recover_scenario.py
@@ -3,9 +3,12 @@
 RECOVER as the users' rules have it: of the requests sent later than
 `recovery_s` after the machines are back, a quarter or more is served, if a
 quarter or more was before. A machine without power is one whose process is
-stopped: its connections hang, and are reset once its next process starts."""
+stopped: its connections hang, and are reset once its next process starts.
+All runners may lose power at the same moment, and a port of each gateway may
+still be in use when its next process starts."""
 
 import asyncio
+import contextlib
 import dataclasses
 import json
 import pathlib
@@ -13,16 +16,24 @@
 import signal
 
 import platform_check
+from fleet import reserve_port
+from late_start_scenario import PORTS, held_port
 from platform_fleet import Callers, PlatformFleet
 
 RECOVERY_S = 15
 BEFORE_S = 6
 JUDGED_S = 6
 SHARE_OWED = 0.25
+# Parts of the paths of requests: each kind is owed the share by itself.
+KINDS_JUDGED = ["/stream/", "/once-stream/", "/safe/", "/unsafe/"]
 # With this factor an answer of the stand-in takes 0.7 s from its first event.
 SLOW_ANSWERS = 6
 RUNNERS_PER_GATEWAY = 45 / 63
 FEWEST_RUNNERS = 18
+PORTS_HELD_S = 3.0
+RUNNERS_LOST = ["none", "none", "engines", "all"]
+# The platform's pause before it starts a process again that has ended.
+RESTART_S = 1.0
 
 
 @dataclasses.dataclass
@@ -36,18 +47,27 @@
     read_ms: int        # of the prompts at the runners
     down_s: float
     trouble_after_s: float  # after the return of the first machine
+    lost_runners: str = "none"  # at the moment of the fault: engines, all
+    held_port: str = ""     # of each gateway at its return, see `PORTS`
+    held_s: float = PORTS_HELD_S    # from the start of the first gateway on
+    restarts: bool = True   # a gateway that ends by itself is started again
 
     @staticmethod
-    def drawn(seed, beside=None):
+    def drawn(seed, **chosen):
+        """`chosen` fields are taken in place of what the seed draws."""
         draw = random.Random(seed)
-        return Plan(how=draw.choice(["kill", "power"]),
+        beside = chosen.pop("beside", None)
+        plan = Plan(how=draw.choice(["kill", "power"]),
                     order=draw.choice(["together", "together", "halves",
                                        "one_by_one", "some_never"]),
                     beside=beside or draw.sample(Troubles.names(), 2),
                     first_parts=draw.choice([1, 1, 6, 60]),
                     read_ms=draw.choice([60, 300, 900]),
                     down_s=0.5 + draw.random(),
-                    trouble_after_s=-0.8 + 2.2 * draw.random())
+                    trouble_after_s=-0.8 + 2.2 * draw.random(),
+                    lost_runners=draw.choice(RUNNERS_LOST),
+                    held_port=draw.choice(["", "", *PORTS]))
+        return dataclasses.replace(plan, **chosen)
 
     def usual(self):
         """How runners work where nothing is wrong with them."""
@@ -56,10 +76,18 @@
     def text(self):
         return (f"{self.how}, back {self.order} after {self.down_s:.1f} s, "
                 f"{self.first_parts} first parts read in {self.read_ms} ms, "
+                f"{self.lost_runners} of the runners lost, "
+                f"{self.held_port or 'no'} port held, "
                 f"beside "
                 f"{' and '.join(self.beside)} at {self.trouble_after_s:+.1f} s")
 
 
+def read_field(name, text):
+    """The value of a field of `Plan`, from its text; its kind is as declared."""
+    kind = Plan.__annotations__[name]
+    return text == "True" if kind is bool else kind(text)
+
+
 class Troubles:
     """What is wrong around the return, as methods."""
 
@@ -188,18 +216,26 @@
 
 
 class FinalFault:
-    """Takes all gateways down and back."""
+    """Takes all gateways, and runners with them, down and back."""
 
     def __init__(self, fleet, plan, draw):
+        self.fleet = fleet
         self.gateways = list(fleet.gateways)
         draw.shuffle(self.gateways)
         self.plan = plan
         self.draw = draw
+        self.held = contextlib.ExitStack()
+        self.release = None     # the task that gives the ports free
 
-    def strike(self):
+    async def strike(self):
         number = signal.SIGKILL if self.plan.how == "kill" else signal.SIGSTOP
         for gateway in self.gateways:
             gateway.signal(number)
+        if self.plan.lost_runners != "none":
+            await self.fleet.control("/end", {"ids": [
+                name for name in self.fleet.runners
+                if self.plan.lost_runners == "all" or
+                name.startswith("i-model")]})
 
     def pauses(self):
         """Of each gateway, in seconds before it returns after the one before
@@ -215,12 +251,41 @@
         return pauses
 
     async def bring_back(self):
+        self.release = asyncio.create_task(self.release_ports())
         for gateway, pause in zip(self.gateways, self.pauses()):
             await asyncio.sleep(pause)
             gateway.signal(signal.SIGKILL)
             gateway.child.wait()
+            if self.plan.held_port and not self.release.done():
+                self.held.enter_context(
+                    held_port(gateway, self.plan.held_port))
             gateway.start()
 
+    async def release_ports(self):
+        if self.plan.held_port:
+            await asyncio.sleep(self.plan.held_s)
+        self.held.close()
+
+
+class Supervisor:
+    """Starts gateways again that have ended by themselves, as the platform
+    does, and counts them."""
+
+    def __init__(self, gateways):
+        self.gateways = gateways
+        self.ended = 0
+        self.restarted = 0
+
+    async def watch(self, restarts):
+        while True:
+            await asyncio.sleep(RESTART_S)
+            ended = [g for g in self.gateways if g.child.poll() not in
+                     (None, -signal.SIGKILL)]
+            self.ended = max(self.ended, len(ended))
+            for gateway in ended if restarts else []:
+                self.restarted += 1
+                gateway.start()
+
 
 class SteadyCallers(Callers):
     """Callers that send no more where they are refused at once. Most of what
@@ -272,20 +337,23 @@
     if after[0] < SHARE_OWED * after[1] or after[1] < 20:
         found.append(f"RECOVER: {after[0]} of {after[1]} served later than "
                      f"{RECOVERY_S} s after the return")
-    for kind in ("stream", "safe"):
+    for kind in KINDS_JUDGED:
         kept, all_of = served(callers, back_at + RECOVERY_S, kind=kind)
         if kept < SHARE_OWED * all_of:
             found.append(f"{kept} of {all_of} of {kind} served")
     return found, before, after
 
 
-async def play(build, seed, count=3, beside=None):
-    """Returns the texts of what broke, one line on the play, and the fleet."""
-    plan = Plan.drawn(seed, beside)
+async def play(build, seed, count=3, **chosen):
+    """Returns the texts of what broke, one line on the play, and the fleet.
+    `chosen`: fields of the plan that are not drawn."""
+    plan = Plan.drawn(seed, **chosen)
     draw = random.Random(seed)
     engines = max(FEWEST_RUNNERS, round(count * RUNNERS_PER_GATEWAY))
     fleet = PlatformFleet(build, seed, gateways=count, engines=engines,
-                          plain=3, proxied=False)
+                          plain=3, proxied=False, metrics_port=reserve_port())
+    fleet.ports["metrics"] = fleet.metrics_port
+    supervisor = Supervisor(fleet.gateways)
     try:
         await fleet.start()
         for name in fleet.runners:
@@ -296,11 +364,16 @@
         load = asyncio.create_task(callers.run())
         await asyncio.sleep(BEFORE_S)
         fault_at, back_at = await strike_and_return(fleet, callers, plan, draw)
+        watch = asyncio.create_task(supervisor.watch(plan.restarts))
         await asyncio.sleep(back_at + RECOVERY_S + JUDGED_S -
                             asyncio.get_running_loop().time())
         callers.stop = True
         await load
+        watch.cancel()
         found, before, after = judge(callers, fault_at, back_at)
+        if supervisor.ended:
+            found.append(f"FAULT: {supervisor.ended} gateways ended by "
+                         "themselves after the return")
         found += callers.violations
         found += platform_check.told_state_violations(
             callers, await fleet.control("/record"), troubled(fleet, back_at))
@@ -329,7 +402,7 @@
     troubles = Troubles(fleet, callers, plan, draw)
     await fleet.configure()
     fault_at = loop.time()
-    fault.strike()
+    await fault.strike()
 
     async def trouble():
         await asyncio.sleep(plan.down_s + max(-plan.down_s,
@@ -342,7 +415,7 @@
     troubles.first_is_back.set()
     await fault.bring_back()
     back_at = loop.time()
-    await beside
+    await asyncio.gather(beside, fault.release)
     return fault_at, max(back_at, troubles.machines_back_at)
 
 
--- a/scripts/soak_processes.py
+++ b/scripts/soak_processes.py
@@ -5,6 +5,7 @@
     scripts/soak-processes [BUILD] [--seeds=A-B] [--seconds=N] [--gateways=N]
     scripts/soak-processes BUILD --scenario=NAME [--seeds=A-B]
     scripts/soak-processes BUILD --scenario=recover [--gateways=N] [--beside=A,B]
+        [--plan=FIELD=VALUE,...]
     scripts/soak-processes BUILD --scenario=frozen-reader [--gateways=N]
 
 Each seed draws its faults from itself; how processes interleave it cannot
@@ -615,13 +616,24 @@
     return seeds
 
 
-async def recover(build, seed, gateways, beside):
+async def recover(build, seed, gateways, chosen):
     """All gateways are killed or lose power, and come back."""
     found, text, fleet = await recover_scenario.play(build, seed, gateways,
-                                                     beside)
+                                                     **chosen)
     return report(seed, fleet, found, text)
 
 
+def chosen_plan(options):
+    """The fields of the plan of `recover` that are not drawn."""
+    pairs = (pair.split("=") for pair in
+             (options.plan.split(",") if options.plan else []))
+    chosen = {name: recover_scenario.read_field(name, text)
+              for name, text in pairs}
+    if options.beside:
+        chosen["beside"] = options.beside.split(",")
+    return chosen
+
+
 async def frozen_reader(build, seed, gateways):
     """Instances that read the store freeze around changes."""
     found, text, fleet = await frozen_reader_scenario.play(build, seed,
@@ -657,14 +669,16 @@
     parser.add_argument("--scenario",
                         choices=[*SCENARIOS, *SIZED_SCENARIOS, "recover"])
     parser.add_argument("--beside", help="troubles of `recover`, not drawn")
+    parser.add_argument("--plan", help="fields of the plan of `recover`, not "
+                        "drawn")
     options = parser.parse_args()
     first, last = (int(x) for x in options.seeds.split("-"))
     if options.scenario:
-        beside = options.beside.split(",") if options.beside else None
+        chosen = chosen_plan(options)
 
         def play(seed):
             if options.scenario == "recover":
-                return recover(options.build, seed, options.gateways, beside)
+                return recover(options.build, seed, options.gateways, chosen)
             if options.scenario in SIZED_SCENARIOS:
                 return SIZED_SCENARIOS[options.scenario](
                     options.build, seed, options.gateways)
