Red scenario: no service after a return where heads of answers arrive alone

Found while the daemon was given the gateway's HTTP client: answers of servers that send head and body apart were rejected as "body limit exceeded".

The scenario recover lets a share of the answers of the store, of the runners or of all arrive with the head alone, the body 5 ms behind it (heads_alone).

No logic is changed.

--- a/scripts/platform_fleet.py
+++ b/scripts/platform_fleet.py
@@ -83,6 +83,11 @@
         self.rewriter = None
         self.rewritten = 0              # answers that it ended
         self.resets = False             # where it ends one: reset, not closed
+        # Share of the target's answers whose head is sent alone, and the body
+        # behind it this much later.
+        self.heads_alone = 0.0
+        self.body_pause_s = 0.005
+        self.draw = random.Random(target)
         self.harmed = []            # begin and end in ms: cut or silent
         self.closing = []           # the same: answers without length
         self.pairs = set()
@@ -142,8 +147,8 @@
                     break
                 if getattr(self, silent):
                     continue
-                writer.write(rewritten.feed(data) if rewritten else data)
-                await writer.drain()
+                await self.pass_on(rewritten.feed(data) if rewritten else data,
+                                   writer)
                 if rewritten and rewritten.ended:
                     self.rewritten += 1
                     break
@@ -153,6 +158,17 @@
         except OSError:
             writer.transport.abort()
 
+    async def pass_on(self, data, writer):
+        head, separator, body = data.partition(b"\r\n\r\n")
+        if body and data.startswith(b"HTTP/") and \
+                self.draw.random() < self.heads_alone:
+            writer.write(head + separator)
+            await writer.drain()
+            await asyncio.sleep(self.body_pause_s)
+            data = body
+        writer.write(data)
+        await writer.drain()
+
     def note_harm(self, began, ended):
         self.harmed.append((int(began * 1000), int(ended * 1000) + 1))
 
--- a/scripts/recover_scenario.py
+++ b/scripts/recover_scenario.py
@@ -51,6 +51,10 @@
     held_port: str = ""     # of each gateway at its return, see `PORTS`
     held_s: float = PORTS_HELD_S    # from the start of the first gateway on
     restarts: bool = True   # a gateway that ends by itself is started again
+    # Whose answers come with the head alone and the body behind it, from the
+    # fault on: store, runners, all.
+    heads_alone: str = ""
+    heads_share: float = 1.0    # of these answers
 
     @staticmethod
     def drawn(seed, **chosen):
@@ -78,6 +82,7 @@
                 f"{self.first_parts} first parts read in {self.read_ms} ms, "
                 f"{self.lost_runners} of the runners lost, "
                 f"{self.held_port or 'no'} port held, "
+                f"heads of {self.heads_alone or 'none'} alone, "
                 f"beside "
                 f"{' and '.join(self.beside)} at {self.trouble_after_s:+.1f} s")
 
@@ -351,7 +356,8 @@
     draw = random.Random(seed)
     engines = max(FEWEST_RUNNERS, round(count * RUNNERS_PER_GATEWAY))
     fleet = PlatformFleet(build, seed, gateways=count, engines=engines,
-                          plain=3, proxied=False, metrics_port=reserve_port())
+                          plain=3, proxied=plan.heads_alone not in
+                          ("", "store"), metrics_port=reserve_port())
     fleet.ports["metrics"] = fleet.metrics_port
     supervisor = Supervisor(fleet.gateways)
     try:
@@ -403,6 +409,7 @@
     await fleet.configure()
     fault_at = loop.time()
     await fault.strike()
+    send_heads_alone(fleet, plan)
 
     async def trouble():
         await asyncio.sleep(plan.down_s + max(-plan.down_s,
@@ -419,6 +426,14 @@
     return fault_at, max(back_at, troubles.machines_back_at)
 
 
+def send_heads_alone(fleet, plan):
+    if plan.heads_alone in ("store", "all"):
+        fleet.store_proxy.heads_alone = plan.heads_share
+    if plan.heads_alone in ("runners", "all"):
+        for proxy in fleet.proxies.values():
+            proxy.heads_alone = plan.heads_share
+
+
 def troubled(fleet, back_at):
     """Address, begin and end in ms of what was done to gateways."""
     return [(g.addresses["front"], 0, int(back_at * 1000))
