Lines for each route's first service, and for a store that was never reached

The line of a process's first served request names no route, so that one plain call hid that no prompt was served, and a process whose store never answered wrote nothing about the store.

Change: what=route now=serving|not_serving for each of the first 32 routes of which requests come, with what became of those before; what=store now=away at the first failed call, and again only where the reason changes.

Ruled out: a line for each failed call, which an outage would repeat for ever.

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -108,8 +108,8 @@
                             exchange::event_log& log )
     : io_( io ), settings_( std::move( settings ) ), scheduler_( io ),
       bounded_log_( log, scheduler_, max_logged_requests_per_second ),
-      log_( bounded_log_ ),
-      first_service_( log_, scheduler_, settings_.instance ),
+      log_( bounded_log_ ), route_service_( log_, scheduler_ ),
+      first_service_( route_service_, scheduler_, settings_.instance ),
       request_memory_( std::make_shared<core::memory_budget>(
           part_of_memory( settings_, request_eighths ) ) ),
       answer_memory_( std::make_shared<core::memory_budget>(
--- a/apps/gateway/gateway_node.hpp
+++ b/apps/gateway/gateway_node.hpp
@@ -21,6 +21,7 @@
 #include <pollenstream/observation/bounded_log.hpp>
 #include <pollenstream/observation/event_metrics.hpp>
 #include <pollenstream/observation/first_service.hpp>
+#include <pollenstream/observation/route_service.hpp>
 #include <pollenstream/peers/peer_group.hpp>
 #include <pollenstream/peers/placement_router.hpp>
 #include <pollenstream/peers/quarantine.hpp>
@@ -106,6 +107,7 @@
     adapters::asio::asio_scheduler scheduler_;
     observation::bounded_log bounded_log_;
     observation::event_metrics log_;
+    observation::route_service route_service_;
     observation::first_service first_service_;
     observation::delay_gauge configuration_delay_;
     /// For the bodies of callers' requests, from their first byte to their end.
--- a/src/pollenstream/registry/registry_watch.cpp
+++ b/src/pollenstream/registry/registry_watch.cpp
@@ -227,7 +227,7 @@
 
 auto registry_watch::on_failure( core::error const& error ) -> void
 {
-    if ( store_serves_ )
+    if ( std::exchange( store_problem_, error.detail ) != error.detail )
         log_.record(
             exchange::state_change{ "store", "", "away", error.detail, {} } );
     if ( store_serves_ || outage_since_ == core::instant{} )
@@ -240,6 +240,7 @@
 auto registry_watch::on_success() -> void
 {
     retry_pause_ = core::duration( 0 );
+    store_problem_.clear();
     answered_at_ = scheduler_.now();
     reported_lapse_until_ = core::instant{};
     if ( store_serves_ )
--- a/src/pollenstream/registry/registry_watch.hpp
+++ b/src/pollenstream/registry/registry_watch.hpp
@@ -181,6 +181,7 @@
     std::uint64_t list_round_{ 0 };  ///< answers of earlier rounds are ignored
     int open_lists_{ 0 };            ///< calls of this round without an answer
     bool store_serves_{ false };
+    std::string store_problem_; ///< why the last call failed; empty: it did not
     bool has_served_{ false };
     /// Until when entries may have lapsed, as reported by instances that read
     /// the store.
