An answer whose head arrives alone is not rejected

What callers saw: after all instances had been killed or lost power, none served any more, 503 no_configuration, where the store's answers came with the head in a read of its own. In calm the same made plain calls fail, once each.

Cause: the client's parser was told that bodies have no limit. Boost 1.74 compares the announced length with the missing limit and finds it too large. Where bytes of the body follow in the same read the parser goes on and the error is lost; where the head ends the read it is reported, and the answer counted as malformed. So it depends on how the sender writes and how fast the reader is.

Ruled out: the store or the network (the bytes are the same); a retry, which meets the same again; the parser of callers' requests, which has a limit (requests_in_pieces_test). The gateway's other readers keep what they have read.

Change: a limit that no length exceeds. What is kept is bounded as before.

--- a/src/pollenstream/adapters/asio/http_client.cpp
+++ b/src/pollenstream/adapters/asio/http_client.cpp
@@ -213,7 +213,8 @@
         parser_->eager( true );
         parser_->header_limit( max_head_bytes );
         // The listener limits what it keeps; a long stream is never kept whole.
-        parser_->body_limit( boost::none );
+        // Without a limit the parser rejects a head that arrives alone.
+        parser_->body_limit( std::numeric_limits<std::uint64_t>::max() );
         head_seen_ = false;
         is_stray_ = false;
     }
--- a/tests/support/tcp_peer.cpp
+++ b/tests/support/tcp_peer.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <fstream>
 #include <unistd.h>
+#include <utility>
 
 namespace tests
 {
@@ -14,12 +15,15 @@
 using tcp = pollenstream::adapters::asio::tcp;
 namespace net = pollenstream::adapters::asio::net;
 
+/// Long enough for the other side to read the first piece alone.
+constexpr auto pause_between_pieces = std::chrono::milliseconds( 30 );
+
 }
 
 struct tcp_peer::state : std::enable_shared_from_this<tcp_peer::state>
 {
     explicit state( net::io_context& io )
-        : acceptor( io, { net::ip::address_v4::loopback(), 0 } )
+        : acceptor( io, { net::ip::address_v4::loopback(), 0 } ), pause( io )
     {
     }
 
@@ -59,6 +63,9 @@
                 self->sent_bytes += n;
                 if ( ec )
                     self->is_closed = true;
+                else if ( !self->second_piece.empty() )
+                    self->send_later( socket,
+                                      std::exchange( self->second_piece, {} ) );
                 else if ( self->repeated.empty() )
                     self->receive( socket );
                 else
@@ -66,6 +73,19 @@
             } );
     }
 
+    auto send_later( std::shared_ptr<tcp::socket> const& socket,
+                     std::string bytes ) -> void
+    {
+        first = std::move( bytes );
+        pause.expires_after( pause_between_pieces );
+        pause.async_wait(
+            [self = shared_from_this(), socket]( error_code ec )
+            {
+                if ( !ec )
+                    self->send( socket, self->first );
+            } );
+    }
+
     auto next_answer() -> std::string const&
     {
         if ( !in_turn.empty() )
@@ -77,9 +97,11 @@
     }
 
     tcp::acceptor acceptor;
+    net::steady_timer pause;
     std::vector<std::string> in_turn;
     std::array<char, 4096> received{};
     std::string first;
+    std::string second_piece;
     std::string repeated;
     std::size_t sent_bytes{ 0 };
     bool is_closed{ false };
@@ -102,6 +124,12 @@
     state_->first = std::move( bytes );
 }
 
+auto tcp_peer::answer_in_pieces( std::string first, std::string second ) -> void
+{
+    state_->first = std::move( first );
+    state_->second_piece = std::move( second );
+}
+
 auto tcp_peer::answer_in_turn( std::vector<std::string> answers ) -> void
 {
     state_->in_turn = std::move( answers );
--- a/tests/support/tcp_peer.hpp
+++ b/tests/support/tcp_peer.hpp
@@ -27,7 +27,10 @@
 
     /// Each connection gets these bytes once its first bytes have arrived.
     auto answer_with( std::string bytes ) -> void;
-    /// The same with the next of these bytes each time; the last is repeated.
+    /// The same in two pieces, the second of which follows some time later.
+    auto answer_in_pieces( std::string first, std::string second ) -> void;
+    /// As `answer_with` with the next of these bytes each time; the last is
+    /// repeated.
     auto answer_in_turn( std::vector<std::string> answers ) -> void;
     /// As `answer_with`, then `repeated` again and again until the other side
     /// closes.
