--- a/apps/daemon/main.cpp
+++ b/apps/daemon/main.cpp
@@ -1,9 +1,9 @@
 #include "node.hpp"
+#include <pollenstream/adapters/http/handler_threads.hpp>
 #include <pollenstream/adapters/ini/ini_reader.hpp>
 
 #include <docopt/docopt.h>
 #include <glog/logging.h>
-#include <pplx/threadpool.h>
 
 #include <csignal>
 #include <iostream>
@@ -65,7 +65,7 @@
 auto run( pollenstream::settings::daemon_settings const& settings ) -> int
 {
     auto const signals = block_stop_signals();
-    crossplat::threadpool::initialize_with_threads(
+    pollenstream::adapters::http::set_handler_threads(
         static_cast<std::size_t>( settings.threads ) );
     auto instance = apps::daemon::node( settings,
                                         []
--- a/apps/tool/caller.cpp
+++ b/apps/tool/caller.cpp
@@ -1,16 +1,18 @@
 #include "caller.hpp"
 
 #include "exit_status.hpp"
-#include <pollenstream/adapters/http/bounded_body.hpp>
+#include <pollenstream/adapters/http/call_client.hpp>
 #include <pollenstream/adapters/http/data_line_splitter.hpp>
 #include <pollenstream/adapters/http/json_fields.hpp>
-#include <pollenstream/adapters/http/read_available.hpp>
 
-#include <cpprest/http_client.h>
+#include <cpprest/base_uri.h>
+#include <cpprest/http_msg.h>
 
 #include <chrono>
+#include <future>
 #include <iostream>
 #include <optional>
+#include <stdexcept>
 
 namespace apps::tool
 {
@@ -26,39 +28,31 @@
 constexpr auto entry_timeout = std::chrono::seconds( 5 );
 constexpr auto answer_timeout = std::chrono::hours( 1 );
 constexpr auto longest_line = std::size_t{ 1024 } * 1024;
-constexpr auto read_size = std::size_t{ 16 } * 1024;
 /// Limit on the text of one answer.
 constexpr auto max_text_bytes = std::size_t{ 64 } * 1024 * 1024;
 /// Limit on the text of an answer that reports an error.
 constexpr auto max_error_bytes = std::size_t{ 64 } * 1024;
 
-auto client_for( core::address const& at, std::chrono::seconds timeout )
-    -> web::http::client::http_client
-{
-    auto config = web::http::client::http_client_config{};
-    config.set_timeout( timeout );
-    return web::http::client::http_client( "http://" + core::to_string( at ),
-                                           config );
-}
-
 auto entry_json( caller_options const& options ) -> value
 {
     auto builder = web::uri_builder( "/v1/entry" );
     builder.append_query( "workspace", options.workspace );
     builder.append_query( "place", options.data_centre );
-    auto client = client_for( options.entry, entry_timeout );
-    auto message = web::http::http_request( web::http::methods::GET );
-    message.set_request_uri( builder.to_uri() );
-    return value::parse(
-        http::request_and_collect( client, message ).get().body );
+    auto request = http::call_request{};
+    request.target = builder.to_string();
+    auto const answer = http::call_client( entry_timeout )
+                            .collect_and_wait( options.entry, request );
+    if ( !answer )
+        throw std::runtime_error( answer.error().detail );
+    return value::parse( answer.value().body );
 }
 
-auto headers_of( caller_options const& options ) -> web::http::http_headers
+auto headers_of( caller_options const& options )
+    -> pollenstream::exchange::header_list
 {
-    auto headers = web::http::http_headers{};
-    headers.add( "Pollenstream-Workspace", options.workspace );
-    headers.add( "Pollenstream-Profile", options.profile );
-    return headers;
+    return { { "Content-Type", "application/json" },
+             { "Pollenstream-Workspace", options.workspace },
+             { "Pollenstream-Profile", options.profile } };
 }
 
 auto chat_body( std::string const& prompt ) -> value
@@ -122,49 +116,59 @@
         std::cout << text << std::flush;
 }
 
-/// The first `max_bytes` of a body at most.
-auto read_text( web::http::http_response const& reply, std::size_t max_bytes )
-    -> std::string
+/// What came of one prompt.
+struct prompt_result
+{
+    http::call_end end;
+    int status{ 0 };
+    std::string error_text; ///< body of an answer that reports an error
+    seen_answer seen;
+};
+
+/// Prints a streamed answer as it arrives.
+class prompt_listener : public http::call_listener
 {
-    auto body = reply.body().streambuf();
-    auto bytes = std::vector<std::uint8_t>( max_bytes );
-    auto used = std::size_t{ 0 };
-    while ( used < max_bytes )
+public:
+    explicit prompt_listener( bool prints ) : prints_( prints ) {}
+
+    auto on_head( http::call_head const& head ) -> void override
     {
-        auto const count =
-            http::read_available( body, bytes.data() + used, max_bytes - used )
-                .get();
-        if ( count == 0 )
-            break;
-        used += count;
+        result_.status = head.status;
+    }
+    auto on_bytes( std::string_view bytes ) -> void override
+    {
+        if ( result_.status == web::http::status_codes::OK )
+            return read_events( bytes );
+        auto const room = max_error_bytes - result_.error_text.size();
+        result_.error_text += bytes.substr( 0, room );
+    }
+    auto on_end( http::call_end const& end ) -> void override
+    {
+        result_.end = end;
+        done_.set_value( std::move( result_ ) );
+    }
+    auto wait() -> prompt_result
+    {
+        return done_.get_future().get();
     }
-    return { bytes.begin(),
-             bytes.begin() + static_cast<std::ptrdiff_t>( used ) };
-}
 
-auto read_stream( web::http::http_response const& reply, bool prints )
-    -> seen_answer
-{
-    auto seen = seen_answer{};
-    auto lines = http::data_line_splitter( longest_line );
-    auto body = reply.body().streambuf();
-    auto bytes = std::vector<std::uint8_t>( read_size );
-    for ( ;; )
+private:
+    auto read_events( std::string_view bytes ) -> void
     {
-        auto const count =
-            http::read_available( body, bytes.data(), bytes.size() ).get();
-        if ( count == 0 )
-            return seen;
-        auto const part = std::string_view(
-            reinterpret_cast<char const*>( bytes.data() ), count );
-        for ( auto const& line : lines.add( part ) )
-            take_line( line, prints, seen );
-        if ( !lines.has_failed() && seen.text.size() <= max_text_bytes )
-            continue;
-        seen.problem = "the answer is too large";
-        return seen;
+        for ( auto const& line : lines_.add( bytes ) )
+            take_line( line, prints_, result_.seen );
+        if ( !lines_.has_failed() &&
+             result_.seen.text.size() <= max_text_bytes )
+            return;
+        result_.seen.problem = "the answer is too large";
+        throw std::length_error( result_.seen.problem );
     }
-}
+
+    bool prints_;
+    http::data_line_splitter lines_{ longest_line };
+    prompt_result result_;
+    std::promise<prompt_result> done_;
+};
 
 auto seconds_between( steady::time_point a, steady::time_point b ) -> double
 {
@@ -199,25 +203,37 @@
         std::cout << seen.problem << '\n';
 }
 
+/// Returns no status if no connection was made.
 auto send_to( core::address const& at,
               caller_options const& options,
-              std::string const& prompt ) -> int
+              std::string const& prompt ) -> std::optional<int>
 {
-    auto client = client_for( at, answer_timeout );
-    auto message = web::http::http_request( web::http::methods::POST );
-    message.set_request_uri( "/v1/chat/completions" );
-    message.headers() = headers_of( options );
-    message.set_body( chat_body( prompt ) );
+    auto request = http::call_request{};
+    request.method = "POST";
+    request.target = "/v1/chat/completions";
+    request.headers = headers_of( options );
+    request.body = chat_body( prompt ).serialize();
+    auto const listener = std::make_shared<prompt_listener>( !options.json );
     auto const started = steady::now();
-    auto reply = client.request( message ).get();
-    if ( reply.status_code() != web::http::status_codes::OK )
+    http::call_client( answer_timeout ).send( at, request, listener );
+    auto const result = listener->wait();
+    auto const is_answered = result.status != 0;
+    if ( !is_answered )
+    {
+        auto const why = result.end.status.error();
+        std::cerr << core::to_string( at ) << ": " << why.detail << '\n';
+        // Only a connection that was never made may be tried elsewhere.
+        if ( why.code == core::error_code::unreachable )
+            return std::nullopt;
+        return exit_failed;
+    }
+    if ( result.status != web::http::status_codes::OK )
     {
-        std::cerr << read_text( reply, max_error_bytes ) << '\n';
+        std::cerr << result.error_text << '\n';
         return exit_refused;
     }
-    auto const seen = read_stream( reply, !options.json );
-    print_summary( options, seen, started );
-    return seen.complete ? exit_ok : exit_failed;
+    print_summary( options, result.seen, started );
+    return result.seen.complete ? exit_ok : exit_failed;
 }
 
 }
@@ -244,22 +260,8 @@
     -> int
 {
     for ( auto const& at : ask_entry( options ) )
-    {
-        try
-        {
-            return send_to( at, options, prompt );
-        }
-        catch ( web::http::http_exception const& failure )
-        {
-            // Only a connection that was never made may be tried elsewhere.
-            auto const is_unreached =
-                failure.error_code() == std::errc::host_unreachable;
-            std::cerr << core::to_string( at ) << ": " << failure.what()
-                      << '\n';
-            if ( !is_unreached )
-                return exit_failed;
-        }
-    }
+        if ( auto const status = send_to( at, options, prompt ) )
+            return *status;
     std::cerr << "no entry address answers; ask GET /v1/entry of another "
                  "instance\n";
     return exit_unreachable;
@@ -274,17 +276,20 @@
     auto const addresses = ask_entry( options );
     if ( addresses.empty() )
         return exit_unreachable;
-    auto client = client_for( addresses.front(), answer_timeout );
-    auto message = web::http::http_request( web::http::methods::POST );
-    message.set_request_uri( "/v1/services/" + service + path );
-    message.headers() = headers_of( options );
+    auto request = http::call_request{};
+    request.method = "POST";
+    request.target = "/v1/services/" + service + path;
+    request.headers = headers_of( options );
     if ( !key.empty() )
-        message.headers().add( "Pollenstream-Ticket",
-                               ask_ticket_prefix( options ) + key );
-    message.set_body( body, "application/json" );
-    auto const reply = http::request_and_collect( client, message ).get();
-    std::cout << reply.body << '\n';
-    return reply.response.status_code() == web::http::status_codes::OK
+        request.headers.push_back(
+            { "Pollenstream-Ticket", ask_ticket_prefix( options ) + key } );
+    request.body = body;
+    auto const answer = http::call_client( answer_timeout )
+                            .collect_and_wait( addresses.front(), request );
+    if ( !answer )
+        throw std::runtime_error( answer.error().detail );
+    std::cout << answer.value().body << '\n';
+    return answer.value().head.status == web::http::status_codes::OK
                ? exit_ok
                : exit_refused;
 }
--- a/apps/tool/operator_client.cpp
+++ b/apps/tool/operator_client.cpp
@@ -1,9 +1,9 @@
 #include "operator_client.hpp"
 
-#include <pollenstream/adapters/http/bounded_body.hpp>
-#include <pollenstream/adapters/http/client_pool.hpp>
 #include <pollenstream/adapters/http/json_fields.hpp>
 
+#include <cpprest/http_msg.h>
+
 #include <chrono>
 #include <utility>
 
@@ -17,19 +17,10 @@
 
 constexpr auto timeout = std::chrono::seconds( 60 );
 
-auto configuration_of_client() -> web::http::client::http_client_config
-{
-    auto config = web::http::client::http_client_config{};
-    config.set_timeout( timeout );
-    return config;
-}
-
 }
 
-operator_client::operator_client( core::address const& daemon,
-                                  std::string token )
-    : client_( "http://" + core::to_string( daemon ),
-               configuration_of_client() ),
+operator_client::operator_client( core::address daemon, std::string token )
+    : client_( timeout ), daemon_( std::move( daemon ) ),
       token_( std::move( token ) )
 {
 }
@@ -37,39 +28,36 @@
 auto operator_client::get( std::string const& path )
     -> core::result<web::json::value>
 {
-    auto message = web::http::http_request( web::http::methods::GET );
-    message.set_request_uri( path );
-    return send( message );
+    auto request = http::call_request{};
+    request.target = path;
+    return send( std::move( request ) );
 }
 
 auto operator_client::post( std::string const& path,
                             web::json::value const& body )
     -> core::result<web::json::value>
 {
-    auto message = web::http::http_request( web::http::methods::POST );
-    message.set_request_uri( path );
-    message.set_body( body );
-    return send( message );
+    auto request = http::call_request{};
+    request.method = "POST";
+    request.target = path;
+    request.headers = { { "Content-Type", "application/json" } };
+    request.body = body.serialize();
+    return send( std::move( request ) );
 }
 
-auto operator_client::send( web::http::http_request message )
+auto operator_client::send( http::call_request request )
     -> core::result<web::json::value>
 {
-    message.headers().add( "Authorization", "Bearer " + token_ );
-    try
-    {
-        auto const reply = http::request_and_collect( client_, message ).get();
-        auto const status = reply.response.status_code();
-        if ( status == web::http::status_codes::OK )
-            return http::parse_json( reply.body );
-        return core::error{ core::error_code::failed,
-                            "status " + std::to_string( status ) + ": " +
-                                reply.body };
-    }
-    catch ( std::exception const& )
-    {
-        return http::error_of( std::current_exception() );
-    }
+    request.headers.push_back( { "Authorization", "Bearer " + token_ } );
+    auto const answer = client_.collect_and_wait( daemon_, request );
+    if ( !answer )
+        return answer.error();
+    auto const status = answer.value().head.status;
+    if ( status == web::http::status_codes::OK )
+        return http::parse_json( answer.value().body );
+    return core::error{ core::error_code::failed,
+                        "status " + std::to_string( status ) + ": " +
+                            answer.value().body };
 }
 
 auto show_configuration( operator_client& daemon )
--- a/apps/tool/operator_client.hpp
+++ b/apps/tool/operator_client.hpp
@@ -1,10 +1,10 @@
 #ifndef APPS_TOOL_OPERATOR_CLIENT_HPP
 #define APPS_TOOL_OPERATOR_CLIENT_HPP
 
+#include <pollenstream/adapters/http/call_client.hpp>
 #include <pollenstream/core/address.hpp>
 #include <pollenstream/core/error.hpp>
 
-#include <cpprest/http_client.h>
 #include <cpprest/json.h>
 
 #include <map>
@@ -19,17 +19,18 @@
 class operator_client
 {
 public:
-    operator_client( core::address const& daemon, std::string token );
+    operator_client( core::address daemon, std::string token );
 
     auto get( std::string const& path ) -> core::result<web::json::value>;
     auto post( std::string const& path, web::json::value const& body )
         -> core::result<web::json::value>;
 
 private:
-    auto send( web::http::http_request message )
+    auto send( pollenstream::adapters::http::call_request request )
         -> core::result<web::json::value>;
 
-    web::http::client::http_client client_;
+    pollenstream::adapters::http::call_client client_;
+    core::address daemon_;
     std::string token_;
 };
 
--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -14,14 +14,19 @@
 target_link_libraries(gateway_core
   PUBLIC pollenstream_base nlohmann_json::nlohmann_json ZLIB::ZLIB)
 
-# Transport, logs, and the platform's names.
+# HTTP and datagrams over sockets, with limits on all that is received.
+file(GLOB ASIO_SOURCES CONFIGURE_DEPENDS src/pollenstream/adapters/asio/*.cpp)
+add_library(asio_adapters STATIC ${ASIO_SOURCES})
+target_link_libraries(asio_adapters PUBLIC pollenstream_base)
+
+# Logs, and the platform's names.
 file(GLOB GATEWAY_PART_SOURCES CONFIGURE_DEPENDS
-  src/pollenstream/adapters/asio/*.cpp src/pollenstream/adapters/spdlog/*.cpp
-  platform/*.cpp apps/gateway/*.cpp)
+  src/pollenstream/adapters/spdlog/*.cpp platform/*.cpp apps/gateway/*.cpp)
 list(FILTER GATEWAY_PART_SOURCES EXCLUDE REGEX "main\\.cpp$")
 add_library(gateway_parts STATIC ${GATEWAY_PART_SOURCES})
 target_include_directories(gateway_parts PUBLIC platform apps/gateway)
-target_link_libraries(gateway_parts PUBLIC gateway_core PkgConfig::SPDLOG)
+target_link_libraries(gateway_parts
+  PUBLIC gateway_core asio_adapters PkgConfig::SPDLOG)
 
 add_executable(pollenstream-gateway apps/gateway/main.cpp)
 target_link_libraries(pollenstream-gateway PRIVATE gateway_parts docopt)
--- a/src/pollenstream/adapters/asio/http_client.cpp
+++ b/src/pollenstream/adapters/asio/http_client.cpp
@@ -166,10 +166,11 @@
             } );
         connecting_ = true;
         auto ec = error_code{};
-        socket_.open( tcp::v4(), ec );
+        auto const endpoint = endpoint_of( call_.address );
+        socket_.open( endpoint.protocol(), ec );
         if ( !ec )
             set_up_connection( socket_, call_.silence );
-        socket_.async_connect( endpoint_of( call_.address ),
+        socket_.async_connect( endpoint,
                                [self = shared_from_this()]( error_code e )
                                {
                                    self->on_connected( e );
@@ -215,6 +216,7 @@
         // The listener limits what it keeps; a long stream is never kept whole.
         // Without a limit the parser rejects a head that arrives alone.
         parser_->body_limit( std::numeric_limits<std::uint64_t>::max() );
+        parser_->skip( call_.is_head_request );
         head_seen_ = false;
         is_stray_ = false;
     }
--- a/src/pollenstream/adapters/asio/http_client.hpp
+++ b/src/pollenstream/adapters/asio/http_client.hpp
@@ -52,6 +52,8 @@
     /// Returns false for an answer that belongs to another call on the
     /// connection; such an answer is skipped. Null accepts every answer.
     std::function<bool( raw_head const&, answer_position )> accepts_head;
+    /// The answer has no body, whatever length it announces.
+    bool is_head_request{ false };
     /// Limit on the body if the complete answer is collected.
     std::size_t max_reply_bytes{ max_short_reply_bytes };
 };
--- a/src/pollenstream/adapters/http/answer_sinks.cpp
+++ b/src/pollenstream/adapters/http/answer_sinks.cpp
@@ -1,10 +1,6 @@
 #include <pollenstream/adapters/http/answer_sinks.hpp>
 #include <pollenstream/adapters/http/problem.hpp>
-#include <pollenstream/adapters/http/send_reply.hpp>
 
-#include <cpprest/producerconsumerstream.h>
-
-#include <atomic>
 #include <cstdint>
 #include <string_view>
 #include <utility>
@@ -25,35 +21,13 @@
     return json;
 }
 
-/// Sends replies to a caller and records whether its connection has failed.
-class reply_channel
-{
-public:
-    auto reply( web::http::http_request const& request,
-                web::http::http_response const& response ) -> void
-    {
-        send_reply( request, response,
-                    [gone = gone_]
-                    {
-                        gone->store( true );
-                    } );
-    }
-
-    [[nodiscard]] auto is_gone() const -> bool
-    {
-        return gone_->load();
-    }
-
-private:
-    std::shared_ptr<std::atomic<bool>> gone_ =
-        std::make_shared<std::atomic<bool>>( false );
-};
+constexpr auto status_ok = 200;
 
 class streaming_sink : public ports::answer_sink
 {
 public:
-    streaming_sink( web::http::http_request const& request, std::string model )
-        : request_( request ), model_( std::move( model ) )
+    streaming_sink( std::shared_ptr<reply_channel> reply, std::string model )
+        : reply_( std::move( reply ) ), model_( std::move( model ) )
     {
     }
 
@@ -62,15 +36,15 @@
         start();
         auto delta = value::object();
         delta["content"] = value::string( std::string( text ) );
-        send( "data: " + chunk( delta, {} ).serialize() + "\n\n" );
-        return !channel_.is_gone();
+        reply_->write( "data: " + chunk( delta, {} ).serialize() + "\n\n" );
+        return !reply_->is_gone();
     }
 
     auto keep_alive() -> bool override
     {
         start();
-        send( ": waiting\n\n" );
-        return !channel_.is_gone();
+        reply_->write( ": waiting\n\n" );
+        return !reply_->is_gone();
     }
 
     auto finish( ports::answer_end const& end ) -> void override
@@ -78,7 +52,7 @@
         auto const complete = end.status == ports::answer_status::complete;
         if ( !started_ && !complete )
         {
-            channel_.reply( request_, problem_response( end ) );
+            reply_->send( problem_reply( end ) );
             return;
         }
         start();
@@ -86,14 +60,15 @@
         {
             auto last = chunk( value::object(), "stop" );
             last["usage"] = usage_json( end );
-            send( "data: " + last.serialize() + "\n\ndata: [DONE]\n\n" );
+            reply_->write( "data: " + last.serialize() +
+                           "\n\ndata: [DONE]\n\n" );
         }
         else
         {
-            send( "event: error\ndata: " + problem_json( end ).serialize() +
-                  "\n\n" );
+            reply_->write( "event: error\ndata: " +
+                           problem_json( end ).serialize() + "\n\n" );
         }
-        buffer_.close( std::ios_base::out );
+        reply_->end_stream();
     }
 
 private:
@@ -101,18 +76,9 @@
     {
         if ( std::exchange( started_, true ) )
             return;
-        auto response = web::http::http_response( web::http::status_codes::OK );
-        response.headers().add( "Cache-Control", "no-store" );
-        response.set_body( buffer_.create_istream(), "text/event-stream" );
-        channel_.reply( request_, response );
-    }
-
-    auto send( std::string const& text ) -> void
-    {
-        auto const* const bytes =
-            reinterpret_cast<std::uint8_t const*>( text.data() );
-        buffer_.putn_nocopy( bytes, text.size() );
-        buffer_.sync();
+        reply_->start_stream( status_ok,
+                              { { "Content-Type", "text/event-stream" },
+                                { "Cache-Control", "no-store" } } );
     }
 
     [[nodiscard]] auto chunk( value delta, std::string const& reason ) const
@@ -130,18 +96,16 @@
         return json;
     }
 
-    web::http::http_request request_;
+    std::shared_ptr<reply_channel> reply_;
     std::string model_;
-    reply_channel channel_;
-    concurrency::streams::producer_consumer_buffer<std::uint8_t> buffer_;
     bool started_{ false };
 };
 
 class buffered_sink : public ports::answer_sink
 {
 public:
-    buffered_sink( web::http::http_request const& request, std::string model )
-        : request_( request ), model_( std::move( model ) )
+    buffered_sink( std::shared_ptr<reply_channel> reply, std::string model )
+        : reply_( std::move( reply ) ), model_( std::move( model ) )
     {
     }
 
@@ -160,7 +124,7 @@
     {
         if ( end.status != ports::answer_status::complete )
         {
-            channel_.reply( request_, problem_response( end ) );
+            reply_->send( problem_reply( end ) );
             return;
         }
         auto message = value::object();
@@ -175,32 +139,31 @@
         json["model"] = value::string( model_ );
         json["choices"] = value::array( { choice } );
         json["usage"] = usage_json( end );
-        auto response = web::http::http_response( web::http::status_codes::OK );
-        response.set_body( json );
-        channel_.reply( request_, response );
+        reply_->send_json( json );
     }
 
 private:
-    web::http::http_request request_;
+    std::shared_ptr<reply_channel> reply_;
     std::string model_;
     std::string text_;
-    reply_channel channel_;
 };
 
 }
 
-auto make_streaming_sink( web::http::http_request const& request,
+auto make_streaming_sink( std::shared_ptr<reply_channel> reply,
                           std::string model )
     -> std::shared_ptr<ports::answer_sink>
 {
-    return std::make_shared<streaming_sink>( request, std::move( model ) );
+    return std::make_shared<streaming_sink>( std::move( reply ),
+                                             std::move( model ) );
 }
 
-auto make_buffered_sink( web::http::http_request const& request,
+auto make_buffered_sink( std::shared_ptr<reply_channel> reply,
                          std::string model )
     -> std::shared_ptr<ports::answer_sink>
 {
-    return std::make_shared<buffered_sink>( request, std::move( model ) );
+    return std::make_shared<buffered_sink>( std::move( reply ),
+                                            std::move( model ) );
 }
 
 }
--- a/src/pollenstream/adapters/http/caller_listener.cpp
+++ b/src/pollenstream/adapters/http/caller_listener.cpp
@@ -2,7 +2,9 @@
 #include <pollenstream/adapters/http/caller_listener.hpp>
 #include <pollenstream/adapters/http/chat_request.hpp>
 #include <pollenstream/adapters/http/problem.hpp>
-#include <pollenstream/adapters/http/send_reply.hpp>
+
+#include <cpprest/base_uri.h>
+#include <cpprest/http_msg.h>
 
 #include <charconv>
 #include <optional>
@@ -74,24 +76,26 @@
 
 auto refuse( received_request const& request, core::error const& why ) -> void
 {
-    send_reply( request.message,
-                problem_response( bad_request( "bad-request", why.detail ) ) );
+    request.reply->send(
+        problem_reply( bad_request( "bad-request", why.detail ) ) );
 }
 
-auto reply_to_call( web::http::http_request const& message,
-                    state::call_outcome const& outcome ) -> void
+auto reply_to_call( reply_channel& reply, state::call_outcome const& outcome )
+    -> void
 {
     if ( outcome.status != ports::answer_status::complete )
     {
         auto end = bad_request( outcome.reason, outcome.detail );
         end.status = outcome.status;
-        send_reply( message, problem_response( end ) );
+        reply.send( problem_reply( end ) );
         return;
     }
-    auto response = web::http::http_response(
-        static_cast<web::http::status_code>( outcome.reply.status ) );
-    response.set_body( outcome.reply.body, outcome.reply.content_type );
-    send_reply( message, response );
+    auto whole = exchange::whole_answer{};
+    whole.status = outcome.reply.status;
+    if ( !outcome.reply.content_type.empty() )
+        whole.headers = { { "Content-Type", outcome.reply.content_type } };
+    whole.body = outcome.reply.body;
+    reply.send( std::move( whole ) );
 }
 
 auto path_after( received_request const& request, std::size_t skipped_parts )
@@ -100,9 +104,8 @@
     auto path = std::string{};
     for ( auto i = skipped_parts; i < request.path.size(); ++i )
         path += "/" + web::uri::encode_data_string( request.path[i] );
-    auto const query = request.message.request_uri().query();
-    if ( !query.empty() )
-        path += "?" + query;
+    if ( !request.query_text.empty() )
+        path += "?" + request.query_text;
     return path.empty() ? "/" : path;
 }
 
@@ -144,7 +147,7 @@
           {
               on_entry( std::move( r ) );
           } },
-        { web::http::method{},
+        { std::string{},
           { "v1", "services" },
           true,
           [this]( received_request r )
@@ -176,8 +179,8 @@
     session_request.max_output = chat_body.max_tokens;
     session_request.time_limit = headers.value().time_limit;
     auto sink = chat_body.stream
-                    ? make_streaming_sink( request.message, chat_body.model )
-                    : make_buffered_sink( request.message, chat_body.model );
+                    ? make_streaming_sink( request.reply, chat_body.model )
+                    : make_buffered_sink( request.reply, chat_body.model );
     gateway_.answer( headers.value().profile, std::move( session_request ),
                      std::move( sink ) );
 }
@@ -195,7 +198,7 @@
     json["keep_ms"] =
         value::number( core::milliseconds_of( entry.cache_time ) );
     json["ticket_prefix"] = value::string( entry.ticket_prefix );
-    send_json( request.message, json );
+    request.reply->send_json( json );
 }
 
 auto caller_listener::on_service( received_request request ) -> void
@@ -221,22 +224,21 @@
     auto const ticket = request.header( ticket_header );
     if ( !ticket.empty() )
         service_request.ticket = ticket;
-    service_request.call.method = request.message.method();
+    service_request.call.method = request.method;
     service_request.call.path = path_after( request, parts_before_service + 1 );
-    service_request.call.content_type =
-        request.message.headers().content_type();
+    service_request.call.content_type = request.header( "Content-Type" );
     service_request.call.body = std::move( request.body );
     service_request.call.key =
         core::idempotency_key( request.header( key_header ) );
     service_request.call.time_left =
         headers.value().time_limit.value_or( core::duration( 0 ) );
-    auto const message = request.message;
-    auto const run = [this, service_request, message]
+    auto const reply = request.reply;
+    auto const run = [this, service_request, reply]
     {
         gateway_.call( service_request,
-                       [message]( state::call_outcome const& outcome )
+                       [reply]( state::call_outcome const& outcome )
                        {
-                           reply_to_call( message, outcome );
+                           reply_to_call( *reply, outcome );
                        } );
     };
     // A ticket may name another instance; the call then blocks until that
--- a/src/pollenstream/adapters/http/engine_http_client.cpp
+++ b/src/pollenstream/adapters/http/engine_http_client.cpp
@@ -2,8 +2,11 @@
 #include <pollenstream/adapters/http/engine_codec.hpp>
 #include <pollenstream/adapters/http/engine_http_client.hpp>
 #include <pollenstream/adapters/http/json_call.hpp>
-#include <pollenstream/adapters/http/push_buffer.hpp>
 
+#include <cpprest/http_msg.h>
+
+#include <atomic>
+#include <stdexcept>
 #include <utility>
 
 namespace pollenstream::adapters::http
@@ -22,52 +25,24 @@
 /// Bytes of an error response that are kept as the detail of the error.
 constexpr auto max_detail_size = std::size_t{ 512 };
 
-/// An open connection that delivers one answer. Keeps itself alive while a read
-/// is pending.
-class http_engine_stream
-    : public ports::engine_stream,
-      public std::enable_shared_from_this<http_engine_stream>
+/// An open connection that delivers one answer.
+class http_engine_stream : public ports::engine_stream, public call_listener
 {
 public:
-    http_engine_stream( client_pool& pool,
-                        client_pool& control,
+    http_engine_stream( call_client const& control,
                         core::address to,
                         core::request_id request,
                         std::shared_ptr<ports::stream_listener> listener )
-        : pool_( pool ), control_( control ), to_( std::move( to ) ),
+        : control_( control ), to_( std::move( to ) ),
           request_( std::move( request ) ), listener_( std::move( listener ) ),
           lines_( max_event_size )
     {
     }
 
-    auto start( web::http::http_request message ) -> void
+    /// `call` keeps this stream alive until it has ended or is cancelled.
+    auto set_call( std::weak_ptr<open_call> call ) -> void
     {
-        auto const self = shared_from_this();
-        message.set_response_stream( make_push_stream(
-            [self]( std::string_view bytes )
-            {
-                self->on_bytes( bytes );
-            } ) );
-        pool_.client_for( to_ )
-            ->request( message, source_.get_token() )
-            .then(
-                []( web::http::http_response const& response )
-                {
-                    return response.content_ready();
-                } )
-            .then(
-                [self]( pplx::task<web::http::http_response> const& done )
-                {
-                    try
-                    {
-                        self->on_ended( done.get().status_code() );
-                    }
-                    catch ( ... )
-                    {
-                        self->pool_.drop( self->to_ );
-                        self->end( error_of( std::current_exception() ) );
-                    }
-                } );
+        call_ = std::move( call );
     }
 
     auto cancel() -> void override
@@ -81,20 +56,16 @@
     auto detach() -> void override
     {
         listening_.store( false );
-        source_.cancel();
+        if ( auto const call = call_.lock() )
+            call->cancel();
     }
 
-private:
-    auto on_ended( web::http::status_code status ) -> void
+    auto on_head( call_head const& head ) -> void override
     {
-        if ( status == web::http::status_codes::OK )
-            end( core::success() );
-        else
-            end( error_of_status( status, first_bytes_ ) );
+        status_ = head.status;
     }
 
-    /// Called by the client for each piece of the body, one at a time.
-    auto on_bytes( std::string_view bytes ) -> void
+    auto on_bytes( std::string_view bytes ) -> void override
     {
         if ( !has_events_ && first_bytes_.size() < max_detail_size )
             first_bytes_.append( bytes.substr( 0, max_detail_size ) );
@@ -112,20 +83,29 @@
             throw std::length_error( "an engine's event is too long" );
     }
 
-    auto end( core::result<void> status ) -> void
+    auto on_end( call_end const& end ) -> void override
     {
         if ( listening_.exchange( false ) )
-            listener_->on_end( std::move( status ) );
+            listener_->on_end( status_of( end ) );
         listener_.reset();
     }
 
-    client_pool& pool_;
-    client_pool& control_;
+private:
+    [[nodiscard]] auto status_of( call_end const& end ) const
+        -> core::result<void>
+    {
+        if ( !end.status || status_ == web::http::status_codes::OK )
+            return end.status;
+        return error_of_status( status_, first_bytes_ );
+    }
+
+    call_client const& control_;
     core::address to_;
     core::request_id request_;
     std::shared_ptr<ports::stream_listener> listener_;
-    pplx::cancellation_token_source source_;
+    std::weak_ptr<open_call> call_;
     std::atomic<bool> listening_{ true };
+    int status_{ 0 };
     std::string first_bytes_; ///< detail of an error response
     bool has_events_{ false };
     data_line_splitter lines_;
@@ -151,14 +131,12 @@
     std::shared_ptr<ports::stream_listener> listener )
     -> std::shared_ptr<ports::engine_stream>
 {
-    auto stream = std::make_shared<http_engine_stream>(
-        streams_, control_, engine.address, request.request,
-        std::move( listener ) );
-    auto message = web::http::http_request( methods::POST );
-    message.set_request_uri( "/v1/streams" );
-    message.set_body( to_json( request ) );
-    stream->start( message );
-    return stream;
+    auto call = call_request{};
+    call.method = methods::POST;
+    call.target = "/v1/streams";
+    call.headers = { { "Content-Type", "application/json" } };
+    call.body = to_json( request ).serialize();
+    return start( engine, request.request, call, std::move( listener ) );
 }
 
 auto engine_http_client::resume(
@@ -167,18 +145,26 @@
     std::shared_ptr<ports::stream_listener> listener )
     -> std::shared_ptr<ports::engine_stream>
 {
+    auto call = call_request{};
+    call.target = "/v1/streams/" + encode_part( request.request.str() ) +
+                  "?from=" + std::to_string( request.from_position ) +
+                  "&attempt=" + std::to_string( request.attempt.count() );
     // The other persistent connections to the engine are probably lost as
     // well.
-    streams_.drop( engine.address );
+    call.fresh_connection = true;
+    return start( engine, request.request, call, std::move( listener ) );
+}
+
+auto engine_http_client::start(
+    ports::engine_endpoint const& engine,
+    core::request_id const& request,
+    call_request const& call,
+    std::shared_ptr<ports::stream_listener> listener )
+    -> std::shared_ptr<ports::engine_stream>
+{
     auto stream = std::make_shared<http_engine_stream>(
-        streams_, control_, engine.address, request.request,
-        std::move( listener ) );
-    auto message = web::http::http_request( methods::GET );
-    message.set_request_uri(
-        "/v1/streams/" + encode_part( request.request.str() ) +
-        "?from=" + std::to_string( request.from_position ) +
-        "&attempt=" + std::to_string( request.attempt.count() ) );
-    stream->start( message );
+        control_, engine.address, request, std::move( listener ) );
+    stream->set_call( streams_.send( engine.address, call, stream ) );
     return stream;
 }
 
--- a/src/pollenstream/adapters/http/engine_http_client.hpp
+++ b/src/pollenstream/adapters/http/engine_http_client.hpp
@@ -1,7 +1,7 @@
 #ifndef POLLENSTREAM_ADAPTERS_HTTP_ENGINE_HTTP_CLIENT_HPP
 #define POLLENSTREAM_ADAPTERS_HTTP_ENGINE_HTTP_CLIENT_HPP
 
-#include <pollenstream/adapters/http/client_pool.hpp>
+#include <pollenstream/adapters/http/call_client.hpp>
 #include <pollenstream/ports/engine.hpp>
 
 namespace pollenstream::adapters::http
@@ -41,12 +41,17 @@
                done callback ) -> void override;
 
 private:
+    auto start( ports::engine_endpoint const& engine,
+                core::request_id const& request,
+                call_request const& call,
+                std::shared_ptr<ports::stream_listener> listener )
+        -> std::shared_ptr<ports::engine_stream>;
     auto send_release( core::address const& to,
                        std::string const& path,
                        done callback ) -> void;
 
-    client_pool streams_; ///< the session detects silent targets
-    client_pool control_; ///< for short calls, with a short timeout
+    call_client streams_; ///< the session detects silent targets
+    call_client control_; ///< for short calls, with a short timeout
 };
 
 }
--- a/src/pollenstream/adapters/http/json_call.cpp
+++ b/src/pollenstream/adapters/http/json_call.cpp
@@ -1,10 +1,9 @@
-#include <pollenstream/adapters/http/bounded_body.hpp>
 #include <pollenstream/adapters/http/json_call.hpp>
 #include <pollenstream/adapters/http/json_fields.hpp>
-#include <pollenstream/adapters/system/guarded.hpp>
 
-#include <future>
-#include <memory>
+#include <cpprest/base_uri.h>
+#include <cpprest/http_msg.h>
+
 #include <utility>
 
 namespace pollenstream::adapters::http
@@ -13,11 +12,12 @@
 namespace
 {
 
-auto read_text( web::http::status_code status, std::string const& text )
-    -> json_result
+using web::http::status_codes;
+
+auto read_text( int status, std::string const& text ) -> json_result
 {
-    auto const ok = status >= web::http::status_codes::OK &&
-                    status < web::http::status_codes::MultipleChoices;
+    auto const ok =
+        status >= status_codes::OK && status < status_codes::MultipleChoices;
     if ( !ok )
         return error_of_status( status, text );
     if ( text.empty() )
@@ -25,60 +25,49 @@
     return parse_json( text );
 }
 
+auto call_of( json_request const& request ) -> call_request
+{
+    auto call = call_request{};
+    call.method = request.method;
+    call.target = request.path;
+    if ( !request.body )
+        return call;
+    call.headers = { { "Content-Type", "application/json" } };
+    call.body = request.body->serialize();
+    return call;
+}
+
+auto result_of( core::result<collected_answer> const& answer ) -> json_result
+{
+    if ( !answer )
+        return answer.error();
+    return read_text( answer.value().head.status, answer.value().body );
+}
+
 }
 
-auto call_json( client_pool& pool,
+auto call_json( call_client const& client,
                 core::address const& to,
                 json_request const& request,
                 json_done callback ) -> void
 {
-    auto message = web::http::http_request( request.method );
-    message.set_request_uri( web::uri( request.path ) );
-    if ( request.body )
-        message.set_body( *request.body );
-    auto const client = pool.client_for( to );
-    request_and_collect( *client, message )
-        .then(
-            [client, to, &pool, callback = std::move( callback )](
-                pplx::task<collected_response> const& done )
-            {
-                auto result = json_result( web::json::value::null() );
-                try
-                {
-                    auto const reply = done.get();
-                    result =
-                        read_text( reply.response.status_code(), reply.body );
-                }
-                catch ( ... )
-                {
-                    pool.drop( to );
-                    result = error_of( std::current_exception() );
-                }
-                system::run_guarded( "the handler of a call",
-                                     [&]
-                                     {
-                                         callback( result );
-                                     } );
-            } );
+    client.collect( to, call_of( request ),
+                    [callback = std::move( callback )](
+                        core::result<collected_answer> const& answer )
+                    {
+                        callback( result_of( answer ) );
+                    } );
 }
 
-auto call_json_and_wait( client_pool& pool,
+auto call_json_and_wait( call_client const& client,
                          core::address const& to,
                          json_request const& request ) -> json_result
 {
-    auto answer = std::make_shared<std::promise<json_result>>();
-    call_json( pool, to, request,
-               [answer]( json_result const& result )
-               {
-                   answer->set_value( result );
-               } );
-    return answer->get_future().get();
+    return result_of( client.collect_and_wait( to, call_of( request ) ) );
 }
 
-auto error_of_status( web::http::status_code status, std::string detail )
-    -> core::error
+auto error_of_status( int status, std::string detail ) -> core::error
 {
-    using web::http::status_codes;
     if ( detail.empty() )
         detail = "status " + std::to_string( status );
     if ( status == status_codes::NotFound )
--- a/src/pollenstream/adapters/http/list_http_client.cpp
+++ b/src/pollenstream/adapters/http/list_http_client.cpp
@@ -1,8 +1,9 @@
-#include <pollenstream/adapters/http/bounded_body.hpp>
 #include <pollenstream/adapters/http/json_call.hpp>
 #include <pollenstream/adapters/http/json_fields.hpp>
 #include <pollenstream/adapters/http/list_http_client.hpp>
 
+#include <cpprest/http_msg.h>
+
 #include <utility>
 
 namespace pollenstream::adapters::http
@@ -88,35 +89,26 @@
     -> core::result<std::optional<ports::instance_listing>>
 {
     using web::http::status_codes;
-    auto message = web::http::http_request( web::http::methods::GET );
-    message.set_request_uri( "/instances" );
+    auto request = call_request{};
+    request.target = "/instances";
     if ( !entity_tag_.empty() )
-        message.headers().add( "If-None-Match", entity_tag_ );
-    try
-    {
-        auto const client = calls_.client_for( list_ );
-        auto const collected = request_and_collect( *client, message ).get();
-        auto const& reply = collected.response;
-        auto const& text = collected.body;
-        if ( reply.status_code() == status_codes::NotModified )
-            return std::optional<ports::instance_listing>{};
-        if ( reply.status_code() != status_codes::OK )
-            return error_of_status( reply.status_code(), text );
-        auto const json = parse_json( without_deep_values( text ) );
-        if ( !json )
-            return json.error();
-        auto listing = read_listing( json.value() );
-        if ( !listing )
-            return listing.error();
-        auto const tag = reply.headers().find( "ETag" );
-        entity_tag_ = tag == reply.headers().end() ? "" : tag->second;
-        return std::optional( std::move( listing.value() ) );
-    }
-    catch ( std::exception const& )
-    {
-        calls_.drop( list_ );
-        return error_of( std::current_exception() );
-    }
+        request.headers = { { "If-None-Match", entity_tag_ } };
+    auto const answer = calls_.collect_and_wait( list_, request );
+    if ( !answer )
+        return answer.error();
+    auto const& [head, text, is_delimited_by_close] = answer.value();
+    if ( head.status == status_codes::NotModified )
+        return std::optional<ports::instance_listing>{};
+    if ( head.status != status_codes::OK )
+        return error_of_status( head.status, text );
+    auto const json = parse_json( without_deep_values( text ) );
+    if ( !json )
+        return json.error();
+    auto listing = read_listing( json.value() );
+    if ( !listing )
+        return listing.error();
+    entity_tag_ = header_value( head.headers, "ETag" );
+    return std::optional( std::move( listing.value() ) );
 }
 
 auto read_listing( web::json::value const& json )
--- a/src/pollenstream/adapters/http/list_http_client.hpp
+++ b/src/pollenstream/adapters/http/list_http_client.hpp
@@ -1,7 +1,7 @@
 #ifndef POLLENSTREAM_ADAPTERS_HTTP_LIST_HTTP_CLIENT_HPP
 #define POLLENSTREAM_ADAPTERS_HTTP_LIST_HTTP_CLIENT_HPP
 
-#include <pollenstream/adapters/http/client_pool.hpp>
+#include <pollenstream/adapters/http/call_client.hpp>
 #include <pollenstream/ports/instance_list.hpp>
 
 #include <cpprest/json.h>
@@ -21,7 +21,7 @@
 
 private:
     core::address list_;
-    client_pool calls_;
+    call_client calls_;
     std::string entity_tag_; ///< of the last list that was read
 };
 
--- a/src/pollenstream/adapters/http/listener.cpp
+++ b/src/pollenstream/adapters/http/listener.cpp
@@ -1,8 +1,19 @@
+#include <pollenstream/adapters/asio/caller_listener.hpp>
+#include <pollenstream/adapters/http/call_client.hpp>
+#include <pollenstream/adapters/http/handler_threads.hpp>
 #include <pollenstream/adapters/http/listener.hpp>
 #include <pollenstream/adapters/http/problem.hpp>
-#include <pollenstream/adapters/http/send_reply.hpp>
+
+#include <cpprest/base_uri.h>
 
 #include <algorithm>
+#include <charconv>
+#include <condition_variable>
+#include <future>
+#include <limits>
+#include <mutex>
+#include <optional>
+#include <thread>
 #include <utility>
 
 namespace pollenstream::adapters::http
@@ -11,14 +22,18 @@
 namespace
 {
 
-/// Bodies up to this many times the limit are still read, so that the caller
-/// receives the reason for the refusal.
-constexpr auto max_excess_factor = std::size_t{ 4 };
+using namespace std::chrono_literals;
+namespace net = asio::net;
 
-auto uri_of( core::address const& at ) -> web::uri
-{
-    return web::uri( "http://" + core::to_string( at ) );
-}
+/// A caller has this long to send a head, and three times as long for a body.
+constexpr auto header_timeout = core::duration( 20s );
+constexpr auto idle_timeout = core::duration( 60s );
+/// Limits on the bodies of all requests, and on the answers that callers have
+/// not taken, at one listener.
+constexpr auto max_bodies_size = std::size_t{ 256 } * 1024 * 1024;
+constexpr auto max_unsent_size = std::size_t{ 256 } * 1024 * 1024;
+constexpr auto close_limit = 2s;
+constexpr auto close_poll_period = 10ms;
 
 auto decoded_path( web::uri const& from ) -> std::vector<std::string>
 {
@@ -38,28 +53,241 @@
     return std::equal( r.prefix.begin(), r.prefix.end(), path.begin() );
 }
 
-auto reply_with( web::http::http_request const& message,
-                 ports::answer_end const& end ) -> void
+/// The length that a head announces; the parser has checked that it is a
+/// number.
+auto announced_length( exchange::header_list const& headers ) -> std::uint64_t
 {
-    send_reply( message, problem_response( end ) );
+    auto const text = header_value( headers, "Content-Length" );
+    auto length = std::uint64_t{ 0 };
+    std::from_chars( text.data(), text.data() + text.size(), length );
+    return length;
 }
 
+/// Counts handlers that have not returned.
+class running_handlers
+{
+public:
+    auto add() -> void
+    {
+        auto const lock = std::scoped_lock( mutex_ );
+        ++count_;
+    }
+    auto remove() -> void
+    {
+        auto const lock = std::scoped_lock( mutex_ );
+        --count_;
+        none_left_.notify_all();
+    }
+    auto wait_for_none() -> void
+    {
+        auto lock = std::unique_lock( mutex_ );
+        none_left_.wait( lock,
+                         [this]
+                         {
+                             return count_ == 0;
+                         } );
+    }
+
+private:
+    std::mutex mutex_;
+    std::condition_variable none_left_;
+    int count_{ 0 };
+};
+
+/// Holds what a request takes until it is answered.
+class request_in_work : public asio::request_in_progress
+{
+public:
+    request_in_work( std::shared_ptr<core::memory_claim> memory,
+                     std::weak_ptr<reply_channel> reply )
+        : memory_( std::move( memory ) ), reply_( std::move( reply ) )
+    {
+    }
+    auto on_caller_gone() -> void override
+    {
+        if ( auto const reply = reply_.lock() )
+            reply->note_gone();
+    }
+
+private:
+    std::shared_ptr<core::memory_claim> memory_; ///< of the body
+    std::weak_ptr<reply_channel> reply_;
+};
+
 }
 
 auto received_request::header( std::string const& name ) const -> std::string
 {
-    auto const& headers = message.headers();
-    auto const at = headers.find( name );
-    return at == headers.end() ? std::string{} : at->second;
+    return header_value( headers, name );
 }
 
 auto received_request::query( std::string const& name ) const -> std::string
 {
-    auto const values = web::uri::split_query( message.request_uri().query() );
+    auto const values = web::uri::split_query( query_text );
     auto const at = values.find( name );
     return at == values.end() ? std::string{} : web::uri::decode( at->second );
 }
 
+/// The open listener: its event loop with its thread, and what it answers.
+class listener::server : public asio::request_handler
+{
+public:
+    server( std::vector<route> const& routes, std::size_t max_body_size )
+        : routes_( routes ), max_body_size_( max_body_size ),
+          loop_( std::make_shared<net::io_context>() ),
+          listener_(
+              *loop_,
+              *this,
+              std::make_shared<core::memory_budget>(
+                  std::max( max_bodies_size, max_body_size ) ),
+              std::make_shared<asio::unsent_answers>(
+                  std::make_shared<core::memory_budget>( max_unsent_size ) ) )
+    {
+    }
+    ~server() override
+    {
+        handlers_.wait_for_none();
+        loop_->stop();
+        if ( thread_.joinable() )
+            thread_.join();
+    }
+    server( server const& ) = delete;
+    auto operator=( server const& ) -> server& = delete;
+
+    auto open( core::address const& at ) -> void
+    {
+        auto const ec = listener_.open( at );
+        if ( ec )
+            throw boost::system::system_error( ec, core::to_string( at ) );
+        thread_ = std::thread(
+            [this]
+            {
+                auto const work = net::make_work_guard( *loop_ );
+                loop_->run();
+            } );
+    }
+
+    /// Waits until callers have taken their answers, up to `close_limit`.
+    auto drain() -> void
+    {
+        auto const end = std::chrono::steady_clock::now() + close_limit;
+        while ( connections_after_stop() > 0 &&
+                std::chrono::steady_clock::now() < end )
+            std::this_thread::sleep_for( close_poll_period );
+    }
+
+    [[nodiscard]] auto limits() const -> exchange::caller_limits override
+    {
+        auto limits = exchange::caller_limits{};
+        // `needs_body` decides on lengths, so that a caller gets the reason.
+        limits.max_body_bytes = std::numeric_limits<std::int64_t>::max();
+        limits.header_timeout = header_timeout;
+        limits.idle_timeout = idle_timeout;
+        return limits;
+    }
+
+    [[nodiscard]] auto needs_body( asio::raw_request const& head ) const
+        -> bool override
+    {
+        return !refusal_of( head );
+    }
+
+    auto handle( asio::raw_request request,
+                 std::shared_ptr<exchange::answer_channel> answer )
+        -> std::shared_ptr<asio::request_in_progress> override
+    {
+        auto const reply =
+            std::make_shared<reply_channel>( loop_, std::move( answer ) );
+        auto work = std::make_shared<request_in_work>(
+            std::move( request.body_memory ), reply );
+        auto const received =
+            std::make_shared<asio::raw_request>( std::move( request ) );
+        handlers_.add();
+        run_on_handler_thread(
+            [this, reply, received]
+            {
+                receive( *received, reply );
+                handlers_.remove();
+            } );
+        return work;
+    }
+
+private:
+    auto connections_after_stop() -> std::size_t
+    {
+        auto count = std::promise<std::size_t>{};
+        net::post( *loop_,
+                   [&]
+                   {
+                       listener_.stop_accepting();
+                       listener_.begin_drain();
+                       listener_.close_idle();
+                       count.set_value( listener_.connections() );
+                   } );
+        return count.get_future().get();
+    }
+
+    /// Why a request is refused by its head alone.
+    [[nodiscard]] auto refusal_of( asio::raw_request const& head ) const
+        -> std::optional<ports::answer_end>
+    {
+        if ( !header_value( head.fields, "Transfer-Encoding" ).empty() )
+            return bad_request( "no-length", "send a Content-Length" );
+        if ( announced_length( head.fields ) > max_body_size_ )
+            return bad_request(
+                "too-large", "the body is larger than " +
+                                 std::to_string( max_body_size_ ) + " bytes" );
+        return std::nullopt;
+    }
+
+    auto receive( asio::raw_request& raw,
+                  std::shared_ptr<reply_channel> const& reply ) const -> void
+    {
+        if ( auto const refusal = refusal_of( raw ) )
+            return reply->send( problem_reply( *refusal ) );
+        try
+        {
+            auto const target = web::uri( raw.target );
+            dispatch( { raw.method, decoded_path( target ), target.query(),
+                        std::move( raw.fields ), std::move( raw.body ),
+                        reply } );
+        }
+        catch ( std::exception const& failure )
+        {
+            reply->send(
+                problem_reply( bad_request( "bad-request", failure.what() ) ) );
+        }
+    }
+
+    auto dispatch( received_request request ) const -> void
+    {
+        auto path_is_known = false;
+        for ( auto const& each : routes_ )
+        {
+            if ( !matches_path( each, request.path ) )
+                continue;
+            path_is_known = true;
+            if ( !each.method.empty() && each.method != request.method )
+                continue;
+            each.handle( std::move( request ) );
+            return;
+        }
+        auto const end =
+            path_is_known
+                ? bad_request( "wrong-method", "the path has no such method" )
+                : bad_request( "unknown-path", "see docs/CALLERS.md for "
+                                               "paths" );
+        request.reply->send( problem_reply( end ) );
+    }
+
+    std::vector<route> const& routes_;
+    std::size_t max_body_size_;
+    std::shared_ptr<net::io_context> loop_;
+    asio::caller_listener listener_;
+    running_handlers handlers_;
+    std::thread thread_;
+};
+
 listener::listener( core::address const& at,
                     std::size_t max_body_size,
                     std::vector<route> routes )
@@ -74,81 +302,16 @@
 
 auto listener::open() -> void
 {
-    auto opened = std::make_unique<library_listener>( uri_of( at_ ) );
-    opened->support(
-        [this]( web::http::http_request const& message )
-        {
-            receive( message );
-        } );
-    opened->open().wait();
-    listener_ = std::move( opened );
+    auto opened = std::make_unique<server>( routes_, max_body_size_ );
+    opened->open( at_ );
+    server_ = std::move( opened );
 }
 
 auto listener::close() -> void
 {
-    if ( listener_ )
-        listener_->close().wait();
-    listener_.reset();
-}
-
-auto listener::receive( web::http::http_request message ) -> void
-{
-    auto const& headers = message.headers();
-    auto const is_chunked = headers.has( "Transfer-Encoding" );
-    if ( is_chunked )
-    {
-        reply_with( message,
-                    bad_request( "no-length", "send a Content-Length" ) );
-        return;
-    }
-    if ( headers.content_length() > max_body_size_ )
-    {
-        reply_with( message, bad_request( "too-large",
-                                          "the body is larger than " +
-                                              std::to_string( max_body_size_ ) +
-                                              " bytes" ) );
-        // The library reads the whole body into memory before it replies.
-        // Closing the buffer of a far too large body makes it stop reading;
-        // that caller gets no reply.
-        if ( headers.content_length() / max_excess_factor > max_body_size_ )
-            message.body().streambuf().close( std::ios_base::out );
-        return;
-    }
-    message.extract_utf8string( true ).then(
-        [this, message]( pplx::task<std::string> const& read )
-        {
-            try
-            {
-                auto request = received_request{ message, {}, read.get() };
-                request.path = decoded_path( message.request_uri() );
-                dispatch( std::move( request ) );
-            }
-            catch ( std::exception const& failure )
-            {
-                reply_with( message,
-                            bad_request( "bad-request", failure.what() ) );
-            }
-        } );
-}
-
-auto listener::dispatch( received_request request ) -> void
-{
-    auto path_is_known = false;
-    for ( auto const& each : routes_ )
-    {
-        if ( !matches_path( each, request.path ) )
-            continue;
-        path_is_known = true;
-        if ( !each.method.empty() && each.method != request.message.method() )
-            continue;
-        each.handle( std::move( request ) );
-        return;
-    }
-    auto const end =
-        path_is_known
-            ? bad_request( "wrong-method", "the path has no such method" )
-            : bad_request( "unknown-path", "see docs/CALLERS.md for paths" );
-    reply_with( request.message, end );
+    if ( server_ )
+        server_->drain();
+    server_.reset();
 }
 
 }
--- a/src/pollenstream/adapters/http/listener.hpp
+++ b/src/pollenstream/adapters/http/listener.hpp
@@ -1,9 +1,9 @@
 #ifndef POLLENSTREAM_ADAPTERS_HTTP_LISTENER_HPP
 #define POLLENSTREAM_ADAPTERS_HTTP_LISTENER_HPP
 
+#include <pollenstream/adapters/http/reply_channel.hpp>
 #include <pollenstream/core/address.hpp>
-
-#include <cpprest/http_listener.h>
+#include <pollenstream/exchange/message.hpp>
 
 #include <functional>
 #include <memory>
@@ -16,9 +16,12 @@
 /// A request whose body, if any, has been read completely.
 struct received_request
 {
-    web::http::http_request message;
+    std::string method;
     std::vector<std::string> path; ///< decoded path segments
+    std::string query_text;        ///< percent-encoded
+    exchange::header_list headers;
     std::string body;
+    std::shared_ptr<reply_channel> reply;
 
     /// Returns the value of a header, or an empty string.
     [[nodiscard]] auto header( std::string const& name ) const -> std::string;
@@ -26,17 +29,20 @@
     [[nodiscard]] auto query( std::string const& name ) const -> std::string;
 };
 
-/// Maps a method and a path prefix to a handler.
+/// Maps a method and a path prefix to a handler, which runs on one of the
+/// threads for handlers.
 struct route
 {
-    web::http::method method; ///< empty: any method
+    std::string method; ///< empty: any method
     std::vector<std::string> prefix;
     bool allows_subpaths{ false }; ///< further segments may follow the prefix
     std::function<void( received_request )> handle;
 };
 
 /// Listens on one address and dispatches requests to routes. Refuses requests
-/// that match no route, exceed the body limit or cannot be read.
+/// that match no route, exceed a limit or cannot be read. All that it keeps of
+/// callers has a limit: of one head, of one body, of all bodies, and of the
+/// answers that callers have not taken.
 class listener
 {
 public:
@@ -49,18 +55,17 @@
 
     /// Throws if the address is in use or is not there; may be tried again.
     auto open() -> void;
+    /// Accepts nothing more and closes, once handlers have returned and callers
+    /// have taken their answers; callers have two seconds for that.
     auto close() -> void;
 
 private:
-    using library_listener = web::http::experimental::listener::http_listener;
-
-    auto receive( web::http::http_request message ) -> void;
-    auto dispatch( received_request request ) -> void;
+    class server;
 
     core::address at_;
     std::size_t max_body_size_;
     std::vector<route> routes_;
-    std::unique_ptr<library_listener> listener_; ///< null if not open
+    std::unique_ptr<server> server_; ///< null if not open
 };
 
 }
--- a/src/pollenstream/adapters/http/operator_listener.cpp
+++ b/src/pollenstream/adapters/http/operator_listener.cpp
@@ -2,7 +2,8 @@
 #include <pollenstream/adapters/http/json_fields.hpp>
 #include <pollenstream/adapters/http/operator_listener.hpp>
 #include <pollenstream/adapters/http/problem.hpp>
-#include <pollenstream/adapters/http/send_reply.hpp>
+
+#include <cpprest/http_msg.h>
 
 #include <chrono>
 #include <openssl/crypto.h>
@@ -20,6 +21,7 @@
 /// Maximum size of an operator's request body, which carries all documents of
 /// one change, in bytes.
 constexpr auto max_body_size = std::size_t{ 32 } * 1024 * 1024;
+constexpr auto status_unauthorized = 401;
 constexpr auto bearer = std::string_view( "Bearer " );
 
 auto unix_seconds() -> std::int64_t
@@ -30,8 +32,7 @@
 
 auto refuse( received_request const& request, std::string const& why ) -> void
 {
-    send_reply( request.message,
-                problem_response( bad_request( "bad-request", why ) ) );
+    request.reply->send( problem_reply( bad_request( "bad-request", why ) ) );
 }
 
 auto read_texts( value const& json ) -> state::document_texts
@@ -131,10 +132,10 @@
             ( this->*handle )( request );
             return;
         }
-        auto response = problem_response(
+        auto refusal = problem_reply(
             bad_request( "no-token", "the operators' token is missing" ) );
-        response.set_status_code( web::http::status_codes::Unauthorized );
-        send_reply( request.message, response );
+        refusal.status = status_unauthorized;
+        request.reply->send( std::move( refusal ) );
     };
 }
 
@@ -187,17 +188,17 @@
 
 auto operator_listener::on_dump( received_request const& request ) -> void
 {
-    send_json( request.message, dump_all( sources_ ) );
+    request.reply->send_json( dump_all( sources_ ) );
 }
 
 auto operator_listener::on_instances( received_request const& request ) -> void
 {
-    send_json( request.message, dump_members( sources_ ) );
+    request.reply->send_json( dump_members( sources_ ) );
 }
 
 auto operator_listener::on_targets( received_request const& request ) -> void
 {
-    send_json( request.message, dump_targets( sources_ ) );
+    request.reply->send_json( dump_targets( sources_ ) );
 }
 
 auto operator_listener::on_show( received_request const& request ) -> void
@@ -213,7 +214,7 @@
     for ( auto i = std::size_t{ 0 }; i < bundle.head.changes.size(); ++i )
         changes[i] = to_json( bundle.head.changes[i] );
     json["changes"] = std::move( changes );
-    send_json( request.message, json );
+    request.reply->send_json( json );
 }
 
 auto operator_listener::on_check( received_request const& request ) -> void
@@ -231,7 +232,7 @@
     state::check_documents( texts, codec_, found );
     auto reply = value::object();
     reply["findings"] = to_json( found );
-    send_json( request.message, reply );
+    request.reply->send_json( reply );
 }
 
 auto operator_listener::on_apply( received_request const& request ) -> void
@@ -242,8 +243,8 @@
         refuse( request, change.error().detail );
         return;
     }
-    send_json( request.message,
-               report_json( publisher_.apply( change.value() ) ) );
+    request.reply->send_json(
+        report_json( publisher_.apply( change.value() ) ) );
 }
 
 auto operator_listener::on_reach( received_request const& request ) -> void
@@ -254,7 +255,7 @@
     auto json = value::object();
     json["asked"] = value::number( reach.asked );
     json["in_force"] = value::number( reach.in_force );
-    send_json( request.message, json );
+    request.reply->send_json( json );
 }
 
 auto operator_listener::on_drain( received_request const& request ) -> void
@@ -262,7 +263,7 @@
     actions_.drain();
     auto json = value::object();
     json["draining"] = value::boolean( true );
-    send_json( request.message, json );
+    request.reply->send_json( json );
 }
 
 }
--- a/src/pollenstream/adapters/http/problem.cpp
+++ b/src/pollenstream/adapters/http/problem.cpp
@@ -11,12 +11,13 @@
 namespace
 {
 
-using web::http::status_codes;
+constexpr auto status_bad_gateway = 502;
+constexpr auto status_unavailable = 503;
 
 struct reason_status
 {
     std::string_view reason;
-    web::http::status_code status;
+    int status;
 };
 
 /// The reasons that have a specific HTTP status.
@@ -36,7 +37,7 @@
 
 }
 
-auto status_of( ports::answer_end const& end ) -> web::http::status_code
+auto status_of( ports::answer_end const& end ) -> int
 {
     for ( auto const& each : reason_statuses )
     {
@@ -44,8 +45,7 @@
             return each.status;
     }
     auto const not_run = end.status == ports::answer_status::not_run;
-    return not_run ? status_codes::ServiceUnavailable
-                   : status_codes::BadGateway;
+    return not_run ? status_unavailable : status_bad_gateway;
 }
 
 auto problem_json( ports::answer_end const& end ) -> web::json::value
@@ -64,21 +64,22 @@
     return json;
 }
 
-auto problem_response( ports::answer_end const& end )
-    -> web::http::http_response
+auto problem_reply( ports::answer_end const& end ) -> exchange::whole_answer
 {
-    auto response = web::http::http_response( status_of( end ) );
-    response.set_body( problem_json( end ).serialize(),
-                       "application/problem+json" );
+    auto reply = exchange::whole_answer{};
+    reply.status = status_of( end );
+    reply.headers = { { "Content-Type", "application/problem+json" } };
+    reply.body = problem_json( end ).serialize();
     if ( end.retry_after )
     {
         constexpr auto milliseconds = std::int64_t{ 1000 };
         auto const wait = core::milliseconds_of( *end.retry_after );
         auto const seconds = ( wait + milliseconds - 1 ) / milliseconds;
-        response.headers().add( "Retry-After",
-                                std::max( std::int64_t{ 1 }, seconds ) );
+        reply.headers.push_back(
+            { "Retry-After",
+              std::to_string( std::max( std::int64_t{ 1 }, seconds ) ) } );
     }
-    return response;
+    return reply;
 }
 
 auto bad_request( std::string reason, std::string detail ) -> ports::answer_end
--- a/src/pollenstream/adapters/http/service_http_client.cpp
+++ b/src/pollenstream/adapters/http/service_http_client.cpp
@@ -1,11 +1,8 @@
-#include <pollenstream/adapters/http/bounded_body.hpp>
-#include <pollenstream/adapters/http/client_pool.hpp>
 #include <pollenstream/adapters/http/service_http_client.hpp>
-#include <pollenstream/adapters/system/guarded.hpp>
-#include <pollenstream/adapters/system/port_probe.hpp>
+
+#include <cpprest/http_msg.h>
 
 #include <chrono>
-#include <memory>
 #include <utility>
 
 namespace pollenstream::adapters::http
@@ -15,74 +12,86 @@
 {
 
 using namespace std::chrono_literals;
+using web::http::status_codes;
 
 /// A refused connection shows within one round trip.
 constexpr auto probe_timeout = core::duration( 400ms );
 
-/// True if the answer ends with its connection alone.
-auto is_delimited_by_close( web::http::http_response const& answer ) -> bool
+auto request_of( ports::service_call const& call ) -> call_request
+{
+    auto request = call_request{};
+    request.method = call.method;
+    request.target = call.path;
+    request.fresh_connection = true;
+    if ( !call.key.empty() )
+        request.headers.push_back( { "Idempotency-Key", call.key.str() } );
+    if ( call.body.empty() )
+        return request;
+    request.headers.push_back( { "Content-Type", call.content_type } );
+    request.body = call.body;
+    return request;
+}
+
+auto reply_of( collected_answer const& answer ) -> ports::service_reply
+{
+    return { answer.head.status,
+             header_value( answer.head.headers, "Content-Type" ), answer.body };
+}
+
+auto is_success( collected_answer const& answer ) -> bool
 {
-    auto const& headers = answer.headers();
-    auto const status = answer.status_code();
-    auto const has_no_body = status == web::http::status_codes::NoContent ||
-                             status == web::http::status_codes::NotModified;
-    return !has_no_body && !headers.has( "Content-Length" ) &&
-           !headers.has( "Transfer-Encoding" );
+    return answer.head.status >= status_codes::OK &&
+           answer.head.status < status_codes::MultipleChoices;
 }
 
-/// The answer of `target`, or an error if it may have been cut short: one
-/// without a length is whole only if it has a body, and if the process that
-/// sent it still listens.
-auto checked_reply( collected_response answer, core::address const& target )
-    -> core::result<ports::service_reply>
+auto cut_short() -> core::error
 {
-    if ( is_delimited_by_close( answer.response ) &&
-         ( answer.body.empty() ||
-           !system::accepts_connections( target, probe_timeout ) ) )
-        return core::error{ core::error_code::connection_lost,
-                            "the answer may have been cut short" };
-    auto reply = ports::service_reply{};
-    reply.status = answer.response.status_code();
-    reply.content_type = answer.response.headers().content_type();
-    reply.body = std::move( answer.body );
-    return reply;
+    return { core::error_code::connection_lost,
+             "the answer may have been cut short" };
 }
 
+/// Reports the answer of `target`, or an error if it may have been cut short: a
+/// success without a length is whole only if it has a body, and if the process
+/// that sent it still listens.
+auto report( collected_answer const& answer,
+             core::address const& target,
+             ports::service_client::done const& callback ) -> void
+{
+    if ( !answer.is_delimited_by_close || !is_success( answer ) )
+        return callback( reply_of( answer ) );
+    if ( answer.body.empty() )
+        return callback( cut_short() );
+    probe( target, probe_timeout,
+           [answer, callback]( std::optional<bool> listens )
+           {
+               if ( listens.value_or( false ) )
+                   callback( reply_of( answer ) );
+               else
+                   callback( cut_short() );
+           } );
+}
+
+}
+
+service_http_client::service_http_client()
+    // Each call names its own limit.
+    : calls_( core::duration( 1ms ) )
+{
 }
 
 auto service_http_client::call( core::address const& target,
                                 ports::service_call const& request,
                                 done callback ) -> void
 {
-    auto message = web::http::http_request( request.method );
-    message.set_request_uri( web::uri( request.path ) );
-    message.headers().add( "Connection", "close" );
-    if ( !request.key.empty() )
-        message.headers().add( "Idempotency-Key", request.key.str() );
-    if ( !request.body.empty() )
-        message.set_body( request.body, request.content_type );
-    auto const client = fresh_client( target, request.time_left );
-    request_and_collect( *client, message )
-        .then(
-            [client, target, callback = std::move( callback )](
-                pplx::task<collected_response> const& done )
-            {
-                auto reply = core::result<ports::service_reply>(
-                    ports::service_reply{} );
-                try
-                {
-                    reply = checked_reply( done.get(), target );
-                }
-                catch ( ... )
-                {
-                    reply = error_of( std::current_exception() );
-                }
-                system::run_guarded( "the handler of a call",
-                                     [&]
-                                     {
-                                         callback( reply );
-                                     } );
-            } );
+    calls_.collect( target, request_of( request ), request.time_left,
+                    [target, callback = std::move( callback )](
+                        core::result<collected_answer> const& answer )
+                    {
+                        if ( answer )
+                            report( answer.value(), target, callback );
+                        else
+                            callback( answer.error() );
+                    } );
 }
 
 }
--- a/src/pollenstream/adapters/http/service_http_client.hpp
+++ b/src/pollenstream/adapters/http/service_http_client.hpp
@@ -1,6 +1,7 @@
 #ifndef POLLENSTREAM_ADAPTERS_HTTP_SERVICE_HTTP_CLIENT_HPP
 #define POLLENSTREAM_ADAPTERS_HTTP_SERVICE_HTTP_CLIENT_HPP
 
+#include <pollenstream/adapters/http/call_client.hpp>
 #include <pollenstream/ports/service_client.hpp>
 
 namespace pollenstream::adapters::http
@@ -12,9 +13,14 @@
 class service_http_client : public ports::service_client
 {
 public:
+    service_http_client();
+
     auto call( core::address const& target,
                ports::service_call const& request,
                done callback ) -> void override;
+
+private:
+    call_client calls_;
 };
 
 }
--- a/src/pollenstream/adapters/http/store_http_client.cpp
+++ b/src/pollenstream/adapters/http/store_http_client.cpp
@@ -2,6 +2,8 @@
 #include <pollenstream/adapters/http/json_fields.hpp>
 #include <pollenstream/adapters/http/store_http_client.hpp>
 
+#include <cpprest/http_msg.h>
+
 #include <utility>
 
 namespace pollenstream::adapters::http
--- a/src/pollenstream/adapters/http/store_http_client.hpp
+++ b/src/pollenstream/adapters/http/store_http_client.hpp
@@ -1,7 +1,7 @@
 #ifndef POLLENSTREAM_ADAPTERS_HTTP_STORE_HTTP_CLIENT_HPP
 #define POLLENSTREAM_ADAPTERS_HTTP_STORE_HTTP_CLIENT_HPP
 
-#include <pollenstream/adapters/http/client_pool.hpp>
+#include <pollenstream/adapters/http/call_client.hpp>
 #include <pollenstream/ports/key_value_store.hpp>
 
 namespace pollenstream::adapters::http
@@ -26,8 +26,8 @@
 
 private:
     core::address store_;
-    client_pool calls_;
-    client_pool watches_;
+    call_client calls_;
+    call_client watches_;
 };
 
 }
--- a/src/pollenstream/adapters/system/blocking_pool.hpp
+++ b/src/pollenstream/adapters/system/blocking_pool.hpp
@@ -8,9 +8,9 @@
 namespace pollenstream::adapters::system
 {
 
-/// A thread pool for work that blocks on other processes. The HTTP library's
-/// own threads must not block: they are few, and they also run the work that
-/// the blocked call would wait for.
+/// A thread pool for work that blocks on other processes. The threads for
+/// handlers must not block: they are few, and they also run the work that the
+/// blocked call would wait for.
 class blocking_pool
 {
 public:
