Scenario planned-stop: several gateways at once, beside other planned work

Not tried so far: several instances at once, a stop beside configurations, SIGHUP, engines that leave or a store that is away, a grace of 1 to 3 s, pipelined requests, a stop in the first second of a process.

The scenario draws one to three of four gateways, a grace of 1 to 8 s, three of eight things beside it, callers that go on with a process until it is gone, and some that send a second request behind the first.

--- a/scripts/soak_processes.py
+++ b/scripts/soak_processes.py
@@ -27,6 +27,7 @@
 import late_start_scenario
 import long_prompts_scenario
 import odd_records_scenario
+import planned_stop_scenario
 import platform_check
 import recover_scenario
 import unread_answers_scenario
@@ -656,6 +657,7 @@
              "endless-answers": played_by(endless_answers_scenario),
              "late-start": played_by(late_start_scenario),
              "long-prompts": played_by(long_prompts_scenario),
+             "planned-stop": played_by(planned_stop_scenario),
              "odd-records": played_by(odd_records_scenario),
              "unread-answers": played_by(unread_answers_scenario)}
 
