A planned stop of the daemon tells what is still open at its limit

What callers saw: calls that were open when drain_limit_ms ran out had their connection closed without an answer, among them such as may not be repeated, and such as had come after the signal.

Cause: the process ended with whatever was open. The default limit of ten minutes hid it; a supervisor that kills sooner does the same, and nothing said so where the limit is set.

Ruled out: refusing late requests by their time limit: most would be served, and their callers hold this instance's address for entry_keep_ms.

Change: the listener answers requests without a reply as unknown (may have run) before it closes; streams that have begun end without their last mark, as before. The invariant is checked after the callers are told.

--- a/apps/daemon/node.cpp
+++ b/apps/daemon/node.cpp
@@ -339,9 +339,9 @@
     std::this_thread::sleep_for( settings_.entry_keep );
     gateway_.close();
     auto const cut = wait_for_requests();
+    callers_.close();
     core::check_invariant( core::invariant::stop_cuts_nothing, cut == 0,
                            std::to_string( cut ) + " requests were open" );
-    callers_.close();
     operators_.close();
     for ( auto const& each : tasks_ )
         each->ask_to_stop();
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -189,7 +189,8 @@
         self.targets.append({"id": name, "service": service, "place": place,
                              "address": address, "state": "live"})
 
-    def add_daemon(self, name, entry_keep_ms=2000, polls=16):
+    def add_daemon(self, name, entry_keep_ms=2000, polls=16,
+                   drain_limit_ms=600_000):
         place = self.places[len(self.instances) % len(self.places)]
         one = {"id": name, "place": place, "callers": self.address(),
                "peers": self.address(), "state": "live"}
@@ -203,7 +204,8 @@
             f"[platform]\nstore = {self.store}\nlist = {self.list}\n"
             f"[operators]\ntoken = {TOKEN}\n"
             f"[limits]\nentry_keep_ms = {entry_keep_ms}\n"
-            f"load_polls_per_second = {polls}\n")
+            f"load_polls_per_second = {polls}\n"
+            f"drain_limit_ms = {drain_limit_ms}\n")
         self.settings[name] = (file, one["callers"], operators)
 
     def publish(self):
--- a/scripts/process_test.py
+++ b/scripts/process_test.py
@@ -153,6 +153,38 @@
         return f"{daemons} daemons, in force and told within {took:.2f} s"
 
 
+def stop_at_its_limit(build, _):
+    """What is open when the time of a planned stop runs out is told that it may
+    have run; its connection is not just closed."""
+    with Fleet(build) as fleet:
+        fleet.add_plain("desk-0", "dealer-desk", work_ms=8000)
+        fleet.add_daemon("entry-0", entry_keep_ms=500, drain_limit_ms=500)
+        fleet.publish()
+        fleet.start_daemon("entry-0")
+        configure(fleet, "entry-0")
+        wait_until(lambda: fleet.dump("entry-0")["targets"],
+                   what="the target is known")
+        address = fleet.callers("entry-0")
+        prefix = http_json("GET", address, "/v1/entry?workspace=w")[1][
+            "ticket_prefix"]
+        found = {}
+
+        def call(key):
+            found[key] = once(fleet, address, prefix, key)
+
+        callers = [threading.Thread(target=call, args=(key,))
+                   for key in ("early", "late")]
+        callers[0].start()
+        time.sleep(0.3)
+        fleet.processes["entry-0"].signal(signal.SIGTERM)
+        time.sleep(0.2)
+        callers[1].start()
+        for caller in callers:
+            caller.join()
+        expect(found == {"early": "unknown", "late": "unknown"}, str(found))
+        return f"{len(found)} calls of 8 s told after a stop of 1 s"
+
+
 def rolling_restart(build, daemons):
     """Every daemon is stopped as planned and started again under load."""
     with Fleet(build) as fleet:
@@ -692,7 +724,8 @@
 
 SCENARIOS = (tool_commands, configuration_everywhere, engine_dies, engine_paused,
              instance_paused, at_most_once, bad_input, held_ports,
-             odd_list_entries, endless_heads, caller_goes, rolling_restart)
+             odd_list_entries, endless_heads, caller_goes,
+             stop_at_its_limit, rolling_restart)
 
 
 def main():
--- a/src/pollenstream/adapters/http/listener.cpp
+++ b/src/pollenstream/adapters/http/listener.cpp
@@ -13,6 +13,7 @@
 #include <limits>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <thread>
 #include <utility>
 
@@ -32,7 +33,8 @@
 /// not taken, at one listener.
 constexpr auto max_bodies_size = std::size_t{ 256 } * 1024 * 1024;
 constexpr auto max_unsent_size = std::size_t{ 256 } * 1024 * 1024;
-constexpr auto close_limit = 2s;
+constexpr auto close_limit = core::duration( 2s );
+constexpr auto last_answers_limit = core::duration( 500ms );
 constexpr auto close_poll_period = 10ms;
 
 auto decoded_path( web::uri const& from ) -> std::vector<std::string>
@@ -94,14 +96,31 @@
     int count_{ 0 };
 };
 
-/// Holds what a request takes until it is answered.
+/// Holds what a request takes until it is answered, and is among `open` until
+/// then.
 class request_in_work : public asio::request_in_progress
 {
 public:
     request_in_work( std::shared_ptr<core::memory_claim> memory,
-                     std::weak_ptr<reply_channel> reply )
-        : memory_( std::move( memory ) ), reply_( std::move( reply ) )
+                     std::weak_ptr<reply_channel> reply,
+                     std::set<request_in_work*>& open )
+        : memory_( std::move( memory ) ), reply_( std::move( reply ) ),
+          open_( open )
     {
+        open_.insert( this );
+    }
+    ~request_in_work() override
+    {
+        open_.erase( this );
+    }
+    request_in_work( request_in_work const& ) = delete;
+    auto operator=( request_in_work const& ) -> request_in_work& = delete;
+
+    /// Answers the request unless it has a reply, or part of one.
+    auto give_up( exchange::whole_answer const& answer ) -> void
+    {
+        if ( auto const reply = reply_.lock() )
+            reply->send_if_none( answer );
     }
     auto on_caller_gone() -> void override
     {
@@ -112,8 +131,18 @@
 private:
     std::shared_ptr<core::memory_claim> memory_; ///< of the body
     std::weak_ptr<reply_channel> reply_;
+    std::set<request_in_work*>& open_;
 };
 
+auto stopped_meanwhile() -> ports::answer_end
+{
+    auto end = ports::answer_end{};
+    end.status = ports::answer_status::unknown;
+    end.reason = "stopped";
+    end.detail = "the instance has stopped; the request may have run";
+    return end;
+}
+
 }
 
 auto received_request::header( std::string const& name ) const -> std::string
@@ -167,13 +196,19 @@
             } );
     }
 
-    /// Waits until callers have taken their answers, up to `close_limit`.
+    /// Waits until callers have taken their answers, up to `close_limit`, and
+    /// answers what is still open then.
     auto drain() -> void
     {
-        auto const end = std::chrono::steady_clock::now() + close_limit;
-        while ( connections_after_stop() > 0 &&
-                std::chrono::steady_clock::now() < end )
-            std::this_thread::sleep_for( close_poll_period );
+        wait_for_callers( close_limit );
+        net::post( *loop_,
+                   [this]
+                   {
+                       for ( auto* const each : std::set( open_ ) )
+                           each->give_up(
+                               problem_reply( stopped_meanwhile() ) );
+                   } );
+        wait_for_callers( last_answers_limit );
     }
 
     [[nodiscard]] auto limits() const -> exchange::caller_limits override
@@ -199,7 +234,7 @@
         auto const reply =
             std::make_shared<reply_channel>( loop_, std::move( answer ) );
         auto work = std::make_shared<request_in_work>(
-            std::move( request.body_memory ), reply );
+            std::move( request.body_memory ), reply, open_ );
         auto const received =
             std::make_shared<asio::raw_request>( std::move( request ) );
         handlers_.add();
@@ -213,6 +248,14 @@
     }
 
 private:
+    auto wait_for_callers( core::duration limit ) -> void
+    {
+        auto const end = std::chrono::steady_clock::now() + limit;
+        while ( connections_after_stop() > 0 &&
+                std::chrono::steady_clock::now() < end )
+            std::this_thread::sleep_for( close_poll_period );
+    }
+
     auto connections_after_stop() -> std::size_t
     {
         auto count = std::promise<std::size_t>{};
@@ -283,6 +326,7 @@
     std::vector<route> const& routes_;
     std::size_t max_body_size_;
     std::shared_ptr<net::io_context> loop_;
+    std::set<request_in_work*> open_; ///< without a complete reply
     asio::caller_listener listener_;
     running_handlers handlers_;
     std::thread thread_;
--- a/src/pollenstream/adapters/http/listener.hpp
+++ b/src/pollenstream/adapters/http/listener.hpp
@@ -56,7 +56,8 @@
     /// Throws if the address is in use or is not there; may be tried again.
     auto open() -> void;
     /// Accepts nothing more and closes, once handlers have returned and callers
-    /// have taken their answers; callers have two seconds for that.
+    /// have taken their answers. After two seconds requests without a reply are
+    /// told that they may have run.
     auto close() -> void;
 
 private:
--- a/src/pollenstream/adapters/http/reply_channel.cpp
+++ b/src/pollenstream/adapters/http/reply_channel.cpp
@@ -37,6 +37,12 @@
         } );
 }
 
+auto reply_channel::send_if_none( exchange::whole_answer reply ) -> void
+{
+    if ( !has_reply_ )
+        send( std::move( reply ) );
+}
+
 auto reply_channel::send_json( web::json::value const& body ) -> void
 {
     send( json_reply( status_ok, body ) );
--- a/src/pollenstream/adapters/http/reply_channel.hpp
+++ b/src/pollenstream/adapters/http/reply_channel.hpp
@@ -27,6 +27,8 @@
     auto operator=( reply_channel const& ) -> reply_channel& = delete;
 
     auto send( exchange::whole_answer reply ) -> void;
+    /// Does nothing if there is a reply, or the begin of one.
+    auto send_if_none( exchange::whole_answer reply ) -> void;
     /// Sends `body` as JSON with status 200.
     auto send_json( web::json::value const& body ) -> void;
     /// Starts a reply whose body follows in pieces.
