--- a/scripts/recover_scenario.py
+++ b/scripts/recover_scenario.py
@@ -70,7 +70,8 @@
                     down_s=0.5 + draw.random(),
                     trouble_after_s=-0.8 + 2.2 * draw.random(),
                     lost_runners=draw.choice(RUNNERS_LOST),
-                    held_port=draw.choice(["", "", *PORTS]))
+                    held_port=draw.choice(["", "", *PORTS]),
+                    heads_alone=draw.choice(["", "", "store", "all"]))
         return dataclasses.replace(plan, **chosen)
 
     def usual(self):
