--- a/scripts/soak_processes.py
+++ b/scripts/soak_processes.py
@@ -23,6 +23,7 @@
 
 import cut_heads_scenario
 import endless_answers_scenario
+import endless_requests_scenario
 import frozen_reader_scenario
 import late_start_scenario
 import long_prompts_scenario
@@ -655,6 +656,7 @@
              "fatal-parts": fatal_parts,
              "cut-heads": played_by(cut_heads_scenario),
              "endless-answers": played_by(endless_answers_scenario),
+             "endless-requests": played_by(endless_requests_scenario),
              "late-start": played_by(late_start_scenario),
              "long-prompts": played_by(long_prompts_scenario),
              "planned-stop": played_by(planned_stop_scenario),
