--- a/apps/tool/caller.cpp
+++ b/apps/tool/caller.cpp
@@ -141,6 +141,8 @@
             return read_events( bytes );
         auto const room = max_error_bytes - result_.error_text.size();
         result_.error_text += bytes.substr( 0, room );
+        if ( result_.error_text.size() == max_error_bytes )
+            throw std::length_error( "the reason is too long" );
     }
     auto on_end( http::call_end const& end ) -> void override
     {
