--- a/apps/tool/caller.cpp
+++ b/apps/tool/caller.cpp
@@ -116,7 +116,7 @@
         std::cout << text << std::flush;
 }
 
-/// What came of one prompt.
+/// Status, body and end of the answer to one prompt.
 struct prompt_result
 {
     http::call_end end;
--- a/src/pollenstream/adapters/http/call_client.cpp
+++ b/src/pollenstream/adapters/http/call_client.cpp
@@ -111,7 +111,7 @@
     }
 
 private:
-    /// What the listener has not taken yet.
+    /// Parts of the answer that were received and not yet given to the listener.
     struct undelivered
     {
         std::optional<call_head> head;
