--- a/src/pollenstream/adapters/http/call_client.cpp
+++ b/src/pollenstream/adapters/http/call_client.cpp
@@ -111,7 +111,7 @@
     }
 
 private:
-    /// Parts of the answer that were received and not yet given to the listener.
+    /// Parts of the answer that the listener has yet to be given.
     struct undelivered
     {
         std::optional<call_head> head;
