Connections that hold nothing keep their place when memory is short

What callers saw: where memory was short, refusals were lost and requests on kept connections met a closed connection.

Cause: `connection_accounts::reclaim` also chose connections that held nothing but their own 4 KiB, and `caller_connection` closed those that were idle or lingered after a refusal that the caller had not read yet.

Ruled out: closing idle connections last instead of never. A request may be on its way on any of them, and 4 KiB each are no help to a body. So that idle connections cannot use up the memory themselves, connections alone take half of it at most; beyond that they give way as for descriptors.

--- a/src/pollenstream/adapters/asio/caller_connection.cpp
+++ b/src/pollenstream/adapters/asio/caller_connection.cpp
@@ -284,8 +284,6 @@
 auto caller_connection::give_memory_back() -> void
 {
     auto const self = shared_from_this();
-    if ( phase_ == phase::idle || phase_ == phase::lingering )
-        return close();
     auto const head = reader_.head();
     reader_.discard();
     refuse( owner_.handler_.refuse_unread( head ) );
--- a/src/pollenstream/adapters/asio/connection_accounts.cpp
+++ b/src/pollenstream/adapters/asio/connection_accounts.cpp
@@ -21,6 +21,9 @@
 /// A request of so many bytes is small.
 constexpr auto small_request_bytes = std::size_t{ 32 } * 1024;
 constexpr auto report_period = core::duration( 1s );
+/// The part of the memory that connections without any request may take, as a
+/// divisor. Nobody has to give way for the memory of idle connections then.
+constexpr auto parts_with_one_for_connections = std::size_t{ 2 };
 
 /// A connection that may have to give way.
 struct candidate
@@ -40,7 +43,11 @@
     std::shared_ptr<core::memory_budget> memory,
     std::size_t max_connections,
     clock now )
-    : memory_( std::move( memory ) ), max_connections_( max_connections ),
+    : memory_( std::move( memory ) ),
+      max_connections_(
+          std::min( max_connections, memory_->max_bytes() /
+                                         parts_with_one_for_connections /
+                                         connection_bytes ) ),
       now_( std::move( now ) )
 {
     memory_->set_reclaimer( this );
@@ -105,12 +112,12 @@
     for ( auto* const account : accounts_ )
     {
         auto const idle = account->idle_at( now );
-        if ( account == claiming_ || idle < min_idle ||
-             !account->owner_.can_give_way() )
+        if ( account == claiming_ || account->held_bytes_ == 0 ||
+             idle < min_idle || !account->owner_.can_give_way() )
             continue;
-        auto const held = account->held_bytes_ + connection_bytes;
-        candidates.push_back( { account, static_cast<double>( held ) *
-                                             core::seconds_of( idle ) } );
+        candidates.push_back(
+            { account, static_cast<double>( account->held_bytes_ ) *
+                           core::seconds_of( idle ) } );
     }
     std::sort( candidates.begin(), candidates.end(), by_byte_seconds );
     for ( auto const& each : candidates )
--- a/src/pollenstream/adapters/asio/connection_accounts.hpp
+++ b/src/pollenstream/adapters/asio/connection_accounts.hpp
@@ -57,9 +57,9 @@
 
 /// Counts the descriptors and the memory that the connections at all ports of a
 /// process take, with everything that they have received. Where either is used
-/// up, the connections give way that have made no progress for
-/// the longest time and, for memory, hold the most. Belongs to the thread of
-/// one event loop.
+/// up, the connections give way that have made no progress for the longest time
+/// and, for memory, hold the most; those that hold nothing never do for memory.
+/// Belongs to the thread of one event loop.
 class connection_accounts : public core::memory_reclaimer
 {
 public:
@@ -69,7 +69,8 @@
     using clock = std::function<steady_clock::time_point()>;
 
     /// `memory`: for what callers send, from its first byte until the request
-    /// is answered. `max_connections`: at all ports together.
+    /// is answered. `max_connections`: at all ports together; fewer if their
+    /// own memory were more than half of it.
     connection_accounts( std::shared_ptr<core::memory_budget> memory,
                          std::size_t max_connections,
                          clock now = steady_clock::now );
--- a/tests/adapters/connection_accounts_test.cpp
+++ b/tests/adapters/connection_accounts_test.cpp
@@ -59,7 +59,13 @@
 
 struct accounts_fixture
 {
-    accounts_fixture()
+    explicit accounts_fixture( std::size_t connections = max_connections )
+        : accounts( std::make_shared<asio::connection_accounts>( memory,
+                                                                 connections,
+                                                                 [this]
+                                                                 {
+                                                                     return now;
+                                                                 } ) )
     {
         accounts->on_shortage = [this]( auto const& report )
         {
@@ -75,13 +81,7 @@
     std::chrono::steady_clock::time_point now{ 1h };
     std::shared_ptr<core::memory_budget> memory{
         std::make_shared<core::memory_budget>( budget_bytes ) };
-    std::shared_ptr<asio::connection_accounts> accounts{
-        std::make_shared<asio::connection_accounts>( memory,
-                                                     max_connections,
-                                                     [this]
-                                                     {
-                                                         return now;
-                                                     } ) };
+    std::shared_ptr<asio::connection_accounts> accounts;
     std::deque<connection> all;
     std::vector<asio::shortage_report> reports;
 };
@@ -220,6 +220,38 @@
     CHECK( f.memory->used_bytes() == asio::connection_bytes + 100 * kilobyte );
 }
 
+TEST_CASE( "a connection that holds nothing keeps its place",
+           "[connection_accounts]" )
+{
+    auto f = accounts_fixture{};
+    auto& idle = f.connect();
+    auto& refused = f.connect();
+    REQUIRE( refused.account.hold( 100 * kilobyte ) );
+    refused.account.release();
+    f.now += long_pause;
+    CHECK_FALSE( f.connect().account.hold( 2 * megabyte ) );
+    CHECK( idle.refused == 0 );
+    CHECK( refused.refused == 0 );
+    CHECK( f.accounts->gave_way() == 0 );
+}
+
+TEST_CASE( "connections leave half of the memory to requests",
+           "[connection_accounts]" )
+{
+    auto f = accounts_fixture{ budget_bytes / asio::connection_bytes };
+    auto const half = budget_bytes / asio::connection_bytes / 2;
+    for ( auto i = std::size_t{ 0 }; i < half; ++i )
+    {
+        f.connect();
+        f.now += short_pause;
+    }
+    CHECK( f.accounts->gave_way() == 0 );
+    auto& last = f.connect();
+    CHECK( f.all[0].closed == 1 );
+    CHECK( f.accounts->connections() == half );
+    CHECK( last.account.hold( 400 * kilobyte ) );
+}
+
 TEST_CASE( "the connection without progress for longest gives its descriptor",
            "[connection_accounts]" )
 {
