A caller that does not take its answer gives its place to another

What callers saw: where all places for connections were taken by callers that had asked for something and did not read the answer, or the refusal, others were closed as they came until the kernel gave those up (4 s without an acknowledgement; never for a caller that acknowledges a byte now and then).

Cause: `can_give_way` was false while any byte was unsent, of other instances' connections too. That keeps an answer for a caller who reads, and also for one who does not.

Change: an answer that is whole protects its connection while its caller takes some of it at least every 250 ms, the pause after which the account of unsent answers takes a caller for stalled too. A request in work is protected as before. A refused connection that waits for its caller to close counts as the latest to make progress, so that a refusal can still be read. For memory, such a connection is closed: who does not take its answer would not take a refusal.

Ruled out: a timer of our own for each answer; it would end callers that pause in calm.

Evidence: "a caller that does not take its answer gives its place to another" (unread_answers_test) failed on (0 of 1 answers read, nobody gave way) and holds.

--- a/src/pollenstream/adapters/asio/caller_connection.cpp
+++ b/src/pollenstream/adapters/asio/caller_connection.cpp
@@ -277,13 +277,19 @@
 
 auto caller_connection::can_give_way() const -> bool
 {
-    return phase_ != phase::answering && phase_ != phase::closed &&
-           unsent_bytes() == 0;
+    auto const is_in_work = phase_ == phase::answering && !finish_after_write_;
+    if ( is_in_work || phase_ == phase::closed )
+        return false;
+    return unsent_bytes() == 0 ||
+           is_stalled( *this, std::chrono::steady_clock::now() );
 }
 
 auto caller_connection::give_memory_back() -> void
 {
     auto const self = shared_from_this();
+    // Who does not take its answer would not take a refusal either.
+    if ( unsent_bytes() > 0 )
+        return close();
     auto const head = reader_.head();
     reader_.discard();
     refuse( owner_.handler_.refuse_unread( head ) );
@@ -375,6 +381,7 @@
     auto ec = error_code{};
     socket_.shutdown( tcp::socket::shutdown_send, ec );
     reader_.discard();
+    account_.note_progress();
     start_timer( linger_time );
     read();
 }
--- a/src/pollenstream/adapters/asio/connection_accounts.hpp
+++ b/src/pollenstream/adapters/asio/connection_accounts.hpp
@@ -20,7 +20,8 @@
 {
 public:
     virtual ~accounted_connection() = default;
-    /// False while a request of the connection is being answered.
+    /// False while a request of the connection is being answered, or its caller
+    /// takes the answer.
     [[nodiscard]] virtual auto can_give_way() const -> bool = 0;
     /// Refuses the request that is being received as not run, and releases its
     /// memory.
--- a/src/pollenstream/adapters/asio/unsent_answers.cpp
+++ b/src/pollenstream/adapters/asio/unsent_answers.cpp
@@ -18,6 +18,12 @@
 
 }
 
+auto is_stalled( unsent_answer const& answer, steady_clock::time_point now )
+    -> bool
+{
+    return now - answer.stalled_since() >= min_stall;
+}
+
 unsent_answers::unsent_answers( std::shared_ptr<core::memory_budget> budget )
     : budget_( std::move( budget ) )
 {
@@ -34,7 +40,7 @@
     auto const now = steady_clock::now();
     auto stalled = std::vector<unsent_share*>{};
     for ( auto* const share : shares_ )
-        if ( now - share->owner_.stalled_since() >= min_stall )
+        if ( is_stalled( share->owner_, now ) )
             stalled.push_back( share );
     std::sort( stalled.begin(), stalled.end(),
                []( auto const* a, auto const* b )
--- a/src/pollenstream/adapters/asio/unsent_answers.hpp
+++ b/src/pollenstream/adapters/asio/unsent_answers.hpp
@@ -31,6 +31,11 @@
     [[nodiscard]] virtual auto caller() const -> std::string = 0;
 };
 
+/// True if the caller has taken nothing for so long that it is not only slow.
+[[nodiscard]] auto is_stalled( unsent_answer const& answer,
+                               std::chrono::steady_clock::time_point now )
+    -> bool;
+
 /// The connections with bytes that their callers have not taken. Where the
 /// memory for them is used up, those whose callers have taken nothing for the
 /// longest time are closed, so that callers who read get their answers.
--- a/src/pollenstream/adapters/thrift/frame_connection.cpp
+++ b/src/pollenstream/adapters/thrift/frame_connection.cpp
@@ -218,7 +218,10 @@
 
 auto frame_connection::can_give_way() const -> bool
 {
-    return !is_working_ && !is_closed_;
+    if ( is_closed_ || !is_working_ )
+        return !is_closed_;
+    return !writing_.empty() &&
+           is_stalled( *this, std::chrono::steady_clock::now() );
 }
 
 /// The protocol has no answer that refuses a call.
--- a/tests/adapters/unread_answers_test.cpp
+++ b/tests/adapters/unread_answers_test.cpp
@@ -46,6 +46,19 @@
 
 struct answers_fixture
 {
+    /// `max_connections`: any number if it is zero.
+    explicit answers_fixture( std::size_t memory_bytes = 8 * answer_bytes,
+                              std::size_t max_connections = 0 )
+        : memory( std::make_shared<core::memory_budget>( memory_bytes ) ),
+          accounts(
+              max_connections == 0
+                  ? nullptr
+                  : std::make_shared<asio::connection_accounts>(
+                        std::make_shared<core::memory_budget>( answer_bytes ),
+                        max_connections ) )
+    {
+    }
+
     /// Asks on a connection of its own, which stays open, and reads the answer.
     auto ask_and_read() -> void
     {
@@ -82,12 +95,12 @@
 
     net::io_context io;
     long_answers handler;
-    std::shared_ptr<core::memory_budget> memory{
-        std::make_shared<core::memory_budget>( 8 * answer_bytes ) };
+    std::shared_ptr<core::memory_budget> memory;
+    std::shared_ptr<asio::connection_accounts> accounts;
     std::shared_ptr<asio::unsent_answers> unsent{
         std::make_shared<asio::unsent_answers>( memory ) };
     asio::caller_listener listener{
-        io, { "127.0.0.1", 0 }, handler, {}, unsent };
+        io, { "127.0.0.1", 0 }, handler, accounts, unsent };
     asio::http_client client{ io, 4 * answer_bytes };
     std::vector<std::unique_ptr<asio::tcp::socket>> silent;
     int calls{ 0 };
@@ -170,3 +183,26 @@
     CHECK( f.unsent->dropped() > 0 );
     CHECK( got >= answer_bytes );
 }
+
+TEST_CASE( "a caller that does not take its answer gives its place to another",
+           "[caller_listener][descriptors]" )
+{
+    // Longer than the pause of a caller that is only slow.
+    constexpr auto long_stall = std::chrono::milliseconds( 400 );
+    constexpr auto places = 4;
+    auto f = answers_fixture{ callers * answer_bytes, places };
+    for ( auto i = 0; i < places; ++i )
+        f.ask_only();
+    f.run_for( long_stall );
+    REQUIRE( f.handler.answered == places );
+    REQUIRE( f.unsent->unsent_bytes() > 0 );
+
+    f.ask_and_read();
+    run_until( f.io,
+               [&]
+               {
+                   return f.read == 1;
+               } );
+    CHECK( f.read == 1 );
+    CHECK( f.accounts->gave_way() == 1 );
+}
