A connection of an instance whose handler throws is closed

What callers saw: a handler of a connection at the Thrift port that throws, as without memory, left the connection open without a read and without a timer. It kept its descriptor until others needed it, and the other instance waited.

Cause: only the loop had a guard, which goes on with the next event.

Change: the connection's own handlers run in a guard that closes it. `run_guarded` tells whether the work has thrown.

Ruled out: to close it in the loop's guard, which does not know the connection.

--- a/src/pollenstream/adapters/thrift/frame_connection.cpp
+++ b/src/pollenstream/adapters/thrift/frame_connection.cpp
@@ -1,4 +1,5 @@
 #include <pollenstream/adapters/asio/socket_options.hpp>
+#include <pollenstream/adapters/system/guarded.hpp>
 #include <pollenstream/adapters/thrift/frame_connection.hpp>
 #include <pollenstream/adapters/thrift/frame_limits.hpp>
 #include <pollenstream/core/address.hpp>
@@ -46,7 +47,23 @@
 {
 }
 
+template <class Handler>
+auto frame_connection::run_handler( Handler const& handler ) -> void
+{
+    if ( !system::run_guarded( "a connection of an instance", handler ) )
+        close();
+}
+
 auto frame_connection::start() -> void
+{
+    run_handler(
+        [this]
+        {
+            begin();
+        } );
+}
+
+auto frame_connection::begin() -> void
 {
     socket_.non_blocking( true );
     asio::set_up_connection( socket_, ack_timeout );
@@ -58,7 +75,11 @@
     socket_.async_wait( asio::tcp::socket::wait_read,
                         [self = shared_from_this()]( asio::error_code ec )
                         {
-                            self->on_readable( ec );
+                            self->run_handler(
+                                [&]
+                                {
+                                    self->on_readable( ec );
+                                } );
                         } );
 }
 
@@ -156,7 +177,11 @@
     net::post( socket_.get_executor(),
                [self = shared_from_this(), text = std::move( text )]
                {
-                   self->start_write( text );
+                   self->run_handler(
+                       [&]
+                       {
+                           self->start_write( text );
+                       } );
                } );
 }
 
@@ -181,7 +206,11 @@
         net::buffer( writing_ ) + written_bytes_,
         [self = shared_from_this()]( asio::error_code ec, std::size_t n )
         {
-            self->on_written( ec, n );
+            self->run_handler(
+                [&]
+                {
+                    self->on_written( ec, n );
+                } );
         } );
 }
 
--- a/src/pollenstream/adapters/thrift/frame_connection.hpp
+++ b/src/pollenstream/adapters/thrift/frame_connection.hpp
@@ -60,6 +60,11 @@
     static constexpr auto length_bytes = std::size_t{ 4 };
     static constexpr auto read_bytes = std::size_t{ 16 } * 1024;
 
+    /// Runs `handler` of the event loop. The connection ends if it throws: it
+    /// would neither be read nor closed any more.
+    template <class Handler>
+    auto run_handler( Handler const& handler ) -> void;
+    auto begin() -> void;
     auto read() -> void;
     auto on_readable( asio::error_code ec ) -> void;
     [[nodiscard]] auto read_some( asio::error_code& ec ) -> std::size_t;
