The rest of a shortage is logged when it is over

The counters had all.

Cause: `connection_accounts::report` writes at most once a second and was only called by the next event.

Change: `report_rest` is called by the gateway's tick and by a timer of the daemon's loop; it writes what was held back once a second has passed, so that the number of lines stays bounded.

Evidence: a new case of connection_accounts_test: of 50 refusals, 49 are reported a second later, once. `report_rest` is new, so that the case cannot run on the code before.

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -375,6 +375,7 @@
     load_table_.set_learns_speeds( group_.coordinator_position().has_value(),
                                    now );
     load_table_.expire_slowdowns( now );
+    connection_accounts_->report_rest();
 }
 
 /// Records how long another instance has known of a later revision, and whom
--- a/src/pollenstream/adapters/asio/connection_accounts.cpp
+++ b/src/pollenstream/adapters/asio/connection_accounts.cpp
@@ -45,9 +45,9 @@
     clock now )
     : memory_( std::move( memory ) ),
       max_connections_(
-          std::min( max_connections, memory_->max_bytes() /
-                                         parts_with_one_for_connections /
-                                         connection_bytes ) ),
+          std::min( max_connections,
+                    memory_->max_bytes() / parts_with_one_for_connections /
+                        connection_bytes ) ),
       now_( std::move( now ) )
 {
     memory_->set_reclaimer( this );
@@ -156,6 +156,12 @@
     report();
 }
 
+auto connection_accounts::report_rest() -> void
+{
+    if ( unreported_.refused > 0 || unreported_.gave_way > 0 )
+        report();
+}
+
 auto connection_accounts::report() -> void
 {
     auto const now = now_();
--- a/src/pollenstream/adapters/asio/connection_accounts.hpp
+++ b/src/pollenstream/adapters/asio/connection_accounts.hpp
@@ -85,6 +85,8 @@
     auto reclaim( std::size_t bytes ) -> void override;
     /// A request was refused for want of memory.
     auto note_refused() -> void;
+    /// Reports the rest of a shortage that is over; to be called now and then.
+    auto report_rest() -> void;
 
     [[nodiscard]] auto connections() const -> std::size_t
     {
--- a/src/pollenstream/adapters/http/listening_loop.cpp
+++ b/src/pollenstream/adapters/http/listening_loop.cpp
@@ -4,6 +4,7 @@
 
 #include <glog/logging.h>
 
+#include <chrono>
 #include <future>
 #include <string>
 #include <utility>
@@ -18,6 +19,7 @@
 constexpr auto received_eighths = std::size_t{ 3 };
 constexpr auto unsent_eighths = std::size_t{ 2 };
 constexpr auto log_period_s = 1;
+constexpr auto report_period = std::chrono::seconds( 1 );
 
 /// One line for the callers that were dropped within a second.
 auto log_dropped( std::string const& caller,
@@ -54,10 +56,12 @@
           limits.connections ) ),
       unsent_( std::make_shared<asio::unsent_answers>(
           std::make_shared<core::memory_budget>( limits.unsent_bytes ) ) ),
-      work_( asio::net::make_work_guard( *context_ ) )
+      work_( asio::net::make_work_guard( *context_ ) ),
+      report_timer_( *context_ )
 {
     accounts_->on_shortage = log_shortage;
     unsent_->on_dropped = log_dropped;
+    report_shortages();
     thread_ = std::thread(
         [this]
         {
@@ -82,6 +86,19 @@
                              } );
 }
 
+auto listening_loop::report_shortages() -> void
+{
+    report_timer_.expires_after( report_period );
+    report_timer_.async_wait(
+        [this]( asio::error_code ec )
+        {
+            if ( ec )
+                return;
+            report_shortages();
+            accounts_->report_rest();
+        } );
+}
+
 auto listening_loop::usage() -> connection_usage
 {
     auto usage = connection_usage{};
--- a/src/pollenstream/adapters/http/listening_loop.hpp
+++ b/src/pollenstream/adapters/http/listening_loop.hpp
@@ -77,11 +77,13 @@
 
 private:
     auto run() -> void;
+    auto report_shortages() -> void;
 
     std::shared_ptr<asio::net::io_context> context_;
     std::shared_ptr<asio::connection_accounts> accounts_;
     std::shared_ptr<asio::unsent_answers> unsent_;
     asio::net::executor_work_guard<asio::net::io_context::executor_type> work_;
+    asio::net::steady_timer report_timer_;
     std::thread thread_;
 };
 
--- a/tests/adapters/connection_accounts_test.cpp
+++ b/tests/adapters/connection_accounts_test.cpp
@@ -296,3 +296,21 @@
     REQUIRE( f.reports.size() == 2 );
     CHECK( f.reports[1].refused == 50 );
 }
+
+TEST_CASE( "the rest of a shortage is reported once it is over",
+           "[connection_accounts]" )
+{
+    auto f = accounts_fixture{};
+    for ( auto i = std::size_t{ 0 }; i < max_connections; ++i )
+        f.connect().is_answering = true;
+    for ( auto i = 0; i < 50; ++i )
+        CHECK_FALSE( f.accounts->admit() );
+    f.accounts->report_rest();
+    CHECK( f.reports.size() == 1 );
+    f.now += 1s;
+    f.accounts->report_rest();
+    f.now += 1s;
+    f.accounts->report_rest();
+    REQUIRE( f.reports.size() == 2 );
+    CHECK( f.reports[1].refused == 49 );
+}
