A trailer is not handed on as a field of the head

What targets saw: the fields of a chunked body's trailer arrived among those of the head, which had been checked without them. The standard forbids to merge fields whose definition does not allow it.

Cause: the parser adds trailers to its fields, and the request was made from these at its end. Their memory was counted there as well, after it was taken.

Change: the request's head is what was there when the head was complete, which also saves building it twice. Trailers stay with the parser and end with it.

Evidence: "a trailer is not handed on with the head" (requests_in_pieces_test) failed on with X-Late among the fields, cut in two ways, and holds.

--- a/src/pollenstream/adapters/asio/request_reader.cpp
+++ b/src/pollenstream/adapters/asio/request_reader.cpp
@@ -55,8 +55,8 @@
 {
     limits_ = limits;
     parser_.reset();
+    head_.reset();
     head_bytes_ = 0;
-    is_head_done_ = false;
 }
 
 auto request_reader::parser() -> parser_type&
@@ -91,9 +91,9 @@
     consume( used );
     if ( ec && ec != http::error::need_more )
         return step_after_error( ec );
-    if ( reading.is_header_done() && !is_head_done_ )
+    if ( reading.is_header_done() && !head_ )
     {
-        is_head_done_ = true;
+        head_ = parsed_head();
         head_bytes_ = bytes_of( reading.get().base() );
         return hold_all() ? read_step::head : read_step::no_memory;
     }
@@ -141,6 +141,7 @@
 auto request_reader::discard() -> void
 {
     parser_.reset();
+    head_.reset();
     head_bytes_ = 0;
     consumed_ = 0;
     std::string().swap( unread_ );
@@ -154,6 +155,11 @@
 }
 
 auto request_reader::head() const -> raw_request
+{
+    return head_ ? *head_ : parsed_head();
+}
+
+auto request_reader::parsed_head() const -> raw_request
 {
     auto request = raw_request{};
     if ( !parser_ )
@@ -169,9 +175,7 @@
 
 auto request_reader::take_request() -> raw_request
 {
-    // A trailer adds to the fields.
-    head_bytes_ = bytes_of( parser_->get().base() );
-    auto request = head();
+    auto request = std::exchange( head_, std::nullopt ).value();
     auto const bytes = request_bytes();
     request.body = parser_->get().body().release();
     parser_.reset();
--- a/src/pollenstream/adapters/asio/request_reader.hpp
+++ b/src/pollenstream/adapters/asio/request_reader.hpp
@@ -76,13 +76,14 @@
     }
     /// The head without the body.
     [[nodiscard]] auto head() const -> raw_request;
-    /// The whole request, with the memory that it takes.
+    /// The whole request without trailers, with the memory that it takes.
     [[nodiscard]] auto take_request() -> raw_request;
 
 private:
     using parser_type = http::request_parser<received_body>;
 
     auto parser() -> parser_type&;
+    [[nodiscard]] auto parsed_head() const -> raw_request;
     auto consume( std::size_t bytes ) -> void;
     auto refuse( int status, std::string reason ) -> read_step;
     auto step_after_error( error_code ec ) -> read_step;
@@ -95,8 +96,9 @@
     std::string unread_;
     std::size_t consumed_{ 0 }; ///< of `unread_`
     std::optional<parser_type> parser_;
+    /// As it was when it was complete: a trailer would add to the parser's.
+    std::optional<raw_request> head_;
     std::size_t head_bytes_{ 0 };
-    bool is_head_done_{ false };
     read_refusal refusal_;
 };
 
--- a/tests/adapters/requests_in_pieces_test.cpp
+++ b/tests/adapters/requests_in_pieces_test.cpp
@@ -16,7 +16,7 @@
 namespace
 {
 
-/// Answers each request with its body.
+/// Answers each request with its body, and notes its fields.
 class echo_handler : public asio::request_handler
 {
 public:
@@ -28,18 +28,21 @@
                  std::shared_ptr<exchange::answer_channel> answer )
         -> std::shared_ptr<asio::request_in_progress> override
     {
+        fields = request.fields;
         answer->send_whole( { 200, {}, request.body } );
         return nullptr;
     }
+
+    exchange::header_list fields;
 };
 
 /// What a listener answers to a request that arrives in two pieces.
-auto answer_to_pieces( std::string const& first, std::string const& second )
-    -> std::string
+auto answer_to_pieces( echo_handler& handler,
+                       std::string const& first,
+                       std::string const& second ) -> std::string
 {
     constexpr auto pause = 3ms;
     auto io = asio::net::io_context{};
-    auto handler = echo_handler{};
     auto const listener =
         asio::caller_listener( io, { "127.0.0.1", 0 }, handler );
     auto socket = asio::tcp::socket( io );
@@ -77,10 +80,29 @@
         for ( auto at = std::size_t{ 1 }; at < request.size(); ++at )
         {
             INFO( request << " cut at " << at );
-            auto const answer = answer_to_pieces( request.substr( 0, at ),
-                                                  request.substr( at ) );
+            auto handler = echo_handler{};
+            auto const answer = answer_to_pieces(
+                handler, request.substr( 0, at ), request.substr( at ) );
             CHECK_THAT( answer, Catch::StartsWith( "HTTP/1.1 200" ) );
             CHECK_THAT( answer, Catch::EndsWith( "body" ) );
         }
     }
 }
+
+TEST_CASE( "a trailer is not handed on with the head",
+           "[caller_listener][pieces]" )
+{
+    auto handler = echo_handler{};
+    auto const head = std::string( "POST / HTTP/1.1\r\nHost: h\r\n"
+                                   "Transfer-Encoding: chunked\r\n\r\n" );
+    auto const body = std::string( "4\r\nbody\r\n0\r\nX-Late: value\r\n\r\n" );
+    auto const at = GENERATE( std::size_t{ 0 }, std::size_t{ 9 } );
+    CHECK_THAT( answer_to_pieces( handler, head + body.substr( 0, at ),
+                                  body.substr( at ) ),
+                Catch::EndsWith( "body" ) );
+    auto names = std::vector<std::string>{};
+    for ( auto const& field : handler.fields )
+        names.push_back( field.name );
+    CHECK_THAT( names, Catch::Equals( std::vector<std::string>{
+                           "Host", "Transfer-Encoding" } ) );
+}
