The daemon refuses settings whose bodies would outgrow its memory

What operators saw: a `largest_body_bytes` that is large beside `memory_mb` raised the account of connections above its part, up to more than the memory. One caller's body could then end the process.

Cause: two of the largest bodies are allowed in any case, and the two settings were not checked against each other.

Change: `memory_mb` has to be enough for four of the largest bodies. Settings without `memory_mb` stay valid: the largest body that may be set is a quarter of the default.

Evidence: the new case of daemon_settings_test failed on (no finding) and holds.

--- a/src/pollenstream/settings/daemon_settings.cpp
+++ b/src/pollenstream/settings/daemon_settings.cpp
@@ -19,6 +19,8 @@
 constexpr auto megabyte = std::size_t{ 1024 } * 1024;
 constexpr auto default_memory_mb = 1'024;
 constexpr auto max_memory_mb = 1'048'576;
+/// Two such bodies may be received at once, beside all else.
+constexpr auto largest_bodies_in_memory = std::size_t{ 4 };
 constexpr auto default_threads = 6;
 constexpr auto max_threads = 256;
 constexpr auto min_threads = 2;
@@ -57,6 +59,9 @@
     into.memory = static_cast<std::size_t>( reader.number(
                       "memory_mb", default_memory_mb, 64, max_memory_mb ) ) *
                   megabyte;
+    if ( into.largest_body > into.memory / largest_bodies_in_memory )
+        reader.report_error( "memory_mb",
+                             "is not enough for four of the largest bodies" );
     into.threads = static_cast<int>(
         reader.number( "threads", default_threads, min_threads, max_threads ) );
     into.load_polls_per_second =
--- a/tests/settings/daemon_settings_test.cpp
+++ b/tests/settings/daemon_settings_test.cpp
@@ -91,3 +91,22 @@
     CHECK_THAT( findings_of( limits + "memory_mb = 1\n" ).report(),
                 Catch::Contains( "limits.memory_mb" ) );
 }
+
+TEST_CASE( "four of the largest bodies have to fit into the memory",
+           "[settings]" )
+{
+    auto const largest = []( std::string const& bytes )
+    {
+        return std::string( valid_settings ) +
+               "[limits]\nmemory_mb = 128\nlargest_body_bytes = " + bytes +
+               "\n";
+    };
+    CHECK( findings_of( largest( "33554432" ) ).report().empty() );
+    CHECK_THAT( findings_of( largest( "33554433" ) ).report(),
+                Catch::Contains( "limits.memory_mb: is not enough" ) );
+    // The largest body that there may be is within the default.
+    CHECK( findings_of( std::string( valid_settings ) +
+                        "[limits]\nlargest_body_bytes = 268435456\n" )
+               .report()
+               .empty() );
+}
