An instance heard from its own address takes the place of a made-up one

What callers saw: after datagrams in the names of 4,096 made-up instances, an instance that started was not heard by the others as long as those were repeated, and got no part of limits and placements.

Cause: `peer_table::apply_message` refused the newcomer where all places were taken; nothing told who gives way.

Change: the table knows which instances were heard from their own address, the last one for each address. Where all places are taken, such an instance takes the place of the one that was not and has not been heard for the longest time. A sender of datagrams with one address confirms one name. The socket hands on the address that a datagram came from; what is only relayed by others stays valid and is confirmed by its own first message.

Ruled out: to trust addresses that the store lists, as the keeper writes them from what it has heard; and to drop datagrams from other addresses, as coordinators relay the state of others.

A full table of confirmed instances refuses newcomers as before.

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -309,9 +309,9 @@
         return;
     has_begun_ = true;
     datagrams_.start(
-        [this]( std::string_view bytes )
+        [this]( std::string_view bytes, std::string const& from )
         {
-            group_.on_datagram( bytes );
+            group_.on_datagram( bytes, from );
         } );
     group_.start();
     registry_.start_following();
--- a/apps/gateway/node_metrics.cpp
+++ b/apps/gateway/node_metrics.cpp
@@ -219,6 +219,8 @@
                  node.group.sent().bytes.value() );
     write_count( out, "pollenstream_peers_refused_total", "",
                  node.group.refused_peers() );
+    write_count( out, "pollenstream_peers_replaced_total", "",
+                 node.group.replaced_peers() );
     constexpr auto kinds =
         static_cast<int>( platform::store_call::number_of_kinds );
     for ( auto i = 0; i < kinds; ++i )
--- a/src/pollenstream/adapters/asio/datagram_socket.cpp
+++ b/src/pollenstream/adapters/asio/datagram_socket.cpp
@@ -28,10 +28,9 @@
     return ec;
 }
 
-auto datagram_socket::start( std::function<void( std::string_view )> receiver )
-    -> void
+auto datagram_socket::start( receiver handler ) -> void
 {
-    receiver_ = std::move( receiver );
+    receiver_ = std::move( handler );
     receive();
 }
 
@@ -55,7 +54,7 @@
 {
     try
     {
-        receiver_( bytes );
+        receiver_( bytes, from_.address().to_string() );
     }
     catch ( std::exception const& )
     {
--- a/src/pollenstream/adapters/asio/datagram_socket.hpp
+++ b/src/pollenstream/adapters/asio/datagram_socket.hpp
@@ -18,13 +18,17 @@
 class datagram_socket : public peers::datagram_sender
 {
 public:
+    /// Called with each datagram and the IP address that it came from.
+    using receiver =
+        std::function<void( std::string_view bytes, std::string const& from )>;
+
     datagram_socket( net::io_context& io, core::address at );
 
     /// Fails if the address is in use or is not there; may be tried again then.
     /// Datagrams that are sent before are lost.
     [[nodiscard]] auto open() -> error_code;
-    /// Starts to receive; calls `receiver` with each datagram.
-    auto start( std::function<void( std::string_view )> receiver ) -> void;
+    /// Starts to receive; calls `handler` with each datagram.
+    auto start( receiver handler ) -> void;
     auto send( std::string const& ip, std::string const& bytes )
         -> void override;
 
@@ -50,7 +54,7 @@
     udp::socket socket_;
     udp::endpoint from_;
     std::array<char, max_datagram_bytes> buffer_{};
-    std::function<void( std::string_view )> receiver_;
+    receiver receiver_;
     core::counter send_errors_;
     core::counter dropped_;
 };
--- a/src/pollenstream/peers/peer_group.cpp
+++ b/src/pollenstream/peers/peer_group.cpp
@@ -483,13 +483,14 @@
         scheduler_.now() - which.last_heard } );
 }
 
-auto peer_group::on_datagram( std::string_view bytes ) -> void
+auto peer_group::on_datagram( std::string_view bytes,
+                              std::string const& from_ip ) -> void
 {
     auto decoded = decode( bytes );
     if ( decoded.has_error() || decoded.value().sender == self_.id )
         return;
     auto& message = decoded.value();
-    if ( !apply_sender_state( message ) )
+    if ( !apply_sender_state( message, from_ip ) )
         return;
     apply_silent_reports( message );
     apply_crashes( message );
@@ -501,6 +502,15 @@
         on_update( message.sender.str(), message.update );
 }
 
+/// What the removed instance has announced no longer counts.
+auto peer_group::note_replaced_peer( core::instance_id const& id ) -> void
+{
+    replaced_peers_.add();
+    load_table_.end_all_work( id, scheduler_.now() );
+    if ( handler_ != nullptr )
+        handler_->on_lost( id );
+}
+
 /// Logs the first; the counter has all.
 auto peer_group::note_refused_peer( peer_message const& message ) -> void
 {
@@ -517,10 +527,15 @@
 
 /// Returns false, and applies nothing, if the message is from an earlier
 /// process of the sender, or from one instance too many.
-auto peer_group::apply_sender_state( peer_message const& message ) -> bool
+auto peer_group::apply_sender_state( peer_message const& message,
+                                     std::string const& from_ip ) -> bool
 {
     auto const now = scheduler_.now();
-    auto const change = table_.apply_message( message, now );
+    auto const path =
+        message.ip == from_ip ? message_path::direct : message_path::relayed;
+    auto const change = table_.apply_message( message, path, now );
+    if ( change.replaced )
+        note_replaced_peer( *change.replaced );
     if ( change.is_refused )
         note_refused_peer( message );
     if ( change.is_stale || change.is_refused )
--- a/src/pollenstream/peers/peer_group.hpp
+++ b/src/pollenstream/peers/peer_group.hpp
@@ -112,7 +112,9 @@
     /// divided with it until an instance is heard there.
     auto add_seed_ip( std::string const& ip ) -> void;
 
-    auto on_datagram( std::string_view bytes ) -> void;
+    /// `from_ip`: the address that the datagram came from.
+    auto on_datagram( std::string_view bytes, std::string const& from_ip )
+        -> void;
 
     [[nodiscard]] auto peers() const -> peer_table::peer_map const&
     {
@@ -191,12 +193,17 @@
     /// the others.
     [[nodiscard]] auto is_warm_coordinator() const -> bool;
 
-    /// Datagrams and bytes that this instance has sent to others.
     /// Messages of instances beyond the number that is remembered.
     [[nodiscard]] auto refused_peers() const -> std::uint64_t
     {
         return refused_peers_.value();
     }
+    /// Instances that were forgotten to make room for others.
+    [[nodiscard]] auto replaced_peers() const -> std::uint64_t
+    {
+        return replaced_peers_.value();
+    }
+    /// Datagrams and bytes that this instance has sent to others.
     [[nodiscard]] auto sent() const -> sent_counters const&
     {
         return sent_;
@@ -225,7 +232,8 @@
     auto check_silent_peers() -> void;
     auto handle_lost_peer( core::instance_id const& id, std::string reason )
         -> void;
-    auto apply_sender_state( peer_message const& message ) -> bool;
+    auto apply_sender_state( peer_message const& message,
+                             std::string const& from_ip ) -> bool;
     auto apply_silent_reports( peer_message const& message ) -> void;
     auto apply_crashes( peer_message const& message ) -> void;
     auto apply_cleared( peer_message const& message ) -> void;
@@ -254,6 +262,7 @@
     auto reconcile_open_work( peer_message const& message ) -> bool;
     auto remember_address( std::string const& ip ) -> void;
     auto note_refused_peer( peer_message const& message ) -> void;
+    auto note_replaced_peer( core::instance_id const& id ) -> void;
     auto next_gossip_ips() -> std::vector<std::string>;
     [[nodiscard]] auto silent_to_report() const -> std::vector<silent_instance>;
     auto addresses() const -> std::vector<std::string>;
@@ -303,6 +312,7 @@
     mutable std::uint64_t peer_choices_{ 0 }; ///< by `better_informed_peer`
     sent_counters sent_;
     core::counter refused_peers_;
+    core::counter replaced_peers_;
     std::unique_ptr<ports::scheduled_call> flush_call_;
     ports::repeating_call heartbeats_;
     std::vector<std::unique_ptr<ports::scheduled_call>> retransmissions_;
--- a/src/pollenstream/peers/peer_table.cpp
+++ b/src/pollenstream/peers/peer_table.cpp
@@ -39,12 +39,18 @@
 {
 }
 
-auto peer_table::apply_message( peer_message const& message, core::instant now )
-    -> peer_change
+auto peer_table::apply_message( peer_message const& message,
+                                message_path path,
+                                core::instant now ) -> peer_change
 {
     auto change = peer_change{};
-    change.is_refused =
-        peers_.size() >= max_peers && !peers_.contains( message.sender );
+    auto const is_direct = path == message_path::direct;
+    if ( peers_.size() >= max_peers && !peers_.contains( message.sender ) )
+    {
+        if ( is_direct )
+            change.replaced = remove_unconfirmed();
+        change.is_refused = !change.replaced;
+    }
     if ( change.is_refused )
         return change;
     auto [at, is_new] = peers_.try_emplace( message.sender );
@@ -60,9 +66,12 @@
         p.rank = core::stable_hash( message.sender.str() );
     if ( is_new || change.is_restarted )
         p.started = now - std::chrono::milliseconds( message.uptime_ms );
+    p.confirmed = p.confirmed && p.ip == message.ip;
     p.id = message.sender;
     p.incarnation = message.incarnation;
     p.ip = message.ip;
+    if ( is_direct && !p.confirmed )
+        confirm( p );
     p.data_centre = message.data_centre;
     p.callers = message.callers;
     p.known_until = std::max( p.known_until, message.known_until );
@@ -81,6 +90,32 @@
     return change;
 }
 
+auto peer_table::remove_unconfirmed() -> std::optional<core::instance_id>
+{
+    auto longest = peers_.end();
+    for ( auto at = peers_.begin(); at != peers_.end(); ++at )
+    {
+        auto const is_longer =
+            longest == peers_.end() ||
+            at->second.last_heard < longest->second.last_heard;
+        if ( !at->second.confirmed && is_longer )
+            longest = at;
+    }
+    if ( longest == peers_.end() )
+        return std::nullopt;
+    auto const id = longest->first;
+    peers_.erase( longest );
+    return id;
+}
+
+auto peer_table::confirm( peer& which ) -> void
+{
+    for ( auto& [id, p] : peers_ )
+        if ( p.ip == which.ip )
+            p.confirmed = false;
+    which.confirmed = true;
+}
+
 auto peer_table::apply_silent_report( silent_instance const& which,
                                       core::instant now ) -> bool
 {
--- a/src/pollenstream/peers/peer_table.hpp
+++ b/src/pollenstream/peers/peer_table.hpp
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,9 @@
     /// When a target last answered any instance, as known to this peer.
     core::instant target_answered_at;
     bool alive{ false }; ///< not silent
+    /// Heard from its own address, as the latest instance there. Whoever
+    /// reaches the port for datagrams can name others.
+    bool confirmed{ false };
     core::instant last_heard;
 };
 
@@ -53,6 +57,13 @@
     std::int64_t capacity{ 0 };
 };
 
+/// How a message came from the instance that it names as its sender.
+enum class message_path
+{
+    direct, ///< from the address of the instance
+    relayed,
+};
+
 /// Changes to a peer that a message has caused.
 struct peer_change
 {
@@ -62,6 +73,8 @@
     bool is_restarted{ false };  ///< a later process under a known id
     bool has_recovered{ false }; ///< was marked as silent
     bool starts_leaving{ false };
+    /// The instance that was removed to make room for the sender.
+    std::optional<core::instance_id> replaced;
 };
 
 /// The other instances, and the order in which instances become coordinators.
@@ -78,8 +91,9 @@
 
     peer_table( own_state const& self, core::instant now );
 
-    auto apply_message( peer_message const& message, core::instant now )
-        -> peer_change;
+    auto apply_message( peer_message const& message,
+                        message_path path,
+                        core::instant now ) -> peer_change;
     /// Marks a peer as silent because another instance reports it. Returns
     /// false where nothing changes: the peer is unknown, already silent,
     /// restarted, or was heard directly a moment ago.
@@ -126,6 +140,12 @@
     [[nodiscard]] auto round_time() const -> core::duration;
 
 private:
+    /// Removes the peer that is not confirmed and has not been heard for the
+    /// longest time, and returns it.
+    auto remove_unconfirmed() -> std::optional<core::instance_id>;
+    /// An address has one instance: others there are confirmed no longer.
+    auto confirm( peer& which ) -> void;
+
     /// Position of an instance in the order: the highest capacity first, then
     /// by a hash of the id, which is the same at every instance. An instance
     /// that has just started comes last, since it does not know the open work.
--- a/tests/adapters/handler_exceptions_test.cpp
+++ b/tests/adapters/handler_exceptions_test.cpp
@@ -181,7 +181,7 @@
     REQUIRE_FALSE( socket.open() );
     auto received = std::vector<std::string>{};
     socket.start(
-        [&]( std::string_view bytes )
+        [&]( std::string_view bytes, std::string const& /*from*/ )
         {
             if ( bytes == "bad" )
                 throw std::out_of_range( "thrown by a test" );
--- a/tests/peers/peer_group_test.cpp
+++ b/tests/peers/peer_group_test.cpp
@@ -34,6 +34,7 @@
 private:
     struct datagram
     {
+        std::string from;
         std::string to;
         std::string bytes;
     };
@@ -109,7 +110,7 @@
 {
     if ( unreachable.count( to ) != 0 || unreachable.count( from ) != 0 )
         return;
-    queue_.push_back( { to, std::move( bytes ) } );
+    queue_.push_back( { from, to, std::move( bytes ) } );
     if ( std::exchange( delivering_, true ) )
         return;
     while ( !queue_.empty() )
@@ -118,7 +119,7 @@
         queue_.pop_front();
         auto const receiver = by_ip.find( next.to );
         if ( receiver != by_ip.end() )
-            receiver->second->group.on_datagram( next.bytes );
+            receiver->second->group.on_datagram( next.bytes, next.from );
     }
     delivering_ = false;
 }
@@ -802,6 +803,6 @@
     fleet.network.unreachable.insert( fleet.all[4]->ip );
     fleet.scheduler.run( 700ms );
     REQUIRE( one.group.peers().at( other ).alive );
-    one.group.on_datagram( peers::encode( report ) );
+    one.group.on_datagram( peers::encode( report ), report.ip );
     CHECK( one.group.peers().at( other ).alive == ( unheard_ms == 5'000 ) );
 }
--- a/tests/platform/listening_ports_test.cpp
+++ b/tests/platform/listening_ports_test.cpp
@@ -150,8 +150,9 @@
     REQUIRE_FALSE( datagrams.open() );
     auto received = std::string{};
     datagrams.start(
-        [&received]( auto bytes )
+        [&received]( auto bytes, auto const& from )
         {
+            CHECK( from == "127.0.0.1" );
             received = bytes;
         } );
     datagrams.send( "127.0.0.1", "kept" );
--- a/tests/support/exchange_fleet.cpp
+++ b/tests/support/exchange_fleet.cpp
@@ -932,11 +932,11 @@
         return;
     calls_.push_back( scheduler.call_after(
         datagram_time,
-        [this, to, bytes = std::move( bytes )]
+        [this, from, to, bytes = std::move( bytes )]
         {
             for ( auto const& one : instances_ )
                 if ( one && one->ip == to && !disconnected_.contains( to ) )
-                    return one->group.on_datagram( bytes );
+                    return one->group.on_datagram( bytes, from );
         } ) );
 }
 
--- a/tests/support/record_fleet.cpp
+++ b/tests/support/record_fleet.cpp
@@ -136,7 +136,7 @@
     -> void
 {
     if ( !is_frozen )
-        fleet_.deliver( to, bytes );
+        fleet_.deliver( ip, to, bytes );
 }
 
 auto record_instance::is_drained( std::string const& data_centre ) const -> bool
@@ -245,7 +245,9 @@
     return batch;
 }
 
-auto record_fleet::deliver( std::string const& to, std::string bytes ) -> void
+auto record_fleet::deliver( std::string const& from,
+                            std::string const& to,
+                            std::string bytes ) -> void
 {
     auto* const receiver = find( to );
     auto const is_lost = std::uniform_real_distribution<double>( 0, 1 )(
@@ -253,10 +255,10 @@
     if ( receiver == nullptr || is_lost )
         return;
     after( datagram_time,
-           [receiver, bytes = std::move( bytes )]
+           [receiver, from, bytes = std::move( bytes )]
            {
                if ( !receiver->is_frozen )
-                   receiver->group.on_datagram( bytes );
+                   receiver->group.on_datagram( bytes, from );
            } );
 }
 
--- a/tests/support/record_fleet.hpp
+++ b/tests/support/record_fleet.hpp
@@ -101,7 +101,9 @@
     /// The operator writes or removes a record.
     auto change( std::string const& key, std::optional<std::string> value )
         -> void;
-    auto deliver( std::string const& to, std::string bytes ) -> void;
+    auto deliver( std::string const& from,
+                  std::string const& to,
+                  std::string bytes ) -> void;
     /// Time until `holds` is true of all instances; `limit` if it is not by
     /// then.
     auto time_until( std::function<bool( record_instance const& )> const& holds,
