Crowds as tests: what datagrams report

Change: three crowds at the datagram port of one gateway, from eight made-up instances: 400 datagrams with 900 open requests each, 1,000 with a placement request of 6,000 prompt parts that can't be placed and waits for an hour, 20 with a crash of a target of 30,000 characters under 3,000 suspects. The bound is that of the other crowds: 64 MB as in the gateway's settings, and ordinary requests are answered meanwhile and afterwards.

--- a/tests/crowds/crowd_test.py
+++ b/tests/crowds/crowd_test.py
@@ -22,6 +22,7 @@
 sys.path.insert(0, str(ROOT / "scripts"))
 
 import crowd                                                    # noqa: E402
+import peer_datagram                                            # noqa: E402
 import process_test                                             # noqa: E402
 from fleet import (TOKEN, Fleet, chat, http_json,               # noqa: E402
                    reserve_port)
@@ -80,6 +81,9 @@
     Case("internal", "idle_again", 400, limits_descriptors=True),
     Case("datagrams", "forged_instances", 20_000),
     Case("datagrams", "long_ids", 4000),
+    Case("datagrams", "open_work", 400),
+    Case("datagrams", "waiting_requests", 1000),
+    Case("datagrams", "crashes", 20),
 ]
 DAEMON_CASES = [
     Case("callers", "largest_body", 30),
@@ -216,19 +220,25 @@
         self.child.communicate()
 
 
-async def forge_instances(fleet, count, id_bytes):
+async def send_datagrams(fleet, case):
+    """Messages of many made-up instances, or with many reports of a few."""
     template = await receive_template(fleet)
     gateway = fleet.gateways[0]
-    await asyncio.to_thread(crowd.forge_instances, template,
-                            gateway.name.encode(), count, id_bytes,
-                            (gateway.ip, fleet.ports["internal"]))
+    address = gateway.ip, fleet.ports["internal"]
+    if case.way in ID_BYTES:
+        await asyncio.to_thread(crowd.forge_instances, template,
+                                gateway.name.encode(), case.count,
+                                ID_BYTES[case.way], address)
+    else:
+        await asyncio.to_thread(peer_datagram.report, template, case.way,
+                                case.count, address)
 
 
 @contextlib.asynccontextmanager
 async def standing(fleet, case):
     """The crowd around a gateway's port."""
     if case.port == "datagrams":
-        await forge_instances(fleet, case.count, ID_BYTES[case.way])
+        await send_datagrams(fleet, case)
         yield
         return
     address = (fleet.gateways[0].ip, fleet.ports[case.port])
