What other instances report of their requests has an account

Cause: the load table, the coordinator's queue and its grants keep what messages report until their sender ends it; nothing counted it.

Change: `report_memory` counts these reports where they are kept, with their lists and ids, for each instance: a claim ends with the work, the queued request and the grant that it stands for. All have an eighth of the memory. Where it is used up, the instance gives way that has the most, if it has more than the one that asks; its reports are forgotten as those of one that is lost, and true ones come again with its next complete message. A report without memory is left out like a lost datagram: a requester sends again or asks the next coordinator. Own work is not counted here, its connections are. Three metrics, one log line.

Ruled out: a bound on the number of reports, as one placement request may have 55,000 bytes of parts; and one for each instance, as a sender may name 4,096.

--- a/apps/gateway/node_metrics.cpp
+++ b/apps/gateway/node_metrics.cpp
@@ -221,6 +221,12 @@
                  node.group.refused_peers() );
     write_count( out, "pollenstream_peers_replaced_total", "",
                  node.group.replaced_peers() );
+    write_gauge( out, "pollenstream_peer_report_bytes",
+                 node.group.reports().used_bytes() );
+    write_count( out, "pollenstream_peer_reports_refused_total", "",
+                 node.group.reports().refused() );
+    write_count( out, "pollenstream_peer_reports_forgotten_total", "",
+                 node.group.reports().gave_way() );
     constexpr auto kinds =
         static_cast<int>( platform::store_call::number_of_kinds );
     for ( auto i = 0; i < kinds; ++i )
--- a/apps/gateway/resource_limits.cpp
+++ b/apps/gateway/resource_limits.cpp
@@ -14,6 +14,7 @@
 constexpr auto received_eighths = 3;
 constexpr auto answer_eighths = 2;
 constexpr auto reply_eighths = 1;
+constexpr auto report_eighths = 1;
 /// If the settings state no limit on the memory.
 constexpr auto default_memory_mb = std::int64_t{ 256 };
 
@@ -46,6 +47,7 @@
     return { part_of_memory( settings, received_eighths ),
              part_of_memory( settings, answer_eighths ),
              part_of_memory( settings, reply_eighths ),
+             part_of_memory( settings, report_eighths ),
              adapters::asio::connections_of( sockets( settings ) ) };
 }
 
--- a/src/pollenstream/exchange/load_table.hpp
+++ b/src/pollenstream/exchange/load_table.hpp
@@ -5,6 +5,7 @@
 #include <pollenstream/core/ids.hpp>
 #include <pollenstream/core/units.hpp>
 #include <pollenstream/exchange/message.hpp>
+#include <pollenstream/exchange/report_memory.hpp>
 #include <pollenstream/exchange/request_limit.hpp>
 #include <pollenstream/exchange/routes.hpp>
 #include <pollenstream/exchange/split_queue.hpp>
@@ -292,9 +293,13 @@
                                             core::instant now ) const -> double;
 
     /// Adds `work` of the instance `owner` to the load of its targets.
+    /// `memory`: of the work of another instance, while it is known.
     auto add_work( core::instance_id const& owner,
                    open_work const& work,
-                   core::instant now ) -> void;
+                   core::instant now,
+                   std::shared_ptr<report_claim> memory = nullptr ) -> void;
+    [[nodiscard]] auto knows_work( core::instance_id const& owner,
+                                   std::uint64_t serial ) const -> bool;
     /// The first event of the work has arrived.
     auto end_prefill( core::instance_id const& owner,
                       std::uint64_t serial,
@@ -440,6 +445,7 @@
         std::optional<scheduling::expected_first_event> expected;
         /// The first target's `prefill_added_ms` when the work was added.
         double prefill_added_before_ms{ 0 };
+        std::shared_ptr<report_claim> memory; ///< null: of this instance
     };
     using work_map = std::unordered_map<std::uint64_t, known_work>;
 
--- a/src/pollenstream/exchange/load_table_work.cpp
+++ b/src/pollenstream/exchange/load_table_work.cpp
@@ -131,20 +131,29 @@
     return false;
 }
 
+auto load_table::knows_work( core::instance_id const& owner,
+                             std::uint64_t serial ) const -> bool
+{
+    auto const works = works_.find( owner );
+    return works != works_.end() && works->second.contains( serial );
+}
+
 auto load_table::add_work( core::instance_id const& owner,
                            open_work const& work,
-                           core::instant now ) -> void
+                           core::instant now,
+                           std::shared_ptr<report_claim> memory ) -> void
 {
     auto const [position, is_new] = works_[owner].try_emplace(
         work.serial,
-        known_work{ work, {}, false, now - work.sent_ago, {}, 0 } );
+        known_work{ work, {}, false, now - work.sent_ago, {}, 0, memory } );
     if ( !is_new && has_newly_known_target( position->second ) )
     {
         // The work was reported before the registry listed its target. It is
         // added again, or engines busy with prefills of several seconds would
         // seem free to a coordinator that has just started.
+        auto const kept = position->second.memory;
         end_work( owner, work.serial, now );
-        return add_work( owner, work, now );
+        return add_work( owner, work, now, kept );
     }
     if ( !is_new )
     {
--- a/src/pollenstream/exchange/placement_client.hpp
+++ b/src/pollenstream/exchange/placement_client.hpp
@@ -3,6 +3,7 @@
 
 #include <pollenstream/exchange/message.hpp>
 #include <pollenstream/exchange/placement.hpp>
+#include <pollenstream/exchange/report_memory.hpp>
 #include <pollenstream/exchange/request_content.hpp>
 
 #include <cstddef>
@@ -30,6 +31,8 @@
     bool may_be_refused{ true };
     /// The request is a trial of a quarantine that a target has rejected.
     bool continues_trial{ false };
+    /// Of the request of another instance, while it waits or is granted.
+    std::shared_ptr<report_claim> memory;
 };
 
 /// The targets that a prompt was granted.
--- a/src/pollenstream/exchange/placement_coordinator.cpp
+++ b/src/pollenstream/exchange/placement_coordinator.cpp
@@ -419,7 +419,8 @@
                                    " was granted beyond its limit" );
     if ( use == limit_use::uncoordinated )
         load_table_.note_uncoordinated( work.parts, now );
-    load_table_.add_work( item.request.requester, work, now );
+    load_table_.add_work( item.request.requester, work, now,
+                          item.request.memory );
 }
 
 auto placement_coordinator::is_running( content_id content ) const -> bool
@@ -446,8 +447,8 @@
     counters_.granted.add();
     auto const is_suspect = crashes_.has_suspect( kept_item->suspects );
     auto const is_trial = kept_item->is_trial();
-    granted_[key] = { choice, kept_item->request.content, is_suspect,
-                      is_trial };
+    granted_[key] = { choice, kept_item->request.content, is_suspect, is_trial,
+                      kept_item->request.memory };
     if ( is_trial && !kept_item->request.continues_trial )
         begin_trial( key, kept_item->suspects );
     kept_item->listener().on_granted(
--- a/src/pollenstream/exchange/placement_coordinator.hpp
+++ b/src/pollenstream/exchange/placement_coordinator.hpp
@@ -90,6 +90,7 @@
         content_id content;
         bool is_suspect{ false };
         bool is_trial{ false };
+        std::shared_ptr<report_claim> memory; ///< of the request
     };
 
     /// A trial of a quarantine that this coordinator has granted.
--- a/src/pollenstream/peers/peer_group.cpp
+++ b/src/pollenstream/peers/peer_group.cpp
@@ -62,6 +62,10 @@
                                            send_heartbeat();
                                        } )
 {
+    reports_.on_gives_way = [this]( core::instance_id const& id )
+    {
+        note_reports_give_way( id );
+    };
 }
 
 auto peer_group::start() -> void
@@ -445,11 +449,9 @@
 auto peer_group::handle_lost_peer( core::instance_id const& id,
                                    std::string reason ) -> void
 {
-    load_table_.end_all_work( id, scheduler_.now() );
     if ( auto const* const p = table_.find( id ) )
         log_peer_state( *p, "silent", std::move( reason ) );
-    if ( handler_ != nullptr )
-        handler_->on_lost( id );
+    forget_reports( id );
 }
 
 auto peer_group::check_silent_peers() -> void
@@ -502,10 +504,28 @@
         on_update( message.sender.str(), message.update );
 }
 
-/// What the removed instance has announced no longer counts.
 auto peer_group::note_replaced_peer( core::instance_id const& id ) -> void
 {
     replaced_peers_.add();
+    forget_reports( id );
+}
+
+/// Logs the first; the counter has all.
+auto peer_group::note_reports_give_way( core::instance_id const& id ) -> void
+{
+    if ( reports_.gave_way() == 1 )
+        log_.record( exchange::state_change{
+            "peer",
+            id.str(),
+            "reports_forgotten",
+            "reports of instances have used up their memory, it had the most",
+            {} } );
+    forget_reports( id );
+}
+
+/// What the instance has reported no longer counts.
+auto peer_group::forget_reports( core::instance_id const& id ) -> void
+{
     load_table_.end_all_work( id, scheduler_.now() );
     if ( handler_ != nullptr )
         handler_->on_lost( id );
@@ -592,7 +612,10 @@
     for ( auto& request : message.placement_requests )
     {
         request.requester = message.sender;
-        handler_->on_request( std::move( request ) );
+        request.memory = reports_.take( message.sender, bytes_of( request ) );
+        // Else it is lost; its instance sends it again, or to another one.
+        if ( request.memory )
+            handler_->on_request( std::move( request ) );
     }
     for ( auto const& answer : message.answers )
         handler_->on_answer( message.sender, answer );
--- a/src/pollenstream/peers/peer_group.hpp
+++ b/src/pollenstream/peers/peer_group.hpp
@@ -203,6 +203,15 @@
     {
         return replaced_peers_.value();
     }
+    /// Memory of what other instances have reported.
+    [[nodiscard]] auto reports() -> exchange::report_memory&
+    {
+        return reports_;
+    }
+    [[nodiscard]] auto reports() const -> exchange::report_memory const&
+    {
+        return reports_;
+    }
     /// Datagrams and bytes that this instance has sent to others.
     [[nodiscard]] auto sent() const -> sent_counters const&
     {
@@ -263,6 +272,10 @@
     auto remember_address( std::string const& ip ) -> void;
     auto note_refused_peer( peer_message const& message ) -> void;
     auto note_replaced_peer( core::instance_id const& id ) -> void;
+    auto note_reports_give_way( core::instance_id const& id ) -> void;
+    auto forget_reports( core::instance_id const& id ) -> void;
+    auto add_work( core::instance_id const& owner,
+                   exchange::open_work const& work ) -> void;
     auto next_gossip_ips() -> std::vector<std::string>;
     [[nodiscard]] auto silent_to_report() const -> std::vector<silent_instance>;
     auto addresses() const -> std::vector<std::string>;
@@ -313,6 +326,7 @@
     sent_counters sent_;
     core::counter refused_peers_;
     core::counter replaced_peers_;
+    exchange::report_memory reports_;
     std::unique_ptr<ports::scheduled_call> flush_call_;
     ports::repeating_call heartbeats_;
     std::vector<std::unique_ptr<ports::scheduled_call>> retransmissions_;
--- a/src/pollenstream/peers/peer_group_work.cpp
+++ b/src/pollenstream/peers/peer_group_work.cpp
@@ -1,6 +1,7 @@
 #include <pollenstream/peers/peer_group.hpp>
 
 #include <set>
+#include <utility>
 
 // The parts of `peer_group` that concern the open work of instances at targets.
 
@@ -57,13 +58,25 @@
         handler_->on_released( owner, serial );
 }
 
+/// Work for which there is no memory is left out, as if its report were lost.
+auto peer_group::add_work( core::instance_id const& owner,
+                           exchange::open_work const& work ) -> void
+{
+    auto const now = scheduler_.now();
+    if ( load_table_.knows_work( owner, work.serial ) )
+        return load_table_.add_work( owner, work, now );
+    auto memory = reports_.take( owner, bytes_of( work ) );
+    if ( memory )
+        load_table_.add_work( owner, work, now, std::move( memory ) );
+}
+
 auto peer_group::apply_work( peer_message const& message ) -> void
 {
     auto const now = scheduler_.now();
     auto load_decreased = !message.ended.empty() || !message.served.empty() ||
                           !message.prefill_ended.empty();
     for ( auto const& work : message.work )
-        load_table_.add_work( message.sender, work, now );
+        add_work( message.sender, work );
     for ( auto const serial : message.prefill_ended )
         load_table_.end_prefill( message.sender, serial, now );
     for ( auto const serial : message.served )
