What is remembered of crashes is bounded in bytes too

Cause: the number of suspects is bounded, but each kept every crash with its target's id, so that one datagram with an id of 30,000 characters and 3,000 suspects takes 90 MB. The targets, the parts of suspect contents and the quarantines of others had no bound; beyond 16,384 served parts, each further one looked at all others.

Change: crashes of targets with ids over 255 bytes are left out (a store's key has 200 at most); each suspect keeps its latest 32 crashes, which a quarantine needs three of; 4,096 targets, the latest; 262,144 parts; 256 quarantines, and own ones beyond them; 65,536 served parts, which are looked through once a second.

Ruled out: to reject the message with a long id, as one bad record in a store would then keep instances from hearing each other.

--- a/src/pollenstream/exchange/crash_history.cpp
+++ b/src/pollenstream/exchange/crash_history.cpp
@@ -24,6 +24,17 @@
 /// If more than `max_served` were served, they are remembered for this time,
 /// within which the reports of a crash arrive from all instances.
 constexpr auto min_served_time = core::duration( 10s );
+constexpr auto forget_served_period = core::duration( 1s );
+/// If so many were served within that time, further ones are not remembered.
+constexpr auto max_served_at_once = 4 * max_served;
+/// Number of crashes of each suspect, and of quarantined groups, that are
+/// remembered: the latest and the first.
+constexpr auto max_crashes = std::size_t{ 32 };
+constexpr auto max_groups = std::size_t{ 256 };
+/// Number of targets of which it is remembered that they crashed.
+constexpr auto max_targets = std::size_t{ 4'096 };
+/// Number of parts that are remembered for all suspect contents.
+constexpr auto max_known_parts = std::size_t{ 262'144 };
 /// Instances that hear only of their own answers remember for this time at
 /// which crashes a part was present. Others may have served it since.
 constexpr auto unjudged_part_time = core::duration( 10s );
@@ -108,6 +119,8 @@
     };
     crashes.insert( std::find_if( crashes.begin(), crashes.end(), is_later ),
                     crash );
+    if ( crashes.size() > max_crashes )
+        crashes.erase( crashes.begin() );
 }
 
 /// Remembers which parts the prompt of a suspect request has.
@@ -122,16 +135,38 @@
         auto merged = suspect_list{};
         std::set_union( known.begin(), known.end(), parts.begin(), parts.end(),
                         std::back_inserter( merged ) );
-        known = std::move( merged );
+        if ( known_parts() + merged.size() - known.size() <= max_known_parts )
+            known = std::move( merged );
     }
 }
 
+auto crash_history::known_parts() const -> std::size_t
+{
+    auto count = std::size_t{ 0 };
+    for ( auto const& [content, parts] : parts_of_content_ )
+        count += parts.size();
+    return count;
+}
+
+/// The target that crashed last is remembered the longest.
+auto crash_history::target_of( target_ref const& crashed ) -> known_target&
+{
+    if ( targets_.size() >= max_targets && !targets_.contains( crashed.id ) )
+        targets_.erase( std::min_element( targets_.begin(), targets_.end(),
+                                          []( auto const& a, auto const& b )
+                                          {
+                                              return a.second.crashed_at <
+                                                     b.second.crashed_at;
+                                          } ) );
+    return targets_[crashed.id];
+}
+
 auto crash_history::note_crash( crashed_run const& run ) -> void
 {
     auto const alive = alive_until_.find( run.target.id );
     if ( alive != alive_until_.end() && run.at < alive->second )
         return;
-    auto& target = targets_[run.target.id];
+    auto& target = target_of( run.target );
     if ( target.lifetime != run.target.lifetime )
         target = { run.target.lifetime, run.at };
     target.crashed_at = std::max( target.crashed_at, run.at );
@@ -161,7 +196,9 @@
         for ( auto const id : group.suspects )
             add_crash( id, crash );
     }
-    if ( is_valid( group.suspects ) )
+    auto const is_known = is_group( group.suspects );
+    if ( is_valid( group.suspects ) &&
+         ( is_known || groups_.size() < max_groups ) )
         add_group(
             { group.suspects, now, group.trials, group.has_crash_times } );
     find_causes();
@@ -183,14 +220,25 @@
 
 auto crash_history::note_served_at( suspect_id id, core::instant at ) -> void
 {
+    if ( !served_.contains( id ) && served_.size() >= max_served )
+        forget_early_served( at );
+    if ( !served_.contains( id ) && served_.size() >= max_served_at_once )
+        return;
     auto& served = served_[id];
     served = std::max( served, at );
-    if ( served_.size() > max_served )
-        std::erase_if( served_,
-                       [at]( auto const& entry )
-                       {
-                           return at - entry.second > min_served_time;
-                       } );
+}
+
+/// Does so once a second, since it looks at all.
+auto crash_history::forget_early_served( core::instant now ) -> void
+{
+    if ( now - forgot_served_at_ < forget_served_period )
+        return;
+    forgot_served_at_ = now;
+    std::erase_if( served_,
+                   [now]( auto const& entry )
+                   {
+                       return now - entry.second > min_served_time;
+                   } );
 }
 
 auto crash_history::remove_from_groups( suspect_id id ) -> void
--- a/src/pollenstream/exchange/crash_history.hpp
+++ b/src/pollenstream/exchange/crash_history.hpp
@@ -197,14 +197,17 @@
         bool has_crash_times{ true };
     };
 
+    auto target_of( target_ref const& crashed ) -> known_target&;
     auto add_crash( suspect_id id, target_crash const& crash ) -> void;
     auto note_parts( suspect_list const& request ) -> void;
+    [[nodiscard]] auto known_parts() const -> std::size_t;
     auto forget_unjudged_parts( core::instant now ) -> void;
     auto evict_if_full() -> void;
     auto
     erase_crashes( std::function<bool( target_crash const& )> const& which )
         -> void;
     auto note_served_at( suspect_id id, core::instant at ) -> void;
+    auto forget_early_served( core::instant now ) -> void;
     auto remove_from_groups( suspect_id id ) -> void;
     auto find_causes() -> void;
     [[nodiscard]] auto next_cause() const -> std::optional<quarantined_group>;
@@ -249,6 +252,7 @@
     /// When suspects were last served. Reports of earlier crashes may still
     /// arrive from other instances and are ignored.
     std::unordered_map<suspect_id, core::instant> served_;
+    core::instant forgot_served_at_;
 };
 
 }
--- a/src/pollenstream/exchange/crash_history_causes.cpp
+++ b/src/pollenstream/exchange/crash_history_causes.cpp
@@ -102,7 +102,7 @@
 auto crash_history::confirm_last( quarantined_group const& cause ) -> bool
 {
     auto const target = cause.crashes.back().target;
-    auto& known = targets_[target.id];
+    auto& known = target_of( target );
     if ( known.has_ended && known.lifetime == target.lifetime )
         return true;
     unconfirmed_ = cause.suspects;
--- a/src/pollenstream/peers/peer_group_targets.cpp
+++ b/src/pollenstream/peers/peer_group_targets.cpp
@@ -1,5 +1,6 @@
 #include <pollenstream/core/hash.hpp>
 #include <pollenstream/peers/peer_group.hpp>
+#include <pollenstream/peers/peer_limits.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -32,6 +33,12 @@
 /// instances may coincide.
 constexpr auto uncoordinated_share = 0.25;
 
+/// False for a target that no store lists.
+auto has_short_id( exchange::target_ref const& target ) -> bool
+{
+    return target.id.str().size() <= max_target_id_bytes;
+}
+
 }
 
 auto peer_group::target_failed( exchange::target_ref const& ref,
@@ -239,8 +246,10 @@
 {
     auto const now = scheduler_.now();
     for ( auto const& c : message.crashes )
-        crashes_.note_crash( { c.suspects, c.target,
-                               now - std::chrono::milliseconds( c.age_ms ) } );
+        if ( has_short_id( c.target ) )
+            crashes_.note_crash(
+                { c.suspects, c.target,
+                  now - std::chrono::milliseconds( c.age_ms ) } );
     apply_quarantines( message );
     apply_cleared( message );
 }
@@ -261,7 +270,9 @@
                                       update.trial_step ),
             update.has_crash_times };
         for ( auto const& crash : update.crashes )
-            group.crashes.push_back( { crash.target, ago( crash.age_ms ) } );
+            if ( has_short_id( crash.target ) )
+                group.crashes.push_back(
+                    { crash.target, ago( crash.age_ms ) } );
         crashes_.adopt( group, now );
     }
     // Coordinators repeat their quarantines, and lift those that were a
--- a/src/pollenstream/peers/peer_limits.hpp
+++ b/src/pollenstream/peers/peer_limits.hpp
@@ -11,6 +11,8 @@
 inline constexpr auto max_peers = std::size_t{ 4096 };
 /// Maximum size of an instance's id or data centre.
 inline constexpr auto max_peer_name_bytes = std::size_t{ 255 };
+/// Maximum size of the id of a target that is remembered for its crash.
+inline constexpr auto max_target_id_bytes = std::size_t{ 255 };
 /// Maximum size of an address, with or without its port.
 inline constexpr auto max_address_bytes = std::size_t{ 64 };
 
--- a/tests/crowds/crowd_test.py
+++ b/tests/crowds/crowd_test.py
@@ -84,6 +84,7 @@
     Case("datagrams", "open_work", 400),
     Case("datagrams", "waiting_requests", 1000),
     Case("datagrams", "crashes", 20),
+    Case("datagrams", "served_parts", 400),
 ]
 DAEMON_CASES = [
     Case("callers", "largest_body", 30),
--- a/tests/crowds/peer_datagram.py
+++ b/tests/crowds/peer_datagram.py
@@ -11,7 +11,8 @@
 SUSPECTS = 3000             # of one crash
 LONG_ID = "t" * 30_000
 HOUR_MS = 3_600_000
-LIST_WORK, LIST_PLACEMENT_REQUESTS, LIST_CRASHES = 0, 5, 11
+LIST_WORK, LIST_PLACEMENT_REQUESTS, LIST_CRASHES, LIST_CLEARED = 0, 5, 11, 12
+PART_FLAG = 1 << 60         # of a suspect that is a part of prompts
 
 
 def head(major, count):
@@ -71,8 +72,13 @@
     return LIST_CRASHES, [[suspects, [LONG_ID, 1], 0]]
 
 
+def served_parts(number):
+    """Parts of prompts that were served."""
+    return LIST_CLEARED, [PART_FLAG | number << 20 | i for i in range(PARTS)]
+
+
 REPORTS = {"open_work": open_work, "waiting_requests": waiting_requests,
-           "crashes": crashes}
+           "crashes": crashes, "served_parts": served_parts}
 
 
 def report(template, kind, count, address):
--- a/tests/exchange/crash_history_test.cpp
+++ b/tests/exchange/crash_history_test.cpp
@@ -417,3 +417,31 @@
     }
     CHECK( history.is_quarantined( { request( 50 ), part( 2 ) } ) );
 }
+
+TEST_CASE( "the latest crashes of a suspect are remembered", "[crash_history]" )
+{
+    constexpr auto remembered = std::size_t{ 32 };
+    auto history = exchange::crash_history( expiry_time );
+    for ( auto i = 0; i < 100; ++i )
+        history.note_crash(
+            crash( "target-" + std::to_string( i ), start + i * 1ms ) );
+    auto const crashes = history.crashes_of( content );
+    REQUIRE( crashes.size() == remembered );
+    CHECK( crashes.front().target.id.str() == "target-68" );
+    CHECK( crashes.back().target.id.str() == "target-99" );
+}
+
+TEST_CASE( "reports of served parts are bounded", "[crash_history]" )
+{
+    constexpr auto reported = 100'000;
+    auto history = exchange::crash_history( expiry_time );
+    for ( auto i = 0; i < reported; ++i )
+        history.note_served( { part( i ) }, start );
+    auto const crashed = []( auto& known, int id )
+    {
+        known.note_crash( { { part( id ) }, core::target_id( "a" ), start } );
+        return known.count( part( id ) );
+    };
+    CHECK( crashed( history, 0 ) == 0 );
+    CHECK( crashed( history, reported - 1 ) == 1 );
+}
