Metrics and state are not written where answers have used up their memory

What operators saw: by reading, the metrics and the state, which may be long and are made at once, could take one answer of memory for each connection, as callers count as stalled only after 250 ms and the account counted their answers in any case.

Cause: the account of untaken answers could close callers that do not read, but not keep further answers from being made. Answers of targets are counted before they are received, those of the directory and of readiness are short.

Change: before such a request is begun, the account has to have room, after stalled callers were closed for it. Else it is refused as not run, with Retry-After, like one without memory for its body.

Evidence: the new case of unread_answers_test failed on (40 answers of 1 MiB in 42 MB of memory where 8 MiB are allowed, no refusal) and holds (10 at most).

--- a/apps/gateway/metrics_handler.hpp
+++ b/apps/gateway/metrics_handler.hpp
@@ -19,6 +19,10 @@
     metrics_handler( source metrics, source state );
 
     [[nodiscard]] auto limits() const -> exchange::caller_limits override;
+    [[nodiscard]] auto makes_long_answers() const -> bool override
+    {
+        return true;
+    }
     auto handle( adapters::asio::raw_request request,
                  std::shared_ptr<exchange::answer_channel> answer )
         -> std::shared_ptr<adapters::asio::request_in_progress> override;
--- a/src/pollenstream/adapters/asio/caller_connection.cpp
+++ b/src/pollenstream/adapters/asio/caller_connection.cpp
@@ -300,8 +300,16 @@
     close();
 }
 
+auto caller_connection::has_room_for_answer() const -> bool
+{
+    return !owner_.unsent_ || !owner_.handler_.makes_long_answers() ||
+           owner_.unsent_->has_room();
+}
+
 auto caller_connection::on_request() -> void
 {
+    if ( !has_room_for_answer() )
+        return refuse_for_memory();
     phase_ = phase::answering;
     timer_.cancel();
     request_keeps_alive_ = reader_.keeps_alive();
--- a/src/pollenstream/adapters/asio/caller_connection.hpp
+++ b/src/pollenstream/adapters/asio/caller_connection.hpp
@@ -83,6 +83,7 @@
     auto on_head() -> bool;
     auto refuses_without_body() -> bool;
     auto refuse_for_memory() -> void;
+    [[nodiscard]] auto has_room_for_answer() const -> bool;
     auto on_request() -> void;
     auto handle( raw_request request ) -> void;
     auto refuse( int status, std::string const& reason ) -> void;
--- a/src/pollenstream/adapters/asio/caller_listener.hpp
+++ b/src/pollenstream/adapters/asio/caller_listener.hpp
@@ -39,6 +39,13 @@
     /// that it is handled without. `head` has no body.
     [[nodiscard]] virtual auto needs_body( raw_request const& head ) const
         -> bool;
+    /// True if answers may be long and are made at once, so that no memory was
+    /// taken for them before. Such a request is refused where answers have used
+    /// up their memory.
+    [[nodiscard]] virtual auto makes_long_answers() const -> bool
+    {
+        return false;
+    }
     /// Starts to answer `request`; returns null if it was answered at once.
     virtual auto handle( raw_request request,
                          std::shared_ptr<exchange::answer_channel> answer )
--- a/src/pollenstream/adapters/asio/unsent_answers.cpp
+++ b/src/pollenstream/adapters/asio/unsent_answers.cpp
@@ -35,6 +35,12 @@
     budget_->set_reclaimer( nullptr );
 }
 
+auto unsent_answers::has_room() -> bool
+{
+    auto probe = core::memory_claim( budget_ );
+    return probe.grow( 1 );
+}
+
 auto unsent_answers::reclaim( std::size_t bytes ) -> void
 {
     auto const now = steady_clock::now();
--- a/src/pollenstream/adapters/asio/unsent_answers.hpp
+++ b/src/pollenstream/adapters/asio/unsent_answers.hpp
@@ -53,6 +53,10 @@
 
     auto reclaim( std::size_t bytes ) -> void override;
 
+    /// False where the memory is used up, and by callers that take their
+    /// answers. Others are closed.
+    [[nodiscard]] auto has_room() -> bool;
+
     [[nodiscard]] auto unsent_bytes() const -> std::size_t
     {
         return unsent_bytes_;
--- a/tests/adapters/unread_answers_test.cpp
+++ b/tests/adapters/unread_answers_test.cpp
@@ -31,6 +31,10 @@
     {
         return {};
     }
+    [[nodiscard]] auto makes_long_answers() const -> bool override
+    {
+        return true;
+    }
     auto handle( asio::raw_request /*request*/,
                  std::shared_ptr<exchange::answer_channel> answer )
         -> std::shared_ptr<asio::request_in_progress> override
@@ -184,6 +188,24 @@
     CHECK( got >= answer_bytes );
 }
 
+TEST_CASE( "a request is refused where answers have used up their memory",
+           "[caller_listener][memory]" )
+{
+    auto f = answers_fixture{};
+    for ( auto i = 0; i < callers; ++i )
+        f.ask_only();
+    run_until( f.io,
+               [&]
+               {
+                   return f.silent.back()->available() > 0;
+               } );
+    CHECK( f.handler.answered < callers );
+    CHECK( f.unsent->unsent_bytes() <= 10 * answer_bytes );
+    auto start = std::string( 12, ' ' );
+    net::read( *f.silent.back(), net::buffer( start ) );
+    CHECK( start == "HTTP/1.1 503" );
+}
+
 TEST_CASE( "a caller that does not take its answer gives its place to another",
            "[caller_listener][descriptors]" )
 {
