Members of the group, bounds of the crash history and ports in files of their own

What concerns which instances there are, what keeps the history bounded and the ports of a gateway stand in peer_group_members.cpp, crash_history_limits.cpp and gateway_node_ports.cpp. Moved only, with the constants they use; two comments split. The unit tests of these parts passed.

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -53,13 +53,6 @@
              s.thousandths_of_core };
 }
 
-/// The text of an error; nullopt without one.
-auto reason_of( adapters::asio::error_code const& ec )
-    -> std::optional<std::string>
-{
-    return ec ? std::optional( ec.message() ) : std::nullopt;
-}
-
 auto random_seed( platform::gateway_settings const& s ) -> std::uint32_t
 {
     return static_cast<std::uint32_t>(
@@ -242,15 +235,6 @@
              configuration_delay_ };
 }
 
-auto gateway_node::broken_inputs() const -> std::uint64_t
-{
-    auto total = datagrams_.dropped();
-    for ( auto const* listener : { callers_.get(), directory_.get(),
-                                   readiness_.get(), peer_listener_.get() } )
-        total += listener != nullptr ? listener->broken() : 0;
-    return total;
-}
-
 auto gateway_node::start() -> void
 {
     started_ = scheduler_.now();
@@ -264,46 +248,6 @@
     listening_ports_.open_all();
 }
 
-auto gateway_node::add_listener( listener_ptr& listener,
-                                 listening_port port,
-                                 adapters::asio::request_handler& handler )
-    -> void
-{
-    listener = std::make_unique<adapters::asio::caller_listener>(
-        io_, handler, connection_accounts_, unsent_answers_ );
-    port.open = [&opened = *listener, at = port.address]
-    {
-        return reason_of( opened.open( at ) );
-    };
-    listening_ports_.add( std::move( port ) );
-}
-
-auto gateway_node::add_ports() -> void
-{
-    add_listener( callers_, { "callers", settings_.callers, true, {} },
-                  caller_handler_ );
-    add_listener( directory_, { "directory", settings_.directory, false, {} },
-                  directory_handler_ );
-    add_listener( readiness_, { "readiness", settings_.readiness, false, {} },
-                  readiness_handler_ );
-    add_listener( peer_listener_, { "instances", settings_.peers, false, {} },
-                  state_handler_ );
-    // Without datagrams this instance would take itself for the only one.
-    listening_ports_.add( { "datagrams", settings_.peers, true,
-                            [this]
-                            {
-                                return reason_of( datagrams_.open() );
-                            } } );
-}
-
-auto gateway_node::serve_metrics( std::uint16_t port ) -> void
-{
-    add_listener(
-        metrics_,
-        { "metrics", core::address{ settings_.callers.ip, port }, false, {} },
-        metrics_handler_ );
-}
-
 auto gateway_node::begin() -> void
 {
     if ( stopping_ )
