A crowd of compressed updates, as a test

Four datagrams, each with an update of the store's records that expands from 30 KB to 30 MB of values of a byte. The bound is that of the other crowds.

--- a/tests/crowds/crowd_test.py
+++ b/tests/crowds/crowd_test.py
@@ -85,6 +85,7 @@
     Case("datagrams", "waiting_requests", 1000),
     Case("datagrams", "crashes", 20),
     Case("datagrams", "served_parts", 400),
+    Case("datagrams", "compressed_updates", 4),
 ]
 DAEMON_CASES = [
     Case("callers", "largest_body", 30),
--- a/tests/crowds/peer_datagram.py
+++ b/tests/crowds/peer_datagram.py
@@ -2,6 +2,7 @@
 
 import socket
 import time
+import zlib
 
 AT_ONCE = 4
 PAUSE_S = 0.001             # the kernel loses what finds no room
@@ -9,6 +10,7 @@
 WORKS = 900                 # open requests in one datagram
 PARTS = 6000                # of one prompt
 SUSPECTS = 3000             # of one crash
+UPDATED_RECORDS = 30_000_000
 LONG_ID = "t" * 30_000
 HOUR_MS = 3_600_000
 LIST_WORK, LIST_PLACEMENT_REQUESTS, LIST_CRASHES, LIST_CLEARED = 0, 5, 11, 12
@@ -42,51 +44,66 @@
     return template[1]
 
 
-def message(layout, number, list_number, items):
-    """A message of the made-up instance `number` with one list."""
+def message(layout, number, lists=(), update=b""):
+    """A message of the made-up instance `number`."""
     name = f"made-up-{number % MADE_UP_INSTANCES}"
     return cbor([layout, name, 1, "127.0.0.2", "hall", "127.0.0.2:80", 0, 0,
                  HOUR_MS, True, False, False, 0, False, 0, 0,
-                 [[list_number, items]], b""])
+                 list(lists), update])
+
+
+def compressed_update():
+    """Changes of the store's records: a list of so many that do not exist."""
+    array = head(4, UPDATED_RECORDS) + b"\x00" * UPDATED_RECORDS
+    update = head(4, 4) + cbor(0) + cbor(1) + cbor(False) + array
+    return zlib.compress(update, 9)
 
 
 def open_work(number):
     """Requests at a target that does not exist."""
     parts = [["i-none", 10, 10, 1]]
-    return LIST_WORK, [[number * WORKS + i, 100, 0, True, False, False, 0, parts]
-                       for i in range(WORKS)]
+    return [LIST_WORK, [[number * WORKS + i, 100, 0, True, False, False, 0, parts]
+                       for i in range(WORKS)]]
 
 
 def waiting_requests(number):
     """A request that may not be refused, and may use no target."""
     excluded = [f"i-plain{i}" for i in range(1, 20)]
     parts = [1 << 40 | number << 20 | i for i in range(PARTS)]
-    return LIST_PLACEMENT_REQUESTS, [
+    return [LIST_PLACEMENT_REQUESTS, [
         [number, "made-up", "plain", 0, 0, 300, 200, 200, 0, HOUR_MS, HOUR_MS,
-         excluded, 1, False, number, parts, False]]
+         excluded, 1, False, number, parts, False]]]
 
 
 def crashes(number):
     """A crash of a target with a long name."""
     suspects = [1 << 40 | number << 20 | i for i in range(SUSPECTS)]
-    return LIST_CRASHES, [[suspects, [LONG_ID, 1], 0]]
+    return [LIST_CRASHES, [[suspects, [LONG_ID, 1], 0]]]
 
 
 def served_parts(number):
     """Parts of prompts that were served."""
-    return LIST_CLEARED, [PART_FLAG | number << 20 | i for i in range(PARTS)]
+    return [LIST_CLEARED,
+            [PART_FLAG | number << 20 | i for i in range(PARTS)]]
 
 
 REPORTS = {"open_work": open_work, "waiting_requests": waiting_requests,
            "crashes": crashes, "served_parts": served_parts}
+UPDATES = {"compressed_updates": compressed_update}
 
 
 def report(template, kind, count, address):
     """Sends `count` messages with reports of one kind."""
     layout = layout_of(template)
+    if kind in REPORTS:
+        messages = (message(layout, number, [REPORTS[kind](number)])
+                    for number in range(1, count + 1))
+    else:
+        update = UPDATES[kind]()
+        messages = (message(layout, number, update=update)
+                    for number in range(1, count + 1))
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
-        for number in range(count):
-            sender.sendto(message(layout, number + 1,
-                                  *REPORTS[kind](number + 1)), address)
+        for number, each in enumerate(messages):
+            sender.sendto(each, address)
             if number % AT_ONCE == 0:
                 time.sleep(PAUSE_S)
