A small datagram may not expand to more than the machine's memory

Cause: an update of records in a datagram is compressed, up to a thousand times, and may have 32 MB. Parsed, each value of a byte takes sixteen, and the list that grows twice that.

Ruled out: a bound on decompressed bytes alone, as 4 MiB of values of a byte would take 64 MB and more.

--- a/apps/gateway/gateway_node_events.cpp
+++ b/apps/gateway/gateway_node_events.cpp
@@ -109,7 +109,7 @@
     };
     group_.on_update = [this]( auto const& from, auto const& bytes )
     {
-        auto const update = peers::decode_update( bytes );
+        auto const update = peers::decode_datagram_update( bytes );
         if ( update.has_value() )
             registry_.apply_update( update.value(), from );
         update_store_state();
--- a/src/pollenstream/peers/state_transfer.cpp
+++ b/src/pollenstream/peers/state_transfer.cpp
@@ -18,6 +18,8 @@
 /// Limits what a compressed update may expand to. A value in the store has at
 /// most one megabyte, and few values are large.
 constexpr auto max_update_bytes = std::size_t{ 32 } * 1024 * 1024;
+/// The same for one in a datagram.
+constexpr auto max_datagram_update_bytes = std::size_t{ 4 } * 1024 * 1024;
 constexpr auto after_query = std::string_view( "?after=" );
 
 auto to_json( ports::record const& r ) -> json
@@ -40,6 +42,34 @@
     return r;
 }
 
+auto decode_update( std::string const& bytes, std::size_t max_bytes )
+    -> core::result<registry::record_update>
+{
+    auto const decompressed = decompress( bytes, max_bytes );
+    if ( decompressed.has_error() )
+        return decompressed.error();
+    auto const parsed = parse_cbor( decompressed.value() );
+    if ( parsed.has_error() )
+        return parsed.error();
+    try
+    {
+        auto const& object = parsed.value();
+        auto update = registry::record_update{};
+        update.from =
+            ports::store_revision( object.at( 0 ).get<std::int64_t>() );
+        update.batch.at =
+            ports::store_revision( object.at( 1 ).get<std::int64_t>() );
+        update.lapse_possible = object.at( 2 ).get<bool>();
+        for ( auto const& entry : object.at( 3 ) )
+            update.batch.records.push_back( from_json( entry ) );
+        return update;
+    }
+    catch ( json::exception const& e )
+    {
+        return core::error{ core::error_code::malformed, e.what() };
+    }
+}
+
 }
 
 auto state_request_path( ports::store_revision after ) -> std::string
@@ -76,29 +106,13 @@
 auto decode_update( std::string const& bytes )
     -> core::result<registry::record_update>
 {
-    auto const decompressed = decompress( bytes, max_update_bytes );
-    if ( decompressed.has_error() )
-        return decompressed.error();
-    auto const parsed = parse_cbor( decompressed.value() );
-    if ( parsed.has_error() )
-        return parsed.error();
-    try
-    {
-        auto const& object = parsed.value();
-        auto update = registry::record_update{};
-        update.from =
-            ports::store_revision( object.at( 0 ).get<std::int64_t>() );
-        update.batch.at =
-            ports::store_revision( object.at( 1 ).get<std::int64_t>() );
-        update.lapse_possible = object.at( 2 ).get<bool>();
-        for ( auto const& entry : object.at( 3 ) )
-            update.batch.records.push_back( from_json( entry ) );
-        return update;
-    }
-    catch ( json::exception const& e )
-    {
-        return core::error{ core::error_code::malformed, e.what() };
-    }
+    return decode_update( bytes, max_update_bytes );
+}
+
+auto decode_datagram_update( std::string const& bytes )
+    -> core::result<registry::record_update>
+{
+    return decode_update( bytes, max_datagram_update_bytes );
 }
 
 }
--- a/src/pollenstream/peers/state_transfer.hpp
+++ b/src/pollenstream/peers/state_transfer.hpp
@@ -25,6 +25,10 @@
 /// written.
 auto decode_update( std::string const& bytes )
     -> core::result<registry::record_update>;
+/// The same for an update from a datagram, which anybody may have sent: it may
+/// expand to less.
+auto decode_datagram_update( std::string const& bytes )
+    -> core::result<registry::record_update>;
 
 }
 
--- a/tests/peers/cbor_test.cpp
+++ b/tests/peers/cbor_test.cpp
@@ -28,6 +28,32 @@
                .has_error() );
 }
 
+TEST_CASE( "one value too many is an error", "[peers][cbor]" )
+{
+    auto const bytes_of = []( std::size_t elements )
+    {
+        auto bytes = std::string{};
+        nlohmann::json::to_cbor( nlohmann::json( elements, 0 ), bytes );
+        return bytes;
+    };
+    // The array is a value as well.
+    CHECK( peers::parse_cbor( bytes_of( peers::max_cbor_values - 1 ) )
+               .has_value() );
+    CHECK(
+        peers::parse_cbor( bytes_of( peers::max_cbor_values ) ).has_error() );
+}
+
+TEST_CASE( "an update in a datagram may not expand without end",
+           "[peers][cbor]" )
+{
+    auto update = pollenstream::registry::record_update{};
+    update.batch.records.push_back(
+        { "key", std::string( 5'000'000, 'v' ), {} } );
+    auto const bytes = peers::encode_update( update );
+    CHECK( peers::decode_datagram_update( bytes ).has_error() );
+    CHECK( peers::decode_update( bytes ).has_value() );
+}
+
 TEST_CASE( "valid CBOR is parsed, anything else is an error", "[peers][cbor]" )
 {
     auto const value = nlohmann::json{ { "a", { 1, "x", true } } };
--- a/tests/support/record_fleet.cpp
+++ b/tests/support/record_fleet.cpp
@@ -105,7 +105,7 @@
 {
     group.on_update = [this]( auto const& from, auto const& bytes )
     {
-        auto const update = peers::decode_update( bytes );
+        auto const update = peers::decode_datagram_update( bytes );
         if ( update.has_value() )
             watch.apply_update( update.value(), from );
     };
