A crowd of records that no store has, as a test

Forty datagrams, each with an update of three made-up records of a megabyte. The bound is that of the other crowds.

--- a/tests/crowds/crowd_test.py
+++ b/tests/crowds/crowd_test.py
@@ -86,6 +86,7 @@
     Case("datagrams", "crashes", 20),
     Case("datagrams", "served_parts", 400),
     Case("datagrams", "compressed_updates", 4),
+    Case("datagrams", "made_up_records", 40),
 ]
 DAEMON_CASES = [
     Case("callers", "largest_body", 30),
--- a/tests/crowds/peer_datagram.py
+++ b/tests/crowds/peer_datagram.py
@@ -11,6 +11,8 @@
 PARTS = 6000                # of one prompt
 SUSPECTS = 3000             # of one crash
 UPDATED_RECORDS = 30_000_000
+RECORDS = 3                 # in one datagram
+RECORD_BYTES = 1_000_000
 LONG_ID = "t" * 30_000
 HOUR_MS = 3_600_000
 LIST_WORK, LIST_PLACEMENT_REQUESTS, LIST_CRASHES, LIST_CLEARED = 0, 5, 11, 12
@@ -52,13 +54,24 @@
                  list(lists), update])
 
 
-def compressed_update():
+def compressed_update(_):
     """Changes of the store's records: a list of so many that do not exist."""
     array = head(4, UPDATED_RECORDS) + b"\x00" * UPDATED_RECORDS
     update = head(4, 4) + cbor(0) + cbor(1) + cbor(False) + array
     return zlib.compress(update, 9)
 
 
+def made_up_records(number):
+    """A few large records that no store has."""
+    value = cbor(b"x" * RECORD_BYTES)
+    records = b"".join(
+        b"\x83" + cbor(f"pollenstream/instances/made-up-{number}-{i}") +
+        cbor(number) + value for i in range(RECORDS))
+    update = head(4, 4) + cbor(0) + cbor(number) + cbor(False) + \
+        head(4, RECORDS) + records
+    return zlib.compress(update, 9)
+
+
 def open_work(number):
     """Requests at a target that does not exist."""
     parts = [["i-none", 10, 10, 1]]
@@ -89,7 +102,8 @@
 
 REPORTS = {"open_work": open_work, "waiting_requests": waiting_requests,
            "crashes": crashes, "served_parts": served_parts}
-UPDATES = {"compressed_updates": compressed_update}
+UPDATES = {"compressed_updates": compressed_update,
+           "made_up_records": made_up_records}
 
 
 def report(template, kind, count, address):
@@ -99,8 +113,7 @@
         messages = (message(layout, number, [REPORTS[kind](number)])
                     for number in range(1, count + 1))
     else:
-        update = UPDATES[kind]()
-        messages = (message(layout, number, update=update)
+        messages = (message(layout, number, update=UPDATES[kind](number))
                     for number in range(1, count + 1))
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
         for number, each in enumerate(messages):
