Records that other instances send are kept within a sixteenth of the memory

Cause: the registry keeps the records and the removals that other instances send, and nothing counted them.

Change: the registry counts its records. Where they take a sixteenth of the memory, a record from another instance is left out and counted, and the instance stays behind until it has it from the store, whose records are kept in any case. From 65,536 removals on, those of records that were not known are not remembered.

Ruled out: to take updates from confirmed instances only, as a new instance gets its records from the first that it hears.

A new case of registry_watch_test tells what is left out and when it is taken again.

--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -180,6 +180,7 @@
       listening_ports_( scheduler_, log )
 {
     group_.reports().set_max_bytes( limits_.report_bytes );
+    registry_.set_max_record_bytes( limits_.record_bytes );
     scheduler_.set_failure_listener(
         [this]( auto const& e )
         {
--- a/apps/gateway/node_metrics.cpp
+++ b/apps/gateway/node_metrics.cpp
@@ -223,6 +223,8 @@
                  node.group.replaced_peers() );
     write_gauge( out, "pollenstream_peer_report_bytes",
                  node.group.reports().used_bytes() );
+    write_count( out, "pollenstream_records_left_out_total", "",
+                 node.registry.records_left_out() );
     write_count( out, "pollenstream_peer_reports_refused_total", "",
                  node.group.reports().refused() );
     write_count( out, "pollenstream_peer_reports_forgotten_total", "",
--- a/apps/gateway/resource_limits.hpp
+++ b/apps/gateway/resource_limits.hpp
@@ -21,6 +21,8 @@
     std::size_t reply_bytes{ 0 };
     /// For what other instances report of their open requests.
     std::size_t report_bytes{ 0 };
+    /// For records of the store, as far as other instances send them.
+    std::size_t record_bytes{ 0 };
     /// Connections at all ports. The other descriptors are for the store, the
     /// targets and other instances.
     std::size_t connections{ 0 };
--- a/src/pollenstream/registry/registry_watch.cpp
+++ b/src/pollenstream/registry/registry_watch.cpp
@@ -35,6 +35,17 @@
 /// Minimum pause between checks of missing entries.
 constexpr auto min_recheck_pause = core::duration( 50ms );
 
+/// From so many removed records on, removals of records that were not known are
+/// not remembered.
+constexpr auto max_removed = std::size_t{ 65'536 };
+/// Memory of a record beside its key and its value.
+constexpr auto record_overhead_bytes = std::size_t{ 256 };
+
+auto bytes_of( std::string const& key, std::string const& value ) -> std::size_t
+{
+    return record_overhead_bytes + key.size() + value.size();
+}
+
 /// Source of a target's entry for logs, with the target's lifetime if known.
 auto describe_source( std::string const& source,
                       core::target_lifetime lifetime ) -> std::string
@@ -330,16 +341,43 @@
     reported_lapse_until_ = update.lapse_possible
                                 ? scheduler_.now() + return_timeout
                                 : core::instant{};
+    auto is_whole = true;
     for ( auto const& r : update.batch.records )
-        apply_record( r, source );
+    {
+        if ( has_room_for( r, source ) )
+            apply_record( r, source );
+        else
+            is_whole = false;
+    }
     // Each record is valid by itself, but the changes between `known_until_`
     // and `update.from` are still missing here.
-    if ( update.from > known_until_ )
+    if ( update.from > known_until_ || !is_whole )
         return false;
     known_until_ = std::max( known_until_, update.batch.at );
     return true;
 }
 
+/// Logs the first that is left out; the counter has all.
+auto registry_watch::has_room_for( ports::record const& r,
+                                   std::string const& source ) -> bool
+{
+    auto const known = records_.find( r.key );
+    auto const freed =
+        known == records_.end() ? 0 : bytes_of( r.key, known->second.value );
+    auto const needed = r.value ? bytes_of( r.key, *r.value ) : 0;
+    if ( record_bytes_ - freed + needed <= max_record_bytes_ || needed == 0 )
+        return true;
+    left_out_.add();
+    if ( left_out_.value() == 1 )
+        log_.record(
+            exchange::state_change{ "record",
+                                    r.key,
+                                    "left_out",
+                                    "no memory for records of " + source,
+                                    {} } );
+    return false;
+}
+
 auto registry_watch::apply_record( ports::record const& r,
                                    std::string const& source ) -> void
 {
@@ -350,9 +388,13 @@
     auto const removed = removed_.find( r.key );
     if ( removed != removed_.end() && removed->second >= r.revision )
         return;
-    auto& known = records_[r.key];
+    auto const [position, is_new] = records_.try_emplace( r.key );
+    auto& known = position->second;
+    record_bytes_ += is_new ? bytes_of( r.key, known.value ) : 0;
     if ( known.revision >= r.revision )
         return;
+    record_bytes_ += r.value->size();
+    record_bytes_ -= known.value.size();
     auto const kind = codec_.kind_of( r.key );
     auto const is_unchanged = kind == record_kind::instance &&
                               known.changed_at != ports::store_revision{} &&
@@ -528,10 +570,13 @@
                                     std::string const& source ) -> void
 {
     auto const known = records_.find( key );
+    if ( known == records_.end() && removed_.size() >= max_removed )
+        return;
     auto& removed = removed_[key];
     removed = std::max( removed, at );
     if ( known == records_.end() || known->second.revision > at )
         return;
+    record_bytes_ -= bytes_of( key, known->second.value );
     records_.erase( known );
     auto const kind = codec_.kind_of( key );
     if ( kind == record_kind::drained_data_centre )
--- a/src/pollenstream/registry/registry_watch.hpp
+++ b/src/pollenstream/registry/registry_watch.hpp
@@ -1,6 +1,7 @@
 #ifndef POLLENSTREAM_REGISTRY_REGISTRY_WATCH_HPP
 #define POLLENSTREAM_REGISTRY_REGISTRY_WATCH_HPP
 
+#include <pollenstream/core/counter.hpp>
 #include <pollenstream/exchange/event_log.hpp>
 #include <pollenstream/exchange/load_table.hpp>
 #include <pollenstream/exchange/routes.hpp>
@@ -8,6 +9,7 @@
 #include <pollenstream/ports/scheduler.hpp>
 #include <pollenstream/registry/registry_codec.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -105,6 +107,18 @@
     auto apply_update( record_update const& update, std::string const& source )
         -> bool;
 
+    /// Limits the memory of the records, as far as they come from other
+    /// instances: those of the store are kept in any case.
+    auto set_max_record_bytes( std::size_t bytes ) -> void
+    {
+        max_record_bytes_ = bytes;
+    }
+    /// Records of other instances that were left out for want of memory.
+    [[nodiscard]] auto records_left_out() const -> std::uint64_t
+    {
+        return left_out_.value();
+    }
+
 private:
     struct known_record
     {
@@ -132,6 +146,9 @@
 
     auto apply_list( ports::record_batch const& batch,
                      std::string const& source ) -> void;
+    /// False, and counts it, if there is no memory for the record.
+    [[nodiscard]] auto has_room_for( ports::record const& r,
+                                     std::string const& source ) -> bool;
     auto apply_record( ports::record const& r, std::string const& source )
         -> void;
     auto apply_changed_record( ports::record const& r,
@@ -170,7 +187,12 @@
     exchange::event_log& log_;
     registry_events events_;
 
+    static constexpr auto default_max_record_bytes = std::size_t{ 32 } << 20U;
+
     std::map<std::string, known_record> records_;
+    std::size_t record_bytes_{ 0 }; ///< of `records_`
+    std::size_t max_record_bytes_{ default_max_record_bytes };
+    core::counter left_out_;
     /// Revisions at which records were removed, so that older updates of other
     /// instances do not restore them.
     std::map<std::string, ports::store_revision> removed_;
--- a/tests/platform/resource_limits_test.cpp
+++ b/tests/platform/resource_limits_test.cpp
@@ -35,6 +35,7 @@
     CHECK( limits.answer_bytes == 16 * megabyte );
     CHECK( limits.reply_bytes == 8 * megabyte );
     CHECK( limits.report_bytes == 8 * megabyte );
+    CHECK( limits.record_bytes == 4 * megabyte );
 }
 
 TEST_CASE( "a quarter of the sockets is left to the process's own connections",
--- a/tests/registry/registry_watch_test.cpp
+++ b/tests/registry/registry_watch_test.cpp
@@ -566,3 +566,36 @@
     CHECK( f.watch->known_until() == ports::store_revision( 9 ) );
     CHECK( f.store.pending );
 }
+
+TEST_CASE( "records of other instances are kept within their memory",
+           "[registry][watch]" )
+{
+    constexpr auto megabyte = std::size_t{ 1 } << 20U;
+    auto const prefix = std::string( "pollenstream/instances/" );
+    auto f = registry_fixture{};
+    f.watch->set_max_record_bytes( 3 * megabyte );
+    auto const send = [&]( std::string const& key, std::int64_t revision )
+    {
+        auto const at = ports::store_revision( revision );
+        auto const value = std::string( megabyte, 'v' );
+        return f.watch->apply_update( { f.watch->known_until(),
+                                        { { { prefix + key, value, at } }, at },
+                                        false },
+                                      "other" );
+    };
+    CHECK( send( "a", 2 ) );
+    CHECK( send( "b", 3 ) );
+    // The same record again needs no more.
+    CHECK( send( "b", 4 ) );
+    CHECK_FALSE( send( "c", 5 ) );
+    CHECK( f.watch->records_left_out() == 1 );
+    CHECK( f.watch->known_until() == ports::store_revision( 4 ) );
+    // The store's own records are kept, and count.
+    f.revision = 10;
+    f.write_record( prefix + "c", std::string( megabyte, 'v' ) );
+    CHECK( f.watch->known_until() > ports::store_revision( 4 ) );
+    CHECK_FALSE( send( "d", 100 ) );
+    f.write_record( prefix + "a", std::nullopt );
+    f.write_record( prefix + "c", std::nullopt );
+    CHECK( send( "d", 101 ) );
+}
