--- a/tests/crowds/crowd.py
+++ b/tests/crowds/crowd.py
@@ -44,6 +44,41 @@
          CLAIMED_ITEMS.to_bytes(4, "big"))
 
 
+# Heartbeats with made-up instances.
+MADE_UP_MEMBERS = 30_000
+LONG_IDS = 900
+LONG_ID_BYTES = 16_000
+NUMBER = b"@@@@@@@@"
+
+
+def text_field(number, text):
+    return b"\x0b" + number.to_bytes(2, "big") + \
+        len(text).to_bytes(4, "big") + text
+
+
+def member(name):
+    """An instance in a heartbeat, in Thrift's binary protocol."""
+    numbers = b"".join(b"\x0a" + field.to_bytes(2, "big") + bytes(7) + b"\x01"
+                       for field in (5, 6))
+    return text_field(1, name) + text_field(2, b"hall") + \
+        text_field(3, b"127.0.0.9:80") + text_field(4, b"127.0.0.9:81") + \
+        numbers + b"\x08\x00\x07" + bytes(4) + \
+        b"\x0a\x00\x08" + bytes(8) + b"\x00"
+
+
+def heartbeat(prefix, count):
+    """A frame with a heartbeat that names so many instances."""
+    changes = b"".join(member(b"%s-%s-%d" % (prefix, NUMBER, i))
+                       for i in range(count))
+    call = (b"\x80\x01\x00\x01" b"\x00\x00\x00\x08" b"exchange"
+            b"\x00\x00\x00\x01" b"\x0c\x00\x01" +
+            b"\x0c\x00\x01" + member(b"sender-" + NUMBER) +
+            b"\x0f\x00\x02\x0c" + count.to_bytes(4, "big") + changes +
+            b"\x0a\x00\x03" + bytes(8) + text_field(4, b"") +
+            b"\x02\x00\x05\x00" + b"\x00" + b"\x00")
+    return len(call).to_bytes(4, "big") + call
+
+
 @dataclasses.dataclass
 class Way:
     """What each member of a crowd sends."""
@@ -54,6 +89,7 @@
     trickles: bool = False      # one byte again and again behind it
     comes_again: bool = False   # when its connection has been closed
     reads: bool = True          # what it is answered
+    numbered: bool = False      # `NUMBER` in it becomes the member's
 
 
 def whole_pieces(size):
@@ -90,6 +126,9 @@
     "largest_body": Way(announced(FRAME_BYTES), PIECE,
                         FRAME_BYTES // len(PIECE) - 1, PIECE[1:]),
     "claimed_items": Way(len(CLAIM).to_bytes(4, "big") + CLAIM),
+    "made_up_members": Way(heartbeat(b"", MADE_UP_MEMBERS), numbered=True),
+    "long_member_ids": Way(heartbeat(b"m" * LONG_ID_BYTES, LONG_IDS),
+                           numbered=True),
     "largest_frame": Way(FRAME_BYTES.to_bytes(4, "big"), PIECE,
                          FRAME_BYTES // len(PIECE) - 1, PIECE[1:]),
 }
@@ -98,7 +137,8 @@
 class Member:
     """One connection of the crowd, and its next ones if it comes again."""
 
-    def __init__(self, ip, port, way):
+    def __init__(self, ip, port, way, number):
+        self.number = number
         self.ip = ip
         self.port = port
         self.way = way
@@ -141,7 +181,10 @@
             self.has_sent.set()
 
     async def send_all(self, writer):
-        writer.write(self.way.first)
+        first = self.way.first
+        if self.way.numbered:
+            first = first.replace(NUMBER, b"%08x" % self.number)
+        writer.write(first)
         for _ in range(self.way.times):
             writer.write(self.way.piece)
             await writer.drain()
@@ -165,7 +208,7 @@
 
 async def stand(ip, port, way, count):
     """The crowd, from its coming until standard input ends."""
-    members = [Member(ip, port, WAYS[way]) for _ in range(count)]
+    members = [Member(ip, port, WAYS[way], number) for number in range(count)]
     tasks = [asyncio.create_task(member.run()) for member in members]
     await asyncio.gather(*(member.has_sent.wait() for member in members))
     print("gathered", flush=True)
