Made-up instances at the Thrift port take no more places than a fleet has

Cause: `member_table` keeps every instance that a heartbeat names, for ten minutes after it is gone, with names of any size.

Change: 4,096 instances are known from heartbeats, with names of up to 255 bytes and their data centres. Beyond that, one takes the place of the one that has been gone for the longest time, or is left out, counted in the dump and logged once. Instances on the platform's list are added in any case, so that a real newcomer is heard.

Ruled out: who names the most gives way, as gossip hands names on and so the sender is not their source.

Two new cases of member_table_test.

--- a/apps/daemon/node.cpp
+++ b/apps/daemon/node.cpp
@@ -260,9 +260,19 @@
 {
     members_.set_open_requests( shared_.open_sessions.load() );
     heartbeats_.run_round();
+    note_left_out();
     return beat_period;
 }
 
+/// Logs the first time only; the dump has the number.
+auto node::note_left_out() -> void
+{
+    if ( members_.left_out() == 0 || std::exchange( logged_left_out_, true ) )
+        return;
+    LOG( WARNING ) << "heartbeats name more instances than can be known, or "
+                      "names that are too long: these are left out";
+}
+
 auto node::read_list() -> core::duration
 {
     auto fetched = list_.fetch();
--- a/apps/daemon/node.hpp
+++ b/apps/daemon/node.hpp
@@ -77,6 +77,7 @@
     auto open_operators() -> core::duration;
     auto beat() -> core::duration;
     auto read_list() -> core::duration;
+    auto note_left_out() -> void;
     auto note_unusable_entries( std::vector<std::string> const& before,
                                 std::vector<std::string> const& now ) -> void;
     /// Logs a problem that is new; empty: there is none.
@@ -98,6 +99,7 @@
     adapters::http::list_http_client list_;
     ports::instance_listing listing_; ///< as it was read last
     std::string list_problem_;        ///< of the last fetch; empty: none
+    bool logged_left_out_{ false };   ///< that instances were left out
     adapters::thrift::peer_thrift_client peers_;
     routing::target_table targets_;
     std::unique_ptr<routing::target_policy> policy_;
--- a/src/pollenstream/adapters/http/state_dump.cpp
+++ b/src/pollenstream/adapters/http/state_dump.cpp
@@ -164,6 +164,7 @@
     json["configuration_fingerprint"] =
         value::string( from.holder.fingerprint() );
     json["instances"] = dump_members( from );
+    json["instances_left_out"] = value::number( from.members.left_out() );
     json["targets"] = dump_targets( from );
     json["metrics"] = dump_metrics( from );
     json["invariants"] = dump_invariants();
--- a/src/pollenstream/adapters/thrift/frame_limits.hpp
+++ b/src/pollenstream/adapters/thrift/frame_limits.hpp
@@ -12,7 +12,7 @@
 /// Maximum number of entries of one list in a call: of instances that have
 /// changed, or of documents. The library takes memory for all that are
 /// announced before it reads the first.
-inline constexpr auto max_list_entries = 65'536;
+inline constexpr auto max_list_entries = 8'192;
 
 }
 
--- a/src/pollenstream/adapters/thrift/peer_codec.cpp
+++ b/src/pollenstream/adapters/thrift/peer_codec.cpp
@@ -84,7 +84,7 @@
     for ( auto const& each : w.changes )
     {
         auto const m = from_wire( each );
-        if ( m )
+        if ( m && membership::has_valid_names( m.value() ) )
             h.changes.push_back( m.value() );
     }
     h.revision = core::revision( w.revision );
--- a/src/pollenstream/membership/member.cpp
+++ b/src/pollenstream/membership/member.cpp
@@ -30,4 +30,10 @@
     return precedence( update ) > precedence( known );
 }
 
+auto has_valid_names( member const& m ) -> bool
+{
+    return m.id.str().size() <= max_member_name_bytes &&
+           m.data_centre.str().size() <= max_member_name_bytes;
+}
+
 }
--- a/src/pollenstream/membership/member.hpp
+++ b/src/pollenstream/membership/member.hpp
@@ -4,12 +4,19 @@
 #include <pollenstream/core/address.hpp>
 #include <pollenstream/core/ids.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 
 namespace pollenstream::membership
 {
 
+/// Maximum number of instances that are known, as far as heartbeats name them.
+/// Whoever reaches the port of instances can name any.
+inline constexpr auto max_members = std::size_t{ 4'096 };
+/// Maximum size of an instance's id or data centre, in bytes.
+inline constexpr auto max_member_name_bytes = std::size_t{ 255 };
+
 /// Liveness of an instance. Among updates of the same incarnation and version
 /// the later enumerator wins, so the order of the enumerators matters.
 enum class member_phase : int
@@ -36,6 +43,8 @@
     std::int64_t open_requests{ 0 };
 };
 
+/// False for names that no instance has.
+auto has_valid_names( member const& m ) -> bool;
 /// True if `update` supersedes `known`; both describe the same instance.
 auto is_newer( member const& update, member const& known ) -> bool;
 
--- a/src/pollenstream/membership/member_table.cpp
+++ b/src/pollenstream/membership/member_table.cpp
@@ -79,7 +79,13 @@
         return;
     }
     auto const known = records_.find( update.id );
-    if ( known == records_.end() || is_newer( update, known->second.latest ) )
+    auto const is_new = known == records_.end();
+    if ( is_new && ( !has_valid_names( update ) || !make_room() ) )
+    {
+        left_out_.add();
+        return;
+    }
+    if ( is_new || is_newer( update, known->second.latest ) )
     {
         store( update, now );
         return;
@@ -91,6 +97,26 @@
         latest.open_requests = update.open_requests;
 }
 
+auto member_table::make_room() -> bool
+{
+    if ( records_.size() < max_members )
+        return true;
+    auto longest = records_.end();
+    for ( auto at = records_.begin(); at != records_.end(); ++at )
+    {
+        auto const& known = at->second;
+        auto const is_gone =
+            known.latest.phase == member_phase::gone && at->first != self_;
+        if ( is_gone && ( longest == records_.end() ||
+                          known.phase_since < longest->second.phase_since ) )
+            longest = at;
+    }
+    if ( longest == records_.end() )
+        return false;
+    records_.erase( longest );
+    return true;
+}
+
 auto member_table::refute( member const& update, core::instant now ) -> void
 {
     auto own = records_[self_].latest;
--- a/src/pollenstream/membership/member_table.hpp
+++ b/src/pollenstream/membership/member_table.hpp
@@ -1,6 +1,7 @@
 #ifndef POLLENSTREAM_MEMBERSHIP_MEMBER_TABLE_HPP
 #define POLLENSTREAM_MEMBERSHIP_MEMBER_TABLE_HPP
 
+#include <pollenstream/core/counter.hpp>
 #include <pollenstream/core/ids.hpp>
 #include <pollenstream/core/units.hpp>
 #include <pollenstream/membership/member.hpp>
@@ -37,7 +38,9 @@
                      core::instant now ) -> void;
 
     /// Merges an update about any instance. An update that has this instance in
-    /// another phase than its own is refuted.
+    /// another phase than its own is refuted. Where as many instances as can be
+    /// are known, one that is not known takes the place of the one that has
+    /// been gone for the longest time, or is left out.
     auto merge( member const& update, core::instant now ) -> void;
 
     /// Notes that `id` did not reply: an alive instance becomes suspect, a
@@ -60,6 +63,11 @@
     /// left first, and counts one transmission of each.
     auto take_changes( std::size_t max_count ) -> std::vector<member>;
 
+    /// Updates about unknown instances that were left out.
+    [[nodiscard]] auto left_out() const -> std::uint64_t
+    {
+        return left_out_.value();
+    }
     [[nodiscard]] auto self() const -> member;
     [[nodiscard]] auto find( core::instance_id const& id ) const
         -> std::optional<member>;
@@ -77,6 +85,8 @@
     };
 
     auto store( member const& update, core::instant now ) -> void;
+    /// False if there is no place for another instance.
+    auto make_room() -> bool;
     auto refute( member const& update, core::instant now ) -> void;
     /// Number of heartbeats that carry one update.
     auto transmission_limit() const -> int;
@@ -85,6 +95,7 @@
     core::instance_id self_;
     std::map<core::instance_id, record> records_;
     std::mt19937_64 random_;
+    core::counter left_out_;
 };
 
 }
--- a/tests/membership/member_table_test.cpp
+++ b/tests/membership/member_table_test.cpp
@@ -219,6 +219,46 @@
     CHECK( stays( owners[2].id ) );
 }
 
+TEST_CASE( "one instance too many is left out unless another is gone",
+           "[membership]" )
+{
+    auto table = membership::member_table( named( "me" ), 1 );
+    for ( auto i = std::size_t{ 1 }; i < membership::max_members; ++i )
+        table.merge( named( std::to_string( i ) ), start );
+    CHECK( table.left_out() == 0 );
+    table.merge( named( "one more" ), start );
+    CHECK( table.left_out() == 1 );
+    CHECK_FALSE( table.find( core::instance_id( "one more" ) ) );
+
+    // What the platform lists is added in any case.
+    auto listed = ports::listed_instance{};
+    listed.id = core::instance_id( "listed" );
+    table.add_listed( { listed }, start );
+    CHECK( table.find( listed.id ) );
+
+    for ( auto const* id : { "7", "8" } )
+    {
+        auto gone = named( id );
+        gone.phase = member_phase::gone;
+        table.merge( gone, id == std::string( "7" ) ? start + 1s : start );
+    }
+    table.merge( named( "one more" ), start + 2s );
+    CHECK( table.find( core::instance_id( "one more" ) ) );
+    CHECK_FALSE( table.find( core::instance_id( "8" ) ) );
+    CHECK( table.find( core::instance_id( "7" ) ) );
+}
+
+TEST_CASE( "an instance with a name that is too long is left out",
+           "[membership]" )
+{
+    auto table = membership::member_table( named( "me" ), 1 );
+    auto const longest = std::string( membership::max_member_name_bytes, 'n' );
+    table.merge( named( longest ), start );
+    table.merge( named( longest + 'n' ), start );
+    CHECK( table.all().size() == 2 );
+    CHECK( table.left_out() == 1 );
+}
+
 TEST_CASE( "the subsets of all instances together cover all targets",
            "[membership]" )
 {
