--- a/src/pollenstream/adapters/asio/caller_connection.cpp
+++ b/src/pollenstream/adapters/asio/caller_connection.cpp
@@ -287,7 +287,7 @@
 auto caller_connection::give_memory_back() -> void
 {
     auto const self = shared_from_this();
-    // Who does not take its answer would not take a refusal either.
+    // The caller has stopped reading, so that a refusal would not reach it.
     if ( unsent_bytes() > 0 )
         return close();
     auto const head = reader_.head();
--- a/src/pollenstream/peers/peer_group_members.cpp
+++ b/src/pollenstream/peers/peer_group_members.cpp
@@ -59,7 +59,7 @@
     forget_reports( id );
 }
 
-/// What the instance has reported no longer counts.
+/// Removes the open work and the placement requests of the instance.
 auto peer_group::forget_reports( core::instance_id const& id ) -> void
 {
     load_table_.end_all_work( id, scheduler_.now() );
--- a/tests/crowds/crowd.py
+++ b/tests/crowds/crowd.py
@@ -48,6 +48,7 @@
 MADE_UP_MEMBERS = 30_000
 LONG_IDS = 900
 LONG_ID_BYTES = 16_000
+PLACE_BYTES = 8_000_000     # of a sender that has named a short one before
 NUMBER = b"@@@@@@@@"
 
 
@@ -56,23 +57,24 @@
         len(text).to_bytes(4, "big") + text
 
 
-def member(name):
+def member(name, place=b"hall", version=1):
     """An instance in a heartbeat, in Thrift's binary protocol."""
-    numbers = b"".join(b"\x0a" + field.to_bytes(2, "big") + bytes(7) + b"\x01"
-                       for field in (5, 6))
-    return text_field(1, name) + text_field(2, b"hall") + \
+    numbers = b"".join(b"\x0a" + field.to_bytes(2, "big") +
+                       value.to_bytes(8, "big")
+                       for field, value in ((5, 1), (6, version)))
+    return text_field(1, name) + text_field(2, place) + \
         text_field(3, b"127.0.0.9:80") + text_field(4, b"127.0.0.9:81") + \
         numbers + b"\x08\x00\x07" + bytes(4) + \
         b"\x0a\x00\x08" + bytes(8) + b"\x00"
 
 
-def heartbeat(prefix, count):
+def heartbeat(prefix, count, **sender):
     """A frame with a heartbeat that names so many instances."""
     changes = b"".join(member(b"%s-%s-%d" % (prefix, NUMBER, i))
                        for i in range(count))
     call = (b"\x80\x01\x00\x01" b"\x00\x00\x00\x08" b"exchange"
             b"\x00\x00\x00\x01" b"\x0c\x00\x01" +
-            b"\x0c\x00\x01" + member(b"sender-" + NUMBER) +
+            b"\x0c\x00\x01" + member(b"sender-" + NUMBER, **sender) +
             b"\x0f\x00\x02\x0c" + count.to_bytes(4, "big") + changes +
             b"\x0a\x00\x03" + bytes(8) + text_field(4, b"") +
             b"\x02\x00\x05\x00" + b"\x00" + b"\x00")
@@ -129,6 +131,9 @@
     "made_up_members": Way(heartbeat(b"", MADE_UP_MEMBERS), numbered=True),
     "long_member_ids": Way(heartbeat(b"m" * LONG_ID_BYTES, LONG_IDS),
                            numbered=True),
+    "long_places": Way(heartbeat(b"", 0) +
+                       heartbeat(b"", 0, place=b"p" * PLACE_BYTES, version=2),
+                       numbered=True),
     "largest_frame": Way(FRAME_BYTES.to_bytes(4, "big"), PIECE,
                          FRAME_BYTES // len(PIECE) - 1, PIECE[1:]),
 }
--- a/tests/crowds/crowd_test.py
+++ b/tests/crowds/crowd_test.py
@@ -95,6 +95,7 @@
     Case("peers", "claimed_items", 30),
     Case("peers", "made_up_members", 20),
     Case("peers", "long_member_ids", 20),
+    Case("peers", "long_places", 20),
     Case("callers", "many_fields", 500),
     Case("callers", "idle", 400, limits_descriptors=True),
     Case("operators", "idle_again", 400, limits_descriptors=True),
