A connection lost beside the upload ends no answer as whole

What callers saw: a runner answered a long upload at once with a 200 without a length, sent part of its body and reset the connection, or closed it with the upload unread, while the upload was still being written. The caller got the part as a complete 200, on routes of calls that may run once and on idempotent ones, of the gateway and of pollenstreamd.

Cause: the kernel reports the error of a connection once, to whichever call comes first. That was the write, whose error was dropped; the read behind it then saw an end of stream, which ends an answer without a length. The probe of the target finds it alive, as it is. The same where the kernel gives up an upload that is not acknowledged, and where the answer is not read for lack of memory while the write fails.

Ruled out: noting the error of the write is not enough. A trace of the system calls shows a write that Asio tries at once and whose error is queued, behind an event of the descriptor that delivers the end of the stream first.

Change: an end of stream beside an open write stops the write, and is judged once the write has ended, by what it ended with. A reset after an orderly end makes the kernel fail the write with a broken pipe instead (the state is CLOSE_WAIT), so sound answers that end before their upload are passed on as before. Answers with a length or chunks are read on after a failed write. One without fails at once if it is not being read.

--- /dev/null
+++ b/scripts/broken_answers_scenario.py
@@ -0,0 +1,172 @@
+"""Runners that answer a large upload before they have read it, and whose
+connection ends while the upload is being written.
+
+Nobody gets part of an answer as a whole one: a call that is not idempotent
+runs once and fails, an idempotent one is answered by another runner, and a
+stream is aborted or goes on elsewhere. An answer that ends in an orderly way
+is passed on."""
+
+import asyncio
+
+import raw_server
+from platform_fleet import KEY, PlatformFleet, Reply, call
+
+# Exceeds what the kernel buffers.
+UPLOAD = "u" * 12_000_000
+MAX_BODY_BYTES = 16_000_000
+TIME_LIMIT_MS = 8000
+SETTLE_S = 1.0  # until a gateway knows of a change in the store
+CALLS = 8       # until a runner of two has been reached
+STREAMS = 4     # at the same time
+ENDS = (raw_server.reset, raw_server.close_unread)
+HEAD = b"HTTP/1.1 200 OK\r\nServer-Seal: s\r\n"
+PART = HEAD + b"\r\n" + b"p" * 880
+WHOLE = HEAD + b"Content-Length: 5\r\n\r\nwhole"
+LAST_EVENT = 8
+
+
+def events(request_head, last):
+    """The events of a stream, up to one of them, that a target sends."""
+    attempt = next(line.split(b":")[1].strip()
+                   for line in request_head.split(b"\r\n")
+                   if line.lower().startswith(b"attempt-id:"))
+    first = next((int(line.split(b":")[1]) + 1
+                  for line in request_head.split(b"\r\n")
+                  if line.lower().startswith(b"last-event-id:")), 1)
+    return b"".join(b"id: %d\ndata: %s %d\n\n" % (n, attempt, n)
+                    for n in range(first, last + 1))
+
+
+def part_of_stream(request_head):
+    """Whole events, but not all."""
+    return (HEAD + b"Content-Type: text/event-stream\r\n\r\n" +
+            events(request_head, LAST_EVENT // 2))
+
+
+def whole_stream(request_head):
+    body = events(request_head, LAST_EVENT)
+    return (HEAD + b"Content-Type: text/event-stream\r\n"
+            b"Content-Length: %d\r\n\r\n" % len(body) + body)
+
+
+class Play:
+    """One fleet, some of whose runners are raw servers."""
+
+    def __init__(self, fleet, found):
+        self.fleet = fleet
+        self.found = found
+        self.calls = 0
+
+    async def replace(self, service, *ways):
+        """Puts raw servers in the place of a service's runners, one for each
+        of the ways: what it answers, and how its connections end."""
+        names = [n for n in self.fleet.runners if n.startswith(f"i-{service}")]
+        servers = [raw_server.RawServer(*way) for way in ways]
+        for name, server in zip(names, servers, strict=True):
+            await self.fleet.control("/register",
+                                     {"id": name, "address": server.address})
+        await asyncio.sleep(SETTLE_S)
+        return servers
+
+    async def send(self, path):
+        """What a caller saw; `complete` is false for an answer that was
+        cut."""
+        self.calls += 1
+        seen = Reply()
+        headers = {"Attempt-Id": f"a{self.calls}", "Api-Key": KEY,
+                   "Deadline-Ms": TIME_LIMIT_MS}
+        if "stream" in path:
+            headers["Token-Usage"] = "1000,100"
+        try:
+            await call(self.fleet.gateways[0].addresses["front"], "POST", path,
+                       headers, UPLOAD, limit=TIME_LIMIT_MS / 1000 + 2,
+                       reply=seen)
+        except (OSError, EOFError, ValueError, IndexError):
+            pass
+        return seen
+
+    def expect(self, holds, message):
+        if not holds:
+            self.found.append(message)
+
+
+async def unsafe_call(play, end):
+    servers = await play.replace("plain", (PART, end), (PART, end))
+    seen = await play.send("/unsafe/x")
+    runs = sum(server.requests for server in servers)
+    play.expect(seen.complete and seen.status == 502,
+                f"{end.__name__}: an unsafe call got {seen.status} with "
+                f"{len(seen.body)} bytes")
+    play.expect(runs == 1, f"{end.__name__}: an unsafe call ran {runs} times")
+
+
+async def safe_calls(play, end):
+    broken, _ = await play.replace("plain", (PART, end),
+                                   (WHOLE, raw_server.hold))
+    for _ in range(CALLS):
+        seen = await play.send("/safe/x")
+        play.expect(seen.complete and seen.body == "whole",
+                    f"{end.__name__}: a safe call got {seen.status} with "
+                    f"{len(seen.body)} bytes")
+    play.expect(broken.requests > 0, "no safe call reached the runner")
+
+
+async def streams(play, end):
+    broken, _ = await play.replace("model", (part_of_stream, end),
+                                   (whole_stream, raw_server.hold))
+    # At the same time, so that both engines get some.
+    for seen in await asyncio.gather(*(play.send("/stream/x")
+                                       for _ in range(STREAMS))):
+        count = seen.body.count("\n\n")
+        play.expect(seen.complete and count == LAST_EVENT,
+                    f"{end.__name__}: a stream that can be resumed ended "
+                    f"after {count} events")
+    play.expect(broken.requests > 0, "no stream reached the runner")
+
+
+async def once_stream(play, end):
+    servers = await play.replace("model", (part_of_stream, end),
+                                 (part_of_stream, end))
+    seen = await play.send("/once-stream/x")
+    runs = sum(server.requests for server in servers)
+    play.expect(not seen.complete,
+                f"{end.__name__}: a stream that may run once ended as whole")
+    play.expect(runs == 1, f"{end.__name__}: a stream ran {runs} times")
+
+
+async def orderly_answers(play, end):
+    """Answers that end before the upload does."""
+    await play.replace("plain", (PART, end), (PART, end))
+    for path in ("/unsafe/x", "/safe/x"):
+        seen = await play.send(path)
+        play.expect(seen.complete and seen.body == "p" * 880,
+                    f"an orderly answer to {path} was lost: {seen.status}")
+
+
+CASES = [(case, end) for case in (unsafe_call, safe_calls, streams,
+                                  once_stream) for end in ENDS]
+CASES.append((orderly_answers, raw_server.finish))
+
+
+async def play_case(build, seed, case, end, found):
+    fleet = PlatformFleet(build, seed, gateways=1, engines=2, plain=2,
+                          timeout_ms=TIME_LIMIT_MS, proxied=False,
+                          max_body_bytes=MAX_BODY_BYTES)
+    try:
+        await fleet.start()
+        play = Play(fleet, found)
+        await case(play, end)
+        if "invariant" in fleet.gateways[0].log():
+            found.append(f"{case.__name__}: an invariant")
+    finally:
+        fleet.stop()
+    return fleet
+
+
+async def play(build, seed):
+    """Returns what was broken, a line about it, and the last fleet."""
+    found = []
+    for case, end in CASES:
+        fleet = await play_case(build, seed, case, end, found)
+    return found, (f"seed {seed}: {len(CASES)} cases, {len(found)} "
+                   "violations"), fleet
--- a/scripts/platform_fleet.py
+++ b/scripts/platform_fleet.py
@@ -253,11 +253,12 @@
     """The stand-in, proxies before its store and runners, and gateways.
     Without `proxied` the runners have none. Fleets with differing nets run
     beside each other. `limits` are those of a gateway's machine, `times` the
-    callers' limits on time in the first configuration."""
+    callers' limits on time in the first configuration, `max_body_bytes` the
+    limit on a request."""
 
     def __init__(self, build, seed, gateways=3, engines=4, plain=2,
                  timeout_ms=4000, proxied=True, metrics_port=None, limits=None,
-                 times=None):
+                 times=None, max_body_bytes=1_000_000):
         self.build = pathlib.Path(build)
         self.seed = seed
         self.net = f"127.0.{os.getpid() % 250}"
@@ -265,6 +266,7 @@
         self.metrics_port = metrics_port
         self.limits = limits or {}
         self.times = times or {}
+        self.max_body_bytes = max_body_bytes
         self.gateway_options = ([f"--metrics-port={metrics_port}"]
                                 if metrics_port else [])
         self.folder = tempfile.mkdtemp(prefix="pollenstream-")
@@ -347,7 +349,7 @@
                 "version": self.version, "routes": routes,
                 "services": [{"name": "model"}, {"name": "plain"}],
                 "limits": {"max_header_bytes": 16384,
-                           "max_body_bytes": 1000000,
+                           "max_body_bytes": self.max_body_bytes,
                            "header_timeout_ms": header_timeout_ms,
                            "idle_timeout_ms": idle_timeout_ms},
                 "tenants": [{"name": "workspace-1", "api_keys": [KEY]}]})
--- a/scripts/process_test.py
+++ b/scripts/process_test.py
@@ -14,6 +14,7 @@
 import threading
 import time
 
+import raw_server
 from fleet import (TOKEN, Fleet, Process, chat, http_json, is_listening,
                    wait_until)
 
@@ -309,12 +310,12 @@
         return "1 daemon frozen until forgotten, its answer whole"
 
 
-def once(fleet, address, ticket, key):
+def once(fleet, address, ticket, key, body="{}"):
     """One certificate call; returns the outcome."""
     connection = http.client.HTTPConnection(address, timeout=30)
     try:
         connection.request(
-            "POST", "/v1/services/dealer-desk/certificates", "{}",
+            "POST", "/v1/services/dealer-desk/certificates", body,
             {"Content-Type": "application/json",
              "Pollenstream-Workspace": "perth-dealers",
              "Pollenstream-Profile": "certificate",
@@ -495,6 +496,9 @@
                     "field": (b"GET / HTTP/1.1\r\nX: ", PIECE),
                     "fields": (b"GET / HTTP/1.1\r\n", FIELDS)}
 ENDLESS_SECONDS = 2.0
+# Exceeds what the kernel buffers.
+LARGE_UPLOAD = "u" * 12_000_000
+PART_OF_ANSWER = b"HTTP/1.1 200 OK\r\n\r\n" + b"[]" + b" " * 880
 # What a head of 16 KiB a connection may come to, with the library's buffers.
 MOST_GROWTH_KB = 64 * 1024
 
@@ -557,13 +561,8 @@
         for way, sent in ENDLESS_ANSWERS.items():
             server = EndlessServer(*sent)
             server.start()
-            fleet.targets = [one if one["service"] != "dealer-desk" else
-                             {**one, "id": f"{way}-{one['id']}",
-                              "address": server.address} for one in sound]
-            fleet.publish()
-            wait_until(lambda: any(way in t["id"] for t in
-                                   fleet.dump(name)["targets"]),
-                       what="the faulty target is known")
+            fleet.targets = list(sound)
+            replace_targets(fleet, name, "dealer-desk", server.address, way)
             post_calls(fleet, name, 3)
             server.socket.close()
             check_growth(process, before, way)
@@ -643,6 +642,45 @@
     return f"{known} engines known beside odd entries"
 
 
+def replace_targets(fleet, name, service, address, label):
+    """Puts one address in the place of all targets of a service."""
+    fleet.targets = [one if one["service"] != service else
+                     {**one, "id": f"{label}-{one['id']}", "address": address}
+                     for one in fleet.targets]
+    fleet.publish()
+    wait_until(lambda: any(label in t["id"] for t in
+                           fleet.dump(name)["targets"]),
+               what="the target is known")
+
+
+def cut_beside_upload(build, _):
+    """Part of an answer whose connection ends while the upload is written is
+    no answer; one that ends in an orderly way is."""
+    with Fleet(build) as fleet:
+        fleet.add_plain("desk-0", "dealer-desk")
+        fleet.add_daemon("entry-0", limits={
+            "largest_body_bytes": 2 * len(LARGE_UPLOAD)})
+        fleet.publish()
+        fleet.start_daemon("entry-0")
+        configure(fleet, "entry-0")
+        address = fleet.callers("entry-0")
+        prefix = http_json("GET", address, "/v1/entry?workspace=w")[1][
+            "ticket_prefix"]
+        for end, expected in ((raw_server.reset, "unknown"),
+                              (raw_server.close_unread, "unknown"),
+                              (raw_server.finish, "complete")):
+            server = raw_server.RawServer(PART_OF_ANSWER, end)
+            replace_targets(fleet, "entry-0", "dealer-desk", server.address,
+                            end.__name__)
+            outcome = once(fleet, address, prefix, end.__name__, LARGE_UPLOAD)
+            server.close()
+            expect(outcome == expected, f"{end.__name__}: {outcome}")
+            expect(server.requests == 1,
+                   f"{end.__name__}: ran {server.requests} times")
+        no_violations(fleet, ["entry-0"])
+        return "2 ways to cut an answer, 1 orderly end"
+
+
 def caller_goes(build, _):
     """A caller that closes its connection frees the engine's memory."""
     with Fleet(build) as fleet:
@@ -724,7 +762,7 @@
 
 SCENARIOS = (tool_commands, configuration_everywhere, engine_dies, engine_paused,
              instance_paused, at_most_once, bad_input, held_ports,
-             odd_list_entries, endless_heads, caller_goes,
+             odd_list_entries, endless_heads, cut_beside_upload, caller_goes,
              stop_at_its_limit, rolling_restart)
 
 
--- a/scripts/soak_processes.py
+++ b/scripts/soak_processes.py
@@ -21,6 +21,7 @@
 import signal
 import sys
 
+import broken_answers_scenario
 import cut_heads_scenario
 import endless_answers_scenario
 import endless_requests_scenario
@@ -654,6 +655,7 @@
 SIZED_SCENARIOS = {"frozen-reader": frozen_reader}
 SCENARIOS = {"silent-engine": silent_engine, "limits": limits,
              "fatal-parts": fatal_parts,
+             "broken-answers": played_by(broken_answers_scenario),
              "cut-heads": played_by(cut_heads_scenario),
              "endless-answers": played_by(endless_answers_scenario),
              "endless-requests": played_by(endless_requests_scenario),
--- a/src/pollenstream/adapters/asio/http_client.cpp
+++ b/src/pollenstream/adapters/asio/http_client.cpp
@@ -24,6 +24,8 @@
 
 /// Bytes per read; an event of a stream has a few hundred bytes.
 constexpr auto read_size = std::size_t{ 16 } * 1024;
+/// Bytes per write.
+constexpr auto max_written_at_once = std::size_t{ 64 } * 1024;
 /// Idle connections kept per pool. Targets limit the total number of
 /// connections from all their clients.
 constexpr auto max_idle_connections = std::size_t{ 8 };
@@ -67,6 +69,22 @@
     return { code, ec.message() };
 }
 
+/// How a connection ended, of which a read has reported `read_error`. The
+/// kernel reports an error once, to the call that comes first: a read that
+/// follows a failed write sees an end of stream in its place. A write fails
+/// with a broken pipe if the peer had ended its side in an orderly way before,
+/// and is aborted by this process.
+auto end_of_connection( error_code read_error, error_code write_error )
+    -> error_code
+{
+    auto const is_orderly = !write_error ||
+                            write_error == net::error::broken_pipe ||
+                            write_error == net::error::operation_aborted;
+    if ( read_error == net::error::eof && !is_orderly )
+        return write_error;
+    return read_error;
+}
+
 }
 
 /// A connection that carries at most one call at a time.
@@ -89,6 +107,8 @@
         listener_ = std::move( listener );
         sent_ = false;
         written_ = false;
+        write_error_ = {};
+        at_end_of_stream_ = false;
         skipped_bytes_ = 0;
         if ( socket_.is_open() )
             write();
@@ -196,18 +216,53 @@
         bytes[0] = net::buffer( *call_.text );
         if ( call_.body )
             bytes[1] = net::buffer( *call_.body );
-        net::async_write( socket_, bytes,
-                          [self = shared_from_this(), text = call_.text,
-                           body = call_.body]( error_code ec, std::size_t )
-                          {
-                              if ( !ec )
-                                  self->written_ = true;
-                          } );
+        is_writing_ = true;
+        net::async_write(
+            socket_, bytes,
+            [self = shared_from_this()]( error_code ec, std::size_t )
+            {
+                auto const goes_on = !ec && !self->at_end_of_stream_;
+                return goes_on ? max_written_at_once : 0;
+            },
+            [self = shared_from_this(), text = call_.text,
+             body = call_.body]( error_code ec, std::size_t )
+            {
+                self->run_guarded(
+                    [&]
+                    {
+                        self->on_written( ec );
+                    } );
+            } );
         start_answer();
         if ( !reading_ )
             read();
     }
 
+    /// An error does not end the call by itself: the answer may have arrived
+    /// before it.
+    auto on_written( error_code ec ) -> void
+    {
+        is_writing_ = false;
+        written_ = !ec && !at_end_of_stream_;
+        write_error_ = ec;
+        if ( !listener_ )
+            return;
+        if ( at_end_of_stream_ )
+            return on_closed( net::error::eof );
+        // No read reports it before `resume`, and an answer without a length
+        // can no longer become whole.
+        auto const end = end_of_connection( net::error::eof, ec );
+        if ( is_paused_ && !reading_ && ends_with_connection() &&
+             end != net::error::eof )
+            fail( error_of( end ) );
+    }
+
+    /// True if the answer has neither a length nor chunks.
+    [[nodiscard]] auto ends_with_connection() const -> bool
+    {
+        return parser_->is_header_done() && !is_stray_ && parser_->need_eof();
+    }
+
     auto start_answer() -> void
     {
         parser_.emplace();
@@ -228,17 +283,22 @@
             buffer_.prepare( read_size ),
             [self = shared_from_this()]( error_code ec, std::size_t n )
             {
-                self->on_read( ec, n );
+                self->run_guarded(
+                    [&]
+                    {
+                        self->on_read( ec, n );
+                    } );
             } );
     }
 
     /// What a server sends can make parsing or the listener throw. That ends
     /// the call and its connection.
-    auto on_read( error_code ec, std::size_t n ) -> void
+    template <class Work>
+    auto run_guarded( Work const& work ) -> void
     {
         try
         {
-            process_read( ec, n );
+            work();
         }
         catch ( std::exception const& e )
         {
@@ -246,7 +306,7 @@
         }
     }
 
-    auto process_read( error_code ec, std::size_t n ) -> void
+    auto on_read( error_code ec, std::size_t n ) -> void
     {
         reading_ = false;
         if ( idle_ )
@@ -257,6 +317,8 @@
         }
         if ( !listener_ )
             return;
+        if ( ec == net::error::eof && is_writing_ )
+            return stop_writing();
         if ( ec )
             return on_closed( ec );
         buffer_.commit( n );
@@ -265,6 +327,14 @@
         read();
     }
 
+    /// What an end of stream means shows once the write has ended too.
+    auto stop_writing() -> void
+    {
+        at_end_of_stream_ = true;
+        auto ec = error_code{};
+        socket_.cancel( ec );
+    }
+
     /// Returns false if the call has ended.
     auto parse() -> bool
     {
@@ -392,10 +462,10 @@
         listener->on_end( end );
     }
 
-    auto on_closed( error_code ec ) -> void
+    auto on_closed( error_code read_error ) -> void
     {
-        if ( ec == net::error::eof && parser_->is_header_done() && !is_stray_ &&
-             parser_->need_eof() )
+        auto const ec = end_of_connection( read_error, write_error_ );
+        if ( ec == net::error::eof && ends_with_connection() )
         {
             auto end_error = error_code{};
             parser_->put_eof( end_error );
@@ -427,9 +497,12 @@
     boost::beast::flat_buffer buffer_;
     std::optional<http::response_parser<received_body>> parser_;
     std::chrono::steady_clock::time_point idle_until_;
+    error_code write_error_; ///< of the write of the request
     bool connecting_{ false };
     bool reading_{ false };
+    bool is_writing_{ false };
     bool written_{ false };
+    bool at_end_of_stream_{ false }; ///< a read has reported it
     bool sent_{ false };
     bool head_seen_{ false };
     bool is_stray_{ false };
