An answer whose status is outside of 100 to 599 fails its call at once

What callers saw: nothing of such an answer was handed on, but a status below 100 was taken for an interim answer. With its connection left open, the caller of a call that may run once waited for the timeout; a 200 that the runner sent behind it was handed on as the answer. A status of 600 or more was handed on. The daemon, the tool and all readers of short replies did the same.

Cause: the client skipped every status below 200, and passed every other one.

Change: the reader decides: 100 to 199 is interim, 200 to 599 an answer, and all else breaks the answer and ends the call, whatever follows it.

Evidence: broken_answers_test on the code before: 49 of 115 assertions failed (000, 001 and 099 not ended within 10 s or with the answer behind them, 600 and 999 passed on). Now all hold, and 200, 299, 404, 500 and 599 still pass.

--- a/src/pollenstream/adapters/asio/answer_reader.cpp
+++ b/src/pollenstream/adapters/asio/answer_reader.cpp
@@ -14,7 +14,9 @@
 
 /// Bytes per read; an event of a stream has a few hundred bytes.
 constexpr auto read_size = std::size_t{ 16 } * 1024;
+constexpr auto min_status = 100;
 constexpr auto min_final_status = 200;
+constexpr auto max_status = 599;
 /// Limit on the head of an answer, as the default one of callers' requests.
 constexpr auto max_head_bytes = std::uint32_t{ 16 } * 1024;
 /// Limit on the interim and stray answers before the answer to a call. Targets
@@ -132,6 +134,9 @@
     auto& message = parser_->get();
     auto head = raw_head{ static_cast<int>( message.result_int() ),
                           fields_of( message.base() ), announced_bytes() };
+    if ( head.status < min_status || head.status > max_status )
+        return invalid( answer_defect::invalid_status,
+                        "status " + std::to_string( head.status ) );
     auto const is_interim = head.status < min_final_status;
     auto const is_stray =
         !is_interim && accepts_head_ && !accepts_head_( head, position() );
--- a/src/pollenstream/adapters/asio/answer_reader.hpp
+++ b/src/pollenstream/adapters/asio/answer_reader.hpp
@@ -53,7 +53,9 @@
 auto cause_of( connection_end const& end ) -> error_code;
 
 /// Reads the answers that arrive on one connection, one for each call, and
-/// decides which of them count. Skips interim answers and those of other calls.
+/// decides which of them count. Skips interim answers (status 100 to 199) and
+/// those of other calls. A broken answer ends its call: what follows it on the
+/// connection does not count either.
 class answer_reader
 {
 public:
--- a/tests/adapters/answers_beside_uploads_test.cpp
+++ b/tests/adapters/answers_beside_uploads_test.cpp
@@ -1,3 +1,4 @@
+#include "support/recorded_call.hpp"
 #include "support/tcp_peer.hpp"
 #include "support/upload_peer.hpp"
 #include <pollenstream/adapters/asio/http_client.hpp>
@@ -26,28 +27,6 @@
 constexpr auto without_last_chunk =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n";
 
-/// Records one answer and its end.
-class recorded_call : public asio::http_listener
-{
-public:
-    auto on_head( asio::raw_head head ) -> void override
-    {
-        status = head.status;
-    }
-    auto on_body( std::string bytes ) -> void override
-    {
-        body += bytes;
-    }
-    auto on_end( exchange::attempt_end ended ) -> void override
-    {
-        end = std::move( ended );
-    }
-
-    int status{ 0 };
-    std::string body;
-    std::optional<exchange::attempt_end> end;
-};
-
 /// One large upload to a server that answers before it has read it.
 struct upload_fixture
 {
--- /dev/null
+++ b/tests/adapters/broken_answers_test.cpp
@@ -0,0 +1,98 @@
+#include "support/recorded_call.hpp"
+#include "support/tcp_peer.hpp"
+#include <pollenstream/adapters/asio/http_client.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <vector>
+
+using namespace tests;
+namespace core = pollenstream::core;
+namespace exchange = pollenstream::exchange;
+
+// Guards against answers that are none and are passed on, taken for another
+// one, or waited for: over real connections, which the server leaves open.
+
+namespace
+{
+
+constexpr auto max_reply_memory = std::size_t{ 1 } * 1024 * 1024;
+/// What a server may send behind a broken answer.
+constexpr auto sound = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsound";
+
+/// Sends one request to a server that answers with `bytes`.
+auto call_answered_with( std::string bytes ) -> std::shared_ptr<recorded_call>
+{
+    auto io = asio::net::io_context{};
+    auto client = asio::http_client( io, max_reply_memory );
+    auto server = tcp_peer( io );
+    server.answer_with( std::move( bytes ) );
+    auto call = asio::http_call{};
+    call.address = server.address();
+    call.pool = "p";
+    call.text = std::make_shared<std::string const>( "GET / HTTP/1.1\r\n\r\n" );
+    auto answer = std::make_shared<recorded_call>();
+    client.send( std::move( call ), answer );
+    run_until( io,
+               [&]
+               {
+                   return answer->end.has_value();
+               } );
+    return answer;
+}
+
+/// Nothing of the answer has been passed on, and its call has failed.
+auto check_is_broken( recorded_call const& answer ) -> void
+{
+    CHECK_FALSE( answer.head );
+    CHECK( answer.body.empty() );
+    REQUIRE( answer.end );
+    CHECK_FALSE( answer.end->complete );
+    CHECK( answer.end->sent );
+    CHECK( answer.end->error.code == core::error_code::malformed );
+}
+
+auto with_status( std::string const& status ) -> std::string
+{
+    return "HTTP/1.1 " + status + " X\r\nContent-Length: 4\r\n\r\nbody";
+}
+
+}
+
+TEST_CASE( "a status that is none breaks the answer",
+           "[http_client][broken][status]" )
+{
+    auto const status =
+        GENERATE( as<std::string>{}, "000", "001", "099", "600", "999" );
+    INFO( status );
+    SECTION( "alone" )
+    {
+        check_is_broken( *call_answered_with( with_status( status ) ) );
+    }
+    SECTION( "without a body" )
+    {
+        check_is_broken(
+            *call_answered_with( "HTTP/1.1 " + status + " X\r\n\r\n" ) );
+    }
+    SECTION( "with an answer behind it, which does not count" )
+    {
+        check_is_broken( *call_answered_with( with_status( status ) + sound ) );
+    }
+    SECTION( "behind an interim answer" )
+    {
+        check_is_broken( *call_answered_with( "HTTP/1.1 100 Continue\r\n\r\n" +
+                                              with_status( status ) ) );
+    }
+}
+
+TEST_CASE( "each status from 200 to 599 is passed on",
+           "[http_client][broken][status]" )
+{
+    auto const status =
+        GENERATE( as<std::string>{}, "200", "299", "404", "500", "599" );
+    auto const answer = call_answered_with( with_status( status ) );
+    REQUIRE( answer->head );
+    CHECK( std::to_string( answer->head->status ) == status );
+    REQUIRE( answer->end );
+    CHECK( answer->end->complete );
+}
