An answer with a transfer coding that was not asked for is broken

What callers saw: an answer with a Transfer-Encoding other than chunked (gzip with a length or a close, gzip before chunks) was handed on as a success, at the gateway and the daemon: the coded bytes, without the field that names their coding, which belongs to the connection.

Cause: the parser decodes chunks if they are the last coding, takes any other coding for a body that ends with its connection, and says nothing.

Change: the reader accepts one field that says chunked and nothing else. We send no TE field, so a server may use no other coding.

Chunks in other case, between blanks, with extensions, leading zeros and trailers still pass.

--- a/src/pollenstream/adapters/asio/answer_defect.cpp
+++ b/src/pollenstream/adapters/asio/answer_defect.cpp
@@ -17,6 +17,8 @@
         return "unreadable";
     case answer_defect::invalid_status:
         return "invalid_status";
+    case answer_defect::transfer_coding:
+        return "transfer_coding";
     case answer_defect::too_large:
         return "too_large";
     case answer_defect::stray:
--- a/src/pollenstream/adapters/asio/answer_defect.hpp
+++ b/src/pollenstream/adapters/asio/answer_defect.hpp
@@ -13,9 +13,10 @@
     cut,        ///< the connection ended in an orderly way before the answer
     lost,       ///< the connection was reset or given up before its end
     unreadable, ///< not HTTP/1.1
-    invalid_status, ///< outside of 100 to 599
-    too_large,      ///< of what precedes it, of a chunk header or of a trailer
-    stray,          ///< belongs to another call, and ends the connection
+    invalid_status,  ///< outside of 100 to 599
+    transfer_coding, ///< another one than chunks, which are all we accept
+    too_large,       ///< of what precedes it, of a chunk header or of a trailer
+    stray,           ///< belongs to another call, and ends the connection
     number_of_defects
 };
 
--- a/src/pollenstream/adapters/asio/answer_reader.cpp
+++ b/src/pollenstream/adapters/asio/answer_reader.cpp
@@ -1,7 +1,10 @@
 #include <pollenstream/adapters/asio/answer_reader.hpp>
 #include <pollenstream/adapters/asio/http_text.hpp>
 
+#include <boost/beast/core/string.hpp>
+
 #include <charconv>
+#include <iterator>
 #include <limits>
 #include <string_view>
 #include <utility>
@@ -29,6 +32,19 @@
     return { why, { core::error_code::malformed, std::move( detail ) } };
 }
 
+/// True if the body is coded in chunks alone, or not at all. Requests ask for
+/// no other transfer coding, and the bytes would reach callers as they are
+/// coded.
+auto has_known_coding( http::fields const& fields ) -> bool
+{
+    auto const [first, last] =
+        fields.equal_range( http::field::transfer_encoding );
+    if ( first == last )
+        return true;
+    return std::next( first ) == last &&
+           boost::beast::iequals( first->value(), "chunked" );
+}
+
 auto error_of( error_code ec ) -> core::error
 {
     auto const lost = ec == net::error::eof ||
@@ -137,6 +153,9 @@
     if ( head.status < min_status || head.status > max_status )
         return invalid( answer_defect::invalid_status,
                         "status " + std::to_string( head.status ) );
+    if ( !has_known_coding( message.base() ) )
+        return invalid( answer_defect::transfer_coding,
+                        "a transfer coding that was not asked for" );
     auto const is_interim = head.status < min_final_status;
     auto const is_stray =
         !is_interim && accepts_head_ && !accepts_head_( head, position() );
--- a/tests/adapters/broken_answers_test.cpp
+++ b/tests/adapters/broken_answers_test.cpp
@@ -96,3 +96,52 @@
     REQUIRE( answer->end );
     CHECK( answer->end->complete );
 }
+
+TEST_CASE( "a transfer coding that was not asked for breaks the answer",
+           "[http_client][broken][coding]" )
+{
+    auto const fields = GENERATE(
+        as<std::string>{}, "Transfer-Encoding: gzip\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: chunked, gzip\r\n",
+        "Transfer-Encoding: chunked, chunked\r\n",
+        "Transfer-Encoding: gzip\r\n"
+        "Transfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\n"
+        "Transfer-Encoding: gzip\r\n",
+        "Transfer-Encoding: identity\r\n",
+        "Transfer-Encoding: chunked;level=1\r\n",
+        "Transfer-Encoding: xchunked\r\n", "Transfer-Encoding: \r\n" );
+    INFO( fields );
+    SECTION( "with chunks" )
+    {
+        check_is_broken( *call_answered_with( "HTTP/1.1 200 OK\r\n" + fields +
+                                              "\r\n4\r\nbody\r\n0\r\n\r\n" ) );
+    }
+    SECTION( "with a length" )
+    {
+        check_is_broken(
+            *call_answered_with( "HTTP/1.1 200 OK\r\n" + fields +
+                                 "Content-Length: 4\r\n\r\nbody" ) );
+    }
+    SECTION( "of a failure" )
+    {
+        check_is_broken( *call_answered_with( "HTTP/1.1 500 X\r\n" + fields +
+                                              "\r\n4\r\nbody\r\n0\r\n\r\n" ) );
+    }
+}
+
+TEST_CASE( "chunks are read in each way in which they are allowed",
+           "[http_client][broken][coding]" )
+{
+    auto const coding =
+        GENERATE( as<std::string>{}, "chunked", "Chunked", "  chunked\t" );
+    auto const body = GENERATE( as<std::string>{}, "4\r\nbody\r\n0\r\n\r\n",
+                                "2;x=\"y\"\r\nbo\r\n02\r\ndy\r\n0\r\n\r\n",
+                                "4\r\nbody\r\n0\r\nX-Trailer: value\r\n\r\n" );
+    auto const answer = call_answered_with(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding:" + coding + "\r\n\r\n" + body );
+    REQUIRE( answer->end );
+    CHECK( answer->end->complete );
+    CHECK( answer->body == "body" );
+}
