Tests: names and values of fields that break an answer

Names with a blank, a control byte, a byte above 127, a sign that is no part of a token or none at all, lines without a colon, control bytes in values, lengths and codings with a blank before the colon or that contradict others: 27 lines at three places each. Kept as a guard; nothing is changed for them.

--- a/tests/adapters/broken_answers_test.cpp
+++ b/tests/adapters/broken_answers_test.cpp
@@ -145,3 +145,66 @@
     CHECK( answer->end->complete );
     CHECK( answer->body == "body" );
 }
+
+TEST_CASE( "a field whose name is none breaks the answer",
+           "[http_client][broken][fields]" )
+{
+    auto const line = GENERATE(
+        as<std::string>{}, "X Field: value", "X-Field : value",
+        "X-Field\t: value", " X-Field: value", "\tX-Field: value",
+        std::string( "X-\0Field: value", 15 ),
+        "X-\x01"
+        "Field: value",
+        "X-\x0b"
+        "Field: value",
+        "X-\x1f"
+        "Field: value",
+        "X-\x7f"
+        "Field: value",
+        "X-\xc3\xa4: value", ": value", "X-Field", "X(Field): value",
+        "X-Field: a\x01"
+        "b",
+        std::string( "X-Field: a\0b", 12 ),
+        "X-Field: a\x7f"
+        "b",
+        "X-Field: a\rb", "Content-Length : 4", "Content-Length\t: 4",
+        "Transfer-Encoding : chunked", "Content-Length: 5",
+        "Content-Length: -4", "Content-Length: +4", "Content-Length: 4x",
+        "Content-Length: 4, 5", "Transfer-Encoding: chunked" );
+    INFO( line );
+    SECTION( "before the length" )
+    {
+        check_is_broken( *call_answered_with(
+            "HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 4\r\n\r\nbody" +
+            sound ) );
+    }
+    SECTION( "behind the length" )
+    {
+        check_is_broken(
+            *call_answered_with( "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n" +
+                                 line + "\r\n\r\nbody" + sound ) );
+    }
+    SECTION( "in an interim answer" )
+    {
+        check_is_broken( *call_answered_with( "HTTP/1.1 103 Early Hints\r\n" +
+                                              line +
+                                              "\r\nContent-Length: 4"
+                                              "\r\n\r\n" +
+                                              sound ) );
+    }
+}
+
+TEST_CASE( "a name of a field may have each sign that is allowed",
+           "[http_client][broken][fields]" )
+{
+    auto const name =
+        GENERATE( as<std::string>{}, "!#$%&'*+-.^_`|~09azAZ", "x", "1" );
+    auto const answer = call_answered_with(
+        "HTTP/1.1 200 OK\r\n" + name +
+        ":\t value of\xc3\xa4 it \r\nContent-Length: 4\r\n\r\nbody" );
+    REQUIRE( answer->end );
+    CHECK( answer->end->complete );
+    REQUIRE( answer->head );
+    CHECK( answer->head->fields.at( 0 ).name == name );
+    CHECK( answer->head->fields.at( 0 ).value == "value of\xc3\xa4 it" );
+}
