A reply that ends behind its head is no success where it is collected

What was seen: a 200 without length or chunks whose connection ends right behind the head, as a server sends that ends there, was taken for a whole empty reply by all who collect short replies and do not need their body: reservations and store writes and lease renewals of the gateway, reservations and the filling of spans of the daemon. Memory counted as reserved, records as written and leases as renewed by half a reply. Who parses a body (lists, watches, the list of instances, loads) failed already: no proper beginning of a JSON object is one.

Cause: the end that the client reports says that only the close ended the answer; the collectors dropped it.

Change: one check for both collectors. The plain services of the daemon had the same check of their own, which goes. Requests of callers are judged by the exchange as before: it probes the target first, to know of a crash.

Replies of length 0 and bodies that end with their connection still pass.

--- a/src/pollenstream/adapters/asio/http_client.hpp
+++ b/src/pollenstream/adapters/asio/http_client.hpp
@@ -50,7 +50,8 @@
                 std::function<void( std::optional<bool> )> callback ) -> void;
 
     /// Makes a call and reports its complete answer, or an error if it takes
-    /// longer than `limit` or is too large.
+    /// longer than `limit`, is too large, or is a success without length or
+    /// chunks that ends behind its head.
     auto fetch( http_call call, core::duration limit, fetch_callback callback )
         -> std::shared_ptr<exchange::open_attempt>;
 
--- a/src/pollenstream/adapters/asio/reply_collector.hpp
+++ b/src/pollenstream/adapters/asio/reply_collector.hpp
@@ -1,6 +1,7 @@
 #ifndef POLLENSTREAM_ADAPTERS_ASIO_REPLY_COLLECTOR_HPP
 #define POLLENSTREAM_ADAPTERS_ASIO_REPLY_COLLECTOR_HPP
 
+#include <pollenstream/adapters/asio/collected_end.hpp>
 #include <pollenstream/adapters/asio/http_client.hpp>
 
 #include <memory>
@@ -50,10 +51,14 @@
     }
     auto on_end( exchange::attempt_end end ) -> void override
     {
-        if ( end.complete )
-            finish( http_reply{ status_, body_.release() } );
-        else
-            finish( end.error );
+        if ( !end.complete )
+            return finish( end.error );
+        auto body = body_.release();
+        auto const checked =
+            check_collected( status_, end.is_delimited_by_close, body.size() );
+        if ( !checked )
+            return finish( checked.error() );
+        finish( http_reply{ status_, std::move( body ) } );
     }
 
 private:
--- a/src/pollenstream/adapters/http/call_client.cpp
+++ b/src/pollenstream/adapters/http/call_client.cpp
@@ -1,3 +1,4 @@
+#include <pollenstream/adapters/asio/collected_end.hpp>
 #include <pollenstream/adapters/asio/connection_probe.hpp>
 #include <pollenstream/adapters/asio/http_client.hpp>
 #include <pollenstream/adapters/asio/http_text.hpp>
@@ -348,10 +349,14 @@
     auto on_end( call_end const& end ) -> void override
     {
         answer_.is_delimited_by_close = end.is_delimited_by_close;
-        if ( end.status )
-            callback_( std::move( answer_ ) );
-        else
-            callback_( end.status.error() );
+        if ( !end.status )
+            return callback_( end.status.error() );
+        auto const checked = asio::check_collected( answer_.head.status,
+                                                    end.is_delimited_by_close,
+                                                    answer_.body.size() );
+        if ( !checked )
+            return callback_( checked.error() );
+        callback_( std::move( answer_ ) );
     }
 
 private:
--- a/src/pollenstream/adapters/http/call_client.hpp
+++ b/src/pollenstream/adapters/http/call_client.hpp
@@ -106,7 +106,8 @@
                std::shared_ptr<call_listener> listener ) const
         -> std::shared_ptr<open_call>;
     /// Reports the complete answer, once, or an error as soon as its body
-    /// exceeds `max_collected_bytes`.
+    /// exceeds `max_collected_bytes`. A success without length or chunks that
+    /// ends behind its head is an error too.
     auto collect( core::address const& to,
                   call_request const& request,
                   collected_callback callback ) const -> void;
--- a/src/pollenstream/adapters/http/service_http_client.cpp
+++ b/src/pollenstream/adapters/http/service_http_client.cpp
@@ -51,16 +51,14 @@
 }
 
 /// Reports the answer of `target`, or an error if it may have been cut short: a
-/// success without a length is whole only if it has a body, and if the process
-/// that sent it still listens.
+/// success without a length, of which some has arrived, is whole only if the
+/// process that sent it still listens.
 auto report( collected_answer const& answer,
              core::address const& target,
              ports::service_client::done const& callback ) -> void
 {
     if ( !answer.is_delimited_by_close || !is_success( answer ) )
         return callback( reply_of( answer ) );
-    if ( answer.body.empty() )
-        return callback( cut_short() );
     probe( target, probe_timeout,
            [answer, callback]( std::optional<bool> listens )
            {
