A content coding in one of several fields is seen

What callers saw: an answer with a field Content-Encoding: gzip and another, identity, behind it was handed on by the gateway as a success, though callers and targets agree on bodies without a coding. A caller that looks at the last field reads a body that is not the runner's.

Cause: each field overwrote what the one before had said.

--- a/tests/platform/answer_head_test.cpp
+++ b/tests/platform/answer_head_test.cpp
@@ -40,6 +40,20 @@
     CHECK_FALSE( head_with( {} ).has_coding );
 }
 
+TEST_CASE( "a content coding is recognized in each of several fields",
+           "[platform][headers]" )
+{
+    CHECK( head_with( { { "Content-Encoding", "gzip" },
+                        { "Content-Encoding", "identity" } } )
+               .has_coding );
+    CHECK( head_with( { { "Content-Encoding", "identity" },
+                        { "content-encoding", " gzip " } } )
+               .has_coding );
+    CHECK_FALSE( head_with( { { "Content-Encoding", "identity" },
+                              { "Content-Encoding", " Identity" } } )
+                     .has_coding );
+}
+
 TEST_CASE( "an answer of another type is no stream of events",
            "[platform][headers]" )
 {
