The daemon does not hand on a coded body of a plain service

What callers saw: a plain service's answer with Content-Encoding: gzip reached the caller of pollenstreamd as a success, without that field: a body that the caller can't read and takes for the service's.

Cause: of a plain service's fields the daemon hands on Content-Type only.

Change: its calls say that they accept no coding, and an answer with one fails as invalid, of whatever status: its caller could not tell the coding. The call may have run; an idempotent one goes on to another target.

Evidence: coded_answers_test on the code before: nine of nine coded answers handed on (200, 404 and 500, three ways). Answers without a coding, or with identity, still pass.

--- a/src/pollenstream/adapters/http/service_http_client.cpp
+++ b/src/pollenstream/adapters/http/service_http_client.cpp
@@ -1,3 +1,4 @@
+#include <pollenstream/adapters/asio/content_coding.hpp>
 #include <pollenstream/adapters/http/service_http_client.hpp>
 
 #include <cpprest/http_msg.h>
@@ -23,6 +24,7 @@
     request.method = call.method;
     request.target = call.path;
     request.fresh_connection = true;
+    request.headers.push_back( { "Accept-Encoding", "identity" } );
     if ( !call.key.empty() )
         request.headers.push_back( { "Idempotency-Key", call.key.str() } );
     if ( call.body.empty() )
@@ -44,19 +46,28 @@
            answer.head.status < status_codes::MultipleChoices;
 }
 
+/// The caller would get the body without the field that names its coding.
+auto coded() -> core::error
+{
+    return { core::error_code::malformed,
+             "an answer with a content coding that was not asked for" };
+}
+
 auto cut_short() -> core::error
 {
     return { core::error_code::connection_lost,
              "the answer may have been cut short" };
 }
 
-/// Reports the answer of `target`, or an error if it may have been cut short: a
-/// success without a length, of which some has arrived, is whole only if the
-/// process that sent it still listens.
+/// Reports the answer of `target`, or an error if its body is coded, or if it
+/// may have been cut short: a success without a length, of which some has
+/// arrived, is whole only if the process that sent it still listens.
 auto report( collected_answer const& answer,
              core::address const& target,
              ports::service_client::done const& callback ) -> void
 {
+    if ( asio::has_content_coding( answer.head.headers ) )
+        return callback( coded() );
     if ( !answer.is_delimited_by_close || !is_success( answer ) )
         return callback( reply_of( answer ) );
     probe( target, probe_timeout,
