The tool does not print part of a service's reply as all of it

What was seen: `pollenstream call` printed a reply without length or chunks whose connection had ended, and exited with 0, though replies of an instance have a length, so that this was not all of it.

Cause: it dropped the end that the client reports.

Change: such a reply is an error.

Evidence: tool_cut_answers_test, one of seven failed on the code before. The six others were handled already and stay as tests: an entry and an operator's reply that are cut are no JSON, a head alone is none either, a stream counts only with its last event, a reset is an error.

--- a/apps/tool/caller.cpp
+++ b/apps/tool/caller.cpp
@@ -290,6 +290,9 @@
                             .collect_and_wait( addresses.front(), request );
     if ( !answer )
         throw std::runtime_error( answer.error().detail );
+    // Replies of an instance have a length.
+    if ( answer.value().is_delimited_by_close )
+        throw std::runtime_error( "the reply may have been cut short" );
     std::cout << answer.value().body << '\n';
     return answer.value().head.status == web::http::status_codes::OK
                ? exit_ok
