Broken answers have a counter and a line that name why

An answer that the reader finds broken ended its call, but nothing counted it, and only the attempt's line told the error. Now the client counts broken answers by defect (lost, cut, unreadable, invalid_status, transfer_coding, too_large, stray) and reports one of each a second at most, with how many there were since: an event `belief what=answer` and `pollenstream_broken_answers_total{why}` at the gateway, a warning and `broken_answers` in the dump at the daemon. A connection that ends before the first byte of an answer is none of these.

The scenario broken-answers and cut_beside_upload of the process test ask for the line and the count. The scenario waited for the choice of targets to reach one of two runners, which one engine never was: its runners now share their replies, which come in turn, so that one request shows each case. The process test plays an idempotent call as well, which goes on to another target.

--- a/apps/daemon/node.cpp
+++ b/apps/daemon/node.cpp
@@ -59,6 +59,18 @@
         id.str(), static_cast<std::uint64_t>( incarnation.count() ) );
 }
 
+/// Logs broken answers of engines, plain services, the store and the list.
+class broken_answer_log : public adapters::asio::broken_answer_observer
+{
+public:
+    auto on_broken_answer( adapters::asio::broken_answer_report const& report )
+        -> void override
+    {
+        LOG( WARNING ) << "an answer of " << core::to_string( report.from )
+                       << " is broken, " << describe( report );
+    }
+};
+
 }
 
 node::node( pollenstream::settings::daemon_settings settings,
@@ -119,6 +131,8 @@
                     } },
                   ports_loop_ )
 {
+    adapters::http::observe_broken_answers(
+        std::make_shared<broken_answer_log>() );
 }
 
 node::~node()
--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -1,5 +1,6 @@
 #include "gateway_node.hpp"
 
+#include "broken_answer_log.hpp"
 #include "node_metrics.hpp"
 #include "node_state.hpp"
 #include <pollenstream/adapters/asio/http_text.hpp>
@@ -224,6 +225,7 @@
              coordinator_,
              router_,
              store_,
+             http_.broken(),
              first_service_,
              ready_state_,
              broken_inputs(),
@@ -239,6 +241,7 @@
 auto gateway_node::start() -> void
 {
     started_ = scheduler_.now();
+    http_.broken().observe( std::make_shared<broken_answer_log>( log_ ) );
     ready_state_.since = started_;
     connect_events();
     add_ports();
--- a/apps/gateway/node_metrics.cpp
+++ b/apps/gateway/node_metrics.cpp
@@ -210,6 +210,23 @@
                      "{name=\"" + name + "\"}", times );
 }
 
+/// Writes the answers that did not count, by what made them broken.
+auto write_broken_answers( adapters::asio::broken_answers const& broken,
+                           std::ostream& out ) -> void
+{
+    using adapters::asio::answer_defect;
+    constexpr auto defects =
+        static_cast<int>( answer_defect::number_of_defects );
+    for ( auto i = 0; i < defects; ++i )
+    {
+        auto const why = static_cast<answer_defect>( i );
+        if ( auto const times = broken.count( why ); times > 0 )
+            write_count( out, "pollenstream_broken_answers_total",
+                         std::string( "{why=\"" ) + name_of( why ) + "\"}",
+                         times );
+    }
+}
+
 /// Writes the datagrams to other instances and the calls to the store.
 auto write_calls( node_parts const& node, std::ostream& out ) -> void
 {
@@ -254,6 +271,7 @@
     write_quarantines( node.context.crashes, out );
     write_placing( node, out );
     write_retries( node.context, out );
+    write_broken_answers( node.broken_answers, out );
     write_limits( node.context.loads, now, out );
     write_calls( node, out );
     return out.str();
--- a/apps/gateway/node_state.hpp
+++ b/apps/gateway/node_state.hpp
@@ -2,6 +2,7 @@
 #define POLLENSTREAM_APPS_GATEWAY_NODE_STATE_HPP
 
 #include "../../platform/store_client.hpp"
+#include <pollenstream/adapters/asio/broken_answers.hpp>
 #include <pollenstream/adapters/asio/connection_accounts.hpp>
 #include <pollenstream/exchange/context.hpp>
 #include <pollenstream/exchange/placement_coordinator.hpp>
@@ -33,6 +34,7 @@
     exchange::placement_coordinator const& coordinator;
     peers::placement_router const& router;
     platform::store_client const& store;
+    adapters::asio::broken_answers const& broken_answers;
     observation::first_service const& first_service;
     ready_state ready;
     /// Connections and datagrams that could not be processed.
--- a/scripts/broken_answers_scenario.py
+++ b/scripts/broken_answers_scenario.py
@@ -16,8 +16,6 @@
 MAX_BODY_BYTES = 16_000_000
 TIME_LIMIT_MS = 8000
 SETTLE_S = 1.0  # until a gateway knows of a change in the store
-CALLS = 8       # until a runner of two has been reached
-STREAMS = 4     # at the same time
 ENDS = (raw_server.reset, raw_server.close_unread)
 HEAD = b"HTTP/1.1 200 OK\r\nServer-Seal: s\r\n"
 PART = HEAD + b"\r\n" + b"p" * 880
@@ -56,17 +54,22 @@
         self.fleet = fleet
         self.found = found
         self.calls = 0
+        self.servers = []
 
-    async def replace(self, service, *ways):
-        """Puts raw servers in the place of a service's runners, one for each
-        of the ways: what it answers, and how its connections end."""
+    async def replace(self, service, *replies):
+        """Puts raw servers in the place of all runners of a service; they reply
+        in turn."""
         names = [n for n in self.fleet.runners if n.startswith(f"i-{service}")]
-        servers = [raw_server.RawServer(*way) for way in ways]
-        for name, server in zip(names, servers, strict=True):
+        shared = raw_server.Replies(*replies)
+        self.servers = [raw_server.RawServer(shared) for _ in names]
+        for name, server in zip(names, self.servers):
             await self.fleet.control("/register",
                                      {"id": name, "address": server.address})
         await asyncio.sleep(SETTLE_S)
-        return servers
+
+    def requests(self):
+        """How many have reached the raw servers."""
+        return sum(server.requests for server in self.servers)
 
     async def send(self, path):
         """What a caller saw; `complete` is false for an answer that was
@@ -91,60 +94,59 @@
 
 
 async def unsafe_call(play, end):
-    servers = await play.replace("plain", (PART, end), (PART, end))
+    await play.replace("plain", (PART, end))
     seen = await play.send("/unsafe/x")
-    runs = sum(server.requests for server in servers)
     play.expect(seen.complete and seen.status == 502,
                 f"{end.__name__}: an unsafe call got {seen.status} with "
                 f"{len(seen.body)} bytes")
-    play.expect(runs == 1, f"{end.__name__}: an unsafe call ran {runs} times")
+    play.expect(play.requests() == 1,
+                f"{end.__name__}: an unsafe call ran {play.requests()} times")
+    play.expect("what=answer" in play.fleet.gateways[0].log(),
+                f"{end.__name__}: no line of the log names the broken answer")
 
 
-async def safe_calls(play, end):
-    broken, _ = await play.replace("plain", (PART, end),
-                                   (WHOLE, raw_server.hold))
-    for _ in range(CALLS):
-        seen = await play.send("/safe/x")
-        play.expect(seen.complete and seen.body == "whole",
-                    f"{end.__name__}: a safe call got {seen.status} with "
-                    f"{len(seen.body)} bytes")
-    play.expect(broken.requests > 0, "no safe call reached the runner")
+async def safe_call(play, end):
+    await play.replace("plain", (PART, end), (WHOLE, raw_server.hold))
+    seen = await play.send("/safe/x")
+    play.expect(seen.complete and seen.body == "whole",
+                f"{end.__name__}: a safe call got {seen.status} with "
+                f"{len(seen.body)} bytes")
+    play.expect(play.requests() == 2,
+                f"{end.__name__}: a safe call was sent {play.requests()} times")
 
 
-async def streams(play, end):
-    broken, _ = await play.replace("model", (part_of_stream, end),
-                                   (whole_stream, raw_server.hold))
-    # At the same time, so that both engines get some.
-    for seen in await asyncio.gather(*(play.send("/stream/x")
-                                       for _ in range(STREAMS))):
-        count = seen.body.count("\n\n")
-        play.expect(seen.complete and count == LAST_EVENT,
-                    f"{end.__name__}: a stream that can be resumed ended "
-                    f"after {count} events")
-    play.expect(broken.requests > 0, "no stream reached the runner")
+async def stream(play, end):
+    await play.replace("model", (part_of_stream, end),
+                       (whole_stream, raw_server.hold))
+    seen = await play.send("/stream/x")
+    count = seen.body.count("\n\n")
+    play.expect(seen.complete and count == LAST_EVENT,
+                f"{end.__name__}: a stream that can be resumed ended after "
+                f"{count} events")
+    play.expect(play.requests() == 2,
+                f"{end.__name__}: a stream was sent {play.requests()} times")
 
 
 async def once_stream(play, end):
-    servers = await play.replace("model", (part_of_stream, end),
-                                 (part_of_stream, end))
+    await play.replace("model", (part_of_stream, end))
     seen = await play.send("/once-stream/x")
-    runs = sum(server.requests for server in servers)
     play.expect(not seen.complete,
                 f"{end.__name__}: a stream that may run once ended as whole")
-    play.expect(runs == 1, f"{end.__name__}: a stream ran {runs} times")
+    play.expect(play.requests() == 1,
+                f"{end.__name__}: a stream ran {play.requests()} times")
 
 
 async def orderly_answers(play, end):
     """Answers that end before the upload does."""
-    await play.replace("plain", (PART, end), (PART, end))
+    await play.replace("plain", (PART, end))
     for path in ("/unsafe/x", "/safe/x"):
         seen = await play.send(path)
         play.expect(seen.complete and seen.body == "p" * 880,
                     f"an orderly answer to {path} was lost: {seen.status}")
 
 
-CASES = [(case, end) for case in (unsafe_call, safe_calls, streams,
-                                  once_stream) for end in ENDS]
+CASES = [(case, end) for case in (unsafe_call, safe_call, stream, once_stream)
+         for end in ENDS]
 CASES.append((orderly_answers, raw_server.finish))
 
 
--- a/scripts/process_test.py
+++ b/scripts/process_test.py
@@ -106,9 +106,10 @@
     return sum(i["phase"] == "alive" for i in fleet.dump(name)["instances"])
 
 
-def configure(fleet, name):
+def configure(fleet, name, *further_files):
     done = fleet.tool("config", "apply", "--wait",
-                      f"--operators={fleet.operators(name)}", *FILES)
+                      f"--operators={fleet.operators(name)}", *FILES,
+                      *further_files)
     expect("accepted" in done.stdout, done.stdout)
 
 
@@ -310,15 +311,15 @@
         return "1 daemon frozen until forgotten, its answer whole"
 
 
-def once(fleet, address, ticket, key, body="{}"):
-    """One certificate call; returns the outcome."""
+def once(fleet, address, ticket, key, body="{}", profile="certificate"):
+    """One call to the plain service; returns the outcome."""
     connection = http.client.HTTPConnection(address, timeout=30)
     try:
         connection.request(
             "POST", "/v1/services/dealer-desk/certificates", body,
             {"Content-Type": "application/json",
              "Pollenstream-Workspace": "perth-dealers",
-             "Pollenstream-Profile": "certificate",
+             "Pollenstream-Profile": profile,
              "Pollenstream-Ticket": ticket + key})
         reply = connection.getresponse()
         body = json.loads(reply.read())
@@ -499,6 +500,12 @@
 # Exceeds what the kernel buffers.
 LARGE_UPLOAD = "u" * 12_000_000
 PART_OF_ANSWER = b"HTTP/1.1 200 OK\r\n\r\n" + b"[]" + b" " * 880
+WHOLE_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]"
+IDEMPOTENT_PROFILE = """[profile lookup]
+service = dealer-desk
+time_base_ms = 10000
+retries = 1
+"""
 # What a head of 16 KiB a connection may come to, with the library's buffers.
 MOST_GROWTH_KB = 64 * 1024
 
@@ -658,18 +665,22 @@
     no answer; one that ends in an orderly way is."""
     with Fleet(build) as fleet:
         fleet.add_plain("desk-0", "dealer-desk")
+        fleet.add_plain("desk-1", "dealer-desk")
         fleet.add_daemon("entry-0", limits={
             "largest_body_bytes": 2 * len(LARGE_UPLOAD)})
         fleet.publish()
         fleet.start_daemon("entry-0")
-        configure(fleet, "entry-0")
+        profile = pathlib.Path(fleet.directory.name) / "lookup.ini"
+        profile.write_text(IDEMPOTENT_PROFILE)
+        configure(fleet, "entry-0", profile)
         address = fleet.callers("entry-0")
         prefix = http_json("GET", address, "/v1/entry?workspace=w")[1][
             "ticket_prefix"]
         for end, expected in ((raw_server.reset, "unknown"),
                               (raw_server.close_unread, "unknown"),
                               (raw_server.finish, "complete")):
-            server = raw_server.RawServer(PART_OF_ANSWER, end)
+            server = raw_server.RawServer(
+                raw_server.Replies((PART_OF_ANSWER, end)))
             replace_targets(fleet, "entry-0", "dealer-desk", server.address,
                             end.__name__)
             outcome = once(fleet, address, prefix, end.__name__, LARGE_UPLOAD)
@@ -677,8 +688,20 @@
             expect(outcome == expected, f"{end.__name__}: {outcome}")
             expect(server.requests == 1,
                    f"{end.__name__}: ran {server.requests} times")
+        server = raw_server.RawServer(raw_server.Replies(
+            (PART_OF_ANSWER, raw_server.reset),
+            (WHOLE_ANSWER, raw_server.hold)))
+        replace_targets(fleet, "entry-0", "dealer-desk", server.address,
+                        "idempotent")
+        outcome = once(fleet, address, prefix, "idempotent", LARGE_UPLOAD,
+                       "lookup")
+        server.close()
+        expect(outcome == "complete" and server.requests == 2,
+               f"an idempotent call: {outcome}, sent {server.requests} times")
+        broken = fleet.dump("entry-0")["metrics"]["broken_answers"]
+        expect(broken == {"lost": 3}, f"counted as broken: {broken}")
         no_violations(fleet, ["entry-0"])
-        return "2 ways to cut an answer, 1 orderly end"
+        return "2 ways to cut an answer, 1 orderly end, 1 answer elsewhere"
 
 
 def caller_goes(build, _):
--- a/scripts/raw_server.py
+++ b/scripts/raw_server.py
@@ -38,15 +38,30 @@
         pass
 
 
+class Replies:
+    """Replies in turn, of which the last is repeated: pairs of an answer, or a
+    function of the request's head that returns one, and of the end of its
+    connection, one of the functions above. Servers may share them."""
+
+    def __init__(self, *replies):
+        self.replies = list(replies)
+        self.lock = threading.Lock()
+
+    def next(self, head):
+        with self.lock:
+            answer, end = self.replies[0]
+            if len(self.replies) > 1:
+                self.replies.pop(0)
+        return (answer(head) if callable(answer) else answer), end
+
+
 class RawServer(threading.Thread):
-    """Reads the head of each request only, sends `answer` and ends the
-    connection with `end`, one of the functions above. `answer` may be a
-    function of the request's head."""
+    """Reads the head of each request only, sends the next reply and ends its
+    connection."""
 
-    def __init__(self, answer, end):
+    def __init__(self, replies):
         super().__init__(daemon=True)
-        self.answer = answer
-        self.end = end
+        self.replies = replies
         self.requests = 0
         self.socket = socket.socket()
         # The connections inherit it.
@@ -72,10 +87,10 @@
             if not head:
                 return      # a probe
             self.requests += 1
-            answer = self.answer(head) if callable(self.answer) else self.answer
+            answer, end = self.replies.next(head)
             connection.sendall(answer)
             time.sleep(PAUSE_S)
-            self.end(connection)
+            end(connection)
 
     @staticmethod
     def read_head(connection):
--- a/src/pollenstream/adapters/asio/client_connection.cpp
+++ b/src/pollenstream/adapters/asio/client_connection.cpp
@@ -47,9 +47,10 @@
 client_connection::client_connection( net::io_context& io,
                                       idle_connections& idle,
                                       core::counter& made,
+                                      broken_answers& broken,
                                       std::string pool )
-    : idle_connections_( idle ), made_( made ), pool_( std::move( pool ) ),
-      socket_( io ), timer_( io )
+    : idle_connections_( idle ), made_( made ), broken_answers_( broken ),
+      pool_( std::move( pool ) ), socket_( io ), timer_( io )
 {
 }
 
@@ -138,7 +139,7 @@
     }
     catch ( std::exception const& e )
     {
-        fail( { core::error_code::malformed, e.what() } );
+        fail( core::error{ core::error_code::malformed, e.what() } );
     }
 }
 
@@ -150,8 +151,8 @@
         [self = shared_from_this()]( error_code ec )
         {
             if ( !ec && self->is_connecting_ )
-                self->fail( { core::error_code::unreachable,
-                              "no connection in time" } );
+                self->fail( core::error{ core::error_code::unreachable,
+                                         "no connection in time" } );
         } );
     is_connecting_ = true;
     auto ec = error_code{};
@@ -174,7 +175,8 @@
     if ( !listener_ )
         return;
     if ( ec )
-        return fail( { core::error_code::unreachable, ec.message() } );
+        return fail(
+            core::error{ core::error_code::unreachable, ec.message() } );
     write();
 }
 
@@ -268,7 +270,7 @@
     auto to_listener = sink( *this );
     auto const answer = reader_.read( to_listener );
     if ( !answer )
-        return fail( answer.error().error );
+        return fail( answer.error() );
     if ( answer.value() == answer_progress::whole )
         return complete( false );
     if ( answer.value() == answer_progress::incomplete && !is_paused_ )
@@ -281,7 +283,7 @@
     auto const answer =
         reader_.end( { read_error, write_error_ }, to_listener );
     if ( !answer )
-        return fail( answer.error().error );
+        return fail( answer.error() );
     if ( answer.value() == answer_progress::ended_by_close )
         complete( true );
 }
@@ -313,6 +315,12 @@
     listener->on_end( end );
 }
 
+auto client_connection::fail( broken_answer const& answer ) -> void
+{
+    broken_answers_.note( call_.address, answer );
+    fail( answer.error );
+}
+
 auto client_connection::fail( core::error why ) -> void
 {
     is_connecting_ = false;
--- a/src/pollenstream/adapters/asio/client_connection.hpp
+++ b/src/pollenstream/adapters/asio/client_connection.hpp
@@ -2,6 +2,7 @@
 #define POLLENSTREAM_ADAPTERS_ASIO_CLIENT_CONNECTION_HPP
 
 #include <pollenstream/adapters/asio/answer_reader.hpp>
+#include <pollenstream/adapters/asio/broken_answers.hpp>
 #include <pollenstream/adapters/asio/http_call.hpp>
 #include <pollenstream/adapters/asio/idle_connections.hpp>
 #include <pollenstream/adapters/asio/prelude.hpp>
@@ -21,10 +22,12 @@
 {
 public:
     /// `made` counts connections as they are begun. `idle` takes this one after
-    /// each call that allows another.
+    /// each call that allows another. `broken` is told of answers that don't
+    /// count.
     client_connection( net::io_context& io,
                        idle_connections& idle,
                        core::counter& made,
+                       broken_answers& broken,
                        std::string pool );
 
     auto begin( http_call call, std::shared_ptr<http_listener> listener )
@@ -60,10 +63,12 @@
     auto on_read( error_code ec, std::size_t bytes ) -> void;
     auto on_closed( error_code read_error ) -> void;
     auto complete( bool is_delimited_by_close ) -> void;
+    auto fail( broken_answer const& answer ) -> void;
     auto fail( core::error why ) -> void;
 
     idle_connections& idle_connections_;
     core::counter& made_;
+    broken_answers& broken_answers_;
     std::string pool_;
     tcp::socket socket_;
     net::steady_timer timer_;
--- a/src/pollenstream/adapters/asio/http_client.cpp
+++ b/src/pollenstream/adapters/asio/http_client.cpp
@@ -66,8 +66,8 @@
 {
     auto connection = call.fresh_connection ? nullptr : idle_.take( call.pool );
     if ( !connection )
-        connection =
-            std::make_shared<client_connection>( io_, idle_, made_, call.pool );
+        connection = std::make_shared<client_connection>( io_, idle_, made_,
+                                                          broken_, call.pool );
     connection->begin( std::move( call ), std::move( listener ) );
     return std::make_shared<open_call>( connection, connection->call_number() );
 }
--- a/src/pollenstream/adapters/asio/http_client.hpp
+++ b/src/pollenstream/adapters/asio/http_client.hpp
@@ -1,6 +1,7 @@
 #ifndef POLLENSTREAM_ADAPTERS_ASIO_HTTP_CLIENT_HPP
 #define POLLENSTREAM_ADAPTERS_ASIO_HTTP_CLIENT_HPP
 
+#include <pollenstream/adapters/asio/broken_answers.hpp>
 #include <pollenstream/adapters/asio/http_call.hpp>
 #include <pollenstream/adapters/asio/idle_connections.hpp>
 #include <pollenstream/adapters/asio/prelude.hpp>
@@ -60,11 +61,22 @@
         return made_.value();
     }
 
+    /// Answers that did not count, and who is told of them.
+    [[nodiscard]] auto broken() -> broken_answers&
+    {
+        return broken_;
+    }
+    [[nodiscard]] auto broken() const -> broken_answers const&
+    {
+        return broken_;
+    }
+
 private:
     net::io_context& io_;
     std::shared_ptr<core::memory_budget> reply_memory_;
     idle_connections idle_;
     core::counter made_;
+    broken_answers broken_;
 };
 
 }
--- a/src/pollenstream/adapters/http/call_client.cpp
+++ b/src/pollenstream/adapters/http/call_client.cpp
@@ -279,10 +279,24 @@
                    } );
     }
 
+    auto observe( std::shared_ptr<asio::broken_answer_observer> observer )
+        -> void
+    {
+        net::post( loop_,
+                   [this, observer = std::move( observer )]
+                   {
+                       client_.broken().observe( observer );
+                   } );
+    }
+
     [[nodiscard]] auto loop() -> net::io_context&
     {
         return loop_;
     }
+    [[nodiscard]] auto broken() const -> asio::broken_answers const&
+    {
+        return client_.broken();
+    }
 
 private:
     /// Goes on after a handler that has thrown.
@@ -477,6 +491,17 @@
     collected_limit().set_max( max_bytes );
 }
 
+auto observe_broken_answers(
+    std::shared_ptr<asio::broken_answer_observer> observer ) -> void
+{
+    shared_transport().observe( std::move( observer ) );
+}
+
+auto count_of_broken_answers( asio::answer_defect why ) -> std::uint64_t
+{
+    return shared_transport().broken().count( why );
+}
+
 auto header_value( exchange::header_list const& headers, std::string_view name )
     -> std::string
 {
--- a/src/pollenstream/adapters/http/call_client.hpp
+++ b/src/pollenstream/adapters/http/call_client.hpp
@@ -1,6 +1,7 @@
 #ifndef POLLENSTREAM_ADAPTERS_HTTP_CALL_CLIENT_HPP
 #define POLLENSTREAM_ADAPTERS_HTTP_CALL_CLIENT_HPP
 
+#include <pollenstream/adapters/asio/broken_answers.hpp>
 #include <pollenstream/core/address.hpp>
 #include <pollenstream/core/error.hpp>
 #include <pollenstream/core/units.hpp>
@@ -74,6 +75,13 @@
 /// whose body finds no memory fails as one whose body is too large.
 auto set_collected_limit( std::size_t max_bytes ) -> void;
 
+/// Names who is told of the broken answers to all clients. Its function runs on
+/// the thread of the transport.
+auto observe_broken_answers(
+    std::shared_ptr<asio::broken_answer_observer> observer ) -> void;
+/// Number of broken answers to all clients.
+auto count_of_broken_answers( asio::answer_defect why ) -> std::uint64_t;
+
 /// A complete answer.
 struct collected_answer
 {
--- a/src/pollenstream/adapters/http/state_dump.cpp
+++ b/src/pollenstream/adapters/http/state_dump.cpp
@@ -1,3 +1,4 @@
+#include <pollenstream/adapters/http/call_client.hpp>
 #include <pollenstream/adapters/http/state_dump.hpp>
 #include <pollenstream/core/invariant.hpp>
 
@@ -77,6 +78,21 @@
     return json;
 }
 
+/// By defect; those that have not occurred are left out.
+auto broken_answers_json() -> value
+{
+    constexpr auto defects =
+        static_cast<int>( asio::answer_defect::number_of_defects );
+    auto json = value::object();
+    for ( auto i = 0; i < defects; ++i )
+    {
+        auto const why = static_cast<asio::answer_defect>( i );
+        if ( auto const times = count_of_broken_answers( why ); times > 0 )
+            json[name_of( why )] = value::number( times );
+    }
+    return json;
+}
+
 }
 
 auto dump_members( dump_sources const& from ) -> value
@@ -123,6 +139,7 @@
     json["resumes"] = count( m.resumes );
     json["cancels"] = count( m.cancels );
     json["callers_gone"] = count( m.callers_gone );
+    json["broken_answers"] = broken_answers_json();
     json["stray_events"] = count( m.stray_events );
     json["reservations_made"] = count( m.reservations_made );
     json["reservations_released"] = count( m.reservations_released );
--- a/tests/scripts/tool_cut_answers_test.py
+++ b/tests/scripts/tool_cut_answers_test.py
@@ -36,7 +36,7 @@
 class CutAnswers(unittest.TestCase):
     def run_tool(self, answer, end, *words):
         """Runs the tool against a server that answers so."""
-        server = raw_server.RawServer(answer, end)
+        server = raw_server.RawServer(raw_server.Replies((answer, end)))
         done = subprocess.run(
             [TOOL, *(word.replace("SERVER", server.address) for word in words)],
             stdin=subprocess.DEVNULL, capture_output=True, text=True,
