Tests: status lines that break an answer

Other versions, signs in the status, blanks, control bytes in the reason: 16 lines. Already handled, as is a line without a reason or of HTTP/1.0, which is passed on; kept as a guard.

--- a/tests/adapters/broken_answers_test.cpp
+++ b/tests/adapters/broken_answers_test.cpp
@@ -208,3 +208,31 @@
     CHECK( answer->head->fields.at( 0 ).name == name );
     CHECK( answer->head->fields.at( 0 ).value == "value of\xc3\xa4 it" );
 }
+
+TEST_CASE( "a status line that is none breaks the answer",
+           "[http_client][broken][status_line]" )
+{
+    auto const line = GENERATE(
+        as<std::string>{}, "HTTP/2.0 200 OK", "HTTP/0.9 200 OK",
+        "HTTP/9.1 200 OK", "ICY 200 OK", "http/1.1 200 OK", "HTTP/1.1 20 OK",
+        "HTTP/1.1 2000 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1 -20 OK",
+        "HTTP/1.1  200 OK", "HTTP/1.1\t200 OK", " HTTP/1.1 200 OK",
+        "HTTP/11 200 OK", "HTTP/1.1 200 O\x01K", "HTTP/1.1 200 O\x7fK",
+        std::string( "HTTP/1.1 200 O\0K", 16 ) );
+    INFO( line );
+    check_is_broken( *call_answered_with(
+        line + "\r\nContent-Length: 4\r\n\r\nbody" + sound ) );
+}
+
+TEST_CASE( "a status line may lack its reason, or be one of HTTP/1.0",
+           "[http_client][broken][status_line]" )
+{
+    auto const line =
+        GENERATE( as<std::string>{}, "HTTP/1.1 200 ", "HTTP/1.0 200 OK",
+                  "HTTP/1.1 200 all \xc3\xa4" );
+    auto const answer =
+        call_answered_with( line + "\r\nContent-Length: 4\r\n\r\nbody" );
+    REQUIRE( answer->end );
+    CHECK( answer->end->complete );
+    CHECK( answer->body == "body" );
+}
