One raw server for the process tests

EndlessServer had the accept loop of RawServer; its answers are replies of that now, whose end sends on. endless_heads was played once: held.

--- a/scripts/process_test.py
+++ b/scripts/process_test.py
@@ -510,28 +510,10 @@
 MOST_GROWTH_KB = 64 * 1024
 
 
-class EndlessServer(threading.Thread):
-    """Answers each connection with bytes without end."""
-
-    def __init__(self, first, repeated):
-        super().__init__(daemon=True)
-        self.bytes = (first, repeated)
-        self.socket = socket.create_server(("127.0.0.1", 0))
-        self.address = "127.0.0.1:%d" % self.socket.getsockname()[1]
-
-    def run(self):
-        while True:
-            try:
-                connection, _ = self.socket.accept()
-            except OSError:
-                return
-            threading.Thread(target=self.answer, args=(connection,),
-                             daemon=True).start()
-
-    def answer(self, connection):
-        with connection, contextlib.suppress(OSError):
-            connection.recv(65536)
-            send_without_end(connection, *self.bytes, ENDLESS_SECONDS)
+def send_on(repeated):
+    """An end of a reply that does not come."""
+    return lambda connection: send_without_end(connection, b"", repeated,
+                                               ENDLESS_SECONDS)
 
 
 def send_without_end(connection, first, repeated, seconds):
@@ -565,13 +547,13 @@
         process = fleet.processes[name]
         before = peak_memory_kb(process)
         sound = list(fleet.targets)
-        for way, sent in ENDLESS_ANSWERS.items():
-            server = EndlessServer(*sent)
-            server.start()
+        for way, (first, repeated) in ENDLESS_ANSWERS.items():
+            server = raw_server.RawServer(raw_server.Replies(
+                (first, send_on(repeated))))
             fleet.targets = list(sound)
             replace_targets(fleet, name, "dealer-desk", server.address, way)
             post_calls(fleet, name, 3)
-            server.socket.close()
+            server.close()
             check_growth(process, before, way)
         for port in (fleet.callers(name), fleet.operators(name)):
             for way, sent in ENDLESS_REQUESTS.items():
--- a/src/pollenstream/adapters/asio/answer_reader.hpp
+++ b/src/pollenstream/adapters/asio/answer_reader.hpp
@@ -48,8 +48,8 @@
 ///
 /// The kernel reports an error once, to the call that comes first: a read that
 /// follows a failed write sees an end of stream in its place. A write fails
-/// with a broken pipe if the peer had ended its side in an orderly way before,
-/// and is aborted by this process.
+/// with a broken pipe if the peer had ended its side in an orderly way before.
+/// A write that this process has aborted has not failed.
 auto cause_of( connection_end const& end ) -> error_code;
 
 /// Reads the answers that arrive on one connection, one for each call, and
