--- a/src/pollenstream/adapters/asio/answer_reader.hpp
+++ b/src/pollenstream/adapters/asio/answer_reader.hpp
@@ -28,7 +28,7 @@
     virtual auto on_body( std::string bytes ) -> bool = 0;
 };
 
-/// What has become of an answer with the bytes so far.
+/// State of an answer after the bytes received so far.
 enum class answer_progress
 {
     incomplete,
@@ -44,7 +44,8 @@
     error_code write; ///< no error: written, or not begun
 };
 
-/// What ended the connection; an end of stream: the peer, in an orderly way.
+/// The error that ended the connection; an end of stream stands for an orderly
+/// end by the peer.
 ///
 /// The kernel reports an error once, to the call that comes first: a read that
 /// follows a failed write sees an end of stream in its place. A write fails
@@ -67,7 +68,7 @@
     /// Starts the answer of the next call.
     auto begin( http_call const& call ) -> void;
 
-    /// Where the next bytes belong.
+    /// Returns the buffer for the next bytes to be received.
     auto prepare() -> net::mutable_buffer;
     /// Takes that many of the prepared bytes.
     auto commit( std::size_t bytes ) -> void;
--- a/src/pollenstream/adapters/asio/client_connection.cpp
+++ b/src/pollenstream/adapters/asio/client_connection.cpp
@@ -128,8 +128,8 @@
     return socket_.is_open() && std::chrono::steady_clock::now() < idle_until_;
 }
 
-/// What a server sends can make parsing or the listener throw. That ends the
-/// call and its connection.
+/// Runs `work`. An exception of the parser or the listener ends the call and
+/// its connection.
 template <class Work>
 auto client_connection::run_guarded( Work const& work ) -> void
 {
@@ -228,7 +228,8 @@
         on_closed( net::error::eof );
 }
 
-/// What an end of stream means shows once the write has ended too.
+/// Aborts the write after an end of stream, which is judged once the write has
+/// ended: its error may be the cause.
 auto client_connection::stop_writing() -> void
 {
     is_at_end_of_stream_ = true;
