Tests: an answer whose reading has really stopped, beside an upload

These pause as the exchange does, within on_body.

With that part of the fix taken out of the work tree the first fails (its call does not end), the others hold; with it, all hold. The product is unchanged.

--- a/tests/adapters/answers_beside_uploads_test.cpp
+++ b/tests/adapters/answers_beside_uploads_test.cpp
@@ -181,3 +181,66 @@
         CHECK( f.answer->end->is_delimited_by_close );
     }
 }
+
+namespace
+{
+
+/// Stops reading as soon as some of the body has arrived, as one does that has
+/// no memory for more.
+class pausing_call : public recorded_call
+{
+public:
+    auto on_body( std::string bytes ) -> void override
+    {
+        recorded_call::on_body( std::move( bytes ) );
+        open->pause();
+    }
+
+    std::shared_ptr<exchange::open_attempt> open;
+};
+
+/// An upload whose answer is read no further than its first part.
+struct paused_fixture : upload_fixture
+{
+    explicit paused_fixture( std::string bytes )
+        : upload_fixture( std::move( bytes ) )
+    {
+        answer = paused;
+    }
+    auto start_and_pause( core::duration silence = 20s ) -> void
+    {
+        start( silence );
+        paused->open = open;
+        wait_for_part();
+    }
+
+    std::shared_ptr<pausing_call> paused{ std::make_shared<pausing_call>() };
+};
+
+}
+
+TEST_CASE( "an answer whose reading has stopped fails at once if it is reset",
+           "[http_client][upload][paused]" )
+{
+    auto f = paused_fixture( without_length );
+    f.start_and_pause();
+    f.server.reset();
+    f.wait_for_end();
+    CHECK_FALSE( f.answer->end->complete );
+    CHECK( f.answer->end->error.code == core::error_code::connection_lost );
+}
+
+TEST_CASE( "an answer that has ended is whole though its upload is reset later",
+           "[http_client][upload][paused]" )
+{
+    auto f = paused_fixture( without_length );
+    f.start_and_pause();
+    f.server.finish();
+    f.io.run_for( 50ms );
+    f.server.reset();
+    f.io.run_for( 50ms );
+    CHECK_FALSE( f.answer->end );
+    f.open->resume();
+    f.wait_for_end();
+    CHECK( f.answer->end->complete );
+}
