--- a/tests/adapters/answers_beside_uploads_test.cpp
+++ b/tests/adapters/answers_beside_uploads_test.cpp
@@ -244,3 +244,16 @@
     f.wait_for_end();
     CHECK( f.answer->end->complete );
 }
+
+TEST_CASE( "an answer that has ended is whole though its upload is given up",
+           "[http_client][upload][paused]" )
+{
+    auto f = paused_fixture( without_length );
+    f.start_and_pause( 300ms );
+    f.server.finish();
+    f.io.run_for( 2s );
+    CHECK_FALSE( f.answer->end );
+    f.open->resume();
+    f.wait_for_end();
+    CHECK( f.answer->end->complete );
+}
