The scenario broken-answers waits for the line of the log that it asks for

Traced: the log of that gateway ends before the line of the request's own end as well. The gateway logs behind its work, and the scenario read its log as soon as the caller was answered, then killed it. The test was wrong: the line is as required as before, but it is waited for, 10 s at most.

--- a/scripts/broken_answers_scenario.py
+++ b/scripts/broken_answers_scenario.py
@@ -16,6 +16,8 @@
 MAX_BODY_BYTES = 16_000_000
 TIME_LIMIT_MS = 8000
 SETTLE_S = 1.0  # until a gateway knows of a change in the store
+LOG_LIMIT_S = 10.0
+LOG_PAUSE_S = 0.05
 ENDS = (raw_server.reset, raw_server.close_unread)
 HEAD = b"HTTP/1.1 200 OK\r\nServer-Seal: s\r\n"
 PART = HEAD + b"\r\n" + b"p" * 880
@@ -67,6 +69,15 @@
                                      {"id": name, "address": server.address})
         await asyncio.sleep(SETTLE_S)
 
+    async def is_logged(self, words):
+        """Waits for a line of the gateway, which logs behind its work."""
+        end = asyncio.get_running_loop().time() + LOG_LIMIT_S
+        while asyncio.get_running_loop().time() < end:
+            if words in self.fleet.gateways[0].log():
+                return True
+            await asyncio.sleep(LOG_PAUSE_S)
+        return False
+
     def requests(self):
         """How many have reached the raw servers."""
         return sum(server.requests for server in self.servers)
@@ -101,7 +112,7 @@
                 f"{len(seen.body)} bytes")
     play.expect(play.requests() == 1,
                 f"{end.__name__}: an unsafe call ran {play.requests()} times")
-    play.expect("what=answer" in play.fleet.gateways[0].log(),
+    play.expect(await play.is_logged("what=answer"),
                 f"{end.__name__}: no line of the log names the broken answer")
 
 
