Callers of instances that reach no target: timeline and failing tests

The scenario cut-targets cuts single gateways off: a library that is preloaded into them lets their connections to targets start at their own address, refuses or hangs new ones, and links of the stand-ins reset or hold up open ones. It judges first tries there against the others', from the first second.

--- a/scripts/platform_fleet.py
+++ b/scripts/platform_fleet.py
@@ -200,6 +200,7 @@
         self.bounds = dict(self.USUAL_BOUNDS)
         self.kills = []     # ms
         self.stops = []     # ms
+        self.environment = {}   # beside that of this process
         self.addresses = {name: f"{self.ip}:{fleet.ports[name]}"
                           for name in ("front", "ready", "directory")}
 
@@ -227,7 +228,8 @@
             [str(self.fleet.build / "pollenstream-gateway"),
              f"--settings={settings or self.write_settings()}",
              *self.fleet.gateway_options],
-            stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+            stdout=log, stderr=log, stdin=subprocess.DEVNULL,
+            env={**os.environ, **self.environment})
         limit_descriptors(self.child.pid,
                           self.fleet.limits.get("file_descriptors"))
         self.starts += 1
@@ -251,18 +253,22 @@
 
 class PlatformFleet:
     """The stand-in, proxies before its store and runners, and gateways.
-    Without `proxied` the runners have none. Fleets with differing nets run
+    Without `proxied` the runners have none; `make_proxy` makes one for an
+    address. `environment_of` a gateway is added to that of this process. Fleets with differing nets run
     beside each other. `limits` are those of a gateway's machine, `times` the
     callers' limits on time in the first configuration, `max_body_bytes` the
     limit on a request."""
 
     def __init__(self, build, seed, gateways=3, engines=4, plain=2,
                  timeout_ms=4000, proxied=True, metrics_port=None, limits=None,
-                 times=None, max_body_bytes=1_000_000):
+                 times=None, max_body_bytes=1_000_000, make_proxy=Proxy,
+                 environment_of=None):
         self.build = pathlib.Path(build)
         self.seed = seed
         self.net = f"127.0.{os.getpid() % 250}"
         self.proxied = proxied
+        self.make_proxy = make_proxy
+        self.environment_of = environment_of
         self.metrics_port = metrics_port
         self.limits = limits or {}
         self.times = times or {}
@@ -294,13 +300,15 @@
         await self.store_proxy.start()
         for name, address in self.where["runners"].items():
             if self.proxied:
-                proxy = self.proxies[name] = Proxy(address)
+                proxy = self.proxies[name] = self.make_proxy(address)
                 await proxy.start()
                 address = proxy.address
             await self.control("/register", {"id": name, "address": address})
         await self.configure(**self.times)
         for number in range(self.count):
             gateway = Gateway(self, number)
+            if self.environment_of:
+                gateway.environment = self.environment_of(gateway)
             gateway.start()
             self.gateways.append(gateway)
         for gateway in self.gateways:
--- a/scripts/soak_processes.py
+++ b/scripts/soak_processes.py
@@ -23,6 +23,7 @@
 
 import broken_answers_scenario
 import cut_heads_scenario
+import cut_targets_scenario
 import endless_answers_scenario
 import endless_requests_scenario
 import frozen_reader_scenario
@@ -626,12 +627,20 @@
     return report(seed, fleet, found, text)
 
 
+async def cut_targets(build, seed, gateways, chosen):
+    """Some gateways lose the path to all targets."""
+    found, text, fleet = await cut_targets_scenario.play(build, seed, gateways,
+                                                         **chosen)
+    return report(seed, fleet, found, text)
+
+
 def chosen_plan(options):
-    """The fields of the plan of `recover` that are not drawn."""
+    """The fields of the scenario's plan that are not drawn."""
     pairs = (pair.split("=") for pair in
              (options.plan.split(",") if options.plan else []))
-    chosen = {name: recover_scenario.read_field(name, text)
-              for name, text in pairs}
+    read_field = (cut_targets_scenario if options.scenario == "cut-targets"
+                  else recover_scenario).read_field
+    chosen = {name: read_field(name, text) for name, text in pairs}
     if options.beside:
         chosen["beside"] = options.beside.split(",")
     return chosen
@@ -653,6 +662,7 @@
 
 
 SIZED_SCENARIOS = {"frozen-reader": frozen_reader}
+PLANNED_SCENARIOS = {"recover": recover, "cut-targets": cut_targets}
 SCENARIOS = {"silent-engine": silent_engine, "limits": limits,
              "fatal-parts": fatal_parts,
              "broken-answers": played_by(broken_answers_scenario),
@@ -673,18 +683,20 @@
     parser.add_argument("--seconds", type=float, default=8)
     parser.add_argument("--gateways", type=int, default=4)
     parser.add_argument("--scenario",
-                        choices=[*SCENARIOS, *SIZED_SCENARIOS, "recover"])
+                        choices=[*SCENARIOS, *SIZED_SCENARIOS,
+                                 *PLANNED_SCENARIOS])
     parser.add_argument("--beside", help="troubles of `recover`, not drawn")
-    parser.add_argument("--plan", help="fields of the plan of `recover`, not "
-                        "drawn")
+    parser.add_argument("--plan", help="fields of the plan of `recover` or "
+                        "`cut-targets`, not drawn")
     options = parser.parse_args()
     first, last = (int(x) for x in options.seeds.split("-"))
     if options.scenario:
         chosen = chosen_plan(options)
 
         def play(seed):
-            if options.scenario == "recover":
-                return recover(options.build, seed, options.gateways, chosen)
+            if options.scenario in PLANNED_SCENARIOS:
+                return PLANNED_SCENARIOS[options.scenario](
+                    options.build, seed, options.gateways, chosen)
             if options.scenario in SIZED_SCENARIOS:
                 return SIZED_SCENARIOS[options.scenario](
                     options.build, seed, options.gateways)
