--- a/apps/gateway/caller_handler.cpp
+++ b/apps/gateway/caller_handler.cpp
@@ -1,7 +1,7 @@
 #include "caller_handler.hpp"
 
 #include "../../platform/exchange_headers.hpp"
-#include <pollenstream/exchange/exchange.hpp>
+#include "running_exchange.hpp"
 #include <pollenstream/exchange/own_answers.hpp>
 
 namespace pollenstream::gateway
@@ -12,23 +12,6 @@
 
 constexpr auto status_bad_request = 400;
 
-class exchange_in_progress : public adapters::asio::request_in_progress
-{
-public:
-    explicit exchange_in_progress(
-        std::shared_ptr<exchange::exchange> running_exchange )
-        : exchange_( std::move( running_exchange ) )
-    {
-    }
-    auto on_caller_gone() -> void override
-    {
-        exchange_->on_caller_gone();
-    }
-
-private:
-    std::shared_ptr<exchange::exchange> exchange_;
-};
-
 }
 
 caller_handler::caller_handler( exchange::exchange_context& context )
@@ -72,10 +55,8 @@
                               decoded.error().detail + "\n" } );
         return nullptr;
     }
-    auto started = std::make_shared<exchange::exchange>(
-        context_, std::move( decoded.value() ), std::move( answer ) );
-    started->start();
-    return std::make_shared<exchange_in_progress>( std::move( started ) );
+    return start_exchange( context_, std::move( decoded.value() ),
+                           std::move( answer ) );
 }
 
 auto caller_handler::refuse_unread( adapters::asio::raw_request const& head )
--- a/apps/gateway/gateway_node.cpp
+++ b/apps/gateway/gateway_node.cpp
@@ -11,6 +11,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <limits>
+#include <random>
 #include <utility>
 
 namespace pollenstream::gateway
@@ -40,7 +42,16 @@
     return s.target_heartbeat * heartbeats;
 }
 
-auto own_state_of( platform::gateway_settings const& s ) -> peers::own_state
+/// Drawn anew for each process, so that callers cannot guess it.
+auto draw_handover_key() -> core::handover_key
+{
+    auto source = std::random_device{};
+    return core::handover_key( std::uniform_int_distribution<std::int64_t>(
+        1, std::numeric_limits<std::int64_t>::max() )( source ) );
+}
+
+auto own_state_of( platform::gateway_settings const& s,
+                   core::handover_key handover_key ) -> peers::own_state
 {
     // The start time distinguishes restarts. If the wall clock jumps, a restart
     // within the jump is taken for the same process, but only for seconds.
@@ -51,7 +62,8 @@
              s.callers.ip,
              s.data_centre,
              core::to_string( s.callers ),
-             s.thousandths_of_core };
+             s.thousandths_of_core,
+             handover_key };
 }
 
 auto random_seed( platform::gateway_settings const& s ) -> std::uint32_t
@@ -81,6 +93,8 @@
       http_( io, limits_.reply_bytes ),
       store_( http_, settings_.store, platform::needed_records() ),
       target_calls_( http_ ), reservation_client_( http_ ),
+      handover_calls_( http_, settings_.peers.port ),
+      handover_key_( draw_handover_key() ),
       crashes_( registry_expiry_time( settings_ ) ),
       placement_( load_table_, settings_.data_centre ),
       retries_( { settings_.retry_ratio, settings_.retry_constant,
@@ -88,13 +102,18 @@
                 scheduler_.now(),
                 core::stable_fraction( settings_.instance.str() ) ),
       wait_queue_( scheduler_ ), datagrams_( io, settings_.peers ),
-      group_( own_state_of( settings_ ),
+      group_( own_state_of( settings_, handover_key_ ),
               settings_.seed_ips,
               scheduler_,
               datagrams_,
               load_table_,
               crashes_,
               log ),
+      handovers_( scheduler_,
+                  group_,
+                  handover_calls_,
+                  settings_.data_centre,
+                  random_seed( settings_ ) ),
       coordinator_( settings_.instance,
                     scheduler_,
                     load_table_,
@@ -157,6 +176,7 @@
                                return group_.coordinator_position();
                            } ),
       caller_handler_( context_ ), state_handler_( registry_ ),
+      handover_handler_( context_, handover_key_, state_handler_ ),
       directory_handler_(
           [this]
           {
@@ -203,6 +223,7 @@
         .placements = router_,
         .retries = retries_,
         .path = path_,
+        .handovers = &handovers_,
         .answer_memory = answer_memory_,
         .queue = wait_queue_,
         .log = first_service_,
@@ -231,6 +252,8 @@
              broken_inputs(),
              *connection_accounts_,
              callers_ ? callers_->connections() : 0,
+             handovers_.open(),
+             handover_handler_.open(),
              unsent_answers_->unsent_bytes(),
              unsent_answers_->dropped(),
              listening_ports_.waiting(),
@@ -267,6 +290,7 @@
     instance_records_.start();
     quarantine_.start();
     path_watch_.start();
+    handovers_.start();
     ticks_.emplace(
         scheduler_,
         [this]
--- a/apps/gateway/gateway_node.hpp
+++ b/apps/gateway/gateway_node.hpp
@@ -3,11 +3,13 @@
 
 #include "../../platform/entry_handlers.hpp"
 #include "../../platform/exchange_headers.hpp"
+#include "../../platform/handover_calls.hpp"
 #include "../../platform/registry_records.hpp"
 #include "../../platform/settings_file.hpp"
 #include "../../platform/store_client.hpp"
 #include "../../platform/target_calls.hpp"
 #include "caller_handler.hpp"
+#include "handover_handler.hpp"
 #include "listening_ports.hpp"
 #include "metrics_handler.hpp"
 #include "node_state.hpp"
@@ -20,6 +22,7 @@
 #include <pollenstream/adapters/asio/http_client.hpp>
 #include <pollenstream/exchange/context.hpp>
 #include <pollenstream/exchange/placement_coordinator.hpp>
+#include <pollenstream/handover/outgoing_handovers.hpp>
 #include <pollenstream/observation/bounded_log.hpp>
 #include <pollenstream/observation/event_metrics.hpp>
 #include <pollenstream/observation/first_service.hpp>
@@ -99,6 +102,7 @@
     auto fetch_records( core::instance_id const& from,
                         std::function<void()> ended ) -> void;
     auto check_stopped() -> void;
+    auto close_idle_connections() -> void;
     auto abandon_open() -> void;
     auto end_process( std::string because ) -> void;
     auto record_dropped_caller( std::string const& caller,
@@ -129,6 +133,8 @@
     platform::registry_records records_;
     platform::target_calls target_calls_;
     platform::reservation_calls reservation_client_;
+    platform::handover_calls handover_calls_;
+    core::handover_key handover_key_;
     platform::header_encoder encoder_;
     exchange::load_table load_table_;
     exchange::crash_history crashes_;
@@ -138,6 +144,7 @@
     exchange::wait_queue wait_queue_;
     adapters::asio::datagram_socket datagrams_;
     peers::peer_group group_;
+    handover::outgoing_handovers handovers_;
     exchange::placement_coordinator coordinator_;
     peers::placement_router router_;
     exchange::exchange_context context_;
@@ -150,6 +157,7 @@
 
     caller_handler caller_handler_;
     state_handler state_handler_;
+    handover_handler handover_handler_;
     platform::directory_handler directory_handler_;
     platform::readiness_handler readiness_handler_;
     metrics_handler metrics_handler_;
--- a/apps/gateway/gateway_node_ports.cpp
+++ b/apps/gateway/gateway_node_ports.cpp
@@ -54,7 +54,7 @@
     add_listener( readiness_, { "readiness", settings_.readiness, false, {} },
                   readiness_handler_ );
     add_listener( peer_listener_, { "instances", settings_.peers, false, {} },
-                  state_handler_ );
+                  handover_handler_ );
     // Without datagrams this instance would take itself for the only one.
     listening_ports_.add( { "datagrams", settings_.peers, true,
                             [this]
--- a/apps/gateway/gateway_node_stop.cpp
+++ b/apps/gateway/gateway_node_stop.cpp
@@ -1,5 +1,6 @@
 #include "gateway_node.hpp"
 #include <pollenstream/exchange/exchange.hpp>
+#include <pollenstream/exchange/own_answers.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -45,6 +46,7 @@
                                 now + settings_.grace_period - stop_margin };
     group_.announce_leaving();
     callers_->begin_drain();
+    peer_listener_->begin_drain();
     callers_left_at_ = directory_expired_at + 500ms;
     check_stopped();
 }
@@ -55,8 +57,10 @@
 {
     auto const now = scheduler_.now();
     if ( now >= callers_left_at_ )
-        callers_->close_idle();
-    auto const is_idle = context_.open.empty() && callers_->connections() == 0;
+        close_idle_connections();
+    auto const is_idle = context_.open.empty() &&
+                         callers_->connections() == 0 &&
+                         peer_listener_->connections() == 0;
     if ( now >= callers_left_at_ && is_idle )
         return end_process( "idle" );
     if ( now >= context_.stop->ends_at )
@@ -70,13 +74,20 @@
                                         } );
 }
 
+/// Also those of other instances, which may have handed requests over.
+auto gateway_node::close_idle_connections() -> void
+{
+    callers_->close_idle();
+    peer_listener_->close_idle();
+}
+
 /// Abandons the open requests, so that callers are notified and reserved memory
 /// at targets is released, and leaves time to send the calls for this.
 auto gateway_node::abandon_open() -> void
 {
     auto const open = std::vector( context_.open.begin(), context_.open.end() );
     for ( auto* const open_exchange : open )
-        open_exchange->abandon( "process_ends" );
+        open_exchange->abandon( exchange::process_ends_reason );
     stop_call_ = scheduler_.call_after( final_send_time,
                                         [this]
                                         {
--- a/apps/gateway/node_metrics.cpp
+++ b/apps/gateway/node_metrics.cpp
@@ -210,6 +210,24 @@
                      "{name=\"" + name + "\"}", times );
 }
 
+/// Writes the requests that were handed over, and what is known of the path.
+auto write_handovers( node_parts const& node, std::ostream& out ) -> void
+{
+    auto const& counters = node.context.counters;
+    constexpr auto name = "pollenstream_handovers_total";
+    write_count( out, name, "{what=\"sent\"}", counters.handed_over.value() );
+    write_count( out, name, "{what=\"refused\"}",
+                 counters.handover_refused.value() );
+    write_count( out, name, "{what=\"lost\"}", counters.handover_lost.value() );
+    write_count( out, name, "{what=\"taken\"}", counters.taken_over.value() );
+    write_gauge( out, "pollenstream_handovers_open", node.handovers_open );
+    write_gauge( out, "pollenstream_taken_over_open", node.taken_over_open );
+    write_count( out, "pollenstream_path_probes_total", "",
+                 counters.path_probes.value() );
+    write_gauge( out, "pollenstream_cut_from_targets",
+                 node.context.path.is_cut() ? 1 : 0 );
+}
+
 /// Writes the answers that did not count, by what made them broken.
 auto write_broken_answers( adapters::asio::broken_answers const& broken,
                            std::ostream& out ) -> void
@@ -270,6 +288,7 @@
     write_targets( node.context.loads, now, out );
     write_quarantines( node.context.crashes, out );
     write_placing( node, out );
+    write_handovers( node, out );
     write_retries( node.context, out );
     write_broken_answers( node.broken_answers, out );
     write_limits( node.context.loads, now, out );
--- a/apps/gateway/node_state.hpp
+++ b/apps/gateway/node_state.hpp
@@ -42,6 +42,8 @@
     /// Of all ports.
     adapters::asio::connection_accounts const& connections;
     std::size_t caller_connections{ 0 };
+    std::size_t handovers_open{ 0 };        ///< at other instances
+    std::size_t taken_over_open{ 0 };       ///< of other instances, here
     std::size_t unsent_bytes{ 0 };          ///< of answers, in connections
     std::uint64_t dropped_callers{ 0 };     ///< closed as they did not read
     std::vector<std::string> ports_waiting; ///< names of those not open
--- a/apps/tool/explain.cpp
+++ b/apps/tool/explain.cpp
@@ -42,6 +42,18 @@
     return text;
 }
 
+/// Which instances it was handed over to, for the sentence.
+auto handovers_in( std::vector<story_line> const& story ) -> std::string
+{
+    auto text = std::string{};
+    for ( auto const& line : story )
+        if ( value_of( line.fields, "event" ) == "handed_over" )
+            text += "; handed over to " + value_of( line.fields, "to" ) +
+                    " after " + value_of( line.fields, "waited_ms" ) + " ms (" +
+                    value_of( line.fields, "because" ) + ")";
+    return text;
+}
+
 /// How long it waited for a target's limit, for the sentence.
 auto limit_in( log_line const& placed ) -> std::string
 {
@@ -168,6 +180,9 @@
     for ( auto at = story.rbegin(); at != story.rend(); ++at )
     {
         auto const event = value_of( at->fields, "event" );
+        // The answer of the caller's own instance is what its caller got.
+        if ( !value_of( at->fields, "handed_over_by" ).empty() )
+            continue;
         if ( event == "refused" )
             return "refused with " + value_of( at->fields, "status" ) +
                    " after " + value_of( at->fields, "waited_ms" ) + " ms as " +
@@ -257,8 +272,9 @@
     auto result = explanation{};
     for ( auto const& line : story )
         result.lines.push_back( line.text );
-    result.cause = cause_of( story ) + quarantines.text_for( story ) +
-                   decision_in( story ) + lateness_in( story );
+    result.cause = cause_of( story ) + handovers_in( story ) +
+                   quarantines.text_for( story ) + decision_in( story ) +
+                   lateness_in( story );
     if ( !story.empty() )
         result.cause += drains.text_at( story.back().time );
     return result;
--- a/apps/tool/losses.cpp
+++ b/apps/tool/losses.cpp
@@ -155,6 +155,9 @@
         ++unreadable_;
         return;
     }
+    // The instance of its caller tells of the request.
+    if ( line.contains( "handed_over_by" ) )
+        return;
     if ( event == "late_expected" )
     {
         note_group( line, open( id ) );
@@ -174,6 +177,10 @@
     {
         open( id ).failure = cause_of_failure( text_of( line, "error" ) );
     }
+    else if ( event == "handed_over" )
+    {
+        open( id ).failure = loss_cause::cut_from_targets;
+    }
     else if ( event == "refused" )
     {
         auto& told = open( id );
--- a/cmake/gateway.cmake
+++ b/cmake/gateway.cmake
@@ -9,7 +9,7 @@
 file(GLOB GATEWAY_CORE_SOURCES CONFIGURE_DEPENDS
   src/pollenstream/exchange/*.cpp src/pollenstream/registry/*.cpp
   src/pollenstream/peers/*.cpp src/pollenstream/observation/*.cpp
-  src/pollenstream/scheduling/*.cpp)
+  src/pollenstream/scheduling/*.cpp src/pollenstream/handover/*.cpp)
 add_library(gateway_core STATIC ${GATEWAY_CORE_SOURCES})
 target_link_libraries(gateway_core
   PUBLIC pollenstream_base nlohmann_json::nlohmann_json ZLIB::ZLIB)
--- a/src/pollenstream/adapters/spdlog/structured_log.cpp
+++ b/src/pollenstream/adapters/spdlog/structured_log.cpp
@@ -65,6 +65,13 @@
     fmt::memory_buffer out_;
 };
 
+/// Which instance has handed the request over, if one has.
+auto add_origin( line_builder& line, core::instance_id const& by ) -> void
+{
+    if ( !by.empty() )
+        line.text( "handed_over_by", by.str() );
+}
+
 auto line_of( exchange::request_refused const& e ) -> line_builder
 {
     auto line = line_builder( "refused" );
@@ -81,6 +88,7 @@
         .number( "configuration", e.configuration.count() );
     if ( !e.quarantine.empty() )
         line.text( "quarantine", exchange::to_string( e.quarantine ) );
+    add_origin( line, e.handed_over_by );
     return line;
 }
 
@@ -132,6 +140,22 @@
         line.text( "helpers", helpers_of( e.parts ) );
     if ( !e.shared_parts.empty() )
         line.text( "shared_parts", parts_text( e.shared_parts ) );
+    add_origin( line, e.handed_over_by );
+    return line;
+}
+
+auto line_of( exchange::request_handed_over const& e ) -> line_builder
+{
+    auto line = line_builder( "handed_over" );
+    line.text( "id", e.id.str() )
+        .text( "content", exchange::to_string( e.content ) )
+        .text( "route", e.route )
+        .text( "to", e.to.str() )
+        .text( "because", e.because )
+        .number( "number", e.number )
+        .milliseconds( "waited_ms", e.waited )
+        .milliseconds( "left_ms", e.time_left )
+        .number( "retry", e.is_retry ? 1 : 0 );
     return line;
 }
 
@@ -147,6 +171,7 @@
         .milliseconds( "objective_ms", e.latency_objective );
     if ( e.predicted )
         line.milliseconds( "predicted_ms", *e.predicted );
+    add_origin( line, e.handed_over_by );
     return line;
 }
 
@@ -166,6 +191,7 @@
         .milliseconds( "timer_late_ms", e.timer_late );
     if ( !e.shared_parts.empty() )
         line.text( "shared_parts", parts_text( e.shared_parts ) );
+    add_origin( line, e.handed_over_by );
     return line;
 }
 
@@ -189,6 +215,7 @@
         .milliseconds( "gap_objective_ms", e.gap_objective )
         .number( "configuration", e.configuration.count() )
         .number( "configuration_now", e.configuration_now.count() );
+    add_origin( line, e.handed_over_by );
     return line;
 }
 
--- a/src/pollenstream/core/ids.hpp
+++ b/src/pollenstream/core/ids.hpp
@@ -40,6 +40,9 @@
 using attempt_number = strong_number<struct attempt_number_tag>;
 /// Version of the operators' configuration; it never decreases.
 using revision = strong_number<struct revision_tag>;
+/// Secret of one process of an instance, which only other instances are told:
+/// it proves that a request handed over to it comes from one of them. 0: none.
+using handover_key = strong_number<struct handover_key_tag>;
 /// Increases with each new holder of a lease; a lower number belongs to a
 /// former holder.
 using fencing_number = strong_number<struct fencing_number_tag>;
--- a/src/pollenstream/exchange/context.hpp
+++ b/src/pollenstream/exchange/context.hpp
@@ -6,6 +6,7 @@
 #include <pollenstream/core/name_counts.hpp>
 #include <pollenstream/exchange/crash_history.hpp>
 #include <pollenstream/exchange/event_log.hpp>
+#include <pollenstream/exchange/handover.hpp>
 #include <pollenstream/exchange/load_table.hpp>
 #include <pollenstream/exchange/memory_queue.hpp>
 #include <pollenstream/exchange/message.hpp>
@@ -73,6 +74,11 @@
     core::counter caller_gone; ///< the caller closed its connection
     core::counter retries;
     core::counter resumed;
+    core::counter handed_over;      ///< to other instances, each time
+    core::counter handover_refused; ///< those that the others did not take
+    core::counter handover_lost;    ///< those that ended without an answer
+    core::counter taken_over;       ///< from other instances
+    core::counter path_probes; ///< connections to learn of the path to targets
     core::counter internal_errors; ///< requests ended because a handler threw
     /// Answers without a length or chunks, which end with their connection.
     core::counter ended_by_close;
@@ -102,6 +108,7 @@
     placement_client& placements; ///< requests targets from the coordinator
     shared_retry_budget& retries;
     target_path& path;
+    handover_client* handovers{ nullptr }; ///< null: none is handed over
     /// For the answers of targets that are kept until they are complete.
     std::shared_ptr<core::memory_budget> answer_memory;
     /// Those that find no memory there.
--- a/src/pollenstream/exchange/event_log.hpp
+++ b/src/pollenstream/exchange/event_log.hpp
@@ -31,8 +31,9 @@
     core::duration retry_after{ 0 };
     core::revision configuration;
     std::int64_t prompt_tokens{ 0 };
-    std::size_t waiting{ 0 }; ///< length of this instance's wait queue
-    suspect_list quarantine;  ///< for which it was refused, if any
+    std::size_t waiting{ 0 };         ///< length of this instance's wait queue
+    suspect_list quarantine;          ///< for which it was refused, if any
+    core::instance_id handed_over_by; ///< empty: it came from its caller
 };
 
 /// A request was sent to a target.
@@ -54,6 +55,21 @@
     /// From the placement request to its grant.
     core::duration placement_time{ 0 };
     std::vector<prompt_part_id> shared_parts; ///< of the prompt
+    core::instance_id handed_over_by; ///< empty: it came from its caller
+};
+
+/// A request is handed over to an instance that reaches targets.
+struct request_handed_over
+{
+    attempt_id id;
+    content_id content;
+    std::string route;
+    core::instance_id to;
+    std::string because;
+    std::int64_t number{ 1 }; ///< instances asked, including this one
+    core::duration waited{ 0 };
+    core::duration time_left{ 0 };
+    bool is_retry{ false }; ///< a target may have received it before
 };
 
 /// The first event of a request is expected after its latency objective.
@@ -69,6 +85,7 @@
     std::optional<core::duration> predicted;
     core::duration latency_objective{ 0 };
     scheduling::lateness_reason reason{ scheduling::lateness_reason::waited };
+    core::instance_id handed_over_by; ///< empty: it came from its caller
 };
 
 /// An attempt at a target failed. `decision` says what the exchange does next.
@@ -88,6 +105,7 @@
     /// How late the timer fired that detected a silence. Data that the target
     /// sent during this delay has not been read yet.
     core::duration timer_late{ 0 };
+    core::instance_id handed_over_by; ///< empty: it came from its caller
 };
 
 /// A request has ended.
@@ -110,6 +128,7 @@
     core::duration gap_objective{ 0 };
     core::revision configuration;     ///< in force when it was admitted
     core::revision configuration_now; ///< in force at its end
+    core::instance_id handed_over_by; ///< empty: it came from its caller
 };
 
 /// The state of something, as known to this process, has changed.
@@ -140,6 +159,7 @@
 
 using event = std::variant<request_refused,
                            request_placed,
+                           request_handed_over,
                            lateness_expected,
                            attempt_failed,
                            request_ended,
--- a/src/pollenstream/exchange/exchange.cpp
+++ b/src/pollenstream/exchange/exchange.cpp
@@ -47,7 +47,8 @@
       answer_( std::move( answer ) ), configuration_( context.configuration )
 {
     context_.open.insert( this );
-    context_.counters.requests.add();
+    auto& counters = context_.counters;
+    ( request_.handed_over ? counters.taken_over : counters.requests ).add();
 }
 
 exchange::~exchange()
@@ -139,7 +140,7 @@
 
 auto exchange::on_no_configuration() -> void
 {
-    refuse( status_unavailable, "no_configuration",
+    refuse( status_unavailable, no_configuration_reason,
             retry_after_no_configuration );
 }
 
@@ -181,7 +182,7 @@
                        retry_after_no_target );
     auto const now = context_.scheduler.now();
     if ( may_outlast_stop( now ) )
-        return refuse( status_unavailable, "stopping", retry_after_stop );
+        return refuse( status_unavailable, stopping_reason, retry_after_stop );
     set_deadlines();
     demand_.latency_objective = route_->latency_objective;
     lateness_ = scheduling::lateness_watch( route_->latency_objective );
@@ -196,7 +197,9 @@
     is_split_ =
         service_->engine && is_split_prompt( *service_->engine, demand_ );
     last_event_ = request_.last_event;
-    context_.retries.note_request( demand_.service, now );
+    // The instance of its caller has counted it already.
+    if ( !request_.handed_over )
+        context_.retries.note_request( demand_.service, now );
 }
 
 /// Admits the request once the configuration is known. Returns true if the
@@ -293,7 +296,7 @@
     if ( current_ )
         return true;
     auto const now = context_.scheduler.now();
-    if ( end_if_cut() )
+    if ( end_if_cut() || refuse_doubtful_handover() )
         return true;
     if ( now < not_before_ )
         return false;
@@ -329,21 +332,39 @@
     }
     if ( route_->kind == request_kind::stream )
         return false;
+    if ( !may_have_run_ && hand_over( "no_targets" ) )
+        return true;
     // An earlier attempt may have run and left no other target: give_up() then
     // fails the request instead of refusing it.
     give_up( "no_targets", retry_after_no_target );
     return true;
 }
 
-/// Ends the request if this instance reaches no target. Returns true if so.
+/// Hands the request over, or ends it, if this instance reaches no target.
+/// Returns true if so.
 auto exchange::end_if_cut() -> bool
 {
-    if ( !context_.path.is_cut() || streaming_ )
+    if ( !context_.path.is_cut() )
+        return false;
+    if ( hand_over( cut_reason ) )
+        return true;
+    if ( streaming_ )
         return false;
     give_up( cut_reason, retry_after_cut );
     return true;
 }
 
+/// Another instance can take a request at once that this one may not be able
+/// to send. Returns true if it was refused.
+auto exchange::refuse_doubtful_handover() -> bool
+{
+    auto const is_doubtful = context_.path.state() != path_state::sound;
+    if ( !request_.handed_over || !is_doubtful || targets_reached_ > 0 )
+        return false;
+    give_up( unreached_reason, retry_after_cut );
+    return true;
+}
+
 auto exchange::release( std::uint64_t serial, work_outcome outcome ) -> void
 {
     context_.loads.end_work( context_.self, serial, context_.scheduler.now() );
@@ -372,7 +393,7 @@
     if ( finished_ )
         return;
     close_all();
-    context_.counters.caller_gone.add();
+    count_outcome( context_.counters.caller_gone );
     end( "caller_gone", 0 );
 }
 
@@ -432,10 +453,10 @@
 auto exchange::on_cut_from_targets() -> void
 {
     auto const keep = shared_from_this();
-    if ( finished_ || route_ == nullptr || streaming_ || silent_ ||
-         may_have_run_ )
+    if ( finished_ || route_ == nullptr ||
+         ( current_ && current_->is_handover ) || hand_over( cut_reason ) )
         return;
-    if ( current_ && current_->call && current_->call->sent() )
+    if ( streaming_ || silent_ || may_have_run_ || sent_attempts() > 0 )
         return;
     close_all();
     give_up( cut_reason, retry_after_cut );
@@ -451,6 +472,7 @@
     auto answer = whole_answer{ status, {}, reason + "\n" };
     answer.headers.push_back( { "Content-Type", "text/plain" } );
     answer.closes_connection = context_.path.is_cut();
+    answer.is_refused_here = is_own_state( reason );
     if ( retry_after )
         answer.headers.push_back( retry_after_header( *retry_after ) );
     auto const now = context_.scheduler.now();
@@ -462,10 +484,11 @@
         now - request_.received, retry_after.value_or( core::duration( 0 ) ),
         configuration_ ? configuration_->version : core::revision{},
         demand_.prompt_tokens, context_.queue.size(),
-        quarantine != nullptr ? *quarantine : suspect_list{} } );
+        quarantine != nullptr ? *quarantine : suspect_list{},
+        handed_over_by() } );
     close_all();
     answer_->send_whole( std::move( answer ) );
-    context_.counters.refused.add();
+    count_outcome( context_.counters.refused );
     end( std::move( reason ), status );
 }
 
@@ -477,7 +500,7 @@
     else
         answer_->send_whole(
             { status, { { "Content-Type", "text/plain" } }, reason + "\n" } );
-    context_.counters.failed.add();
+    count_outcome( context_.counters.failed );
     end( std::move( reason ), status );
 }
 
@@ -531,7 +554,20 @@
         demand_.prompt_tokens, demand_.latency_objective, demand_.gap_objective,
         configuration_ ? configuration_->version : core::revision{},
         context_.configuration ? context_.configuration->version
-                               : core::revision{} } );
+                               : core::revision{},
+        handed_over_by() } );
+}
+
+auto exchange::handed_over_by() const -> core::instance_id
+{
+    return request_.handed_over ? request_.handed_over->from
+                                : core::instance_id{};
+}
+
+auto exchange::count_outcome( core::counter& outcome ) -> void
+{
+    if ( !request_.handed_over )
+        outcome.add();
 }
 
 }
--- a/src/pollenstream/exchange/exchange.hpp
+++ b/src/pollenstream/exchange/exchange.hpp
@@ -10,6 +10,7 @@
 #include <exception>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -105,6 +106,9 @@
         std::optional<answer_head> head;
         core::bounded_text body; ///< of an answer that is not a stream
         event_splitter splitter;
+        /// At an instance that the request was handed over to; `target` has
+        /// its id.
+        bool is_handover{ false };
         bool prefilling{ true };
         std::int64_t events{ 0 };     ///< received from the target
         core::instant first_event_at; ///< if `events` is not 0
@@ -201,6 +205,7 @@
     auto on_invalid_answer( target_attempt const& from, std::string detail )
         -> void;
     auto on_complete() -> void;
+    auto note_complete_answer() -> void;
     auto on_not_run() -> void;
     auto on_broken_attempt( attempt_end const& end ) -> void;
     auto note_served( suspect_list const& suspects ) -> void;
@@ -226,6 +231,33 @@
     }
 
     auto may_retry() -> bool;
+    [[nodiscard]] auto max_targets() const -> std::int64_t;
+    [[nodiscard]] auto targets_counted() const -> std::int64_t;
+    [[nodiscard]] auto open_attempts() const -> std::int64_t;
+    [[nodiscard]] auto sent_attempts() const -> std::int64_t;
+    auto leave_open_attempts() -> void;
+    [[nodiscard]] auto may_hand_over() const -> bool;
+    /// Closes what is open at targets and hands the request over to another
+    /// instance. Returns false, and changes nothing, if that is not allowed or
+    /// no instance can take it.
+    auto hand_over( std::string const& because ) -> bool;
+    [[nodiscard]] auto has_retry_for_handover() const -> bool;
+    auto take_retry_for_handover() -> void;
+    auto begin_handover( core::instance_id const& to,
+                         std::string const& because ) -> void;
+    auto on_handover_head( target_attempt& from, answer_head head ) -> void;
+    auto on_handover_end( attempt_end end ) -> void;
+    auto relay_handed_over_answer() -> void;
+    auto on_handover_refused() -> void;
+    auto on_handover_lost( attempt_end const& lost ) -> void;
+    auto return_handover_retry() -> void;
+    auto end_handover( std::string const& why, bool may_have_run ) -> void;
+    auto handler_for_attempt( std::uint64_t serial )
+        -> std::shared_ptr<attempt_listener>;
+    auto refuse_doubtful_handover() -> bool;
+    [[nodiscard]] auto handed_over_by() const -> core::instance_id;
+    /// Counts the request's end, unless its caller's instance does.
+    auto count_outcome( core::counter& outcome ) -> void;
     auto has_retry_budget() -> bool;
     auto take_retry() -> bool;
     auto on_no_retry( placement_grant const& grant ) -> void;
@@ -333,6 +365,9 @@
     /// Serial of the grant whose memory is being reserved.
     std::optional<std::uint64_t> reserving_grant_;
     std::int64_t targets_reached_{ 0 };
+    /// Of these, those that were lost together with the path to all targets.
+    std::int64_t targets_cut_off_{ 0 };
+    std::set<core::instance_id> asked_instances_; ///< handed over to these
     std::int64_t connects_failed_{ 0 };
     bool waiting_{ false };
     bool may_have_run_{ false }; ///< a target may have started to process it
--- a/src/pollenstream/exchange/exchange_answers.cpp
+++ b/src/pollenstream/exchange/exchange_answers.cpp
@@ -115,6 +115,8 @@
     auto* const from = find_attempt( serial );
     if ( from == nullptr )
         return;
+    if ( from->is_handover )
+        return on_handover_head( *from, std::move( head ) );
     from->last_heard_at = context_.scheduler.now();
     from->silent_from = from->last_heard_at;
     context_.path.note_answer( from->last_heard_at );
@@ -148,7 +150,8 @@
     auto* const from = find_attempt( serial );
     if ( from == nullptr )
         return;
-    context_.path.note_answer( context_.scheduler.now() );
+    if ( !from->is_handover )
+        context_.path.note_answer( context_.scheduler.now() );
     if ( !is_stream( *from ) )
     {
         if ( from->body.append( bytes ) )
@@ -270,7 +273,8 @@
     current_->is_silence_noted = false;
     if ( ++current_->events == 1 )
         current_->first_event_at = now;
-    if ( !parts_are_sound_ && proves_parts_sound( *current_ ) )
+    auto const may_prove = !parts_are_sound_ && !current_->is_handover;
+    if ( may_prove && proves_parts_sound( *current_ ) )
         note_sound_parts( *current_ );
     if ( current_->prefilling )
     {
@@ -294,6 +298,8 @@
     auto* const from = find_attempt( serial );
     if ( from == nullptr )
         return;
+    if ( from->is_handover )
+        return on_handover_end( end );
     if ( end.sent && !( from->head && from->head->proves_not_run ) )
         may_have_run_ = may_have_run_ || !end.complete;
     if ( end.is_delimited_by_close )
@@ -358,9 +364,8 @@
     auto const& head = *current_->head;
     if ( !is_whole( *current_ ) )
         return on_invalid_answer( *current_, "incomplete answer" );
-    context_.loads.note_success( current_->target );
-    if ( is_success( head.status ) )
-        note_served( suspects_ );
+    if ( !current_->is_handover )
+        note_complete_answer();
     auto const status = head.status;
     if ( is_stream( *current_ ) )
     {
@@ -376,15 +381,23 @@
     }
     else
     {
-        answer_->send_whole(
-            { status, head.headers, current_->body.release() } );
+        answer_->send_whole( { status, head.headers, current_->body.release(),
+                               context_.path.is_cut() } );
     }
     close_attempt( false, work_outcome::served );
     close_silent();
-    context_.counters.served.add();
+    count_outcome( context_.counters.served );
     end( "served", status );
 }
 
+/// The target has served the request, which shows that its suspects are sound.
+auto exchange::note_complete_answer() -> void
+{
+    context_.loads.note_success( current_->target );
+    if ( is_success( current_->head->status ) )
+        note_served( suspects_ );
+}
+
 auto exchange::on_error_status() -> void
 {
     note_failure( current_->target );
@@ -404,7 +417,7 @@
         { status, current_->head->headers, current_->body.release() } );
     close_attempt( false );
     close_silent();
-    context_.counters.failed.add();
+    count_outcome( context_.counters.failed );
     end( "target_failed", status );
 }
 
@@ -445,18 +458,22 @@
 
 auto exchange::on_broken_attempt( attempt_end const& end ) -> void
 {
+    if ( current_->is_handover )
+        return on_handover_lost( end );
     auto const target = current_->target;
     note_broken_attempt( *current_, end );
     if ( retry( end.error.detail, end.sent, target.id ) ||
          return_to_silent_target( end.error.detail ) )
         return;
     close_attempt( true );
+    if ( !end.sent && hand_over( unreached_reason ) )
+        return;
     if ( may_have_run_ || streaming_ )
         return fail( status_bad_gateway,
                      context_.crashes.is_quarantined( suspects_ )
                          ? quarantined_reason
                          : "target_lost" );
-    refuse( status_unavailable, "not_reached", retry_after_turned_away );
+    refuse( status_unavailable, unreached_reason, retry_after_turned_away );
 }
 
 }
--- a/src/pollenstream/exchange/exchange_attempts.cpp
+++ b/src/pollenstream/exchange/exchange_attempts.cpp
@@ -153,7 +153,7 @@
         choice.parts, targets_reached_, now - request_.received,
         deadline_ - now, choice.first_event_ms, demand_.prompt_tokens,
         choice.basis, configuration_->version, grant.decided_by,
-        last_placement_time_, shared_parts() } );
+        last_placement_time_, shared_parts(), handed_over_by() } );
 
     current_.emplace(
         core::bounded_text( context_.answer_memory, max_answer_bytes() ) );
@@ -183,14 +183,19 @@
             request_, directions_for( choice, opened.reservation ) ) );
     // All attempts send the one body, which lives as long as this object.
     out.body = { shared_from_this(), &request_.body };
-    auto call = context_.targets.send(
-        std::move( out ),
-        std::make_shared<attempt_handler>( shared_from_this(), serial ) );
+    auto call = context_.targets.send( std::move( out ),
+                                       handler_for_attempt( serial ) );
     if ( current_ && current_->serial == serial )
         current_->call = std::move( call );
     arm_silence_timer();
 }
 
+auto exchange::handler_for_attempt( std::uint64_t serial )
+    -> std::shared_ptr<attempt_listener>
+{
+    return std::make_shared<attempt_handler>( shared_from_this(), serial );
+}
+
 auto exchange::may_retry() -> bool
 {
     if ( may_have_run_ && !route_->is_idempotent() )
@@ -201,7 +206,7 @@
     auto const now = context_.scheduler.now();
     auto const connects_left =
         streaming_ || connects_failed_ < max_failed_connects;
-    return targets_reached_ < route_->max_targets && connects_left &&
+    return targets_counted() < max_targets() && connects_left &&
            deadline_ - now > min_time_for_retry;
 }
 
@@ -251,7 +256,7 @@
         request_.id, content_, which.target.id, std::move( why ), may_have_run,
         std::move( decision ), context_.scheduler.now() - which.last_heard_at,
         events_, which.events, which.head.has_value(), shared_parts(),
-        std::exchange( silence_timer_delay_, {} ) } );
+        std::exchange( silence_timer_delay_, {} ), handed_over_by() } );
 }
 
 auto exchange::shared_parts() const -> std::vector<prompt_part_id>
@@ -271,6 +276,10 @@
         return false;
     exclude_target( excluded );
     close_attempt( true );
+    auto const is_doubtful = context_.path.state() != path_state::sound;
+    if ( !may_have_run && is_doubtful && !silent_ &&
+         hand_over( unreached_reason ) )
+        return true;
     if ( connects_failed_ >= max_failed_connects )
         not_before_ = context_.scheduler.now() + connect_pause;
     if ( !try_start() )
@@ -309,7 +318,8 @@
         closed.call->cancel();
     if ( closed.reservation )
         closed.reservation->release();
-    release( closed.serial, outcome );
+    if ( !closed.is_handover )
+        release( closed.serial, outcome );
     context_.queue.schedule_round();
 }
 
--- a/src/pollenstream/exchange/exchange_lateness.cpp
+++ b/src/pollenstream/exchange/exchange_lateness.cpp
@@ -53,10 +53,10 @@
                                 std::optional<core::duration> predicted )
     -> void
 {
-    context_.log.record(
-        lateness_expected{ request_.id, content_, workspace_, route_->id.str(),
-                           context_.scheduler.now() - request_.received,
-                           predicted, lateness_.objective(), reason } );
+    context_.log.record( lateness_expected{
+        request_.id, content_, workspace_, route_->id.str(),
+        context_.scheduler.now() - request_.received, predicted,
+        lateness_.objective(), reason, handed_over_by() } );
 }
 
 }
--- a/src/pollenstream/exchange/exchange_silence.cpp
+++ b/src/pollenstream/exchange/exchange_silence.cpp
@@ -143,7 +143,7 @@
         return arm_silence_timer();
     }
     // Nothing to do unless another target may be tried.
-    if ( !route_->is_idempotent() || targets_reached_ >= route_->max_targets )
+    if ( !route_->is_idempotent() || targets_counted() >= max_targets() )
         return;
     if ( !silent_ )
         return try_another_target();
--- a/src/pollenstream/exchange/exchange_waiting.cpp
+++ b/src/pollenstream/exchange/exchange_waiting.cpp
@@ -289,8 +289,12 @@
     context_.log.record( attempt_failed{
         request_.id, content_, grant.choice.targets.front()->properties.id,
         "reservation: " + why.detail, false, "wait", core::duration( 0 ),
-        events_, 0, false, shared_parts(), core::duration( 0 ) } );
+        events_, 0, false, shared_parts(), core::duration( 0 ),
+        handed_over_by() } );
     release( grant.serial, work_outcome::none );
+    if ( context_.path.state() != path_state::sound &&
+         hand_over( unreached_reason ) )
+        return;
     auto const spread = std::uniform_int_distribution<std::int64_t>(
         0, reservation_pause.count() )( context_.random );
     not_before_ =
--- a/src/pollenstream/exchange/message.hpp
+++ b/src/pollenstream/exchange/message.hpp
@@ -48,6 +48,14 @@
 /// Number of parts of a prompt that are considered; further ones are ignored.
 inline constexpr auto max_shared_parts = std::size_t{ 32 };
 
+/// How another instance has handed a request over to this one.
+struct handover_origin
+{
+    core::instance_id from;        ///< the caller's instance
+    core::duration waited{ 0 };    ///< since that one received the request
+    std::int64_t max_targets{ 1 }; ///< that the request may still reach
+};
+
 /// A complete request of a caller.
 struct caller_request
 {
@@ -64,6 +72,9 @@
     std::optional<std::int64_t> last_event; ///< last one the caller received
     std::optional<prompt_properties> prompt;
     core::instant received;
+    /// Set if another instance has handed the request over. It is never handed
+    /// over again, and its caller's instance counts it.
+    std::optional<handover_origin> handed_over;
 };
 
 /// An answer that is not streamed.
@@ -74,6 +85,9 @@
     std::string body;
     /// The caller's next request should come over a new connection.
     bool closes_connection{ false };
+    /// A refusal for the state of this instance: another one may serve the
+    /// request at once.
+    bool is_refused_here{ false };
 };
 
 /// Sends one answer to a caller. Calls have no effect once the caller has
@@ -112,6 +126,8 @@
     header_list headers;          ///< end-to-end headers, forwarded unchanged
     bool proves_not_run{ false }; ///< the request has not been executed
     bool wrong_target{ false };   ///< another target has the address now
+    /// The instance to which the request was handed over has not taken it.
+    bool handover_refused{ false };
     std::optional<std::uint64_t> announced_bytes; ///< its Content-Length
     bool has_seal{ false };          ///< has exactly one digest, not empty
     bool has_coding{ false };        ///< the body is encoded, as with gzip
--- a/src/pollenstream/exchange/own_answers.cpp
+++ b/src/pollenstream/exchange/own_answers.cpp
@@ -1,6 +1,7 @@
 #include <pollenstream/exchange/own_answers.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cstdint>
 #include <string>
 
@@ -31,6 +32,14 @@
 
 }
 
+auto is_own_state( std::string_view reason ) -> bool
+{
+    constexpr auto reasons = std::array<std::string_view, 6>{
+        cut_reason,      unreached_reason,    no_configuration_reason,
+        stopping_reason, process_ends_reason, no_memory_reason };
+    return std::find( reasons.begin(), reasons.end(), reason ) != reasons.end();
+}
+
 auto retry_after_header( core::duration time ) -> header_field
 {
     auto text = std::to_string( core::seconds_of( time ) );
--- a/src/pollenstream/exchange/own_answers.hpp
+++ b/src/pollenstream/exchange/own_answers.hpp
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <optional>
 #include <random>
+#include <string_view>
 
 namespace pollenstream::exchange
 {
@@ -32,6 +33,13 @@
     core::duration( std::chrono::milliseconds( 20 ) );
 /// Reason for refusing a request because no target can be reached from here.
 inline constexpr auto cut_reason = "cut_from_targets";
+/// Reason for refusing a request whose attempts have reached no target.
+inline constexpr auto unreached_reason = "not_reached";
+/// Reasons for refusing requests while the process has no configuration, while
+/// it is about to end, and as it ends.
+inline constexpr auto no_configuration_reason = "no_configuration";
+inline constexpr auto stopping_reason = "stopping";
+inline constexpr auto process_ends_reason = "process_ends";
 /// Reason for refusing a request whose targets are all in drained data centres.
 inline constexpr auto drained_reason = "drained";
 /// Reason for refusing a request because of the rate limits that targets name.
@@ -44,6 +52,10 @@
 inline constexpr auto status_unavailable = 503;
 inline constexpr auto status_gateway_timeout = 504;
 
+/// True if `reason` is the state of this instance alone, so that another one
+/// may serve the request at once.
+auto is_own_state( std::string_view reason ) -> bool;
+
 /// The header field for a Retry-After of `time`.
 auto retry_after_header( core::duration time ) -> header_field;
 
--- a/src/pollenstream/observation/event_metrics.cpp
+++ b/src/pollenstream/observation/event_metrics.cpp
@@ -78,7 +78,9 @@
 
 auto event_metrics::count( exchange::request_refused const& e ) -> void
 {
-    ++refused_[{ e.route, e.reason }];
+    // The instance of its caller counts it.
+    if ( e.handed_over_by.empty() )
+        ++refused_[{ e.route, e.reason }];
 }
 
 auto event_metrics::count( exchange::request_placed const& e ) -> void
@@ -90,6 +92,11 @@
         placement_time_[e.route].add( e.placement_time );
 }
 
+auto event_metrics::count( exchange::request_handed_over const& e ) -> void
+{
+    ++handed_over_[{ e.route, e.because }];
+}
+
 auto event_metrics::count( exchange::lateness_expected const& e ) -> void
 {
     ++late_expected_[e.route];
@@ -102,6 +109,8 @@
 
 auto event_metrics::count( exchange::request_ended const& e ) -> void
 {
+    if ( !e.handed_over_by.empty() )
+        return;
     ++ended_[{ e.route, e.outcome }];
     if ( auto const lost = loss_of( e ) )
         lost_.add( e.workspace, *lost );
@@ -124,6 +133,8 @@
                     "outcome", ended_ );
     write_counters( out, "pollenstream_requests_refused_total", "route",
                     "reason", refused_ );
+    write_counters( out, "pollenstream_requests_handed_over_total", "route",
+                    "because", handed_over_ );
     write_counters( out, "pollenstream_beliefs_total", "what", "now",
                     state_changes_ );
     write_lost( out, lost_ );
--- a/src/pollenstream/observation/event_metrics.hpp
+++ b/src/pollenstream/observation/event_metrics.hpp
@@ -28,6 +28,7 @@
 private:
     auto count( exchange::request_refused const& e ) -> void;
     auto count( exchange::request_placed const& e ) -> void;
+    auto count( exchange::request_handed_over const& e ) -> void;
     auto count( exchange::lateness_expected const& e ) -> void;
     auto count( exchange::attempt_failed const& e ) -> void;
     auto count( exchange::request_ended const& e ) -> void;
@@ -36,8 +37,9 @@
     using label_pair = std::pair<std::string, std::string>;
 
     exchange::event_log& next_log_;
-    std::map<label_pair, std::uint64_t> ended_;   ///< by route and outcome
-    std::map<label_pair, std::uint64_t> refused_; ///< by route and reason
+    std::map<label_pair, std::uint64_t> ended_;       ///< by route and outcome
+    std::map<label_pair, std::uint64_t> refused_;     ///< by route and reason
+    std::map<label_pair, std::uint64_t> handed_over_; ///< by route and reason
     std::map<label_pair, std::uint64_t>
         state_changes_; ///< by kind of subject and new state
     std::map<std::string, std::uint64_t> failed_attempts_; ///< by decision
--- a/src/pollenstream/observation/route_service.cpp
+++ b/src/pollenstream/observation/route_service.cpp
@@ -39,6 +39,8 @@
 
 auto route_service::on_ended( exchange::request_ended const& e ) -> void
 {
+    if ( !e.handed_over_by.empty() )
+        return;
     auto* const start = start_of( e.route );
     if ( start == nullptr || start->is_served )
         return;
--- a/src/pollenstream/peers/peer_group.cpp
+++ b/src/pollenstream/peers/peer_group.cpp
@@ -111,14 +111,14 @@
 /// callers, which are then turned away here.
 auto peer_group::broadcast_state() -> void
 {
-    send_to_all( base_message() );
+    send_to_all( state_message() );
     retransmissions_.clear();
     for ( auto const delay : { 40ms, 120ms, 300ms } )
         retransmissions_.push_back(
             scheduler_.call_after( delay,
                                    [this]
                                    {
-                                       send_to_all( base_message() );
+                                       send_to_all( state_message() );
                                    } ) );
 }
 
@@ -177,6 +177,14 @@
     return message;
 }
 
+/// The base message with what the receivers keep for long.
+auto peer_group::state_message() const -> peer_message
+{
+    auto message = base_message();
+    message.handover_key = self_.handover_key;
+    return message;
+}
+
 /// The last known state of another instance, as a message from it.
 auto peer_group::relayed_message( peer const& p ) const -> peer_message
 {
@@ -187,6 +195,7 @@
     message.ip = p.ip;
     message.data_centre = p.data_centre;
     message.callers = p.callers;
+    message.handover_key = p.handover_key;
     message.known_until = p.known_until;
     message.capacity = p.capacity;
     message.uptime_ms = core::milliseconds_of( now - p.started );
@@ -354,7 +363,7 @@
 
 auto peer_group::complete_message() -> peer_message
 {
-    auto message = base_message();
+    auto message = state_message();
     message.complete = true;
     message.work = load_table_.works_of( self_.id, scheduler_.now() );
     if ( handler_ != nullptr )
@@ -398,7 +407,7 @@
 /// without a known instance, so that these answer.
 auto peer_group::send_to_next_in_round() -> void
 {
-    auto const bytes = encode( base_message() );
+    auto const bytes = encode( state_message() );
     for ( auto const& [ip, since] : unconfirmed_ips_ )
         send( ip, bytes );
     auto const count = peers().size();
--- a/src/pollenstream/peers/peer_group.hpp
+++ b/src/pollenstream/peers/peer_group.hpp
@@ -221,6 +221,7 @@
 private:
     auto broadcast_state() -> void;
     auto base_message() const -> peer_message;
+    auto state_message() const -> peer_message;
     auto relayed_message( peer const& p ) const -> peer_message;
     auto complete_message() -> peer_message;
     auto message_for_new_coordinator() -> peer_message;
--- a/src/pollenstream/peers/peer_message.cpp
+++ b/src/pollenstream/peers/peer_message.cpp
@@ -328,6 +328,7 @@
     list_leaving_targets,
     list_quarantined,
     list_limits,
+    list_handover_key, ///< one number
 };
 
 auto lists_to_json( peer_message const& m ) -> json
@@ -355,6 +356,8 @@
     add( list_leaving_targets, list_to_json( m.leaving_targets, ref_to_json ) );
     add( list_limits, list_to_json( m.limits, limit_to_json ) );
     add( list_cleared, suspects_to_json( m.cleared ) );
+    if ( m.handover_key != core::handover_key{} )
+        add( list_handover_key, json::array( { m.handover_key.count() } ) );
     return lists;
 }
 
@@ -402,6 +405,9 @@
     case list_cleared:
         m.cleared = suspects_from_json( list );
         return;
+    case list_handover_key:
+        m.handover_key = core::handover_key( list.at( 0 ).get<std::int64_t>() );
+        return;
     }
 }
 
--- a/src/pollenstream/peers/peer_message.hpp
+++ b/src/pollenstream/peers/peer_message.hpp
@@ -114,6 +114,8 @@
     std::string ip;                   ///< of the sender
     core::data_centre_id data_centre; ///< of the sender
     std::string callers;              ///< address of the sender for callers
+    /// With it the sender takes requests over; none where it is left out.
+    core::handover_key handover_key;
     /// Store revision up to which the sender knows all changes.
     ports::store_revision known_until;
     std::int64_t capacity{ 0 };  ///< thousandths of a core that it may use
--- a/src/pollenstream/peers/peer_table.cpp
+++ b/src/pollenstream/peers/peer_table.cpp
@@ -66,6 +66,8 @@
         p.rank = core::stable_hash( message.sender.str() );
     if ( is_new || change.is_restarted )
         p.started = now - std::chrono::milliseconds( message.uptime_ms );
+    if ( change.is_restarted || message.handover_key != core::handover_key{} )
+        p.handover_key = message.handover_key;
     p.confirmed = p.confirmed && p.ip == message.ip;
     p.id = message.sender;
     p.incarnation = message.incarnation;
--- a/src/pollenstream/peers/peer_table.hpp
+++ b/src/pollenstream/peers/peer_table.hpp
@@ -24,6 +24,7 @@
     std::string ip;
     core::data_centre_id data_centre;
     std::string callers;               ///< where callers connect
+    core::handover_key handover_key;   ///< with it, it takes requests over
     ports::store_revision known_until; ///< last revision that it has seen
     core::instant store_answered_at;   ///< when the store last answered it
     /// Time for which the store had served it without interruption, as of its
@@ -55,6 +56,8 @@
     /// Thousandths of a core that it may use. Instances with the most capacity
     /// become coordinators.
     std::int64_t capacity{ 0 };
+    /// With it, this process takes requests over from other instances.
+    core::handover_key handover_key;
 };
 
 /// How a message came from the instance that it names as its sender.
--- a/standins/link/target_link.cpp
+++ b/standins/link/target_link.cpp
@@ -9,16 +9,15 @@
 //   POLLENSTREAM_LINK_SINK    port of 127.0.0.1 where connections hang
 
 #include <arpa/inet.h>
-#include <dlfcn.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-
 #include <cerrno>
 #include <cstdint>
 #include <cstdlib>
 #include <cstring>
+#include <dlfcn.h>
 #include <fstream>
+#include <netinet/in.h>
 #include <string>
+#include <sys/socket.h>
 
 namespace
 {
@@ -82,8 +81,8 @@
 extern "C" auto connect( int fd, sockaddr const* address, socklen_t size )
     -> int
 {
-    static auto const real_connect = reinterpret_cast<connect_function>(
-        dlsym( RTLD_NEXT, "connect" ) );
+    static auto const real_connect =
+        reinterpret_cast<connect_function>( dlsym( RTLD_NEXT, "connect" ) );
     auto target = sockaddr_in{};
     if ( !target_address( address, size, target ) )
         return real_connect( fd, address, size );
--- a/tests/observation/losses_test.cpp
+++ b/tests/observation/losses_test.cpp
@@ -298,3 +298,18 @@
     CHECK( account.requests() <= 5'000 );
     CHECK( account.lost().requests <= account.requests() );
 }
+
+TEST_CASE( "a request that is handed over is counted once", "[losses]" )
+{
+    auto const taken = std::string( " handed_over_by=n1" );
+    auto const account = read_account(
+        { "time=t event=handed_over id=a to=n2 because=cut_from_targets",
+          placed( "a", 3, 500 ) + taken, served( "a", 600, 100 ) + taken,
+          served( "a", 603, 100 ), placed( "a", 3, 500 ) + taken } );
+    CHECK( account.requests() == 1 );
+    CHECK( account.lost().requests == 0 );
+    CHECK( single_cause(
+               { "time=t event=handed_over id=b to=n2 because=not_reached",
+                 served( "b", 4'000, 100 ) } ) ==
+           loss_cause::cut_from_targets );
+}
--- a/tests/observation/observation_test.cpp
+++ b/tests/observation/observation_test.cpp
@@ -314,3 +314,19 @@
            "waiting 300.0 ms without a target, with an objective of 300.0 ms; "
            "reason: waited" );
 }
+
+TEST_CASE( "explain tells to whom a request was handed over", "[explain]" )
+{
+    auto log = std::istringstream(
+        "time=1 instance=a event=handed_over id=x to=b "
+        "because=cut_from_targets "
+        "waited_ms=0.1\n"
+        "time=3 instance=a event=ended id=x outcome=served status=200 "
+        "total_ms=9.0 first_ms=8.0 gap_ms=1.0\n"
+        "time=4 instance=b event=ended id=x outcome=target_lost status=502 "
+        "handed_over_by=a\n" );
+    auto const cause = apps::tool::explain( "x", { &log } ).cause;
+    CHECK( cause.find( "served with 200 in 9.0 ms" ) == 0 );
+    CHECK( cause.find( "handed over to b after 0.1 ms (cut_from_targets)" ) !=
+           std::string::npos );
+}
--- a/tests/support/exchange_fleet.cpp
+++ b/tests/support/exchange_fleet.cpp
@@ -605,25 +605,53 @@
     std::string instance_;
 };
 
+class fleet_instance::handover_sender : public handover::handover_transport
+{
+public:
+    handover_sender( exchange_fleet& fleet, std::string from )
+        : fleet_( fleet ), from_( std::move( from ) )
+    {
+    }
+    auto send( handover::peer_access const& to,
+               exchange::outgoing_handover request,
+               std::shared_ptr<exchange::attempt_listener> listener )
+        -> std::shared_ptr<exchange::open_attempt> override
+    {
+        return fleet_.handovers.send( from_, to, std::move( request ),
+                                      std::move( listener ) );
+    }
+
+private:
+    exchange_fleet& fleet_;
+    std::string from_;
+};
+
 fleet_instance::fleet_instance( exchange_fleet& fleet,
                                 int number,
                                 int incarnation,
                                 core::instant started )
     : name( "n" + std::to_string( number ) ), ip( ip_of( number ) ),
-      fleet_( fleet ), encoder_( std::make_unique<body_encoder>() ),
+      fleet_( fleet ), incarnation_( incarnation ),
+      encoder_( std::make_unique<body_encoder>() ),
       chooser_( loads, core::data_centre_id( "a" ) ),
       retries_( fleet.retry_allowance, started, core::stable_fraction( name ) ),
       wait_queue_( fleet.scheduler ),
       sender_( std::make_unique<sender>( fleet, ip ) ),
       targets_( std::make_unique<targets>( fleet, name ) ),
+      handover_sender_( std::make_unique<handover_sender>( fleet, ip ) ),
       group( { core::instance_id( name ), core::incarnation( incarnation ), ip,
-               core::data_centre_id( "a" ), ip + ":80", 250 },
+               core::data_centre_id( "a" ), ip + ":80", 250, key() },
              { "10.0.0.1", "10.0.0.2", "10.0.0.3" },
              fleet.scheduler,
              *sender_,
              loads,
              crashes,
              log ),
+      handovers( fleet.scheduler,
+                 group,
+                 *handover_sender_,
+                 core::data_centre_id( "a" ),
+                 static_cast<std::uint32_t>( number + 1 ) ),
       coordinator_( core::instance_id( name ),
                     fleet.scheduler,
                     loads,
@@ -651,6 +679,7 @@
                .placements = router_,
                .retries = retries_,
                .path = path_,
+               .handovers = &handovers,
                .answer_memory = std::make_shared<core::memory_budget>(
                    std::size_t{ 16 } << 20U ),
                .queue = wait_queue_,
@@ -698,17 +727,25 @@
     group.start();
     quarantine_.start();
     path_watch_.start();
+    handovers.start();
     group.set_ready( true );
 }
 
 fleet_instance::~fleet_instance() = default;
 
 auto fleet_instance::start( exchange::caller_request what,
-                            std::shared_ptr<recorded_channel> answer ) -> void
+                            std::shared_ptr<exchange::answer_channel> answer )
+    -> std::weak_ptr<exchange::exchange>
 {
-    std::make_shared<exchange::exchange>( context, std::move( what ),
-                                          std::move( answer ) )
-        ->start();
+    auto const started = std::make_shared<exchange::exchange>(
+        context, std::move( what ), std::move( answer ) );
+    started->start();
+    return started;
+}
+
+auto fleet_instance::key() const -> core::handover_key
+{
+    return core::handover_key( 1'000 + incarnation_ );
 }
 
 /// One attempt of a caller, which is retried after a failure where allowed.
@@ -767,6 +804,12 @@
                                 int plain_count,
                                 double retry_constant )
     : retry_allowance{ 0.2, retry_constant, 10s },
+      handovers( scheduler,
+                 [this]( auto const& to, auto request, auto answer )
+                 {
+                     return take_over( to, std::move( request ),
+                                       std::move( answer ) );
+                 } ),
       engines(
           scheduler,
           "model",
@@ -901,9 +944,30 @@
                                    instance->context.open.end() );
     for ( auto* const request : open )
         request->on_caller_gone();
+    handovers.close_all( instance->ip );
     instance.reset();
 }
 
+auto exchange_fleet::take_over(
+    handover::peer_access const& to,
+    exchange::caller_request request,
+    std::shared_ptr<exchange::answer_channel> answer ) -> std::function<void()>
+{
+    for ( auto const& one : instances_ )
+    {
+        if ( !one || one->ip != to.ip || one->key() != to.key )
+            continue;
+        auto const open =
+            one->start( std::move( request ), std::move( answer ) );
+        return [open]
+        {
+            if ( auto const started = open.lock() )
+                started->on_caller_gone();
+        };
+    }
+    return nullptr;
+}
+
 auto exchange_fleet::cut( int number, bool is_disconnected ) -> void
 {
     auto const& ip = at( number ).ip;
--- a/tests/support/exchange_fleet.hpp
+++ b/tests/support/exchange_fleet.hpp
@@ -2,6 +2,8 @@
 #define TESTS_SUPPORT_EXCHANGE_FLEET_HPP
 
 #include "support/exchange_fixture.hpp"
+#include "support/fleet_handovers.hpp"
+#include <pollenstream/handover/outgoing_handovers.hpp>
 #include <pollenstream/peers/peer_group.hpp>
 #include <pollenstream/peers/quarantine.hpp>
 #include <pollenstream/peers/target_path_watch.hpp>
@@ -208,7 +210,10 @@
     auto operator=( fleet_instance const& ) -> fleet_instance& = delete;
 
     auto start( exchange::caller_request what,
-                std::shared_ptr<recorded_channel> answer ) -> void;
+                std::shared_ptr<exchange::answer_channel> answer )
+        -> std::weak_ptr<exchange::exchange>;
+    /// Proves that a request comes from another instance.
+    [[nodiscard]] auto key() const -> core::handover_key;
 
     std::string name;
     std::string ip;
@@ -219,8 +224,10 @@
 private:
     class sender;
     class targets;
+    class handover_sender;
 
     exchange_fleet& fleet_;
+    int incarnation_;
     std::unique_ptr<exchange::request_encoder> encoder_;
     recorded_reservations reservations_;
     exchange::placement chooser_;
@@ -229,9 +236,11 @@
     exchange::wait_queue wait_queue_;
     std::unique_ptr<sender> sender_;
     std::unique_ptr<targets> targets_;
+    std::unique_ptr<handover_sender> handover_sender_;
 
 public:
     peers::peer_group group;
+    handover::outgoing_handovers handovers;
 
 private:
     exchange::placement_coordinator coordinator_;
@@ -328,6 +337,8 @@
     /// Attempts of callers by path, also at instances that do not run.
     std::map<std::string, std::vector<core::instant>> attempts;
     held_scheduler scheduler;
+    /// Requests that instances hand over to each other.
+    fleet_handovers handovers;
     fleet_store store{ *this };
     fleet_targets engines;
     fleet_targets plain;
@@ -341,6 +352,10 @@
     auto begin_attempt( int number, std::shared_ptr<fleet_call> const& call )
         -> void;
     auto tell_warm_up( fleet_instance& instance ) -> void;
+    auto take_over( handover::peer_access const& to,
+                    exchange::caller_request request,
+                    std::shared_ptr<exchange::answer_channel> answer )
+        -> std::function<void()>;
 
     double warm_up_rate_{ 0 };
     core::instant warm_up_until_;
