A quiet instance learns of its cut without requests

Cause: only failing requests told of a cut, so that the quietest instance knew last; its path was taken to be sound without evidence. It also kept a busy one from knowing: the cut needs an answer that others have had, and quiet others have none.

Ruled out: probing at a fixed rate, which grows with instances times targets; leaving the directory until the first answer, which an outage would empty.

--- a/src/pollenstream/exchange/target_path.hpp
+++ b/src/pollenstream/exchange/target_path.hpp
@@ -38,6 +38,12 @@
     /// No connection could be established, one broke, or the target is silent.
     auto note_failure( core::target_id const& target, core::instant now )
         -> void;
+    /// A new connection to a target has failed at `now`, which was opened as no
+    /// target had answered lately.
+    auto note_failed_quiet_probe( core::instant now ) -> void
+    {
+        begin_doubt( now );
+    }
     /// A new connection to another target has failed, which was opened to find
     /// out whether any can be reached.
     auto note_failed_probe() -> void
--- a/src/pollenstream/peers/peer_group.hpp
+++ b/src/pollenstream/peers/peer_group.hpp
@@ -154,6 +154,8 @@
     /// Called with changes of records that another instance has sent.
     std::function<void( std::string const& from, std::string const& update )>
         on_update;
+    /// Called when another instance has lost the path to all targets.
+    std::function<void()> on_peer_cut;
     /// Called when `size` has changed.
     std::function<void()> on_size_changed;
 
--- a/src/pollenstream/peers/peer_group_members.cpp
+++ b/src/pollenstream/peers/peer_group_members.cpp
@@ -102,6 +102,8 @@
         if ( handler_ != nullptr )
             handler_->on_lost( message.sender );
     }
+    if ( change.is_cut_now && on_peer_cut )
+        on_peer_cut();
     for ( auto const& ip : message.known_ips )
         add_ip( ip );
     if ( change.is_new || change.has_recovered || change.starts_leaving )
--- a/src/pollenstream/peers/peer_table.cpp
+++ b/src/pollenstream/peers/peer_table.cpp
@@ -61,6 +61,7 @@
     change.is_new = is_new;
     change.is_restarted = !is_new && message.incarnation > p.incarnation;
     change.has_recovered = !is_new && !p.alive;
+    change.is_cut_now = message.cut_from_targets && !p.cut_from_targets;
     change.starts_leaving = message.leaving && !p.leaving;
     if ( is_new )
         p.rank = core::stable_hash( message.sender.str() );
--- a/src/pollenstream/peers/peer_table.hpp
+++ b/src/pollenstream/peers/peer_table.hpp
@@ -76,6 +76,7 @@
     bool is_restarted{ false };  ///< a later process under a known id
     bool has_recovered{ false }; ///< was marked as silent
     bool starts_leaving{ false };
+    bool is_cut_now{ false }; ///< it has lost the path to all targets
     /// The instance that was removed to make room for the sender.
     std::optional<core::instance_id> replaced;
 };
--- a/tests/exchange/handover_test.cpp
+++ b/tests/exchange/handover_test.cpp
@@ -246,6 +246,25 @@
     CHECK( f.fleet.engines.runs.size() == 1 );
 }
 
+TEST_CASE( "streams that have begun go on elsewhere when the path is cut",
+           "[exchange][handover]" )
+{
+    auto f = handover_fleet( 3 );
+    f.fleet.scheduler.run( 1s );
+    auto all = std::vector<std::shared_ptr<fleet_call>>{};
+    for ( auto i = 0; i < 4; ++i )
+        all.push_back( f.fleet.call( 0, "/chat/a", std::to_string( i ) ) );
+    f.fleet.scheduler.run( 300ms );
+    f.cut( 0, 1, GENERATE( target_link::resets, target_link::hangs ) );
+    f.fleet.scheduler.run( time_to_finish );
+    for ( auto const& call : all )
+    {
+        CHECK( call->served );
+        CHECK_FALSE( call->cut_short );
+        CHECK( call->attempts == 1 );
+    }
+}
+
 TEST_CASE( "a request that is handed over is counted at its caller's instance "
            "alone",
            "[exchange][handover]" )
