--- a/scripts/cut_targets_scenario.py
+++ b/scripts/cut_targets_scenario.py
@@ -143,7 +143,8 @@
         self.sink = Sink()
         super().__init__(build, seed, metrics_port=reserve_port(),
                          make_proxy=lambda at: LinkedProxy(at, self.links),
-                         environment_of=self.link_environment, **sizes)
+                         environment_of=self.link_environment,
+                         program="pollenstream-linked-gateway", **sizes)
 
     def state_file(self, gateway):
         return pathlib.Path(self.folder) / f"{gateway.name}.link"
@@ -151,9 +152,7 @@
     def link_environment(self, gateway):
         self.state_file(gateway).write_text("sound\n")
         ports = ",".join(p.address.split(":")[1] for p in self.proxies.values())
-        library = self.build / "libpollenstream-target-link.so"
-        return {"LD_PRELOAD": str(library.resolve()),
-                "POLLENSTREAM_LINK_SOURCE": gateway.ip,
+        return {"POLLENSTREAM_LINK_SOURCE": gateway.ip,
                 "POLLENSTREAM_LINK_STATE": str(self.state_file(gateway)),
                 "POLLENSTREAM_LINK_PORTS": f",{ports},",
                 "POLLENSTREAM_LINK_SINK": str(self.sink.port)}
--- a/scripts/platform_fleet.py
+++ b/scripts/platform_fleet.py
@@ -225,7 +225,7 @@
         """`settings`: a file in place of one that is written now."""
         log = open(pathlib.Path(self.fleet.folder) / f"{self.name}.log", "ab")
         self.child = subprocess.Popen(
-            [str(self.fleet.build / "pollenstream-gateway"),
+            [str(self.fleet.build / self.fleet.program),
              f"--settings={settings or self.write_settings()}",
              *self.fleet.gateway_options],
             stdout=log, stderr=log, stdin=subprocess.DEVNULL,
@@ -254,7 +254,8 @@
 class PlatformFleet:
     """The stand-in, proxies before its store and runners, and gateways.
     Without `proxied` the runners have none; `make_proxy` makes one for an
-    address. `environment_of` a gateway is added to that of this process. Fleets with differing nets run
+    address. `environment_of` a gateway is added to that of this process;
+    `program` is run as gateway. Fleets with differing nets run
     beside each other. `limits` are those of a gateway's machine, `times` the
     callers' limits on time in the first configuration, `max_body_bytes` the
     limit on a request."""
@@ -262,13 +263,14 @@
     def __init__(self, build, seed, gateways=3, engines=4, plain=2,
                  timeout_ms=4000, proxied=True, metrics_port=None, limits=None,
                  times=None, max_body_bytes=1_000_000, make_proxy=Proxy,
-                 environment_of=None):
+                 environment_of=None, program="pollenstream-gateway"):
         self.build = pathlib.Path(build)
         self.seed = seed
         self.net = f"127.0.{os.getpid() % 250}"
         self.proxied = proxied
         self.make_proxy = make_proxy
         self.environment_of = environment_of
+        self.program = program
         self.metrics_port = metrics_port
         self.limits = limits or {}
         self.times = times or {}
--- a/standins/link/target_link.cpp
+++ b/standins/link/target_link.cpp
@@ -1,6 +1,8 @@
-// Preloaded into a gateway by tests: its connections to targets start from the
-// gateway's own address, so that the links of the stand-ins can tell gateways
-// apart, and fail as the file of the link's state says.
+// Linked into a gateway for tests in place of the system's `connect`: its
+// connections to targets start from the gateway's own address, so that the
+// links of the stand-ins can tell gateways apart, and fail as the file of the
+// link's state says. The linker's option `--wrap` names the two functions
+// below.
 //
 // Environment:
 //   POLLENSTREAM_LINK_SOURCE  IP address that connections to targets come from
@@ -13,12 +15,15 @@
 #include <cstdint>
 #include <cstdlib>
 #include <cstring>
-#include <dlfcn.h>
 #include <fstream>
 #include <netinet/in.h>
 #include <string>
 #include <sys/socket.h>
 
+// NOLINTBEGIN(bugprone-reserved-identifier): the linker gives these names
+extern "C" auto
+__real_connect( int fd, sockaddr const* address, socklen_t size ) -> int;
+
 namespace
 {
 
@@ -74,18 +79,14 @@
     return any;
 }
 
-using connect_function = int ( * )( int, sockaddr const*, socklen_t );
-
 }
 
-extern "C" auto connect( int fd, sockaddr const* address, socklen_t size )
-    -> int
+extern "C" auto
+__wrap_connect( int fd, sockaddr const* address, socklen_t size ) -> int
 {
-    static auto const real_connect =
-        reinterpret_cast<connect_function>( dlsym( RTLD_NEXT, "connect" ) );
     auto target = sockaddr_in{};
     if ( !target_address( address, size, target ) )
-        return real_connect( fd, address, size );
+        return __real_connect( fd, address, size );
     auto const state = link_state();
     if ( state == "refuse" )
     {
@@ -95,8 +96,9 @@
     if ( state == "hang" )
     {
         auto const sink = sink_address();
-        return real_connect( fd, &sink, sizeof( sink ) );
+        return __real_connect( fd, &sink, sizeof( sink ) );
     }
     bind_to_source( fd );
-    return real_connect( fd, address, size );
+    return __real_connect( fd, address, size );
 }
+// NOLINTEND(bugprone-reserved-identifier)
