exchange, peer_group and registry_watch read apart

Moves only, but for three constants and one function that two files use now: they stand in the headers.

--- a/src/pollenstream/exchange/own_answers.hpp
+++ b/src/pollenstream/exchange/own_answers.hpp
@@ -31,6 +31,9 @@
 /// serves the request at once.
 inline constexpr auto retry_after_cut =
     core::duration( std::chrono::milliseconds( 20 ) );
+/// Retry-After when the process is about to end: callers find another instance
+/// at once.
+inline constexpr auto retry_after_stop = core::duration( 0 );
 /// Reason for refusing a request because no target can be reached from here.
 inline constexpr auto cut_reason = "cut_from_targets";
 /// Reason for refusing a request whose attempts have reached no target.
--- a/src/pollenstream/registry/registry_watch.hpp
+++ b/src/pollenstream/registry/registry_watch.hpp
@@ -9,6 +9,7 @@
 #include <pollenstream/ports/scheduler.hpp>
 #include <pollenstream/registry/registry_codec.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -120,6 +121,17 @@
     }
 
 private:
+    /// Time that lapsed entries have to return after an outage of the store.
+    /// Targets write them again within two seconds; the rest allows for a late
+    /// response.
+    static constexpr auto return_timeout =
+        core::duration( std::chrono::milliseconds( 2'300 ) );
+
+    /// Memory that a record takes.
+    [[nodiscard]] static auto bytes_of( std::string const& key,
+                                        std::string const& value )
+        -> std::size_t;
+
     struct known_record
     {
         std::string value;
