--- a/standins/link/target_link.cpp
+++ b/standins/link/target_link.cpp
@@ -20,9 +20,11 @@
 #include <string>
 #include <sys/socket.h>
 
-// NOLINTBEGIN(bugprone-reserved-identifier): the linker gives these names
-extern "C" auto
-__real_connect( int fd, sockaddr const* address, socklen_t size ) -> int;
+// The names that the linker gives them.
+auto real_connect( int fd, sockaddr const* address, socklen_t size )
+    -> int asm( "__real_connect" );
+auto wrapped_connect( int fd, sockaddr const* address, socklen_t size )
+    -> int asm( "__wrap_connect" );
 
 namespace
 {
@@ -53,7 +55,7 @@
 }
 
 /// The port is chosen with the connection, and stays free for listeners.
-auto bind_to_source( int fd ) -> void
+auto bind_to_source( int fd ) -> bool
 {
     auto const on = 1;
     setsockopt( fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof( on ) );
@@ -64,7 +66,7 @@
                &own.sin_addr );
     auto any = sockaddr{};
     std::memcpy( &any, &own, sizeof( any ) );
-    bind( fd, &any, sizeof( any ) );
+    return bind( fd, &any, sizeof( any ) ) == 0;
 }
 
 auto sink_address() -> sockaddr
@@ -81,12 +83,11 @@
 
 }
 
-extern "C" auto
-__wrap_connect( int fd, sockaddr const* address, socklen_t size ) -> int
+auto wrapped_connect( int fd, sockaddr const* address, socklen_t size ) -> int
 {
     auto target = sockaddr_in{};
     if ( !target_address( address, size, target ) )
-        return __real_connect( fd, address, size );
+        return real_connect( fd, address, size );
     auto const state = link_state();
     if ( state == "refuse" )
     {
@@ -96,9 +97,9 @@
     if ( state == "hang" )
     {
         auto const sink = sink_address();
-        return __real_connect( fd, &sink, sizeof( sink ) );
+        return real_connect( fd, &sink, sizeof( sink ) );
     }
-    bind_to_source( fd );
-    return __real_connect( fd, address, size );
+    if ( !bind_to_source( fd ) )
+        return -1;
+    return real_connect( fd, address, size );
 }
-// NOLINTEND(bugprone-reserved-identifier)
