No silence is timed while a request is with another instance

By reading: a timer that an earlier attempt had armed could fire during a handover and count the other instance's silence as a failure of a target. No play showed it; all cases of the exchange pass.

--- a/src/pollenstream/exchange/exchange_silence.cpp
+++ b/src/pollenstream/exchange/exchange_silence.cpp
@@ -128,7 +128,7 @@
 auto exchange::on_silence_timer() -> void
 {
     auto const fired_timer = std::move( silence_timer_ );
-    if ( finished_ || !current_ )
+    if ( finished_ || !current_ || current_->is_handover )
         return;
     auto const keep = shared_from_this();
     auto const now = context_.scheduler.now();
