A target cannot say that a request was not taken over

Callers would have seen a call run twice: a target that answered a request which was handed over with the header Handover-Refused was believed by the instance of the caller, as the instance between them passed the header on, and the call was handed over once more. Cause: decode_answer forwards what it knows as well as what it doesn't.

--- a/tests/platform/handover_headers_test.cpp
+++ b/tests/platform/handover_headers_test.cpp
@@ -159,3 +159,15 @@
     CHECK( platform::decode_answer( { 503, { mark } } ).handover_refused );
     CHECK_FALSE( platform::decode_answer( { 503, {} } ).handover_refused );
 }
+
+// Guards against a second run of a call whose target says what only an instance
+// may say.
+TEST_CASE( "a target's word that a request was not taken is not passed on",
+           "[platform][handover]" )
+{
+    auto const* const name = GENERATE( "Handover-Refused", "handover-refused" );
+    auto const head = platform::decode_answer(
+        { 200, { { name, "1" }, { "X-Kept", "1" } } } );
+    REQUIRE( head.headers.size() == 1 );
+    CHECK( head.headers.front().name == "X-Kept" );
+}
