--- a/apps/tool/explain.cpp
+++ b/apps/tool/explain.cpp
@@ -42,7 +42,7 @@
     return text;
 }
 
-/// Which instances it was handed over to, for the sentence.
+/// The instances that took the request over, as a part of the sentence.
 auto handovers_in( std::vector<story_line> const& story ) -> std::string
 {
     auto text = std::string{};
--- a/src/pollenstream/adapters/spdlog/structured_log.cpp
+++ b/src/pollenstream/adapters/spdlog/structured_log.cpp
@@ -65,7 +65,7 @@
     fmt::memory_buffer out_;
 };
 
-/// Which instance has handed the request over, if one has.
+/// Adds the instance that handed the request over, if it was handed over.
 auto add_origin( line_builder& line, core::instance_id const& by ) -> void
 {
     if ( !by.empty() )
--- a/src/pollenstream/handover/handover_transport.hpp
+++ b/src/pollenstream/handover/handover_transport.hpp
@@ -10,8 +10,8 @@
 namespace pollenstream::handover
 {
 
-/// Where an instance takes requests over, and what proves to it that they come
-/// from another instance.
+/// Address of an instance, and the key that its process asks for with requests
+/// that are handed over.
 struct peer_access
 {
     std::string ip;
